--- a/libgooseberry/gen/proto.c
+++ b/libgooseberry/gen/proto.c
@@ -454,6 +454,10 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->leaving))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->informed))
+		 return FALSE;
+	 if (!xdr_uint64_t (xdrs, &objp->seen))
+		 return FALSE;
 	 if (!xdr_uint64_t (xdrs, &objp->config))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->claims.claims_val, (u_int *) &objp->claims.claims_len, ~0,
@@ -689,7 +693,15 @@
 		 return FALSE;
 	 if (!xdr_uint64_t (xdrs, &objp->epoch))
 		 return FALSE;
-	 if (!xdr_uint64_t (xdrs, &objp->snapshot))
+	return TRUE;
+}
+
+bool_t
+xdr_gb_snapshot_row (XDR *xdrs, gb_snapshot_row *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_uint64_t (xdrs, &objp->seq))
 		 return FALSE;
 	return TRUE;
 }
@@ -710,6 +722,22 @@
 	return TRUE;
 }
 
+bool_t
+xdr_gb_view_row (XDR *xdrs, gb_view_row *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_uint64_t (xdrs, &objp->number))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->members.members_val, (u_int *) &objp->members.members_len, 4096,
+		sizeof (gb_member_row), (xdrproc_t) xdr_gb_member_row))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->previous.previous_val, (u_int *) &objp->previous.previous_len, 4096,
+		sizeof (gb_name), (xdrproc_t) xdr_gb_name))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_gb_change_kind (XDR *xdrs, gb_change_kind *objp)
 {
--- a/libgooseberry/gen/proto.h
+++ b/libgooseberry/gen/proto.h
@@ -246,6 +246,8 @@
 	gb_name addr;
 	gb_name dc;
 	bool_t leaving;
+	bool_t informed;
+	uint64_t seen;
 	uint64_t config;
 	struct {
 		u_int claims_len;
@@ -383,10 +385,14 @@
 	uint64_t owner;
 	gb_name member;
 	uint64_t epoch;
-	uint64_t snapshot;
 };
 typedef struct gb_shard_row gb_shard_row;
 
+struct gb_snapshot_row {
+	uint64_t seq;
+};
+typedef struct gb_snapshot_row gb_snapshot_row;
+
 struct gb_member_row {
 	gb_name member;
 	uint64_t incarnation;
@@ -395,6 +401,19 @@
 };
 typedef struct gb_member_row gb_member_row;
 
+struct gb_view_row {
+	uint64_t number;
+	struct {
+		u_int members_len;
+		gb_member_row *members_val;
+	} members;
+	struct {
+		u_int previous_len;
+		gb_name *previous_val;
+	} previous;
+};
+typedef struct gb_view_row gb_view_row;
+
 enum gb_change_kind {
 	GB_CHANGE_DOCUMENT = 1,
 	GB_CHANGE_DRAIN = 2,
@@ -464,7 +483,9 @@
 extern  bool_t xdr_gb_record (XDR *, gb_record*);
 extern  bool_t xdr_gb_batch (XDR *, gb_batch*);
 extern  bool_t xdr_gb_shard_row (XDR *, gb_shard_row*);
+extern  bool_t xdr_gb_snapshot_row (XDR *, gb_snapshot_row*);
 extern  bool_t xdr_gb_member_row (XDR *, gb_member_row*);
+extern  bool_t xdr_gb_view_row (XDR *, gb_view_row*);
 extern  bool_t xdr_gb_change_kind (XDR *, gb_change_kind*);
 extern  bool_t xdr_gb_change (XDR *, gb_change*);
 extern  bool_t xdr_gb_key_row (XDR *, gb_key_row*);
@@ -507,7 +528,9 @@
 extern bool_t xdr_gb_record ();
 extern bool_t xdr_gb_batch ();
 extern bool_t xdr_gb_shard_row ();
+extern bool_t xdr_gb_snapshot_row ();
 extern bool_t xdr_gb_member_row ();
+extern bool_t xdr_gb_view_row ();
 extern bool_t xdr_gb_change_kind ();
 extern bool_t xdr_gb_change ();
 extern bool_t xdr_gb_key_row ();
--- a/libgooseberry/gen/proto.x
+++ b/libgooseberry/gen/proto.x
@@ -191,6 +191,8 @@
 	gb_name addr;
 	gb_name dc;
 	bool leaving;
+	bool informed;		/* has read the store since it started */
+	uint64_t seen;		/* version of the head row it has read */
 	uint64_t config;	/* last configuration change applied */
 	gb_claim claims<>;
 };
@@ -316,7 +318,10 @@
 	uint64_t owner;	/* incarnation, 0: nobody */
 	gb_name member;
 	uint64_t epoch;
-	uint64_t snapshot; /* log sequence the snapshot covers */
+};
+
+struct gb_snapshot_row {
+	uint64_t seq;		/* last log sequence the snapshot covers */
 };
 
 struct gb_member_row {
@@ -326,6 +331,12 @@
 	gb_name dc;
 };
 
+struct gb_view_row {
+	uint64_t number;
+	gb_member_row members<4096>;
+	gb_name previous<4096>;	/* names of the view before */
+};
+
 enum gb_change_kind {
 	GB_CHANGE_DOCUMENT = 1,
 	GB_CHANGE_DRAIN = 2,
--- a/libgooseberry/gooseberry.h
+++ b/libgooseberry/gooseberry.h
@@ -227,6 +227,7 @@
 	gb_time beat_us;       /**< heartbeat and head poll interval */
 	gb_time suspect_us;    /**< silence after which a peer is suspected */
 	gb_time fresh_us;      /**< how long a confirmed view may be acted on */
+	gb_time outage_us;     /**< longest time without the table service */
 	gb_time lease_us;      /**< worker lease */
 	gb_time sync_us;       /**< interval of worker syncs */
 	gb_time margin_us;     /**< added to every lease for clock drift */
@@ -434,6 +435,7 @@
 	char trace_file[256];
 	struct gb_list dcs;
 	int64_t shards_per_dc, beat_ms, suspect_ms, fresh_ms, lease_ms;
+	int64_t outage_ms;
 	int64_t sync_ms, margin_ms, op_timeout_ms, write_budget;
 	int64_t snapshot_every, list_ms, trace_per_mille, log_level;
 };
--- a/libgooseberry/process/core.c
+++ b/libgooseberry/process/core.c
@@ -7,6 +7,15 @@
 
 #include "core.h"
 
+/** A frozen process waits this long for a new list of instances. */
+#define LIST_PATIENCE (5 * GB_SEC)
+
+bool
+core_list_stale(const struct gb_core *core)
+{
+	return core->now < core->list_awaited;
+}
+
 struct gb_core *
 gb_core_new(const struct gb_core_config *cfg, gb_time now)
 {
@@ -119,6 +128,7 @@
 	u_int n;
 
 	core->now = now;
+	core->list_awaited = 0;
 	for (n = 0; n < list->list.list_len; n++) {
 		const gb_instance *in = &list->list.list_val[n];
 
@@ -146,8 +156,11 @@
 	uint32_t i;
 
 	core->now = now;
+	if (core->ticked != 0 && now - core->ticked > core->cfg.suspect_us)
+		core->list_awaited = now + LIST_PATIENCE;
+	core->ticked = now;
 	store_op_tick(core);
-	member_tick(core);
+	view_tick(core);
 	config_tick(core);
 	job_commands_tick(core);
 	request_tick(core);
--- a/libgooseberry/process/core.h
+++ b/libgooseberry/process/core.h
@@ -13,7 +13,10 @@
 #include "gooseberry.h"
 
 #define CELL_PREFIX "cell/"
-#define MEMBER_PREFIX "cell/member/"
+#define HEAD_KEY "cell/head"
+#define VIEW_KEY "cell/view"
+#define WAIT_PREFIX "cell/wait/"
+#define SNAPSHOT_PREFIX "snapshot/"
 #define SHARD_PREFIX "cell/shard/"
 #define CHANGE_PREFIX "change/"
 #define LOG_PREFIX "log/"
@@ -53,19 +56,29 @@
 	uint64_t incarnation;
 	char addr[GB_NAME_MAX + 1];
 	char dc[GB_NAME_MAX + 1];
-	bool listed; /**< has a row in the store */
-	bool gone;   /**< the platform says that its instance has ended */
+	bool listed; /**< is in the view of the store */
+	uint64_t listed_incarnation;
+	bool previous; /**< was in the view before that */
+	bool gone;     /**< the platform says that its instance has ended */
 	bool leaving;
-	bool acknowledged; /**< has answered this process since it started */
-	gb_time heard;	   /**< last sign of life */
-	gb_time echoed;	   /**< when the last beat it answered was sent */
-	gb_time sent;	   /**< last beat sent to it */
-	uint64_t row_vers;
+	bool informed; /**< has read the store since it started */
+	uint64_t seen; /**< version of the head row it has read */
 	uint64_t config;
+	uint64_t wait_vers; /**< of the row in which it waits, 0: none */
+	uint64_t wait_incarnation;
+	gb_time heard;	/**< last sign of life */
+	gb_time echoed; /**< when the last beat it answered was sent */
+	gb_time sent;	/**< last beat sent to it */
 	gb_claim *claims;
 	u_int claim_count;
 };
 
+/** How far a write of the cell's rows has become known. */
+struct spread {
+	uint64_t vers;	  /**< of the head row that the write made */
+	gb_time known_at; /**< when enough members knew of it, 0: not yet */
+};
+
 /* Documents */
 
 struct doc_version {
@@ -96,7 +109,7 @@
 	uint64_t expected;
 	bool sent; /**< may have been written */
 	bool committed;
-	gb_time committed_at;
+	struct spread spread;
 };
 
 TAILQ_HEAD(change_waits, change_wait);
@@ -244,6 +257,7 @@
 	gb_request spec; /**< without the body */
 	gb_res need;
 	bool idempotent;
+	bool maybe; /**< an earlier try may have run */
 	unsigned int tries;
 	uint32_t worker;
 	uint32_t avoid; /**< worker of the failed try */
@@ -293,9 +307,11 @@
 	struct log_entry *flight; /**< being written */
 	u_int flight_count;
 	enum log_phase phase;
-	uint64_t seq;	   /**< last sequence that is written */
-	uint64_t snapshot; /**< sequence the last snapshot covers */
-	gb_time opened;	   /**< when the oldest collected record came */
+	uint64_t seq;	     /**< last sequence that is written */
+	uint64_t snapshot;   /**< sequence the last snapshot covers */
+	uint64_t unsure;     /**< snapshot whose write was not confirmed */
+	uint64_t skip_until; /**< no snapshot before this sequence */
+	gb_time opened;	     /**< when the oldest collected record came */
 	gb_time retry_at;
 	unsigned int tries;
 	bool snapshot_read; /**< while the shard is loaded */
@@ -311,7 +327,8 @@
 	char member[GB_NAME_MAX + 1]; /**< of the owner in the row */
 	gb_time vacant_since;
 	uint64_t epoch;
-	gb_time taken_at;
+	struct spread claim; /**< how far its taking has become known */
+	gb_time claim_over;  /**< no lease of an earlier owner lasts longer */
 	struct log log;
 	struct gb_index *index;
 	struct job *jobs;
@@ -355,6 +372,8 @@
 	char *strings[3];
 	gb_time now;
 	gb_time wall_minus_now;
+	gb_time ticked;	      /**< time of the last tick */
+	gb_time list_awaited; /**< until then the list counts as stale */
 	uint64_t seed;
 	struct gb_retry retry;
 	struct gb_action *actions;
@@ -363,18 +382,28 @@
 	uint64_t next_op;
 	/* Members */
 	struct member *members;
-	bool listed; /**< own row is written */
-	bool row_pending;
-	bool joined; /**< every listed member knows of this one */
+	bool joined; /**< this incarnation is in the view */
 	bool leaving;
 	bool exited;
-	uint64_t row_vers;
+	bool previous; /**< this member was in the view before */
+	uint64_t view_number;
+	uint64_t view_vers; /**< of the view's row */
+	struct spread view_spread;
+	bool named; /**< the view names this member, of any incarnation */
+	bool wait_written;	/**< this process waits in a row of its own */
+	uint64_t wait_vers;	/**< of that row, 0: none */
+	bool rows_stale;	/**< read all rows at the next poll */
+	bool poll_again;	/**< look again at once */
+	gb_time view_due_since; /**< a next view has been due this long */
+	bool row_pending;
+	gb_time row_retry_at;
+	uint64_t head_seen; /**< version of the head row read last */
+	uint64_t head_read; /**< the same, while its news are being read */
 	bool polling;
 	gb_time poll_at;
 	gb_time poll_started;
 	gb_time confirmed; /**< start of the last whole look at the store */
 	bool ever_confirmed;
-	gb_time row_retry_at;
 	/* Documents */
 	struct doc *docs;
 	uint64_t config_seq;
@@ -397,6 +426,11 @@
 	struct gb_core_stats stats;
 };
 
+/* core.c */
+/** Whether this process was frozen and has not seen the platform's list
+ * since, so that it may not know who is leaving. */
+bool core_list_stale(const struct gb_core *);
+
 /* action.c */
 struct gb_action *core_action_add(struct gb_core *, enum gb_action_type);
 void core_answer(struct gb_core *, uint64_t id, gb_verdict, unsigned status,
@@ -417,15 +451,33 @@
 void store_txn_remove(gb_txn *, const char *key);
 
 /* member.c */
-void member_tick(struct gb_core *);
-void member_poll_now(struct gb_core *);
+void member_beats(struct gb_core *);
 bool member_live(const struct gb_core *, const struct member *);
 struct member *member_find(struct gb_core *, const char *);
-bool member_all_have(struct gb_core *, uint64_t config);
+struct member *member_add(struct gb_core *, const char *);
+bool member_is_self(const struct gb_core *, const char *);
+void member_free(struct gb_core *, struct member *);
+/** Whether the table service confirmed the view within fresh_us. */
+bool member_store_fresh(const struct gb_core *);
+/** Follow a write until it is in force: all members know of it, or enough
+ * members have known of it for so long that the rest cannot act on what was
+ * before. */
+bool member_spread_done(struct gb_core *, struct spread *);
+/** Whether enough members know of a write that no other can go on for longer
+ * than fresh_us without learning of it. */
+bool member_spread_known(struct gb_core *, struct spread *);
 void member_instance(struct gb_core *, const gb_instance *);
-void member_expelled(struct gb_core *);
 void members_free(struct gb_core *);
 
+/* view.c */
+void view_tick(struct gb_core *);
+void view_poll_now(struct gb_core *);
+/** Add to a transaction what tells all members to look again. */
+void view_touch_head(gb_txn *);
+/** The same, and let it take effect only under this member's view: whoever
+ * joins later has read what the transaction wrote. */
+void view_bind(const struct gb_core *, gb_txn *);
+
 /* config.c */
 struct doc *config_doc(struct gb_core *, const char *team, const char *service);
 bool config_apply(struct gb_core *, const gb_change *);
@@ -444,8 +496,8 @@
 struct shard *shard_get(struct gb_core *, uint32_t);
 bool shard_serial_stale(const struct gb_core *, const struct store_op *);
 void shard_key(char *out, size_t, uint32_t shard);
-bool shard_row_encode(const struct shard *, uint64_t epoch, uint64_t owner,
-    const char *member, uint64_t snapshot, gb_body *);
+bool shard_row_encode(
+    uint64_t epoch, uint64_t owner, const char *member, gb_body *);
 
 /* log.c */
 /** Takes over the record. */
@@ -456,6 +508,7 @@
  * that was not is dropped. */
 bool log_withdraw(struct gb_core *, struct shard *, uint64_t answer);
 void log_key(char *out, size_t, uint32_t shard, uint64_t seq);
+void snapshot_key(char *out, size_t, uint32_t shard);
 void object_key(char *out, size_t, uint32_t shard, uint64_t seq);
 
 /* recover.c */
@@ -477,6 +530,8 @@
 void worker_stop(struct worker *, const struct job *, uint32_t index);
 void worker_ack(struct worker *, const gb_task_id *);
 void worker_blame(struct gb_core *, struct worker *, uint64_t job, bool failed);
+/** No lease that an earlier owner gave can last from now on. */
+void worker_claim_over(struct gb_core *, struct shard *);
 void worker_shard_taken(struct gb_core *, struct shard *);
 void worker_shard_lost(struct gb_core *, struct shard *);
 gb_res worker_free(const struct worker *);
--- a/libgooseberry/process/dispatch.c
+++ b/libgooseberry/process/dispatch.c
@@ -442,7 +442,7 @@
 	unsigned int budget = DECISIONS_PER_RUN;
 	unsigned int band;
 
-	if (!gb_core_fresh(core, core->now))
+	if (!gb_core_fresh(core, core->now) || core_list_stale(core))
 		return;
 	for (band = 0; band < GB_BANDS; band++)
 		band_run(core, shard, band, &budget);
--- a/libgooseberry/process/entry.c
+++ b/libgooseberry/process/entry.c
@@ -697,7 +697,7 @@
 }
 
 static void
-view_tick(uv_timer_t *timer)
+entry_view_tick(uv_timer_t *timer)
 {
 	struct gb_entry *entry = timer->data;
 	const struct gb_list *scheds = &entry->settings.scheds;
@@ -745,8 +745,8 @@
 		return NULL;
 	uv_timer_init(loop, &entry->view_timer);
 	entry->view_timer.data = entry;
-	uv_timer_start(
-	    &entry->view_timer, view_tick, 0, (uint64_t)settings->view_ms);
+	uv_timer_start(&entry->view_timer, entry_view_tick, 0,
+	    (uint64_t)settings->view_ms);
 	return entry;
 }
 
--- a/libgooseberry/process/job.c
+++ b/libgooseberry/process/job.c
@@ -208,31 +208,6 @@
 	job->active++;
 }
 
-/** Log the end of a task that holds nothing any more. */
-static void
-task_end(struct gb_core *core, struct job *job, uint32_t index,
-    enum gb_outcome outcome)
-{
-	struct task *task = &job->tasks[index];
-	struct worker *w = worker_get(core, task->worker);
-	gb_rec_task *rec;
-	gb_record record;
-
-	task->state = TASK_ENDING;
-	task->outcome = (uint8_t)outcome;
-	task->since = core->now;
-	memset(&record, 0, sizeof(record));
-	record.type = GB_REC_END;
-	rec = &record.gb_record_u.end;
-	rec->id.job = job->id;
-	rec->id.index = index;
-	rec->id.attempt = task->attempt;
-	rec->worker = gb_strdup(w == NULL ? "" : w->name);
-	rec->incarnation = task->incarnation;
-	rec->outcome = outcome;
-	log_append(core, job->shard, &record, 0);
-}
-
 /** A gang whose part is lost starts anew as a whole, once all has stopped. */
 static void
 gang_restart(struct gb_core *core, struct job *job)
@@ -266,6 +241,32 @@
 	job_enqueue(core, job);
 }
 
+/** Log the end of a task that holds nothing any more. */
+static void
+task_end(struct gb_core *core, struct job *job, uint32_t index,
+    enum gb_outcome outcome)
+{
+	struct task *task = &job->tasks[index];
+	struct worker *w = worker_get(core, task->worker);
+	gb_rec_task *rec;
+	gb_record record;
+
+	task->state = TASK_ENDING;
+	task->outcome = (uint8_t)outcome;
+	task->since = core->now;
+	memset(&record, 0, sizeof(record));
+	record.type = GB_REC_END;
+	rec = &record.gb_record_u.end;
+	rec->id.job = job->id;
+	rec->id.index = index;
+	rec->id.attempt = task->attempt;
+	rec->worker = gb_strdup(w == NULL ? "" : w->name);
+	rec->incarnation = task->incarnation;
+	rec->outcome = outcome;
+	log_append(core, job->shard, &record, 0);
+	gang_settle(core, job);
+}
+
 /** A task may start anew, or must end because nothing may run it again. */
 static void
 task_again(
@@ -356,7 +357,10 @@
 	if (job == NULL || held->id.index >= job->spec.tasks)
 		return NULL;
 	task = &job->tasks[held->id.index];
-	if (task->state == TASK_UNSURE && task->worker == GB_NONE)
+	/* An attempt that has stopped here says nothing of a later one that
+	 * may run elsewhere. */
+	if (task->state == TASK_UNSURE && task->worker == GB_NONE &&
+	    (held->state == GB_HELD_RUNNING || held->state == GB_HELD_OK))
 		return task;
 	if (task->worker != w->handle || task->attempt != held->id.attempt ||
 	    task->state == TASK_ENDED)
@@ -517,7 +521,7 @@
 	if (task->state != TASK_COMMITTING ||
 	    task->attempt != rec->id.attempt || w == NULL)
 		return;
-	if (w->evidence != EVIDENCE_FENCED || job->cancelled ||
+	if (!worker_usable(w) || job->cancelled ||
 	    w->incarnation != rec->incarnation) {
 		job_task_lost(core, job, rec->id.index, true);
 		return;
@@ -710,8 +714,10 @@
 	       (place <= doc->replicas % allowed ? 1 : 0);
 }
 
+/** The replicas that one shard keeps are a job of their own. */
 static void
-service_spec(const struct gb_doc *doc, uint32_t tasks, gb_job_spec *spec)
+service_spec(
+    const struct gb_doc *doc, uint32_t shard, uint32_t tasks, gb_job_spec *spec)
 {
 	memset(spec, 0, sizeof(*spec));
 	spec->team = (char *)(uintptr_t)doc->team;
@@ -725,7 +731,7 @@
 	spec->res = doc->res;
 	spec->spread = doc->spread;
 	spec->vers = doc->vers;
-	spec->id = gb_hash_pair(doc->service, doc->team) | 1;
+	spec->id = gb_hash_pair(doc->service, doc->team) + shard;
 }
 
 /** Grow or shrink a service's tasks to what its document declares. */
@@ -783,7 +789,7 @@
 	struct job *job;
 	uint32_t i;
 
-	service_spec(doc, share, &spec);
+	service_spec(doc, shard->id, share, &spec);
 	job = job_find(shard, spec.id);
 	if (job == NULL) {
 		if (share == 0)
@@ -1159,15 +1165,6 @@
 	core_answer_body(core, id, 0, &body);
 }
 
-/** Whether an accepted change can be logged soon.  When it can't, the caller
- * is told at once. */
-static bool
-store_seen(const struct gb_core *core)
-{
-	return core->ever_confirmed &&
-	       core->now - core->confirmed <= core->cfg.fresh_us;
-}
-
 void
 job_command(struct gb_core *core, uint64_t id, const gb_command *cmd)
 {
@@ -1180,7 +1177,8 @@
 		return;
 	}
 	if ((cmd->verb == GB_VERB_SUBMIT || cmd->verb == GB_VERB_CANCEL) &&
-	    !store_seen(core)) {
+	    !member_store_fresh(core)) {
+		/* It could not be logged soon: say so at once. */
 		core_answer(core, id, GB_NOT_RUN, 503, STORE_RETRY_MS,
 		    "the table service is unavailable");
 		return;
--- a/libgooseberry/process/log.c
+++ b/libgooseberry/process/log.c
@@ -26,6 +26,12 @@
 	snprintf(out, size, LOG_PREFIX "%04" PRIu32 "/%016" PRIx64, shard, seq);
 }
 
+void
+snapshot_key(char *out, size_t size, uint32_t shard)
+{
+	snprintf(out, size, SNAPSHOT_PREFIX "%04" PRIu32, shard);
+}
+
 void
 object_key(char *out, size_t size, uint32_t shard, uint64_t seq)
 {
@@ -245,8 +251,8 @@
 	store_op_txn(core, &txn, log_written, shard->id, 0);
 }
 
-/* Snapshots go through the same single slot as the log's writes, since they
- * change the row that those depend on. */
+/* Snapshots go through the same single slot as the log's writes, so that
+ * they cover exactly what is written. */
 
 static void
 snapshot_done(struct gb_core *core, const struct store_op *op,
@@ -260,48 +266,56 @@
 	log->phase = LOG_IDLE;
 	switch (result->status) {
 	case GB_STORE_OK:
-		shard->row_vers = result->vers;
-		shard->row.snapshot = log->seq;
 		log->snapshot = log->seq;
+		log->unsure = 0;
 		core->stats.snapshots++;
 		break;
 	case GB_STORE_REFUSED:
+	case GB_STORE_UNKNOWN:
+		/* The log goes on either way; a later one takes its place. */
+		log->unsure = log->seq;
+		log->skip_until = log->seq + core->cfg.snapshot_every / 4 + 1;
 		break;
 	case GB_STORE_CONFLICT:
-	case GB_STORE_UNKNOWN:
-		/* Its effect is not known, so neither is the row. */
-		shard_lose(core, shard, "a snapshot was not confirmed");
+		shard_lose(core, shard, "its row changed");
 		break;
 	}
 }
 
+static void
+snapshot_remove(gb_txn *txn, uint32_t shard, uint64_t seq)
+{
+	char key[GB_KEY_MAX + 1];
+
+	if (seq == 0)
+		return;
+	object_key(key, sizeof(key), shard, seq);
+	store_txn_remove(txn, key);
+}
+
 static void
 log_snapshot(struct gb_core *core, struct shard *shard)
 {
 	struct log *log = &shard->log;
+	gb_snapshot_row row = {log->seq};
 	char key[GB_KEY_MAX + 1];
 	gb_body object;
-	gb_body row;
+	gb_body body;
 	gb_txn txn;
 	uint64_t seq;
 
 	if (!recover_snapshot(core, shard, &object))
 		return;
-	if (!shard_row_encode(shard, shard->epoch, core->cfg.incarnation,
-		core->cfg.member, log->seq, &row)) {
-		free(object.gb_body_val);
-		return;
-	}
+	gb_xdr_encode((xdrproc_t)xdr_gb_snapshot_row, &row, &body);
 	memset(&txn, 0, sizeof(txn));
 	shard_key(key, sizeof(key), shard->id);
 	store_txn_cond(&txn, key, shard->row_vers);
-	store_txn_put(&txn, key, row);
+	snapshot_key(key, sizeof(key), shard->id);
+	store_txn_put(&txn, key, body);
+	snapshot_remove(&txn, shard->id, log->snapshot);
+	snapshot_remove(&txn, shard->id, log->unsure);
 	object_key(key, sizeof(key), shard->id, log->seq);
 	store_txn_put(&txn, key, object);
-	if (log->snapshot > 0) {
-		object_key(key, sizeof(key), shard->id, log->snapshot);
-		store_txn_remove(&txn, key);
-	}
 	for (seq = log->snapshot + 1;
 	     seq <= log->seq && seq <= log->snapshot + SNAPSHOT_TRIM_MAX;
 	     seq++) {
@@ -334,7 +348,7 @@
 	if (log->phase != LOG_IDLE)
 		return;
 	if (log->seq - log->snapshot >= core->cfg.snapshot_every &&
-	    shard->state == SHARD_ACTIVE) {
+	    log->seq >= log->skip_until && shard->state == SHARD_ACTIVE) {
 		log_snapshot(core, shard);
 		return;
 	}
--- a/libgooseberry/process/recover.c
+++ b/libgooseberry/process/recover.c
@@ -92,7 +92,7 @@
 }
 
 static void
-recover_snapshot_read(struct gb_core *core, const struct store_op *op,
+recover_object_read(struct gb_core *core, const struct store_op *op,
     const struct store_result *result)
 {
 	struct shard *shard = &core->shards[op->shard];
@@ -108,18 +108,43 @@
 	recover_page(core, shard);
 }
 
-void
-recover_start(struct gb_core *core, struct shard *shard)
+static void
+recover_snapshot_read(struct gb_core *core, const struct store_op *op,
+    const struct store_result *result)
 {
+	struct shard *shard = &core->shards[op->shard];
 	char key[GB_KEY_MAX + 1];
+	gb_snapshot_row row;
+	gb_body body;
 
-	shard->log.seq = shard->row.snapshot;
-	shard->log.snapshot = shard->row.snapshot;
-	if (shard->row.snapshot == 0) {
+	if (shard_serial_stale(core, op))
+		return;
+	if (result->status != GB_STORE_OK) {
+		recover_later(core, shard);
+		return;
+	}
+	if (result->count == 0) {
+		shard->log.snapshot_read = true;
 		recover_page(core, shard);
 		return;
 	}
-	object_key(key, sizeof(key), shard->id, shard->row.snapshot);
+	body = result->rows[0].value;
+	if (!gb_xdr_decode((xdrproc_t)xdr_gb_snapshot_row, &body, &row)) {
+		shard_lose(core, shard, "its snapshot cannot be read");
+		return;
+	}
+	shard->log.seq = row.seq;
+	shard->log.snapshot = row.seq;
+	object_key(key, sizeof(key), shard->id, row.seq);
+	store_op_scan(core, key, "", 1, recover_object_read, shard->id, 0);
+}
+
+void
+recover_start(struct gb_core *core, struct shard *shard)
+{
+	char key[GB_KEY_MAX + 1];
+
+	snapshot_key(key, sizeof(key), shard->id);
 	store_op_scan(core, key, "", 1, recover_snapshot_read, shard->id, 0);
 }
 
@@ -129,7 +154,7 @@
 	if (shard->log.phase != LOG_WAITING || core->now < shard->log.retry_at)
 		return;
 	shard->log.phase = LOG_IDLE;
-	if (shard->row.snapshot == 0 || shard->log.snapshot_read)
+	if (shard->log.snapshot_read)
 		recover_page(core, shard);
 	else
 		recover_start(core, shard);
--- a/libgooseberry/process/sched.c
+++ b/libgooseberry/process/sched.c
@@ -448,6 +448,7 @@
 	cfg->beat_us = s->beat_ms * GB_MSEC;
 	cfg->suspect_us = s->suspect_ms * GB_MSEC;
 	cfg->fresh_us = s->fresh_ms * GB_MSEC;
+	cfg->outage_us = s->outage_ms * GB_MSEC;
 	cfg->lease_us = s->lease_ms * GB_MSEC;
 	cfg->sync_us = s->sync_ms * GB_MSEC;
 	cfg->margin_us = s->margin_ms * GB_MSEC;
--- a/libgooseberry/process/settings.c
+++ b/libgooseberry/process/settings.c
@@ -41,6 +41,10 @@
 	SCHED(suspect_ms)},
     {"fresh_ms", GB_SET_INT, "ms", 50, 60000, "2000",
 	"How long a confirmed view may be acted on.", SCHED(fresh_ms)},
+    {"outage_ms", GB_SET_INT, "ms", 1000, 86400000, "7200000",
+	"How long members may go on without the table service while all of "
+	"them hear each other.",
+	SCHED(outage_ms)},
     {"lease_ms", GB_SET_INT, "ms", 500, 600000, "20000",
 	"Lease of a worker; its tasks stop when it is over.", SCHED(lease_ms)},
     {"sync_ms", GB_SET_INT, "ms", 20, 60000, "500", "Interval of worker syncs.",
--- a/libgooseberry/process/shard.c
+++ b/libgooseberry/process/shard.c
@@ -12,6 +12,8 @@
 /** Wait for each better-placed candidate before trying in its stead. */
 #define CANDIDATE_STEP GB_SEC
 #define DISPATCH_RETRY (200 * GB_MSEC)
+/** Worker clocks may differ in rate by one part in this. */
+#define SHARD_DRIFT_PART 100
 #define HAND_RETRY (100 * GB_MSEC)
 
 uint32_t
@@ -68,16 +70,14 @@
 }
 
 bool
-shard_row_encode(const struct shard *shard, uint64_t epoch, uint64_t owner,
-    const char *member, uint64_t snapshot, gb_body *out)
+shard_row_encode(
+    uint64_t epoch, uint64_t owner, const char *member, gb_body *out)
 {
 	gb_shard_row row;
 
-	(void)shard;
 	row.owner = owner;
 	row.member = (char *)(uintptr_t)member;
 	row.epoch = epoch;
-	row.snapshot = snapshot;
 	return gb_xdr_encode((xdrproc_t)xdr_gb_shard_row, &row, out);
 }
 
@@ -139,7 +139,6 @@
 		shard->row_vers = row->vers;
 		shard->row.owner = r.owner;
 		shard->row.epoch = r.epoch;
-		shard->row.snapshot = r.snapshot;
 		snprintf(shard->member, sizeof(shard->member), "%s", r.member);
 		if ((shard->state == SHARD_LOADING ||
 			shard->state == SHARD_ACTIVE ||
@@ -244,14 +243,16 @@
 		 * rows shows a shard of ours that nobody serves. */
 		shard->state = SHARD_NONE;
 		shard->row_known = false;
-		member_poll_now(core);
+		view_poll_now(core);
 		return;
 	}
 	shard->row_vers = result->vers;
 	shard->row.owner = core->cfg.incarnation;
 	shard->row.epoch = shard->epoch;
 	snprintf(shard->member, sizeof(shard->member), "%s", core->cfg.member);
-	shard->taken_at = core->now;
+	shard->claim.vers = result->vers;
+	shard->claim.known_at = 0;
+	shard->claim_over = 0;
 	shard->state = SHARD_LOADING;
 	core->stats.takeovers++;
 	gb_env_log(&core->cfg.env, GB_LOG_INFO, "shard",
@@ -269,14 +270,15 @@
 
 	shard->serial++;
 	shard->epoch = shard->row.epoch + 1;
-	if (!shard_row_encode(shard, shard->epoch, core->cfg.incarnation,
-		core->cfg.member, shard->row.snapshot, &body))
+	if (!shard_row_encode(
+		shard->epoch, core->cfg.incarnation, core->cfg.member, &body))
 		return;
 	shard->state = SHARD_TAKING;
 	memset(&txn, 0, sizeof(txn));
 	shard_key(key, sizeof(key), shard->id);
 	store_txn_cond(&txn, key, shard->row_vers);
 	store_txn_put(&txn, key, body);
+	view_bind(core, &txn);
 	store_op_txn(core, &txn, shard_taken, shard->id, 0);
 }
 
@@ -284,7 +286,7 @@
 shard_consider(struct gb_core *core, struct shard *shard)
 {
 	if (!shard->row_known || !core->joined || core->leaving ||
-	    core->now - core->confirmed > core->cfg.fresh_us)
+	    !member_store_fresh(core))
 		return;
 	if (!shard_vacant(core, shard)) {
 		shard->vacant_since = core->now;
@@ -330,13 +332,13 @@
 	    shard->log.phase != LOG_IDLE || shard->log.next_count > 0 ||
 	    shard->waiting_count + shard->sent_count > 0)
 		return;
-	if (!shard_row_encode(
-		shard, shard->epoch, 0, "", shard->log.snapshot, &body))
+	if (!shard_row_encode(shard->epoch, 0, "", &body))
 		return;
 	memset(&txn, 0, sizeof(txn));
 	shard_key(key, sizeof(key), shard->id);
 	store_txn_cond(&txn, key, shard->row_vers);
 	store_txn_put(&txn, key, body);
+	view_touch_head(&txn);
 	shard->hand_busy = true;
 	store_op_txn(core, &txn, shard_handed, shard->id, 0);
 }
@@ -390,9 +392,26 @@
 	return slots;
 }
 
+/** Find out when no lease of an earlier owner can last any longer: it renews
+ * while its view is fresh, which ends once enough members know of the new
+ * owner. */
+static void
+shard_claim_follow(struct gb_core *core, struct shard *shard)
+{
+	gb_time lease = core->cfg.lease_us;
+
+	if (shard->claim_over != 0 || !member_spread_known(core, &shard->claim))
+		return;
+	shard->claim_over = shard->claim.known_at + core->cfg.fresh_us + lease +
+			    lease / SHARD_DRIFT_PART + core->cfg.margin_us;
+	worker_claim_over(core, shard);
+}
+
 void
 shard_tick(struct gb_core *core, struct shard *shard)
 {
+	if (shard->state == SHARD_ACTIVE || shard->state == SHARD_HANDING)
+		shard_claim_follow(core, shard);
 	switch (shard->state) {
 	case SHARD_NONE:
 		shard_consider(core, shard);
--- a/libgooseberry/process/worker.c
+++ b/libgooseberry/process/worker.c
@@ -262,12 +262,17 @@
 
 /** First moment at which a lease that an earlier owner gave is over. */
 static gb_time
-worker_first_lapse(const struct gb_core *core, const struct shard *shard)
+worker_first_lapse(const struct shard *shard)
 {
-	gb_time lease = core->cfg.lease_us;
+	return shard->claim_over == 0 ? INT64_MAX : shard->claim_over;
+}
 
-	return shard->taken_at + core->cfg.fresh_us + lease +
-	       lease / DRIFT_PART + core->cfg.margin_us;
+/** End of a lease that is given or was given on a report of now. */
+static gb_time
+worker_lease_end(const struct gb_core *core, gb_time now)
+{
+	return now + core->cfg.lease_us + core->cfg.lease_us / DRIFT_PART +
+	       core->cfg.margin_us;
 }
 
 void
@@ -282,7 +287,7 @@
 		w = worker_new(core, in);
 		if (w == NULL)
 			return;
-		w->lapse_at = worker_first_lapse(core, w->shard);
+		w->lapse_at = worker_first_lapse(w->shard);
 		w->shard->settled = false;
 	}
 	if (w->evidence == EVIDENCE_GONE)
@@ -337,7 +342,7 @@
 	for (i = 0; i < shard->worker_count; i++) {
 		struct worker *w = core->workers[shard->workers[i]];
 
-		w->lapse_at = worker_first_lapse(core, shard);
+		w->lapse_at = worker_first_lapse(shard);
 		if (w->platform == GB_INSTANCE_GONE &&
 		    w->evidence != EVIDENCE_GONE)
 			worker_gone(core, w);
@@ -345,6 +350,19 @@
 	}
 }
 
+void
+worker_claim_over(struct gb_core *core, struct shard *shard)
+{
+	uint32_t i;
+
+	for (i = 0; i < shard->worker_count; i++) {
+		struct worker *w = core->workers[shard->workers[i]];
+
+		if (w->evidence == EVIDENCE_UNKNOWN)
+			w->lapse_at = shard->claim_over;
+	}
+}
+
 void
 worker_shard_lost(struct gb_core *core, struct shard *shard)
 {
@@ -423,7 +441,7 @@
 /* Syncs */
 
 static void
-worker_sync(struct gb_core *core, struct worker *w)
+worker_sync_send(struct gb_core *core, struct worker *w)
 {
 	struct gb_action *action = core_action_add(core, GB_ACT_SYNC);
 	bool known = w->evidence == EVIDENCE_FENCED && w->anchor != 0;
@@ -458,6 +476,40 @@
 	core->stats.syncs++;
 }
 
+/** Take back the starts that have not been sent: the worker takes no new work
+ * any more. */
+static void
+worker_withdraw(struct gb_core *core, struct worker *w)
+{
+	u_int i;
+
+	for (i = 0; i < w->out.starts.starts_len; i++)
+		xdr_free((xdrproc_t)xdr_gb_start,
+		    (char *)&w->out.starts.starts_val[i]);
+	w->out.starts.starts_len = 0;
+	for (i = w->task_count; i > 0; i--) {
+		struct task_ref ref;
+		struct task *task;
+
+		if (i > w->task_count)
+			continue;
+		ref = w->tasks[i - 1];
+		task = &ref.job->tasks[ref.index];
+		if ((task->state == TASK_STARTING ||
+			task->state == TASK_STOPPING) &&
+		    task->seq > w->seq)
+			job_task_lost(core, ref.job, ref.index, true);
+	}
+}
+
+static void
+worker_sync(struct gb_core *core, struct worker *w)
+{
+	if (w->out.starts.starts_len > 0 && !worker_usable(w))
+		worker_withdraw(core, w);
+	worker_sync_send(core, w);
+}
+
 /** Compare what a worker lists with what it was given. */
 static void
 worker_report(struct gb_core *core, struct worker *w, const gb_sync_res *res)
@@ -560,8 +612,8 @@
 	w->incarnation = res->incarnation;
 	w->anchor = res->clock;
 	w->anchor_local = now;
-	if (now > w->lapse_at)
-		w->lapse_at = now + core->cfg.lease_us;
+	if (w->evidence != EVIDENCE_FENCED)
+		w->lapse_at = worker_lease_end(core, now);
 	worker_report(core, w, res);
 	request_reported(core, w, res);
 	worker_evidence(core, w, EVIDENCE_FENCED);
@@ -599,6 +651,8 @@
 	}
 	if (w->evidence != EVIDENCE_LAPSED && core->now > w->lapse_at)
 		worker_lapsed(core, w);
+	if (w->syncing && core->now - w->sent > core->cfg.op_timeout_us)
+		w->syncing = false;
 	if (w->syncing || !gb_core_fresh(core, core->now))
 		return;
 	if (core->now - w->sent >= core->cfg.sync_us || w->sent == 0 ||
--- a/libgooseberry/request/request.c
+++ b/libgooseberry/request/request.c
@@ -150,6 +150,8 @@
 request_refuse(struct gb_core *core, struct request *r, gb_verdict verdict,
     unsigned status, unsigned retry_ms, const char *reason)
 {
+	if (verdict == GB_NOT_RUN && r->maybe)
+		verdict = GB_MAYBE_RUN;
 	if (verdict == GB_NOT_RUN)
 		key_remove(core, r);
 	core->stats.answers++;
@@ -363,6 +365,7 @@
 	r->started = now;
 	r->need = doc->res;
 	r->idempotent = doc->idempotent;
+	r->maybe = req->repeated;
 	r->avoid = GB_NONE;
 	r->worker = GB_NONE;
 	snprintf(r->pool, sizeof(r->pool), "%s", doc->pool);
@@ -462,6 +465,8 @@
 	struct request *next;
 	unsigned int blocked = 0;
 
+	if (core_list_stale(core))
+		return;
 	for (r = TAILQ_FIRST(&shard->waiting); r != NULL && blocked < 8;
 	     r = next) {
 		struct send send = {core, r};
@@ -497,6 +502,24 @@
 	free(e);
 }
 
+/** Nobody waits for an exec any more; its room stays taken until the worker
+ * shows that it has ended. */
+static void
+exec_give_up(struct gb_core *core, uint64_t rid)
+{
+	struct exec *e;
+	struct worker *w;
+
+	HASH_FIND(hh, core->execs, &rid, sizeof(rid), e);
+	if (e == NULL || e->given_up)
+		return;
+	w = worker_get(core, e->worker);
+	if (w->shard->serial != e->serial)
+		return;
+	e->given_up = true;
+	w->given_up++;
+}
+
 static void
 drain_count(struct gb_core *core, struct shard *shard)
 {
@@ -520,6 +543,7 @@
 {
 	bool own = r->shard->state == SHARD_ACTIVE && !core->leaving;
 
+	r->maybe = r->maybe || verdict == GB_MAYBE_RUN;
 	if (own && gb_verdict_retryable(verdict, r->idempotent) &&
 	    r->tries < TRIES_MOST && core->now < r->deadline &&
 	    gb_core_fresh(core, core->now) && gb_retry_spend(&core->retry)) {
@@ -553,12 +577,10 @@
 	w = worker_get(core, e->worker);
 	if (r != NULL && r->serial == r->shard->serial)
 		r->shard->sent_count--;
-	if (res->verdict == GB_MAYBE_RUN && w->shard->serial == e->serial) {
-		e->given_up = true;
-		w->given_up++;
-	} else {
+	if (res->verdict == GB_MAYBE_RUN && w->shard->serial == e->serial)
+		exec_give_up(core, rid);
+	else
 		exec_release(core, e);
-	}
 	if (r == NULL)
 		return;
 	drain_count(core, r->shard);
@@ -624,6 +646,7 @@
 		if (r->state == REQUEST_SENT) {
 			if (r->serial == r->shard->serial)
 				r->shard->sent_count--;
+			exec_give_up(core, r->rid);
 			request_refuse(core, r, GB_MAYBE_RUN, 504, 0,
 			    "the deadline passed while it ran");
 		} else {
@@ -639,6 +662,8 @@
 {
 	struct request *r;
 	struct request *next;
+	struct exec *e;
+	struct exec *next_exec;
 
 	HASH_ITER(hh, core->requests, r, next)
 	{
@@ -646,5 +671,13 @@
 			request_refuse(core, r, GB_NOT_RUN, 503, OWNER_RETRY_MS,
 			    "the shard changed its owner");
 	}
+	HASH_ITER(hh, core->execs, e, next_exec)
+	{
+		/* Those with a caller still bring their answers. */
+		if (!e->given_up || worker_get(core, e->worker)->shard != shard)
+			continue;
+		HASH_DEL(core->execs, e);
+		free(e);
+	}
 	shard->sent_count = 0;
 }
--- a/libgooseberry/version/config.c
+++ b/libgooseberry/version/config.c
@@ -249,13 +249,13 @@
 }
 
 static void
-change_committed(struct gb_core *core, struct change_wait *wait)
+change_committed(struct gb_core *core, struct change_wait *wait, uint64_t vers)
 {
 	wait->committed = true;
-	wait->committed_at = core->now;
+	wait->spread.vers = vers;
 	core->change_busy = false;
 	config_apply(core, &wait->change);
-	member_poll_now(core);
+	view_poll_now(core);
 }
 
 /** The write did not take place: somebody else's took its number. */
@@ -265,7 +265,7 @@
 	wait->sent = false;
 	core->change_busy = false;
 	core->change_retry_at = core->now + CHANGE_RETRY;
-	member_poll_now(core);
+	view_poll_now(core);
 }
 
 static void
@@ -298,7 +298,7 @@
 	mine = found.nonce == wait->change.nonce;
 	change_clear(&found);
 	if (mine)
-		change_committed(core, wait);
+		change_committed(core, wait, result->rows[0].vers);
 	else
 		change_again(core, wait);
 }
@@ -330,7 +330,7 @@
 		return;
 	switch (result->status) {
 	case GB_STORE_OK:
-		change_committed(core, wait);
+		change_committed(core, wait, result->vers);
 		break;
 	case GB_STORE_REFUSED:
 	case GB_STORE_UNKNOWN:
@@ -365,56 +365,68 @@
 	change_key(key, sizeof(key), wait->change.seq);
 	store_txn_cond(&txn, key, 0);
 	store_txn_put(&txn, key, body);
+	view_bind(core, &txn);
 	wait->sent = true;
 	core->change_busy = true;
 	store_op_txn(core, &txn, change_written, GB_NONE, 0);
 }
 
-/** Tell that a change is in force: all members have it, or those that have
- * not can no longer act on the old one. */
+/** Tell that a change is accepted, and whether it is in force: all members
+ * have it, or those that have not can no longer act on the old one. */
 static void
-wait_in_force(struct gb_core *core, struct change_wait *wait)
+wait_accepted(struct gb_core *core, struct change_wait *wait, bool in_force)
 {
 	struct gb_text body = {0};
+	struct gb_action *action;
 
 	gb_text_add(&body,
 	    "{\"version\": %" PRIu64 ", \"change\": %" PRIu64
-	    ", \"in_force\": true}",
-	    wait->change.vers, wait->change.seq);
-	core_answer_body(core, wait->answer, wait->change.vers, &body);
+	    ", \"in_force\": %s}",
+	    wait->change.vers, wait->change.seq, in_force ? "true" : "false");
+	action = core_answer_body(core, wait->answer, wait->change.vers, &body);
+	if (!in_force)
+		action->u.answer.status = 202;
 	wait_free(core, wait);
 }
 
+/** Bring one waiting change forward. */
+static void
+wait_tick(struct gb_core *core, struct change_wait *wait)
+{
+	bool late = core->now >= wait->deadline;
+
+	if (wait->committed && wait->answer == 0) {
+		wait_free(core, wait);
+	} else if (wait->committed) {
+		bool in_force = member_spread_done(core, &wait->spread);
+
+		if (in_force || late)
+			wait_accepted(core, wait, in_force);
+	} else if (!wait->sent && !member_store_fresh(core)) {
+		wait_refuse(core, wait, GB_NOT_RUN, 503, STORE_RETRY_MS,
+		    "the table service is unavailable");
+	} else if (!wait->sent && late) {
+		wait_refuse(core, wait, GB_NOT_RUN, 503, STORE_RETRY_MS,
+		    "other changes went first");
+	} else if (late && wait->answer != 0) {
+		core_answer(core, wait->answer, GB_MAYBE_RUN, 503,
+		    STORE_RETRY_MS, "the table service did not confirm");
+		wait->answer = 0;
+	}
+}
+
 void
 config_tick(struct gb_core *core)
 {
 	struct change_wait *wait;
 	struct change_wait *next;
-	bool store_seen = core->ever_confirmed &&
-			  core->now - core->confirmed <= core->cfg.fresh_us;
 
 	for (wait = TAILQ_FIRST(&core->changes); wait != NULL; wait = next) {
 		next = TAILQ_NEXT(wait, next);
-		if (wait->committed) {
-			if (member_all_have(core, wait->change.seq) ||
-			    core->now - wait->committed_at >
-				core->cfg.fresh_us + core->cfg.margin_us)
-				wait_in_force(core, wait);
-		} else if (!wait->sent && !store_seen) {
-			wait_refuse(core, wait, GB_NOT_RUN, 503, STORE_RETRY_MS,
-			    "the table service is unavailable");
-		} else if (!wait->sent && core->now >= wait->deadline) {
-			wait_refuse(core, wait, GB_NOT_RUN, 503, STORE_RETRY_MS,
-			    "other changes went first");
-		} else if (core->now >= wait->deadline && wait->answer != 0) {
-			core_answer(core, wait->answer, GB_MAYBE_RUN, 503,
-			    STORE_RETRY_MS,
-			    "the table service did not confirm");
-			wait->answer = 0;
-		}
+		wait_tick(core, wait);
 	}
 	if (core->change_busy || !core->joined ||
-	    core->now < core->change_retry_at || !store_seen)
+	    core->now < core->change_retry_at || !member_store_fresh(core))
 		return;
 	wait = wait_sent(core);
 	if (wait != NULL) {
--- /dev/null
+++ b/libgooseberry/version/view.c
@@ -0,0 +1,567 @@
+/**
+ * @file view.c
+ * The rows of the cell in the table service: its head, its view of members
+ * and the owners of shards.  A process that starts waits in a row of its own;
+ * a member takes all that wait into the next view, and out of it those that
+ * have left or have been silent.  The next view follows only when the last
+ * one is known to so many members that nobody acts on the one before it.
+ */
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "process/core.h"
+
+/** Silence, in multiples of fresh_us, after which a member is taken out. */
+#define SILENCE_FACTOR 4
+#define ROW_RETRY (200 * GB_MSEC)
+/** Time after which any member may make a view that is due. */
+#define MAKER_PATIENCE (3 * GB_SEC)
+#define POLL_RETRY_LEAST (20 * GB_MSEC)
+
+void
+view_touch_head(gb_txn *txn)
+{
+	gb_body empty = {0, NULL};
+
+	store_txn_put(txn, HEAD_KEY, empty);
+}
+
+void
+view_bind(const struct gb_core *core, gb_txn *txn)
+{
+	store_txn_cond(txn, VIEW_KEY, core->view_vers);
+	view_touch_head(txn);
+}
+
+/* Reading */
+
+/** Take in one member of the view. */
+static void
+view_member(struct gb_core *core, const gb_member_row *row)
+{
+	struct member *m;
+
+	if (member_is_self(core, row->member)) {
+		core->named = true;
+		core->joined = row->incarnation == core->cfg.incarnation;
+		return;
+	}
+	m = member_add(core, row->member);
+	m->listed = true;
+	m->listed_incarnation = row->incarnation;
+	if (m->incarnation == 0)
+		m->incarnation = row->incarnation;
+	if (m->addr[0] == '\0')
+		snprintf(m->addr, sizeof(m->addr), "%s", row->addr);
+	if (m->dc[0] == '\0')
+		snprintf(m->dc, sizeof(m->dc), "%s", row->dc);
+}
+
+static void
+view_row_seen(struct gb_core *core, const gb_row *row)
+{
+	gb_body body = row->value;
+	struct member *m;
+	gb_view_row view;
+	u_int i;
+
+	if (row->vers == core->view_vers)
+		return;
+	memset(&view, 0, sizeof(view));
+	if (!gb_xdr_decode((xdrproc_t)xdr_gb_view_row, &body, &view))
+		return;
+	core->view_vers = row->vers;
+	core->view_number = view.number;
+	core->view_spread.vers = row->vers;
+	core->view_spread.known_at = 0;
+	core->joined = false;
+	core->named = false;
+	core->previous = false;
+	for (m = core->members; m != NULL; m = m->hh.next) {
+		m->listed = false;
+		m->previous = false;
+	}
+	for (i = 0; i < view.members.members_len; i++)
+		view_member(core, &view.members.members_val[i]);
+	for (i = 0; i < view.previous.previous_len; i++) {
+		const char *name = view.previous.previous_val[i];
+
+		if (member_is_self(core, name))
+			core->previous = true;
+		else
+			member_add(core, name)->previous = true;
+	}
+	xdr_free((xdrproc_t)xdr_gb_view_row, (char *)&view);
+}
+
+/** Somebody waits to be taken in: learn of it, so that beats reach it. */
+static void
+view_wait_seen(struct gb_core *core, const gb_row *row)
+{
+	gb_body body = row->value;
+	gb_member_row r;
+	struct member *m;
+
+	memset(&r, 0, sizeof(r));
+	if (!gb_xdr_decode((xdrproc_t)xdr_gb_member_row, &body, &r))
+		return;
+	if (member_is_self(core, r.member)) {
+		core->wait_written = r.incarnation == core->cfg.incarnation;
+		core->wait_vers = row->vers;
+	} else {
+		m = member_add(core, r.member);
+		m->wait_vers = row->vers;
+		m->wait_incarnation = r.incarnation;
+		snprintf(m->addr, sizeof(m->addr), "%s", r.addr);
+		snprintf(m->dc, sizeof(m->dc), "%s", r.dc);
+	}
+	xdr_free((xdrproc_t)xdr_gb_member_row, (char *)&r);
+}
+
+/** Forget members that are in no view and silent. */
+static void
+members_prune(struct gb_core *core)
+{
+	struct member *m;
+	struct member *next;
+
+	HASH_ITER(hh, core->members, m, next)
+	{
+		bool silent =
+		    core->now - m->heard > SILENCE_FACTOR * core->cfg.fresh_us;
+
+		if (!m->listed && !m->previous && m->wait_vers == 0 &&
+		    (silent || m->gone || m->leaving))
+			member_free(core, m);
+	}
+}
+
+static void
+rows_taken(struct gb_core *core, const struct store_result *result)
+{
+	bool was_joined = core->joined;
+	struct member *m;
+	uint32_t n;
+	u_int i;
+
+	core->wait_written = false;
+	core->wait_vers = 0;
+	for (m = core->members; m != NULL; m = m->hh.next)
+		m->wait_vers = 0;
+	for (i = 0; i < result->count; i++) {
+		const gb_row *row = &result->rows[i];
+
+		if (strcmp(row->key, VIEW_KEY) == 0)
+			view_row_seen(core, row);
+		else if (strncmp(row->key, WAIT_PREFIX,
+			     sizeof(WAIT_PREFIX) - 1) == 0)
+			view_wait_seen(core, row);
+		else
+			shard_row_seen(core, row);
+	}
+	for (n = 0; n < core->shard_count; n++) {
+		struct shard *shard = &core->shards[n];
+
+		shard->row_known = true;
+		if (was_joined && !core->joined && shard->state != SHARD_NONE)
+			shard_lose(core, shard, "taken out of the view");
+	}
+	/* A new member acts once it has read the changes before its view. */
+	if (!was_joined && core->joined)
+		core->ever_confirmed = false;
+	members_prune(core);
+}
+
+/* Poll: the head alone, and all the rest when the head has changed */
+
+static void poll_changes(struct gb_core *);
+
+static void
+poll_end(struct gb_core *core, bool confirmed)
+{
+	core->polling = false;
+	core->poll_at =
+	    core->now + (confirmed && !core->poll_again ? core->cfg.beat_us
+							: POLL_RETRY_LEAST);
+	core->poll_again = false;
+	if (!confirmed)
+		return;
+	core->head_seen = core->head_read;
+	core->confirmed = core->poll_started;
+	core->ever_confirmed = true;
+}
+
+static void
+changes_polled(struct gb_core *core, const struct store_op *op,
+    const struct store_result *result)
+{
+	u_int i;
+
+	(void)op;
+	if (result->status != GB_STORE_OK) {
+		poll_end(core, false);
+		return;
+	}
+	for (i = 0; i < result->count; i++) {
+		gb_body body = result->rows[i].value;
+		gb_change change;
+
+		memset(&change, 0, sizeof(change));
+		if (!gb_xdr_decode((xdrproc_t)xdr_gb_change, &body, &change))
+			continue;
+		config_apply(core, &change);
+		xdr_free((xdrproc_t)xdr_gb_change, (char *)&change);
+	}
+	if (result->more)
+		poll_changes(core);
+	else
+		poll_end(core, true);
+}
+
+static void
+poll_changes(struct gb_core *core)
+{
+	char after[GB_KEY_MAX + 1];
+
+	snprintf(after, sizeof(after), CHANGE_PREFIX "%016" PRIx64,
+	    core->config_seq);
+	store_op_scan(
+	    core, CHANGE_PREFIX, after, SCAN_PAGE, changes_polled, GB_NONE, 0);
+}
+
+static void
+cell_polled(struct gb_core *core, const struct store_op *op,
+    const struct store_result *result)
+{
+	(void)op;
+	if (result->status != GB_STORE_OK || result->more) {
+		poll_end(core, false);
+		return;
+	}
+	rows_taken(core, result);
+	poll_changes(core);
+}
+
+static void
+head_polled(struct gb_core *core, const struct store_op *op,
+    const struct store_result *result)
+{
+	uint64_t vers = 0;
+
+	(void)op;
+	if (result->status != GB_STORE_OK) {
+		poll_end(core, false);
+		return;
+	}
+	if (result->count > 0)
+		vers = result->rows[0].vers;
+	if (core->ever_confirmed && vers == core->head_seen &&
+	    !core->rows_stale) {
+		core->head_read = vers;
+		poll_end(core, true);
+		return;
+	}
+	core->head_read = vers;
+	core->rows_stale = false;
+	store_op_scan(
+	    core, CELL_PREFIX, "", GB_LIST_MAX, cell_polled, GB_NONE, 0);
+}
+
+static void
+poll_start(struct gb_core *core)
+{
+	core->polling = true;
+	core->poll_started = core->now;
+	store_op_scan(core, HEAD_KEY, "", 1, head_polled, GB_NONE, 0);
+}
+
+void
+view_poll_now(struct gb_core *core)
+{
+	if (core->polling)
+		core->poll_again = true;
+	else if (core->poll_at > core->now)
+		core->poll_at = core->now;
+}
+
+/* Writing */
+
+static void
+member_row_fill(struct gb_core *core, gb_member_row *row)
+{
+	row->member = (char *)(uintptr_t)core->cfg.member;
+	row->incarnation = core->cfg.incarnation;
+	row->addr = (char *)(uintptr_t)core->cfg.addr;
+	row->dc = (char *)(uintptr_t)core->cfg.dc;
+}
+
+static void
+wait_key(char *out, size_t size, const char *name)
+{
+	snprintf(out, size, WAIT_PREFIX "%s", name);
+}
+
+static void
+row_written(struct gb_core *core, const struct store_op *op,
+    const struct store_result *result)
+{
+	(void)op;
+	core->row_pending = false;
+	core->row_retry_at = core->now + ROW_RETRY;
+	core->rows_stale = result->status != GB_STORE_OK;
+	view_poll_now(core);
+}
+
+/** Ask to be taken into the view. */
+static void
+wait_write(struct gb_core *core)
+{
+	char key[GB_KEY_MAX + 1];
+	gb_member_row row;
+	gb_body body;
+	gb_txn txn;
+
+	memset(&txn, 0, sizeof(txn));
+	member_row_fill(core, &row);
+	if (!gb_xdr_encode((xdrproc_t)xdr_gb_member_row, &row, &body))
+		return;
+	wait_key(key, sizeof(key), core->cfg.member);
+	store_txn_put(&txn, key, body);
+	view_touch_head(&txn);
+	core->row_pending = true;
+	store_op_txn(core, &txn, row_written, GB_NONE, 0);
+}
+
+/** Whether a member of the view can no longer act on any view.  One that has
+ * joined judges by its silence: the next view is known to a majority before
+ * anything rests on it.  Others have to wait for the end of the longest
+ * outage. */
+static bool
+member_spent(const struct gb_core *core, const struct member *m)
+{
+	gb_time silence = core->now - m->heard;
+
+	if (m->gone)
+		return true;
+	if (!core->joined)
+		return silence > core->cfg.outage_us +
+				     SILENCE_FACTOR * core->cfg.fresh_us;
+	return silence > SILENCE_FACTOR * core->cfg.fresh_us ||
+	       (m->leaving && silence > core->cfg.suspect_us);
+}
+
+/** Why the next view is made. */
+enum view_reason {
+	VIEW_CHANGE,  /**< a member takes others in or out */
+	VIEW_SETTLED, /**< the view is known widely, the one before is over */
+	VIEW_REPLACE, /**< a process takes the place of its earlier one */
+	VIEW_ANEW     /**< nobody of the view is left */
+};
+
+/** What the next view would be. */
+struct next_view {
+	enum view_reason reason;
+	gb_view_row row;
+	gb_txn txn;
+};
+
+static void
+next_add(struct next_view *next, const char *name, uint64_t incarnation,
+    const char *addr, const char *dc)
+{
+	gb_member_row *row =
+	    &next->row.members.members_val[next->row.members.members_len++];
+
+	row->member = (char *)(uintptr_t)name;
+	row->incarnation = incarnation;
+	row->addr = (char *)(uintptr_t)addr;
+	row->dc = (char *)(uintptr_t)dc;
+}
+
+/** Keep a name as one of the view before, as the reason asks. */
+static void
+next_previous(
+    struct next_view *next, const char *name, bool listed, bool previous)
+{
+	if ((next->reason == VIEW_CHANGE && listed) ||
+	    (next->reason == VIEW_REPLACE && previous))
+		next->row.previous
+		    .previous_val[next->row.previous.previous_len++] =
+		    (char *)(uintptr_t)name;
+}
+
+static void
+next_wait_remove(struct next_view *next, const char *name, uint64_t vers)
+{
+	char key[GB_KEY_MAX + 1];
+
+	if (vers == 0)
+		return;
+	wait_key(key, sizeof(key), name);
+	store_txn_cond(&next->txn, key, vers);
+	store_txn_remove(&next->txn, key);
+}
+
+static void
+next_member(struct gb_core *core, struct next_view *next, struct member *m)
+{
+	bool taking = next->reason == VIEW_CHANGE || next->reason == VIEW_ANEW;
+
+	next_previous(next, m->name, m->listed, m->previous);
+	if (taking && m->wait_vers != 0) {
+		next_wait_remove(next, m->name, m->wait_vers);
+		next_add(next, m->name, m->wait_incarnation, m->addr, m->dc);
+	} else if (m->listed && (!taking || !member_spent(core, m))) {
+		next_add(next, m->name, m->listed_incarnation, m->addr, m->dc);
+	}
+}
+
+static void
+view_written(struct gb_core *core, const struct store_op *op,
+    const struct store_result *result)
+{
+	(void)op;
+	(void)result;
+	core->row_pending = false;
+	core->row_retry_at = core->now + ROW_RETRY;
+	core->rows_stale = true;
+	view_poll_now(core);
+}
+
+static void
+view_write(struct gb_core *core, enum view_reason reason)
+{
+	unsigned int most = HASH_COUNT(core->members) + 1;
+	struct next_view next;
+	struct member *m;
+	gb_body body;
+	bool ok;
+
+	memset(&next, 0, sizeof(next));
+	next.reason = reason;
+	next.row.number = core->view_number + 1;
+	next.row.members.members_val = gb_calloc(most, sizeof(gb_member_row));
+	next.row.previous.previous_val = gb_calloc(most, sizeof(char *));
+	next_previous(&next, core->cfg.member, core->named, core->previous);
+	next_add(&next, core->cfg.member, core->cfg.incarnation, core->cfg.addr,
+	    core->cfg.dc);
+	next_wait_remove(&next, core->cfg.member, core->wait_vers);
+	for (m = core->members; m != NULL; m = m->hh.next)
+		next_member(core, &next, m);
+	ok = gb_xdr_encode((xdrproc_t)xdr_gb_view_row, &next.row, &body);
+	free(next.row.members.members_val);
+	free(next.row.previous.previous_val);
+	if (!ok) {
+		xdr_free((xdrproc_t)xdr_gb_txn, (char *)&next.txn);
+		return;
+	}
+	store_txn_cond(&next.txn, VIEW_KEY, core->view_vers);
+	store_txn_put(&next.txn, VIEW_KEY, body);
+	view_touch_head(&next.txn);
+	core->row_pending = true;
+	store_op_txn(core, &next.txn, view_written, GB_NONE, 0);
+}
+
+/** Whether all members of the view are spent, so that one that waits may make
+ * the next. */
+static bool
+view_spent(const struct gb_core *core)
+{
+	const struct member *m;
+
+	for (m = core->members; m != NULL; m = m->hh.next) {
+		if (m->listed && !member_spent(core, m))
+			return false;
+	}
+	return true;
+}
+
+/** The first live member by name makes the next view; the others only when
+ * that has been due for long. */
+static bool
+view_is_maker(const struct gb_core *core)
+{
+	const struct member *m;
+
+	if (core->now - core->view_due_since > MAKER_PATIENCE)
+		return true;
+	for (m = core->members; m != NULL; m = m->hh.next) {
+		if (m->listed && member_live(core, m) && m->informed &&
+		    strcmp(m->name, core->cfg.member) < 0)
+			return false;
+	}
+	return true;
+}
+
+/** Whether somebody should be taken in or out. */
+static bool
+view_due(const struct gb_core *core)
+{
+	const struct member *m;
+
+	for (m = core->members; m != NULL; m = m->hh.next) {
+		if (m->wait_vers != 0 || (m->listed && member_spent(core, m)))
+			return true;
+	}
+	return false;
+}
+
+/** Whether the view before is still named in the view's row. */
+static bool
+view_unsettled(const struct gb_core *core)
+{
+	const struct member *m;
+
+	if (core->previous)
+		return true;
+	for (m = core->members; m != NULL; m = m->hh.next) {
+		if (m->previous)
+			return true;
+	}
+	return false;
+}
+
+/** What a member of the view does about it. */
+static void
+view_maintain(struct gb_core *core)
+{
+	bool unsettled = view_unsettled(core);
+
+	if (!unsettled && !view_due(core)) {
+		core->view_due_since = core->now;
+		return;
+	}
+	if (!view_is_maker(core) ||
+	    !member_spread_done(core, &core->view_spread))
+		return;
+	core->view_due_since = core->now;
+	view_write(core, unsettled ? VIEW_SETTLED : VIEW_CHANGE);
+}
+
+static void
+view_make(struct gb_core *core)
+{
+	if (core->row_pending || core->now < core->row_retry_at ||
+	    !member_store_fresh(core) || core->leaving)
+		return;
+	if (core->joined)
+		view_maintain(core);
+	else if (!core->wait_written)
+		wait_write(core);
+	else if (core->named)
+		view_write(core, VIEW_REPLACE);
+	else if (view_spent(core))
+		view_write(core, VIEW_ANEW);
+}
+
+void
+view_tick(struct gb_core *core)
+{
+	if (core->exited)
+		return;
+	if (!core->polling && core->now >= core->poll_at)
+		poll_start(core);
+	view_make(core);
+	member_beats(core);
+}
--- a/standin/worker_model.c
+++ b/standin/worker_model.c
@@ -136,10 +136,13 @@
 }
 
 bool
-worker_model_runs(const struct worker_model *m, uint64_t job, uint32_t index)
+worker_model_runs(
+    const struct worker_model *m, gb_time now, uint64_t job, uint32_t index)
 {
 	u_int i;
 
+	if (now > m->lease_until)
+		return false;
 	for (i = 0; i < m->task_count; i++) {
 		if (m->tasks[i].id.job == job &&
 		    m->tasks[i].id.index == index &&
--- a/standin/worker_model.h
+++ b/standin/worker_model.h
@@ -33,9 +33,10 @@
 /** What runs now, and whether it is more than the worker can hold. */
 gb_res worker_model_load(const struct worker_model *);
 bool worker_model_over(const struct worker_model *);
-/** Whether a task runs here now. */
+/** Whether a task runs here now.  A frozen worker's tasks are frozen with it,
+ * and end before anything else when it goes on after its lease. */
 bool worker_model_runs(
-    const struct worker_model *, uint64_t job, uint32_t index);
+    const struct worker_model *, gb_time now, uint64_t job, uint32_t index);
 size_t worker_model_running(
     const struct worker_model *, gb_task_id *out, size_t most);
 
