--- a/libgooseberry/process/worker.c
+++ b/libgooseberry/process/worker.c
@@ -448,9 +448,7 @@
 	gb_sync *sync;
 
 	if (known) {
-		gb_time until = w->anchor_local + core->cfg.lease_us +
-				core->cfg.lease_us / DRIFT_PART +
-				core->cfg.margin_us;
+		gb_time until = worker_lease_end(core, w->anchor_local);
 
 		if (until > w->lapse_at)
 			w->lapse_at = until;
--- a/libgooseberry/request/request.c
+++ b/libgooseberry/request/request.c
@@ -178,6 +178,8 @@
 static void
 request_wait(struct request *r)
 {
+	/* An answer to an earlier try that still comes is dropped. */
+	r->rid = 0;
 	r->state = REQUEST_WAITING;
 	TAILQ_INSERT_TAIL(&r->shard->waiting, r, next);
 	r->shard->waiting_count++;
--- a/tests/cells.c
+++ b/tests/cells.c
@@ -10,6 +10,7 @@
 
 #define LATENCY GB_MSEC
 #define SERVICE_TIME (30 * GB_MSEC)
+#define CONNECTION_TIMEOUT (100 * GB_MSEC)
 #define LEAVE_BOUND (2 * GB_SEC)
 #define LIST_EVERY (200 * GB_MSEC)
 #define REST (60 * GB_SEC)
@@ -261,7 +262,8 @@
 		run->incarnation = w->incarnation;
 		gb_xdr_copy((xdrproc_t)xdr_gb_exec, &m->u.exec, &run->u.exec,
 		    sizeof(run->u.exec));
-		message_send(c, run, SERVICE_TIME);
+		message_send(c, run,
+		    c->service_time == 0 ? SERVICE_TIME : c->service_time);
 		return;
 	}
 	message_send(c, a, 0);
@@ -318,6 +320,36 @@
 	return 0;
 }
 
+static void
+connection_ends(
+    struct cells *c, uint32_t core, uint64_t id, uint64_t incarnation)
+{
+	struct message *a = message_new(c, MSG_EXEC_DONE, core, core);
+
+	a->id = id;
+	a->incarnation = incarnation;
+	a->u.exec_res.verdict = GB_MAYBE_RUN;
+	message_send(c, a, CONNECTION_TIMEOUT);
+}
+
+/** What is lost ends its connection, so that the sender of a request learns
+ * that it may have run. */
+static void
+connection_fails(struct cells *c, const struct message *m)
+{
+	if (m->type == MSG_EXEC)
+		connection_ends(c, m->from, m->id, m->incarnation);
+	else if (m->type == MSG_EXEC_DONE)
+		connection_ends(c, m->to, m->id, m->incarnation);
+}
+
+/** The same for a request that is running. */
+static void
+connection_lost(struct cells *c, const struct message *m)
+{
+	connection_ends(c, m->from, m->id, m->u.exec.owner);
+}
+
 static void
 deliver(struct cells *c, struct message *m)
 {
@@ -331,6 +363,7 @@
 		return;
 	}
 	if (c->cut[m->from][m->to] && m->type != MSG_EXEC_RUN) {
+		connection_fails(c, m);
 		message_free(m);
 		return;
 	}
@@ -419,7 +452,8 @@
 	case GB_ACT_ANSWER:
 		t = tracked_find(c, action->id);
 		step_reached(c, AT_ANSWER, i, 0);
-		if (t != NULL)
+		/* A killed process's answer does not arrive. */
+		if (t != NULL && node->core != NULL)
 			check_answer(c, t, &action->u.answer);
 		gb_action_clear(action);
 		return;
@@ -977,7 +1011,18 @@
 void
 cells_cut(struct cells *c, uint32_t from, uint32_t to, bool cut)
 {
+	struct message *m;
+
 	c->cut[from][to] = cut;
+	if (!cut)
+		return;
+	/* Requests that run now lose their connection, and go on running. */
+	for (m = c->queue; m != NULL; m = m->next) {
+		if (m->type == MSG_EXEC_RUN &&
+		    ((m->from == from && m->to == to) ||
+			(m->from == to && m->to == from)))
+			connection_lost(c, m);
+	}
 }
 
 void
--- a/tests/cells.h
+++ b/tests/cells.h
@@ -95,6 +95,7 @@
 	bool store_down;
 	gb_time store_slow;
 	unsigned int store_lose;
+	gb_time service_time; /**< of a request, 0: short */
 	struct message *queue;
 	uint64_t next_message;
 	struct tracked tracked[TRACKED];
--- a/tests/fuzz_cells.c
+++ b/tests/fuzz_cells.c
@@ -158,6 +158,9 @@
 		op_worker(c, a, b);
 		break;
 	default:
+		c->service_time = (gb_time)(a % 4) * 300 * GB_MSEC;
+		for (; b % 16 > 0; b--)
+			cells_request(c, b % CORES, b % 2);
 		break;
 	}
 	cells_run(c, (gb_time)(1 + code / 16) * 20 * GB_MSEC);
--- /dev/null
+++ b/tests/test_cells.c
@@ -0,0 +1,254 @@
+/**
+ * @file test_cells.c
+ * Failures one at a time, on the cells of cells.h.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "cells.h"
+#include "fuzz_cells.h"
+
+static struct cells *
+cells_up(uint64_t seed)
+{
+	struct cells *c = cells_new(seed);
+
+	fuzz_cells_documents(c);
+	assert_string_equal(c->broken, "");
+	return c;
+}
+
+/** Worker that runs something, or WORKERS. */
+static uint32_t
+worker_busy(const struct cells *c)
+{
+	gb_task_id id;
+	uint32_t i;
+
+	for (i = 0; i < WORKERS; i++) {
+		if (worker_model_running(c->workers[i].model, &id, 1) > 0)
+			return i;
+	}
+	return WORKERS;
+}
+
+static void
+cells_down(struct cells *c)
+{
+	assert_string_equal(c->broken, "");
+	cells_finish(c);
+	assert_string_equal(c->broken, "");
+	cells_free(c);
+}
+
+/** A task of a worker that is cut off waits for the end of its lease. */
+static void
+test_cut_worker_keeps_its_task(void **state)
+{
+	struct cells *c = cells_up(1);
+	uint32_t w;
+	uint32_t i;
+
+	(void)state;
+	cells_apply(c, 0);
+	cells_run(c, GB_SEC);
+	w = worker_busy(c);
+	assert_int_not_equal(w, WORKERS);
+	for (i = 0; i < CORES; i++)
+		cells_cut(c, i, CORES + w, true);
+	cells_run(c, GB_SEC);
+	assert_true(worker_busy(c) == w);
+	assert_string_equal(c->broken, "");
+	cells_run(c, 5 * GB_SEC);
+	assert_true(worker_busy(c) != w);
+	assert_true(worker_busy(c) != WORKERS);
+	cells_down(c);
+}
+
+/** Requests whose answers never come keep their room on the worker. */
+static void
+test_unanswered_requests_keep_their_room(void **state)
+{
+	struct cells *c = cells_up(2);
+	unsigned int n;
+	uint32_t i;
+
+	(void)state;
+	c->service_time = 3 * GB_SEC;
+	for (n = 0; n < 4; n++) {
+		for (i = 0; i < 30; i++)
+			cells_request(c, i % CORES, i % 2);
+		cells_run(c, 30 * GB_MSEC);
+		for (i = 0; i < WORKERS; i++) {
+			cells_cut(c, CORES + i, 0, n % 2 == 0);
+			cells_cut(c, CORES + i, 1, n % 2 == 0);
+			cells_cut(c, CORES + i, 2, n % 2 == 0);
+		}
+		cells_run(c, 250 * GB_MSEC);
+	}
+	assert_string_equal(c->broken, "");
+	c->service_time = 0;
+	cells_down(c);
+}
+
+/** The service is down for long: lookups are served, changes refused. */
+static void
+test_outage_serves_lookups(void **state)
+{
+	struct cells *c = cells_up(3);
+	unsigned int first = c->tracked_count;
+	unsigned int i;
+
+	(void)state;
+	c->store_down = true;
+	cells_run(c, 5 * GB_SEC);
+	for (i = 0; i < 20; i++) {
+		cells_request(c, i % CORES, 0);
+		cells_run(c, 50 * GB_MSEC);
+	}
+	cells_run(c, 500 * GB_MSEC);
+	for (i = first; i < c->tracked_count; i++) {
+		assert_true(c->tracked[i].answered);
+		assert_int_equal(c->tracked[i].answer.verdict, GB_RUN);
+	}
+	/* One member of three is lost as well: the others go on. */
+	cells_kill(c, 2);
+	cells_run(c, 2 * GB_SEC);
+	first = c->tracked_count;
+	for (i = 0; i < 20; i++) {
+		cells_request(c, cells_owner(c, 0) % CORES, 0);
+		cells_run(c, 50 * GB_MSEC);
+	}
+	cells_run(c, 500 * GB_MSEC);
+	for (i = first; i < c->tracked_count; i++) {
+		if (cells_owner(c, c->tracked[i].id % 2) != GB_NONE)
+			assert_int_equal(c->tracked[i].answer.verdict, GB_RUN);
+	}
+	/* A change is refused at once, and says that it was not run. */
+	first = c->tracked_count;
+	cells_apply(c, 0);
+	cells_submit(c, 0, 0, 1);
+	cells_run(c, 100 * GB_MSEC);
+	for (i = first; i < c->tracked_count; i++) {
+		assert_true(c->tracked[i].answered);
+		assert_int_equal(c->tracked[i].answer.verdict, GB_NOT_RUN);
+		assert_true(c->tracked[i].answer.retry_after_ms > 0);
+	}
+	cells_down(c);
+}
+
+/** Two operators submit the same next version: one wins. */
+static void
+test_operators_race(void **state)
+{
+	struct cells *c = cells_up(4);
+	unsigned int won = 0;
+	unsigned int i;
+
+	(void)state;
+	for (i = 0; i < CORES; i++)
+		cells_apply(c, i);
+	cells_run(c, 4 * GB_SEC);
+	for (i = 0; i < CORES; i++) {
+		const struct tracked *t = &c->tracked[i];
+
+		assert_true(t->answered);
+		won += t->answer.verdict == GB_RUN;
+		if (t->answer.verdict != GB_RUN)
+			assert_int_equal(t->answer.status, 412);
+	}
+	assert_int_equal(won, 1);
+	cells_down(c);
+}
+
+/** A keyed renewal that may have run is never sent again; its repeat gets the
+ * recorded answer or is told so. */
+static void
+test_keyed_repeat(void **state)
+{
+	struct cells *c = cells_up(5);
+	const struct tracked *t = &c->tracked[0];
+
+	(void)state;
+	cells_request(c, 0, 2);
+	cells_run(c, 500 * GB_MSEC);
+	assert_int_equal(t->answer.verdict, GB_RUN);
+	assert_int_equal(t->execs, 1);
+	cells_repeat(c, 1, 0);
+	cells_run(c, 500 * GB_MSEC);
+	assert_true(t->answered);
+	assert_int_equal(t->answer.verdict, GB_RUN);
+	assert_int_equal(t->execs, 1);
+	cells_down(c);
+}
+
+/** All processes are replaced at once, under new incarnations. */
+static void
+test_all_restart(void **state)
+{
+	struct cells *c = cells_up(6);
+	uint32_t i;
+
+	(void)state;
+	cells_apply(c, 0);
+	for (i = 0; i < 6; i++)
+		cells_submit(c, 0, i % 2, 3);
+	cells_run(c, 300 * GB_MSEC);
+	for (i = 0; i < CORES; i++)
+		cells_kill(c, i);
+	cells_run(c, 200 * GB_MSEC);
+	for (i = 0; i < CORES; i++)
+		cells_start(c, i);
+	cells_run(c, 3 * GB_SEC);
+	assert_true(cells_owned(c, 0));
+	assert_true(cells_owned(c, 1));
+	cells_down(c);
+}
+
+/** A drained worker gets nothing new and keeps what it runs. */
+static void
+test_drain(void **state)
+{
+	struct cells *c = cells_up(7);
+	gb_task_id ids[8];
+	uint32_t i;
+
+	(void)state;
+	for (i = 0; i < WORKERS; i++) {
+		if (i != 1)
+			cells_drain(c, 0, i, true);
+	}
+	cells_run(c, 2 * GB_SEC);
+	cells_apply(c, 0);
+	for (i = 0; i < 6; i++)
+		cells_submit(c, 0, 0, 1);
+	cells_run(c, 500 * GB_MSEC);
+	for (i = 0; i < WORKERS; i++) {
+		if (i != 1)
+			assert_int_equal(
+			    worker_model_running(c->workers[i].model, ids, 8),
+			    0);
+	}
+	cells_down(c);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_cut_worker_keeps_its_task),
+	    cmocka_unit_test(test_unanswered_requests_keep_their_room),
+	    cmocka_unit_test(test_outage_serves_lookups),
+	    cmocka_unit_test(test_operators_race),
+	    cmocka_unit_test(test_keyed_repeat),
+	    cmocka_unit_test(test_all_restart),
+	    cmocka_unit_test(test_drain),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
