Lend tasks across shards; hearings of real processes; entry leaves in two steps

Cause: a job whose home shard has no worker that may take it waited for ever (12 workers in two of three data centres: 3 of 6 jobs ended; requests to the empty shard waited until their deadline, p99 8 s). The digest of free slots was refreshed only in idle shards, so routing went by old numbers. Change: loan.c: home logs a loan, the other shard logs a child job, its end and the home's settling, each before it is told; messages are repeated and harmless when late. Digest on its own clock; shards without usable workers refuse at once; entries prefer shards with room. SIGTERM: /healthz first, new connections are accepted for leave_ms, answers close their connection. Ruled out: borrowing by reservation with evidence of a third party (needs the lender's epochs at the home); moving the whole job (a repeat of the submission would not find it). Not proved: gangs larger than a shard (not built).

--- a/libgooseberry/connection/http.c
+++ b/libgooseberry/connection/http.c
@@ -23,6 +23,7 @@
 	void *data;
 	int port;
 	unsigned int in_flight;
+	bool leaving; /**< connections end with their next answer */
 	bool closing;
 };
 
@@ -147,11 +148,18 @@
 	return server->port;
 }
 
+void
+http_server_leave(struct http_server *server)
+{
+	server->leaving = true;
+}
+
 void
 http_server_close(struct http_server *server)
 {
 	if (server->closing)
 		return;
+	server->leaving = true;
 	server->closing = true;
 	uv_close((uv_handle_t *)&server->tcp, NULL);
 	h2o_context_request_shutdown(&server->ctx);
@@ -225,7 +233,7 @@
 		((struct http_guard *)call->guard)->call = NULL;
 		req->res.status = (int)status;
 		req->res.reason = status_reason(status);
-		if (call->server->closing)
+		if (call->server->leaving)
 			req->http1_is_persistent = 0;
 		http_call_add(call, "content-type", type);
 		h2o_send_inline(req, body, len);
--- a/libgooseberry/connection/rpc_method.c
+++ b/libgooseberry/connection/rpc_method.c
@@ -19,4 +19,5 @@
     METHOD(GB_PROC_REQUEST, "request", gb_request, gb_answer),
     METHOD(GB_PROC_COMMAND, "command", gb_command, gb_answer),
     METHOD(GB_PROC_FAULT, "fault", gb_command, gb_answer),
+    METHOD(GB_PROC_LEND, "lend", gb_lend, gb_loan),
 };
--- a/libgooseberry/gen/proto.c
+++ b/libgooseberry/gen/proto.c
@@ -596,6 +596,62 @@
 		 return FALSE;
 	 if (!xdr_uint64_t (xdrs, &objp->vers))
 		 return FALSE;
+	 if (!xdr_uint64_t (xdrs, &objp->parent))
+		 return FALSE;
+	 if (!xdr_uint32_t (xdrs, &objp->parent_shard))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_gb_loan (XDR *xdrs, gb_loan *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_uint64_t (xdrs, &objp->job))
+		 return FALSE;
+	 if (!xdr_uint64_t (xdrs, &objp->child))
+		 return FALSE;
+	 if (!xdr_uint32_t (xdrs, &objp->shard))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->tasks.tasks_val, (u_int *) &objp->tasks.tasks_len, ~0,
+		sizeof (uint32_t), (xdrproc_t) xdr_uint32_t))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_gb_lend_kind (XDR *xdrs, gb_lend_kind *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_gb_lend (XDR *xdrs, gb_lend *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_gb_lend_kind (xdrs, &objp->kind))
+		 return FALSE;
+	 if (!xdr_uint32_t (xdrs, &objp->from))
+		 return FALSE;
+	 if (!xdr_uint32_t (xdrs, &objp->to))
+		 return FALSE;
+	 if (!xdr_uint64_t (xdrs, &objp->parent))
+		 return FALSE;
+	 if (!xdr_uint64_t (xdrs, &objp->child))
+		 return FALSE;
+	 if (!xdr_int64_t (xdrs, &objp->at_us))
+		 return FALSE;
+	 if (!xdr_gb_job_spec (xdrs, &objp->spec))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->outcomes.outcomes_val, (u_int *) &objp->outcomes.outcomes_len, ~0,
+		sizeof (uint32_t), (xdrproc_t) xdr_uint32_t))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -661,6 +717,14 @@
 		 if (!xdr_gb_name (xdrs, &objp->gb_record_u.gone))
 			 return FALSE;
 		break;
+	case GB_REC_LEND:
+		 if (!xdr_gb_loan (xdrs, &objp->gb_record_u.lend))
+			 return FALSE;
+		break;
+	case GB_REC_UNLEND:
+		 if (!xdr_gb_loan (xdrs, &objp->gb_record_u.unlend))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/libgooseberry/gen/proto.h
+++ b/libgooseberry/gen/proto.h
@@ -335,9 +335,46 @@
 	gb_name pool;
 	uint32_t spread;
 	uint64_t vers;
+	uint64_t parent;
+	uint32_t parent_shard;
 };
 typedef struct gb_job_spec gb_job_spec;
 
+struct gb_loan {
+	uint64_t job;
+	uint64_t child;
+	uint32_t shard;
+	struct {
+		u_int tasks_len;
+		uint32_t *tasks_val;
+	} tasks;
+};
+typedef struct gb_loan gb_loan;
+
+enum gb_lend_kind {
+	GB_LEND_OFFER = 1,
+	GB_LEND_TAKEN = 2,
+	GB_LEND_RESULT = 3,
+	GB_LEND_SETTLED = 4,
+	GB_LEND_CANCEL = 5,
+};
+typedef enum gb_lend_kind gb_lend_kind;
+
+struct gb_lend {
+	gb_lend_kind kind;
+	uint32_t from;
+	uint32_t to;
+	uint64_t parent;
+	uint64_t child;
+	int64_t at_us;
+	gb_job_spec spec;
+	struct {
+		u_int outcomes_len;
+		uint32_t *outcomes_val;
+	} outcomes;
+};
+typedef struct gb_lend gb_lend;
+
 enum gb_record_type {
 	GB_REC_JOB = 1,
 	GB_REC_CANCEL = 2,
@@ -346,6 +383,8 @@
 	GB_REC_WORKER = 5,
 	GB_REC_WORKER_GONE = 6,
 	GB_REC_FORGET = 7,
+	GB_REC_LEND = 8,
+	GB_REC_UNLEND = 9,
 };
 typedef enum gb_record_type gb_record_type;
 
@@ -367,6 +406,8 @@
 		gb_rec_task end;
 		gb_instance worker;
 		gb_name gone;
+		gb_loan lend;
+		gb_loan unlend;
 	} gb_record_u;
 };
 typedef struct gb_record gb_record;
@@ -478,6 +519,9 @@
 extern  bool_t xdr_gb_verb (XDR *, gb_verb*);
 extern  bool_t xdr_gb_command (XDR *, gb_command*);
 extern  bool_t xdr_gb_job_spec (XDR *, gb_job_spec*);
+extern  bool_t xdr_gb_loan (XDR *, gb_loan*);
+extern  bool_t xdr_gb_lend_kind (XDR *, gb_lend_kind*);
+extern  bool_t xdr_gb_lend (XDR *, gb_lend*);
 extern  bool_t xdr_gb_record_type (XDR *, gb_record_type*);
 extern  bool_t xdr_gb_rec_task (XDR *, gb_rec_task*);
 extern  bool_t xdr_gb_record (XDR *, gb_record*);
@@ -523,6 +567,9 @@
 extern bool_t xdr_gb_verb ();
 extern bool_t xdr_gb_command ();
 extern bool_t xdr_gb_job_spec ();
+extern bool_t xdr_gb_loan ();
+extern bool_t xdr_gb_lend_kind ();
+extern bool_t xdr_gb_lend ();
 extern bool_t xdr_gb_record_type ();
 extern bool_t xdr_gb_rec_task ();
 extern bool_t xdr_gb_record ();
--- a/libgooseberry/gen/proto.x
+++ b/libgooseberry/gen/proto.x
@@ -272,6 +272,36 @@
 	gb_name pool;
 	uint32_t spread;	/* gb_spread */
 	uint64_t vers;		/* of the document it was submitted under */
+	uint64_t parent;	/* job whose tasks these are, 0: none */
+	uint32_t parent_shard;
+};
+
+/* Tasks that a job's home shard lends to another */
+
+struct gb_loan {
+	uint64_t job;
+	uint64_t child;		/* the job that holds them in the other shard */
+	uint32_t shard;		/* that shard */
+	uint32_t tasks<>;	/* indexes of the tasks */
+};
+
+enum gb_lend_kind {
+	GB_LEND_OFFER = 1,	/* home: take these tasks */
+	GB_LEND_TAKEN = 2,	/* other: they are in the log */
+	GB_LEND_RESULT = 3,	/* other: they have ended */
+	GB_LEND_SETTLED = 4,	/* home: that is in the log */
+	GB_LEND_CANCEL = 5	/* home: stop them */
+};
+
+struct gb_lend {
+	gb_lend_kind kind;
+	uint32_t from;		/* shard */
+	uint32_t to;		/* shard */
+	uint64_t parent;
+	uint64_t child;
+	int64_t at_us;		/* wall clock, when it was sent */
+	gb_job_spec spec;	/* of the child, in an offer */
+	uint32_t outcomes<>;	/* gb_outcome of each task, in a result */
 };
 
 enum gb_record_type {
@@ -281,7 +311,9 @@
 	GB_REC_END = 4,
 	GB_REC_WORKER = 5,
 	GB_REC_WORKER_GONE = 6,
-	GB_REC_FORGET = 7
+	GB_REC_FORGET = 7,
+	GB_REC_LEND = 8,
+	GB_REC_UNLEND = 9
 };
 
 struct gb_rec_task {
@@ -306,6 +338,10 @@
 	gb_instance worker;
 case GB_REC_WORKER_GONE:
 	gb_name gone;
+case GB_REC_LEND:
+	gb_loan lend;
+case GB_REC_UNLEND:
+	gb_loan unlend;
 };
 
 struct gb_batch {
--- a/libgooseberry/gooseberry.h
+++ b/libgooseberry/gooseberry.h
@@ -212,7 +212,8 @@
 	GB_OUTCOME_OK,
 	GB_OUTCOME_FAILED,
 	GB_OUTCOME_CANCELLED,
-	GB_OUTCOME_MAYBE_RUN
+	GB_OUTCOME_MAYBE_RUN,
+	GB_OUTCOME_RETURNED /**< never started, given back to its home */
 };
 
 /** Parameters of a core.  Times are microseconds. */
@@ -244,6 +245,7 @@
 	GB_ACT_EXEC,
 	GB_ACT_ANSWER,
 	GB_ACT_BEAT,
+	GB_ACT_LEND,
 	GB_ACT_EXIT
 };
 
@@ -260,6 +262,7 @@
 		gb_exec exec; /**< the owner adds the body */
 		gb_answer answer;
 		gb_beat beat;
+		gb_lend lend;
 	} u;
 };
 
@@ -288,6 +291,8 @@
 /** Answer to a heartbeat that was sent at the given time. */
 void gb_core_beat_done(
     struct gb_core *, gb_time now, gb_time sent, const gb_beat *);
+/** A message about lent tasks from the owner of another shard. */
+void gb_core_lend(struct gb_core *, gb_time now, const gb_lend *);
 /** Fill in this member's own heartbeat; release with xdr_free. */
 void gb_core_beat_make(struct gb_core *, gb_beat *);
 /** Fill in all that is known of members; release with xdr_free. */
@@ -317,7 +322,7 @@
 	uint64_t starts, ends, requests, answers, refused, retries;
 	uint64_t log_writes, log_records, log_bytes, snapshots;
 	uint64_t takeovers, lost_shards, syncs, beats, changes;
-	uint64_t store_ops, store_failures, sidelined, preempted;
+	uint64_t store_ops, store_failures, sidelined, preempted, lent;
 	uint64_t pending, running, workers, jobs, active_shards;
 };
 
@@ -450,7 +455,7 @@
 	struct gb_list dcs;
 	struct gb_tokens tokens;
 	int64_t shards_per_dc, view_ms, timeout_ms, body_limit, trace_per_mille;
-	int64_t in_flight_limit, log_level;
+	int64_t in_flight_limit, leave_ms, log_level;
 };
 
 extern const struct gb_setting gb_sched_settings_table[];
@@ -499,6 +504,7 @@
 	GB_PROC_REQUEST,
 	GB_PROC_COMMAND,
 	GB_PROC_FAULT,
+	GB_PROC_LEND,
 	GB_PROCS
 };
 
--- a/libgooseberry/process/action.c
+++ b/libgooseberry/process/action.c
@@ -16,6 +16,7 @@
     [GB_ACT_EXEC] = {(xdrproc_t)xdr_gb_exec},
     [GB_ACT_ANSWER] = {(xdrproc_t)xdr_gb_answer},
     [GB_ACT_BEAT] = {(xdrproc_t)xdr_gb_beat},
+    [GB_ACT_LEND] = {(xdrproc_t)xdr_gb_lend},
     [GB_ACT_EXIT] = {NULL},
 };
 
--- a/libgooseberry/process/core.h
+++ b/libgooseberry/process/core.h
@@ -124,6 +124,8 @@
 	TASK_STOPPING,
 	TASK_UNSURE,
 	TASK_ENDING,
+	TASK_LENDING,
+	TASK_LENT,
 	TASK_ENDED
 };
 
@@ -149,9 +151,24 @@
 	WAIT_PLACEMENT,
 	WAIT_FRESH,
 	WAIT_COMMIT,
-	WAIT_STORE
+	WAIT_STORE,
+	WAIT_LENT
 };
 
+/** Tasks that another shard has been asked to run. */
+struct loan {
+	TAILQ_ENTRY(loan) next;
+	uint64_t child;
+	uint32_t shard;
+	uint32_t *tasks;
+	u_int count;
+	bool taken;  /**< the other shard has them in its log */
+	bool result; /**< the records of their ends are being written */
+	gb_time tell_at;
+};
+
+TAILQ_HEAD(loans, loan);
+
 struct job {
 	UT_hash_handle hh;
 	TAILQ_ENTRY(job) queue;
@@ -173,6 +190,11 @@
 	uint8_t outcome;
 	uint8_t reason;
 	uint32_t rolling; /**< task that is being replaced, plus one */
+	struct loans loans;
+	uint32_t lent;	      /**< tasks that other shards have */
+	gb_time lend_at;      /**< not lent before */
+	bool settled;	      /**< a child whose home has the result */
+	gb_time tell_at;      /**< a child's next result */
 	gb_time resume_at;
 	gb_time ended_at;
 	gb_time accepted_at;
@@ -338,6 +360,8 @@
 	uint32_t preempting; /**< tasks being stopped for more urgent ones */
 	struct job_queue backoff;
 	struct job_queue ended;
+	uint32_t lending; /**< loans and children that need attention */
+	gb_time loans_at;
 	struct job *holder; /**< gang that room is kept for */
 	gb_res total;
 	uint32_t *workers; /**< handles of the shard's workers */
@@ -346,12 +370,14 @@
 	bool dirty;   /**< something changed that may let work start */
 	uint64_t services_config; /**< config the replicas were made from */
 	gb_time dispatch_at;
+	gb_time digest_at;
 	bool hand_busy;
 	gb_time hand_at;
 	struct request_queue waiting;
 	uint32_t waiting_count;
 	uint32_t sent_count; /**< requests that workers have in hand */
-	uint32_t free_slots;
+	uint32_t free_slots; /**< digest, a little old */
+	uint32_t usable;     /**< workers that may be given work */
 	uint64_t drained; /**< requests ended in this second */
 	gb_time drain_from;
 	uint32_t drain_rate; /**< requests ended a second, smoothed */
@@ -553,6 +579,9 @@
     struct gb_core *, struct job *, uint32_t index, bool never_started);
 /** Let tasks start anew once no worker can still hold them. */
 void job_settle(struct gb_core *, struct shard *);
+/** Log the end of a task that holds nothing any more. */
+void job_task_end(struct gb_core *, struct job *, uint32_t index,
+    enum gb_outcome);
 void job_recovered(struct gb_core *, struct shard *);
 struct task *job_task_match(struct worker *, const gb_held *, struct job **);
 void job_place(struct gb_core *, struct job *, uint32_t index, struct worker *);
@@ -569,6 +598,17 @@
 void job_stop_task(struct gb_core *, struct job *, uint32_t index);
 uint64_t job_id(const char *team, const char *name);
 
+/* loan.c */
+/** Lend waiting tasks of a job to a shard that has room. */
+void loan_consider(struct gb_core *, struct shard *, struct job *);
+void loan_commit(struct gb_core *, struct shard *, const gb_loan *);
+void loan_return_commit(struct gb_core *, struct shard *, const gb_loan *);
+/** A lent task has ended by a committed record. */
+void loan_task_ended(struct gb_core *, struct job *, uint32_t index);
+void loan_tick(struct gb_core *, struct shard *);
+void loan_free(struct job *, struct loan *);
+void loan_record(const struct job *, const struct loan *, gb_loan *);
+
 /* dispatch.c */
 void dispatch_run(struct gb_core *, struct shard *);
 void dispatch_team_grow(struct gb_core *, struct shard *);
--- a/libgooseberry/process/dispatch.c
+++ b/libgooseberry/process/dispatch.c
@@ -356,6 +356,8 @@
 		if (shard->holder == job)
 			shard->holder = NULL;
 	}
+	if (!started)
+		loan_consider(core, shard, job);
 	if (!started && job->spec.gang)
 		gang_hold(core, shard, job);
 	if (!started && job->reason == WAIT_ROOM &&
--- a/libgooseberry/process/entry.c
+++ b/libgooseberry/process/entry.c
@@ -36,6 +36,7 @@
 	unsigned int view_at; /**< which scheduler is asked next */
 	bool viewing;
 	gb_time viewed;
+	gb_time close_at; /**< a leaving entry accepts until then */
 	void (*stopped)(void *);
 	void *stopped_data;
 	uint64_t requests, commands, refused, retries, unauthorized;
@@ -663,7 +664,10 @@
 
 	path_split(&path, call->path);
 	if (path.count == 1 && strcmp(path.part[0], "healthz") == 0) {
-		http_call_answer(call, 200, "text/plain", "ok\n", 3);
+		bool leaving = entry->stopped != NULL;
+
+		http_call_answer(call, leaving ? 503 : 200, "text/plain",
+		    leaving ? "leaving\n" : "ok\n", leaving ? 8 : 3);
 	} else if (path.count == 1 && strcmp(path.part[0], "metrics") == 0) {
 		entry_metrics(entry, call);
 	} else if (path.count < 2 || strcmp(path.part[0], "v1") != 0) {
@@ -772,6 +776,9 @@
 {
 	struct gb_entry *entry = timer->data;
 
+	if (gb_clock_boot() < entry->close_at)
+		return;
+	http_server_close(entry->http);
 	if (http_server_in_flight(entry->http) > 0)
 		return;
 	uv_timer_stop(timer);
@@ -783,9 +790,11 @@
 {
 	entry->stopped = done;
 	entry->stopped_data = data;
-	http_server_close(entry->http);
+	entry->close_at =
+	    gb_clock_boot() + entry->settings.leave_ms * GB_MSEC;
+	http_server_leave(entry->http);
 	uv_timer_init(entry->loop, &entry->stop_timer);
 	entry->stop_timer.data = entry;
-	uv_timer_start(
-	    &entry->stop_timer, stop_poll, STOP_POLL_MS, STOP_POLL_MS);
+	uv_timer_start(&entry->stop_timer, stop_poll, STOP_POLL_MS,
+	    STOP_POLL_MS);
 }
--- a/libgooseberry/process/job.c
+++ b/libgooseberry/process/job.c
@@ -128,9 +128,13 @@
 	job->tasks = gb_calloc(spec->tasks, sizeof(struct task));
 	job->ready = gb_calloc(spec->tasks, sizeof(uint32_t));
 	job->accepted_at = core->now;
+	job->lend_at = core->now;
+	TAILQ_INIT(&job->loans);
 	for (i = 0; i < spec->tasks; i++)
 		job->tasks[i].worker = GB_NONE;
 	HASH_ADD(hh, shard->jobs, id, sizeof(job->id), job);
+	if (spec->parent != 0)
+		shard->lending++;
 	return job;
 }
 
@@ -146,6 +150,8 @@
 			continue;
 		worker_detach(w, job, i);
 	}
+	while (!TAILQ_EMPTY(&job->loans))
+		loan_free(job, TAILQ_FIRST(&job->loans));
 	job_dequeue(job);
 	if (job->backing_off)
 		TAILQ_REMOVE(&job->shard->backoff, job, backoff);
@@ -153,6 +159,8 @@
 		TAILQ_REMOVE(&job->shard->ended, job, queue);
 	if (job->shard->holder == job)
 		job->shard->holder = NULL;
+	if (job->spec.parent != 0)
+		job->shard->lending--;
 	HASH_DEL(job->shard->jobs, job);
 	xdr_free((xdrproc_t)xdr_gb_job_spec, (char *)&job->spec);
 	free(job->tasks);
@@ -241,9 +249,8 @@
 	job_enqueue(core, job);
 }
 
-/** Log the end of a task that holds nothing any more. */
-static void
-task_end(struct gb_core *core, struct job *job, uint32_t index,
+void
+job_task_end(struct gb_core *core, struct job *job, uint32_t index,
     enum gb_outcome outcome)
 {
 	struct task *task = &job->tasks[index];
@@ -273,14 +280,14 @@
     struct gb_core *core, struct job *job, uint32_t index, bool never_started)
 {
 	if (job->cancelled) {
-		task_end(core, job, index, GB_OUTCOME_CANCELLED);
+		job_task_end(core, job, index, GB_OUTCOME_CANCELLED);
 	} else if (never_started || job->spec.idempotent) {
 		job_task_ready(core, job, index);
 		if (job->spec.gang && !job->restarting && job->active > 0)
 			gang_restart(core, job);
 		gang_settle(core, job);
 	} else {
-		task_end(core, job, index, GB_OUTCOME_MAYBE_RUN);
+		job_task_end(core, job, index, GB_OUTCOME_MAYBE_RUN);
 	}
 }
 
@@ -382,7 +389,7 @@
 	switch (held->state) {
 	case GB_HELD_OK:
 		worker_blame(core, w, job->id, false);
-		task_end(core, job, index, GB_OUTCOME_OK);
+		job_task_end(core, job, index, GB_OUTCOME_OK);
 		return;
 	case GB_HELD_FAILED:
 		worker_blame(core, w, job->id, true);
@@ -390,7 +397,7 @@
 		if (!job->derived &&
 		    (!job->spec.idempotent || job->cancelled ||
 			task->failures >= job->spec.max_attempts)) {
-			task_end(core, job, index, GB_OUTCOME_FAILED);
+			job_task_end(core, job, index, GB_OUTCOME_FAILED);
 			return;
 		}
 		job_back_off(core, job, task->failures);
@@ -489,7 +496,7 @@
 	job->ready_count = 0;
 	for (i = 0; i < job->spec.tasks; i++) {
 		if (job->tasks[i].state == TASK_PENDING)
-			task_end(core, job, i, GB_OUTCOME_CANCELLED);
+			job_task_end(core, job, i, GB_OUTCOME_CANCELLED);
 		else
 			job_stop_task(core, job, i);
 	}
@@ -548,6 +555,8 @@
 		task_release(core, job, rec->id.index);
 	else if (w != NULL && w->evidence == EVIDENCE_FENCED)
 		worker_ack(w, &rec->id);
+	if (task->state == TASK_LENT)
+		loan_task_ended(core, job, rec->id.index);
 	task->state = TASK_ENDED;
 	task->outcome = (uint8_t)rec->outcome;
 	task->worker = GB_NONE;
@@ -583,6 +592,12 @@
 	case GB_REC_WORKER_GONE:
 		worker_gone_committed(core, shard, record->gb_record_u.gone);
 		break;
+	case GB_REC_LEND:
+		loan_commit(core, shard, &record->gb_record_u.lend);
+		break;
+	case GB_REC_UNLEND:
+		loan_return_commit(core, shard, &record->gb_record_u.unlend);
+		break;
 	case GB_REC_FORGET:
 		job = job_find(shard, record->gb_record_u.forget);
 		if (job != NULL)
@@ -607,7 +622,7 @@
 			struct worker *w = worker_get(core, task->worker);
 
 			if (task->state == TASK_PENDING && job->cancelled)
-				task_end(core, job, i, GB_OUTCOME_CANCELLED);
+				job_task_end(core, job, i, GB_OUTCOME_CANCELLED);
 			else if (task->state == TASK_PENDING)
 				job_task_ready(core, job, i);
 			else if (task->state == TASK_UNSURE && w != NULL &&
@@ -685,6 +700,7 @@
 		job->backing_off = false;
 		job_enqueue(core, job);
 	}
+	loan_tick(core, shard);
 	job_forget_old(core, shard);
 }
 
@@ -1014,6 +1030,7 @@
 	    [WAIT_FRESH] = "this instance cannot confirm its view",
 	    [WAIT_COMMIT] = "the start is being logged",
 	    [WAIT_STORE] = "the table service is unavailable",
+	    [WAIT_LENT] = "other shards have been asked to run its tasks",
 	};
 
 	if (job->ended_at != 0)
@@ -1022,6 +1039,8 @@
 		return texts[WAIT_BACKOFF];
 	if (job->ready_count > 0)
 		return texts[job->reason];
+	if (job->lent > 0)
+		return texts[WAIT_LENT];
 	if (job->active == 0)
 		return texts[WAIT_EVIDENCE];
 	return "";
@@ -1155,7 +1174,8 @@
 
 	gb_text_add(&body, "{\"jobs\": [");
 	for (job = shard->jobs; job != NULL; job = job->hh.next) {
-		if (strcmp(job->spec.team, cmd->team) != 0)
+		if (strcmp(job->spec.team, cmd->team) != 0 ||
+		    job->spec.parent != 0)
 			continue;
 		gb_text_add(&body, first ? "" : ", ");
 		job_json(&body, job);
--- /dev/null
+++ b/libgooseberry/process/loan.c
@@ -0,0 +1,486 @@
+/**
+ * @file loan.c
+ * Work that crosses shards.  A job's home shard lends tasks that find no room
+ * to a shard that has some.  Both sides log what they agree before they tell
+ * each other: the home logs the loan before the offer, the other shard logs a
+ * child job before it answers, logs its end before the result, and the home
+ * logs that before it settles.  Every message follows from a committed record,
+ * so it does no harm if it comes late, twice, or from an owner that has been
+ * fenced; whatever is not answered is sent again.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "core.h"
+
+/** A job waits this long for its home shard before its tasks are lent. */
+#define LEND_AFTER (300 * GB_MSEC)
+/** A child that has not started by then is given back. */
+#define RETURN_AFTER (3 * GB_SEC)
+/** Tasks that came back are not lent again before. */
+#define LEND_AGAIN (2 * GB_SEC)
+#define TELL_EVERY (500 * GB_MSEC)
+/** An offer this old may be of a loan that is settled and forgotten. */
+#define OFFER_OLD (600 * GB_SEC)
+
+/* Messages */
+
+/** Address of the live owner of a shard, or null. */
+static const char *
+shard_owner_addr(struct gb_core *core, uint32_t shard)
+{
+	const char *addr = NULL;
+	uint64_t epoch = 0;
+	struct member *m;
+	u_int i;
+
+	if (gb_core_owns(core, shard))
+		return core->cfg.addr;
+	for (m = core->members; m != NULL; m = m->hh.next) {
+		for (i = 0; i < m->claim_count; i++) {
+			if (m->claims[i].shard == shard &&
+			    m->claims[i].epoch > epoch) {
+				epoch = m->claims[i].epoch;
+				addr = m->addr;
+			}
+		}
+	}
+	return addr;
+}
+
+static gb_lend *
+lend_tell(struct gb_core *core, gb_lend_kind kind, uint32_t from, uint32_t to,
+    uint64_t parent, uint64_t child)
+{
+	const char *addr = shard_owner_addr(core, to);
+	struct gb_action *action;
+	gb_lend *lend;
+
+	if (addr == NULL)
+		return NULL;
+	action = core_action_add(core, GB_ACT_LEND);
+	snprintf(action->addr, sizeof(action->addr), "%s", addr);
+	lend = &action->u.lend;
+	lend->kind = kind;
+	lend->from = from;
+	lend->to = to;
+	lend->parent = parent;
+	lend->child = child;
+	lend->at_us = core->now + core->wall_minus_now;
+	lend->spec.team = gb_strdup("");
+	lend->spec.name = gb_strdup("");
+	lend->spec.service = gb_strdup("");
+	lend->spec.pool = gb_strdup("");
+	return lend;
+}
+
+/* Home shard */
+
+void
+loan_free(struct job *job, struct loan *loan)
+{
+	TAILQ_REMOVE(&job->loans, loan, next);
+	job->shard->lending--;
+	free(loan->tasks);
+	free(loan);
+}
+
+void
+loan_record(const struct job *job, const struct loan *loan, gb_loan *out)
+{
+	out->job = job->id;
+	out->child = loan->child;
+	out->shard = loan->shard;
+	out->tasks.tasks_len = loan->count;
+	out->tasks.tasks_val = loan->tasks;
+}
+
+static struct loan *
+loan_find(struct job *job, uint64_t child)
+{
+	struct loan *loan;
+
+	TAILQ_FOREACH(loan, &job->loans, next)
+	{
+		if (loan->child == child)
+			return loan;
+	}
+	return NULL;
+}
+
+static bool
+lender_allowed(const struct gb_core *core, const struct job *job,
+    uint32_t shard)
+{
+	uint32_t dc = shard / core->cfg.shards_per_dc;
+
+	return shard != job->shard->id &&
+	    (job->spec.dcs == 0 || (job->spec.dcs & (1u << dc)) != 0);
+}
+
+/** What is known of the best shard to lend to. */
+struct lender {
+	uint32_t shard;
+	uint32_t slots;
+};
+
+static void
+lender_rate(const struct gb_core *core, const struct job *job, uint32_t shard,
+    uint32_t slots, struct lender *best)
+{
+	if (slots > best->slots && lender_allowed(core, job, shard)) {
+		best->shard = shard;
+		best->slots = slots;
+	}
+}
+
+static struct lender
+lender_find(struct gb_core *core, const struct job *job)
+{
+	struct lender best = {GB_NONE, 0};
+	struct member *m;
+	uint32_t i;
+	u_int n;
+
+	for (i = 0; i < core->shard_count; i++) {
+		if (core->shards[i].state == SHARD_ACTIVE)
+			lender_rate(core, job, i, core->shards[i].free_slots,
+			    &best);
+	}
+	for (m = core->members; m != NULL; m = m->hh.next) {
+		if (!member_live(core, m))
+			continue;
+		for (n = 0; n < m->claim_count; n++) {
+			if (m->claims[n].active)
+				lender_rate(core, job, m->claims[n].shard,
+				    m->claims[n].free_slots, &best);
+		}
+	}
+	return best;
+}
+
+void
+loan_consider(struct gb_core *core, struct shard *shard, struct job *job)
+{
+	struct lender lender;
+	gb_record record;
+	gb_loan *loan = &record.gb_record_u.lend;
+	uint32_t count = job->ready_count;
+	uint32_t i;
+
+	if (job->derived || job->spec.parent != 0 || job->cancelled ||
+	    (job->reason != WAIT_ROOM && job->reason != WAIT_PLACEMENT) ||
+	    (job->reason == WAIT_ROOM &&
+		core->now - job->accepted_at < LEND_AFTER) ||
+	    core->now < job->lend_at || !member_store_fresh(core))
+		return;
+	lender = lender_find(core, job);
+	if (lender.slots == 0 || (job->spec.gang && lender.slots < count))
+		return;
+	if (count > lender.slots)
+		count = lender.slots;
+	memset(&record, 0, sizeof(record));
+	record.type = GB_REC_LEND;
+	loan->job = job->id;
+	loan->child = gb_random_next(&core->seed);
+	loan->shard = lender.shard;
+	loan->tasks.tasks_len = count;
+	loan->tasks.tasks_val = gb_calloc(count, sizeof(uint32_t));
+	for (i = 0; i < count; i++) {
+		uint32_t index = job->ready[--job->ready_count];
+
+		loan->tasks.tasks_val[i] = index;
+		job->tasks[index].state = TASK_LENDING;
+	}
+	if (job->ready_count == 0)
+		job_dequeue(job);
+	job->lend_at = core->now + LEND_AGAIN;
+	job->lent += count;
+	core->stats.lent += count;
+	log_append(core, shard, &record, 0);
+}
+
+void
+loan_commit(struct gb_core *core, struct shard *shard, const gb_loan *rec)
+{
+	struct job *job = job_find(shard, rec->job);
+	struct loan *loan;
+	uint32_t i;
+
+	(void)core;
+	if (job == NULL || loan_find(job, rec->child) != NULL)
+		return;
+	loan = gb_calloc(1, sizeof(*loan));
+	loan->child = rec->child;
+	loan->shard = rec->shard;
+	loan->count = rec->tasks.tasks_len;
+	loan->tasks = gb_calloc(loan->count, sizeof(uint32_t));
+	job->lent = 0;
+	for (i = 0; i < loan->count; i++) {
+		uint32_t index = rec->tasks.tasks_val[i];
+
+		loan->tasks[i] = index;
+		if (index < job->spec.tasks &&
+		    job->tasks[index].state != TASK_ENDED)
+			job->tasks[index].state = TASK_LENT;
+	}
+	for (i = 0; i < job->spec.tasks; i++)
+		job->lent += job->tasks[i].state == TASK_LENDING ||
+		    job->tasks[i].state == TASK_LENT;
+	TAILQ_INSERT_TAIL(&job->loans, loan, next);
+	shard->lending++;
+}
+
+/** Whether nothing of a loan is out any more. */
+static bool
+loan_over(const struct job *job, const struct loan *loan)
+{
+	u_int i;
+
+	for (i = 0; i < loan->count; i++) {
+		if (job->tasks[loan->tasks[i]].state == TASK_LENT)
+			return false;
+	}
+	return true;
+}
+
+void
+loan_task_ended(struct gb_core *core, struct job *job, uint32_t index)
+{
+	struct loan *loan;
+	struct loan *next;
+
+	(void)core;
+	/* Not lent from now on; the caller gives it its last state. */
+	job->tasks[index].state = TASK_ENDING;
+	job->lent--;
+	for (loan = TAILQ_FIRST(&job->loans); loan != NULL; loan = next) {
+		next = TAILQ_NEXT(loan, next);
+		if (loan_over(job, loan))
+			loan_free(job, loan);
+	}
+}
+
+void
+loan_return_commit(struct gb_core *core, struct shard *shard,
+    const gb_loan *rec)
+{
+	struct job *job = job_find(shard, rec->job);
+	struct loan *loan = job == NULL ? NULL : loan_find(job, rec->child);
+	u_int i;
+
+	if (loan == NULL)
+		return;
+	for (i = 0; i < loan->count; i++) {
+		uint32_t index = loan->tasks[i];
+
+		if (job->tasks[index].state != TASK_LENT)
+			continue;
+		job->lent--;
+		if (job->cancelled)
+			job_task_end(core, job, index, GB_OUTCOME_CANCELLED);
+		else if (shard->state == SHARD_LOADING)
+			job->tasks[index].state = TASK_PENDING;
+		else
+			job_task_ready(core, job, index);
+	}
+	loan_free(job, loan);
+	job->lend_at = core->now + LEND_AGAIN;
+}
+
+static void
+loan_tell(struct gb_core *core, struct job *job, struct loan *loan)
+{
+	gb_job_spec spec = job->spec;
+	gb_lend *lend;
+
+	if (core->now < loan->tell_at || (loan->taken && !job->cancelled))
+		return;
+	loan->tell_at = core->now + TELL_EVERY;
+	lend = lend_tell(core, loan->taken ? GB_LEND_CANCEL : GB_LEND_OFFER,
+	    job->shard->id, loan->shard, job->id, loan->child);
+	if (lend == NULL || loan->taken)
+		return;
+	xdr_free((xdrproc_t)xdr_gb_job_spec, (char *)&lend->spec);
+	spec.id = loan->child;
+	spec.tasks = loan->count;
+	spec.parent = job->id;
+	spec.parent_shard = job->shard->id;
+	gb_xdr_copy((xdrproc_t)xdr_gb_job_spec, &spec, &lend->spec,
+	    sizeof(spec));
+}
+
+/** The other shard's tasks have ended, or it gives them back. */
+static void
+loan_result(struct gb_core *core, struct shard *shard, const gb_lend *lend)
+{
+	struct job *job = job_find(shard, lend->parent);
+	struct loan *loan =
+	    job == NULL ? NULL : loan_find(job, lend->child);
+	gb_record record;
+	u_int i;
+
+	if (loan == NULL) {
+		/* It was logged before, or the job is long forgotten. */
+		lend_tell(core, GB_LEND_SETTLED, shard->id, lend->from,
+		    lend->parent, lend->child);
+		return;
+	}
+	if (loan->result || lend->outcomes.outcomes_len != loan->count)
+		return;
+	loan->result = true;
+	loan->taken = true;
+	if (lend->outcomes.outcomes_val[0] == GB_OUTCOME_RETURNED) {
+		memset(&record, 0, sizeof(record));
+		record.type = GB_REC_UNLEND;
+		record.gb_record_u.unlend.job = job->id;
+		record.gb_record_u.unlend.child = loan->child;
+		log_append(core, shard, &record, 0);
+		return;
+	}
+	for (i = 0; i < loan->count; i++) {
+		struct task *task = &job->tasks[loan->tasks[i]];
+
+		if (task->state != TASK_LENT)
+			continue;
+		job_task_end(core, job, loan->tasks[i],
+		    (enum gb_outcome)lend->outcomes.outcomes_val[i]);
+		task->state = TASK_LENT;
+	}
+}
+
+/* The other shard */
+
+static void
+child_offered(struct gb_core *core, struct shard *shard, const gb_lend *lend)
+{
+	gb_time age = core->now + core->wall_minus_now - lend->at_us;
+	gb_record record;
+
+	if (job_find(shard, lend->child) != NULL) {
+		lend_tell(core, GB_LEND_TAKEN, shard->id, lend->from,
+		    lend->parent, lend->child);
+		return;
+	}
+	if (age > OFFER_OLD || lend->spec.id != lend->child ||
+	    lend->spec.tasks == 0)
+		return;
+	memset(&record, 0, sizeof(record));
+	record.type = GB_REC_JOB;
+	if (gb_xdr_copy((xdrproc_t)xdr_gb_job_spec, &lend->spec,
+		&record.gb_record_u.job, sizeof(lend->spec)))
+		log_append(core, shard, &record, 0);
+}
+
+static void
+child_cancelled(struct gb_core *core, struct shard *shard,
+    const gb_lend *lend)
+{
+	struct job *job = job_find(shard, lend->child);
+	gb_record record;
+
+	if (job == NULL || job->cancelled || job->ended_at != 0)
+		return;
+	memset(&record, 0, sizeof(record));
+	record.type = GB_REC_CANCEL;
+	record.gb_record_u.cancel = job->id;
+	log_append(core, shard, &record, 0);
+}
+
+static void
+child_tell(struct gb_core *core, struct job *job)
+{
+	gb_lend *lend;
+	uint32_t i;
+
+	job->tell_at = core->now + TELL_EVERY;
+	lend = lend_tell(core, GB_LEND_RESULT, job->shard->id,
+	    job->spec.parent_shard, job->spec.parent, job->id);
+	if (lend == NULL)
+		return;
+	lend->outcomes.outcomes_len = job->spec.tasks;
+	lend->outcomes.outcomes_val =
+	    gb_calloc(job->spec.tasks, sizeof(uint32_t));
+	for (i = 0; i < job->spec.tasks; i++)
+		lend->outcomes.outcomes_val[i] = job->tasks[i].outcome;
+}
+
+/** Give back a child of which nothing has started. */
+static void
+child_return(struct gb_core *core, struct job *job)
+{
+	uint32_t i;
+
+	job_dequeue(job);
+	job->ready_count = 0;
+	for (i = 0; i < job->spec.tasks; i++)
+		job_task_end(core, job, i, GB_OUTCOME_RETURNED);
+}
+
+static void
+child_tick(struct gb_core *core, struct job *job)
+{
+	if (job->settled || core->now < job->tell_at)
+		return;
+	if (job->ended_at != 0)
+		child_tell(core, job);
+	else if (job->ready_count == job->spec.tasks && !job->cancelled &&
+	    core->now - job->accepted_at > RETURN_AFTER)
+		child_return(core, job);
+}
+
+void
+gb_core_lend(struct gb_core *core, gb_time now, const gb_lend *lend)
+{
+	struct shard *shard = shard_get(core, lend->to);
+	struct job *job;
+	struct loan *loan;
+
+	core->now = now;
+	if (shard == NULL || shard->state != SHARD_ACTIVE)
+		return;
+	switch (lend->kind) {
+	case GB_LEND_OFFER:
+		child_offered(core, shard, lend);
+		break;
+	case GB_LEND_TAKEN:
+		job = job_find(shard, lend->parent);
+		loan = job == NULL ? NULL : loan_find(job, lend->child);
+		if (loan != NULL)
+			loan->taken = true;
+		break;
+	case GB_LEND_RESULT:
+		loan_result(core, shard, lend);
+		break;
+	case GB_LEND_SETTLED:
+		job = job_find(shard, lend->child);
+		if (job != NULL)
+			job->settled = true;
+		break;
+	case GB_LEND_CANCEL:
+		child_cancelled(core, shard, lend);
+		break;
+	}
+}
+
+void
+loan_tick(struct gb_core *core, struct shard *shard)
+{
+	struct job *job;
+	struct job *next;
+	struct loan *loan;
+
+	if (shard->lending == 0 || core->now < shard->loans_at ||
+	    !gb_core_fresh(core, core->now))
+		return;
+	shard->loans_at = core->now + TELL_EVERY / 5;
+	HASH_ITER(hh, shard->jobs, job, next)
+	{
+		if (job->spec.parent != 0)
+			child_tick(core, job);
+		TAILQ_FOREACH(loan, &job->loans, next)
+		{
+			loan_tell(core, job, loan);
+		}
+	}
+}
--- a/libgooseberry/process/recover.c
+++ b/libgooseberry/process/recover.c
@@ -182,11 +182,16 @@
 static void
 snapshot_job(struct gb_core *core, gb_batch *batch, const struct job *job)
 {
+	const struct loan *loan;
 	uint32_t i;
 
 	batch_add(batch, GB_REC_JOB)->gb_record_u.job = job->spec;
 	if (job->cancelled)
 		batch_add(batch, GB_REC_CANCEL)->gb_record_u.cancel = job->id;
+	TAILQ_FOREACH(loan, &job->loans, next)
+	{
+		loan_record(job, loan, &batch_add(batch, GB_REC_LEND)->gb_record_u.lend);
+	}
 	for (i = 0; i < job->spec.tasks; i++) {
 		const struct task *task = &job->tasks[i];
 		gb_rec_task *rec;
--- a/libgooseberry/process/sched.c
+++ b/libgooseberry/process/sched.c
@@ -129,6 +129,16 @@
 	free(op);
 }
 
+/** The messages about loans answer each other; the call's own end says
+ * nothing. */
+static void
+lend_done(void *data, gb_verdict verdict, void *res)
+{
+	(void)data;
+	(void)verdict;
+	(void)res;
+}
+
 static void
 list_done(void *data, const gb_instance_list *list)
 {
@@ -222,6 +232,10 @@
 		    GB_PROC_BEAT, &action->u.beat, BEAT_TIMEOUT, beat_done,
 		    op_new(sched, action));
 		break;
+	case GB_ACT_LEND:
+		gb_rpc_client_call(gb_rpc_pool_get(sched->pool, action->addr),
+		    GB_PROC_LEND, &action->u.lend, BEAT_TIMEOUT, lend_done, NULL);
+		break;
 	case GB_ACT_EXIT:
 		if (sched->stopped != NULL)
 			sched->stopped(sched->stopped_data);
@@ -330,6 +344,7 @@
 			s.sidelined},
 		    {"gooseberry_preempted_total",
 			"Tasks stopped for urgent work.", s.preempted},
+	    {"gooseberry_lent_total", "Tasks lent to other shards.", s.lent},
 		    {"gooseberry_tasks_waiting", "Tasks that wait.", s.pending},
 		    {"gooseberry_tasks_active", "Tasks that hold resources.",
 			s.running},
@@ -396,6 +411,7 @@
 {
 	struct gb_sched *sched = data;
 	gb_beat beat;
+	gb_loan loan;
 	gb_view view;
 
 	switch (proc) {
@@ -417,6 +433,12 @@
 	case GB_PROC_COMMAND:
 		serve_command(sched, call, arg);
 		break;
+	case GB_PROC_LEND:
+		gb_core_lend(sched->core, gb_clock_boot(), arg);
+		memset(&loan, 0, sizeof(loan));
+		gb_rpc_call_reply(call, &loan);
+		sched_pump(sched);
+		break;
 	case GB_PROC_FAULT:
 		serve_refuse(call);
 		break;
--- a/libgooseberry/process/settings.c
+++ b/libgooseberry/process/settings.c
@@ -97,6 +97,10 @@
 	"Deadline of a request or command that names none.", ENTRY(timeout_ms)},
     {"body_limit", GB_SET_INT, "bytes", 1024, GB_BODY_MAX, "1048576",
 	"Largest body of a request.", ENTRY(body_limit)},
+    {"leave_ms", GB_SET_INT, "ms", 0, 60000, "1000",
+	"How long a leaving entry still accepts, until the balancer has seen "
+	"its /healthz.",
+	ENTRY(leave_ms)},
     {"in_flight_limit", GB_SET_INT, "requests", 1, 100000, "4096",
 	"Requests in hand at once; more are refused.", ENTRY(in_flight_limit)},
     {"trace_per_mille", GB_SET_INT, "per mille", 0, 1000, "0",
--- a/libgooseberry/process/shard.c
+++ b/libgooseberry/process/shard.c
@@ -14,6 +14,7 @@
 #define DISPATCH_RETRY (200 * GB_MSEC)
 /** Worker clocks may differ in rate by one part in this. */
 #define SHARD_DRIFT_PART 100
+#define DIGEST_EVERY (100 * GB_MSEC)
 #define HAND_RETRY (100 * GB_MSEC)
 
 uint32_t
@@ -376,20 +377,24 @@
 }
 
 /** Digest that peers and entries route by. */
-static uint32_t
-shard_free_slots(const struct gb_core *core, const struct shard *shard)
+static void
+shard_digest(const struct gb_core *core, struct shard *shard)
 {
-	uint32_t slots = 0;
 	uint32_t i;
 
+	shard->digest_at = core->now + DIGEST_EVERY;
+	shard->free_slots = 0;
+	shard->usable = 0;
 	for (i = 0; i < shard->worker_count; i++) {
 		const struct worker *w = core->workers[shard->workers[i]];
 		gb_res room = worker_free(w);
 
-		if (worker_usable(w) && room.slots > 0)
-			slots += (uint32_t)room.slots;
+		if (!worker_usable(w))
+			continue;
+		shard->usable++;
+		if (room.slots > 0)
+			shard->free_slots += (uint32_t)room.slots;
 	}
-	return slots;
 }
 
 /** Find out when no lease of an earlier owner can last any longer: it renews
@@ -433,10 +438,10 @@
 		job_services(core, shard);
 		job_tick(core, shard);
 		request_dispatch(core, shard);
-		if (core->now >= shard->dispatch_at) {
+		if (core->now >= shard->digest_at)
+			shard_digest(core, shard);
+		if (core->now >= shard->dispatch_at)
 			shard->dirty = true;
-			shard->free_slots = shard_free_slots(core, shard);
-		}
 		if (shard->dirty) {
 			shard->dispatch_at = core->now + DISPATCH_RETRY;
 			dispatch_run(core, shard);
--- a/libgooseberry/request/request.c
+++ b/libgooseberry/request/request.c
@@ -329,6 +329,11 @@
 		request_turn_away(core, id, 504, 0, "the deadline has passed");
 		return NULL;
 	}
+	if (shard->usable == 0) {
+		request_turn_away(core, id, 503, OWNER_RETRY_MS,
+		    "the shard has no worker to give");
+		return NULL;
+	}
 	if (shard->waiting_count >= doc->now.queue_limit) {
 		request_turn_away(
 		    core, id, 503, retry_after_ms(shard), "the queue is full");
--- a/libgooseberry/version/route.c
+++ b/libgooseberry/version/route.c
@@ -142,7 +142,30 @@
 	       route->now >= shard->avoid_until;
 }
 
-/** Sample one shard: at first open ones nearby, then any that is owned. */
+/** Shards that are considered, in this order. */
+enum route_pass { PASS_LOCAL_ROOM, PASS_ROOM, PASS_OPEN, PASS_OWNED,
+	PASSES };
+
+static bool
+pass_takes(const struct gb_route *route, const struct route_shard *shard,
+    unsigned int pass)
+{
+	if (!shard->owned)
+		return false;
+	switch (pass) {
+	case PASS_LOCAL_ROOM:
+		return shard->local && shard_open(route, shard) &&
+		    shard_room(shard) > 0;
+	case PASS_ROOM:
+		return shard_open(route, shard) && shard_room(shard) > 0;
+	case PASS_OPEN:
+		return shard_open(route, shard);
+	default:
+		return true;
+	}
+}
+
+/** Sample one shard of a pass. */
 static uint32_t
 route_sample(struct gb_route *route, uint32_t avoid, unsigned int pass)
 {
@@ -154,16 +177,9 @@
 	at = (uint32_t)(gb_random_next(&route->seed) % route->shard_count);
 	for (i = 0; i < route->shard_count; i++) {
 		uint32_t n = (at + i) % route->shard_count;
-		const struct route_shard *shard = &route->shards[n];
 
-		if (n == avoid || !shard->owned)
-			continue;
-		if (pass == 0 && (!shard->local || !shard_open(route, shard) ||
-				     shard_room(shard) <= 0))
-			continue;
-		if (pass == 1 && !shard_open(route, shard))
-			continue;
-		return n;
+		if (n != avoid && pass_takes(route, &route->shards[n], pass))
+			return n;
 	}
 	return GB_NONE;
 }
@@ -173,7 +189,7 @@
 {
 	unsigned int pass;
 
-	for (pass = 0; pass < 3; pass++) {
+	for (pass = 0; pass < PASSES; pass++) {
 		uint32_t a = route_sample(route, avoid, pass);
 		uint32_t b = route_sample(route, avoid, pass);
 
--- a/tests/cells.h
+++ b/tests/cells.h
@@ -48,6 +48,7 @@
 	gb_answer answer; /**< without its body */
 	uint64_t job_id;
 	uint32_t tasks;
+	uint32_t starts; /**< of its tasks, here and in other shards */
 	char name[24];
 	unsigned int execs;
 	unsigned int execs_before; /**< when it was last sent */
@@ -79,6 +80,12 @@
 	uint32_t index;
 };
 
+/** A loan of a job's tasks to another shard. */
+struct child {
+	uint64_t id;
+	uint64_t parent;
+};
+
 struct started {
 	uint64_t job;
 	uint32_t index;
@@ -102,6 +109,8 @@
 	unsigned int tracked_count;
 	struct started starts[4 * TRACKED];
 	unsigned int start_count;
+	struct child children[4 * TRACKED];
+	unsigned int child_count;
 	uint64_t in_force; /**< document version that is in force everywhere */
 	unsigned int names;
 	char broken[256]; /**< first promise that was broken */
--- /dev/null
+++ b/tests/run-processes.sh
@@ -0,0 +1,108 @@
+#!/bin/sh
+# Rows of the fault matrix that need real processes: SIGKILL, SIGSTOP, a
+# service that hangs, and a rolling restart of all instances under load.  Each
+# phase compares all answers with the workers' ledgers.
+cd "$(dirname "$0")/.." || exit 1
+. tests/cell.sh
+trap cell_stop EXIT
+INSTANCES=${INSTANCES:-4}
+passed=0
+failed=0
+
+load() { # name seconds
+	entries=""
+	i=0
+	while [ $i -lt "$INSTANCES" ]; do
+		entries="$entries -e 127.0.0.1:$((BASE + 30 + i))"
+		i=$((i + 1))
+	done
+	# shellcheck disable=SC2086
+	"$BUILD/gooseberry-load" $entries -L "$CELL" -P "$1" -s "$2" -r 500 \
+	    -j 6 >"$CELL/load.txt" 2>&1 &
+	LOAD=$!
+}
+
+verdict() { # name
+	wait $LOAD
+	if [ $? -eq 0 ] && { [ -z "$2" ] || grep -q "$2" "$CELL/load.txt"; }; then
+		passed=$((passed + 1))
+		echo "held: $1: $(tail -2 "$CELL/load.txt" | tr '\n' ' ')"
+	else
+		failed=$((failed + 1))
+		echo "FAILED: $1"
+		cat "$CELL/load.txt"
+		grep -h shard: "$CELL"/sched*.log | tail -n 12
+	fi
+}
+
+owner() { # shard -> instance number
+	cell_ctl shards | awk -v s="$1" '$1 == s {print $2}' | tr -d i
+}
+
+fault() { # JSON
+	"$BUILD/gooseberry-standin-fault" "$STORE" "$1" >/dev/null
+}
+
+cell_store
+cell_workers 12 5
+cell_instances "$INSTANCES"
+cell_ready || { echo "the cell did not come up"; cat "$CELL"/*.log; exit 1; }
+
+load kill-sched 4
+sleep 1
+v=$(owner 0)
+eval "kill -9 \$SCHED_PID_$v"
+sleep 1
+cell_sched "$v"
+verdict "scheduler killed"
+
+load stop-sched 6
+sleep 1
+v=$(owner 1)
+eval "pid=\$SCHED_PID_$v"
+kill -STOP "$pid"
+sleep 3
+kill -CONT "$pid"
+verdict "scheduler frozen for 3 s, beyond its view"
+
+load kill-entry 3
+sleep 1
+kill -9 "$ENTRY_PID_1"
+sleep 0.5
+cell_entry 1
+verdict "entry killed"
+
+load service-hangs 6
+sleep 1
+fault '{"hang": 1}'
+sleep 3
+fault '{"hang": 0}'
+verdict "table service hangs for 3 s"
+
+load answers-lost 4
+sleep 1
+fault '{"lose": 5}'
+verdict "answers of five writes lost"
+
+load kill-worker 4
+sleep 1
+kill -9 "$WORKER_PID_5"
+sleep 0.5
+fault '{"instance": {"name": "w5", "state": 2}}'
+verdict "worker killed"
+
+load rolling $((INSTANCES * 2 + 2))
+sleep 1
+i=0
+while [ $i -lt "$INSTANCES" ]; do
+	eval "kill -TERM \$SCHED_PID_$i \$ENTRY_PID_$i"
+	eval "wait \$SCHED_PID_$i \$ENTRY_PID_$i"
+	cell_sched $i
+	cell_entry $i
+	sleep 0.7
+	i=$((i + 1))
+done
+verdict "rolling restart of all instances, none cut off" " cut=0 "
+
+echo "$passed passed, $failed failed"
+[ $failed -eq 0 ]
--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -237,6 +237,37 @@
 	cells_down(c);
 }
 
+/** Tasks that may not run in their home's data centre run in another shard,
+ * once, though every process dies on the way. */
+static void
+test_lent_tasks(void **state)
+{
+	struct cells *c = cells_up(8);
+	unsigned int first = c->tracked_count;
+	unsigned int i;
+
+	(void)state;
+	for (i = 0; i < 8; i++)
+		cells_submit(c, 0, 3, 2);
+	cells_run(c, 100 * GB_MSEC);
+	for (i = 0; i < CORES; i++) {
+		cells_kill(c, i);
+		cells_run(c, 700 * GB_MSEC);
+		cells_start(c, i);
+		cells_run(c, 2 * GB_SEC);
+	}
+	cells_run(c, 10 * GB_SEC);
+	assert_true(c->child_count > 0);
+	for (i = first; i < c->tracked_count; i++) {
+		if (c->tracked[i].answer.verdict == GB_RUN)
+			assert_int_equal(c->tracked[i].starts, 2);
+	}
+	for (i = 0; i < 3; i++)
+		assert_int_equal(
+		    worker_model_running(c->workers[i].model, NULL, 0), 0);
+	cells_down(c);
+}
+
 int
 main(void)
 {
@@ -248,6 +279,7 @@
 	    cmocka_unit_test(test_keyed_repeat),
 	    cmocka_unit_test(test_all_restart),
 	    cmocka_unit_test(test_drain),
+	    cmocka_unit_test(test_lent_tasks),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
