--- a/bench/load.c
+++ b/bench/load.c
@@ -23,7 +23,13 @@
 #define GIVE_UP (30 * GB_SEC)
 #define FIRST_TRIES_MS 1000
 
-enum call_kind { CALL_LOOKUP, CALL_RENEWAL, CALL_JOB, CALL_STATUS, CALL_HEALTH };
+enum call_kind {
+	CALL_LOOKUP,
+	CALL_RENEWAL,
+	CALL_JOB,
+	CALL_STATUS,
+	CALL_HEALTH
+};
 
 /** One piece of work of a caller, with all its tries. */
 struct call {
@@ -352,7 +358,8 @@
 					      : (uint64_t)(now - begin) *
 						    load.rate / GB_SEC;
 
-		while (load.running < load.parallel + load.entry_count && load.requests < due) {
+		while (load.running < load.parallel + load.entry_count &&
+		       load.requests < due) {
 			bool renewal = load.renewals > 0 &&
 				       load.requests % load.renewals == 0;
 
@@ -597,7 +604,8 @@
 	if (load.ledgers != NULL)
 		work_check();
 	printf("load: ran=%" PRIu64 " may_have_run=%" PRIu64 " refused=%" PRIu64
-	       " cut=%" PRIu64 " per_s=%" PRIu64 " p50_us=%" PRId64 " p99_us=%" PRId64 "\n",
+	       " cut=%" PRIu64 " per_s=%" PRIu64 " p50_us=%" PRId64
+	       " p99_us=%" PRId64 "\n",
 	    load.ran, load.may, load.refused, load.cut,
 	    load.answered * GB_SEC / (uint64_t)took,
 	    gb_histogram_quantile(&load.latency, 500),
--- a/libgooseberry/gooseberry.h
+++ b/libgooseberry/gooseberry.h
@@ -455,7 +455,7 @@
 	struct gb_list dcs;
 	struct gb_tokens tokens;
 	int64_t shards_per_dc, view_ms, timeout_ms, body_limit, trace_per_mille;
-	int64_t in_flight_limit, leave_ms, log_level;
+	int64_t in_flight_limit, leave_ms, hedge_ms, log_level;
 };
 
 extern const struct gb_setting gb_sched_settings_table[];
--- a/libgooseberry/process/core.h
+++ b/libgooseberry/process/core.h
@@ -191,10 +191,10 @@
 	uint8_t reason;
 	uint32_t rolling; /**< task that is being replaced, plus one */
 	struct loans loans;
-	uint32_t lent;	      /**< tasks that other shards have */
-	gb_time lend_at;      /**< not lent before */
-	bool settled;	      /**< a child whose home has the result */
-	gb_time tell_at;      /**< a child's next result */
+	uint32_t lent;	 /**< tasks that other shards have */
+	gb_time lend_at; /**< not lent before */
+	bool settled;	 /**< a child whose home has the result */
+	gb_time tell_at; /**< a child's next result */
 	gb_time resume_at;
 	gb_time ended_at;
 	gb_time accepted_at;
@@ -378,7 +378,7 @@
 	uint32_t sent_count; /**< requests that workers have in hand */
 	uint32_t free_slots; /**< digest, a little old */
 	uint32_t usable;     /**< workers that may be given work */
-	uint64_t drained; /**< requests ended in this second */
+	uint64_t drained;    /**< requests ended in this second */
 	gb_time drain_from;
 	uint32_t drain_rate; /**< requests ended a second, smoothed */
 };
@@ -580,8 +580,8 @@
 /** Let tasks start anew once no worker can still hold them. */
 void job_settle(struct gb_core *, struct shard *);
 /** Log the end of a task that holds nothing any more. */
-void job_task_end(struct gb_core *, struct job *, uint32_t index,
-    enum gb_outcome);
+void job_task_end(
+    struct gb_core *, struct job *, uint32_t index, enum gb_outcome);
 void job_recovered(struct gb_core *, struct shard *);
 struct task *job_task_match(struct worker *, const gb_held *, struct job **);
 void job_place(struct gb_core *, struct job *, uint32_t index, struct worker *);
--- a/libgooseberry/process/job.c
+++ b/libgooseberry/process/job.c
@@ -622,7 +622,8 @@
 			struct worker *w = worker_get(core, task->worker);
 
 			if (task->state == TASK_PENDING && job->cancelled)
-				job_task_end(core, job, i, GB_OUTCOME_CANCELLED);
+				job_task_end(
+				    core, job, i, GB_OUTCOME_CANCELLED);
 			else if (task->state == TASK_PENDING)
 				job_task_ready(core, job, i);
 			else if (task->state == TASK_UNSURE && w != NULL &&
--- a/libgooseberry/process/loan.c
+++ b/libgooseberry/process/loan.c
@@ -109,13 +109,13 @@
 }
 
 static bool
-lender_allowed(const struct gb_core *core, const struct job *job,
-    uint32_t shard)
+lender_allowed(
+    const struct gb_core *core, const struct job *job, uint32_t shard)
 {
 	uint32_t dc = shard / core->cfg.shards_per_dc;
 
 	return shard != job->shard->id &&
-	    (job->spec.dcs == 0 || (job->spec.dcs & (1u << dc)) != 0);
+	       (job->spec.dcs == 0 || (job->spec.dcs & (1u << dc)) != 0);
 }
 
 /** What is known of the best shard to lend to. */
@@ -144,8 +144,8 @@
 
 	for (i = 0; i < core->shard_count; i++) {
 		if (core->shards[i].state == SHARD_ACTIVE)
-			lender_rate(core, job, i, core->shards[i].free_slots,
-			    &best);
+			lender_rate(
+			    core, job, i, core->shards[i].free_slots, &best);
 	}
 	for (m = core->members; m != NULL; m = m->hh.next) {
 		if (!member_live(core, m))
@@ -226,7 +226,7 @@
 	}
 	for (i = 0; i < job->spec.tasks; i++)
 		job->lent += job->tasks[i].state == TASK_LENDING ||
-		    job->tasks[i].state == TASK_LENT;
+			     job->tasks[i].state == TASK_LENT;
 	TAILQ_INSERT_TAIL(&job->loans, loan, next);
 	shard->lending++;
 }
@@ -262,8 +262,8 @@
 }
 
 void
-loan_return_commit(struct gb_core *core, struct shard *shard,
-    const gb_loan *rec)
+loan_return_commit(
+    struct gb_core *core, struct shard *shard, const gb_loan *rec)
 {
 	struct job *job = job_find(shard, rec->job);
 	struct loan *loan = job == NULL ? NULL : loan_find(job, rec->child);
@@ -306,8 +306,8 @@
 	spec.tasks = loan->count;
 	spec.parent = job->id;
 	spec.parent_shard = job->shard->id;
-	gb_xdr_copy((xdrproc_t)xdr_gb_job_spec, &spec, &lend->spec,
-	    sizeof(spec));
+	gb_xdr_copy(
+	    (xdrproc_t)xdr_gb_job_spec, &spec, &lend->spec, sizeof(spec));
 }
 
 /** The other shard's tasks have ended, or it gives them back. */
@@ -315,8 +315,7 @@
 loan_result(struct gb_core *core, struct shard *shard, const gb_lend *lend)
 {
 	struct job *job = job_find(shard, lend->parent);
-	struct loan *loan =
-	    job == NULL ? NULL : loan_find(job, lend->child);
+	struct loan *loan = job == NULL ? NULL : loan_find(job, lend->child);
 	gb_record record;
 	u_int i;
 
@@ -373,8 +372,7 @@
 }
 
 static void
-child_cancelled(struct gb_core *core, struct shard *shard,
-    const gb_lend *lend)
+child_cancelled(struct gb_core *core, struct shard *shard, const gb_lend *lend)
 {
 	struct job *job = job_find(shard, lend->child);
 	gb_record record;
@@ -425,7 +423,7 @@
 	if (job->ended_at != 0)
 		child_tell(core, job);
 	else if (job->ready_count == job->spec.tasks && !job->cancelled &&
-	    core->now - job->accepted_at > RETURN_AFTER)
+		 core->now - job->accepted_at > RETURN_AFTER)
 		child_return(core, job);
 }
 
--- a/libgooseberry/process/recover.c
+++ b/libgooseberry/process/recover.c
@@ -190,7 +190,8 @@
 		batch_add(batch, GB_REC_CANCEL)->gb_record_u.cancel = job->id;
 	TAILQ_FOREACH(loan, &job->loans, next)
 	{
-		loan_record(job, loan, &batch_add(batch, GB_REC_LEND)->gb_record_u.lend);
+		loan_record(job, loan,
+		    &batch_add(batch, GB_REC_LEND)->gb_record_u.lend);
 	}
 	for (i = 0; i < job->spec.tasks; i++) {
 		const struct task *task = &job->tasks[i];
--- a/libgooseberry/process/sched.c
+++ b/libgooseberry/process/sched.c
@@ -234,7 +234,8 @@
 		break;
 	case GB_ACT_LEND:
 		gb_rpc_client_call(gb_rpc_pool_get(sched->pool, action->addr),
-		    GB_PROC_LEND, &action->u.lend, BEAT_TIMEOUT, lend_done, NULL);
+		    GB_PROC_LEND, &action->u.lend, BEAT_TIMEOUT, lend_done,
+		    NULL);
 		break;
 	case GB_ACT_EXIT:
 		if (sched->stopped != NULL)
@@ -344,7 +345,8 @@
 			s.sidelined},
 		    {"gooseberry_preempted_total",
 			"Tasks stopped for urgent work.", s.preempted},
-	    {"gooseberry_lent_total", "Tasks lent to other shards.", s.lent},
+		    {"gooseberry_lent_total", "Tasks lent to other shards.",
+			s.lent},
 		    {"gooseberry_tasks_waiting", "Tasks that wait.", s.pending},
 		    {"gooseberry_tasks_active", "Tasks that hold resources.",
 			s.running},
--- a/libgooseberry/process/settings.c
+++ b/libgooseberry/process/settings.c
@@ -97,6 +97,10 @@
 	"Deadline of a request or command that names none.", ENTRY(timeout_ms)},
     {"body_limit", GB_SET_INT, "bytes", 1024, GB_BODY_MAX, "1048576",
 	"Largest body of a request.", ENTRY(body_limit)},
+    {"hedge_ms", GB_SET_INT, "ms", 0, 60000, "250",
+	"A request without an answer for this long is tried in a second shard "
+	"as well, if it is idempotent or has a key; 0: never.",
+	ENTRY(hedge_ms)},
     {"leave_ms", GB_SET_INT, "ms", 0, 60000, "1000",
 	"How long a leaving entry still accepts, until the balancer has seen "
 	"its /healthz.",
--- a/libgooseberry/version/route.c
+++ b/libgooseberry/version/route.c
@@ -106,6 +106,9 @@
 
 	route->now = now;
 	route_members(route, view);
+	/* A shard that no live member claims has no owner for now. */
+	for (n = 0; n < route->shard_count; n++)
+		route->shards[n].owned = false;
 	for (i = 0; i < view->members.members_len; i++) {
 		const gb_beat *beat = &view->members.members_val[i];
 
@@ -143,8 +146,7 @@
 }
 
 /** Shards that are considered, in this order. */
-enum route_pass { PASS_LOCAL_ROOM, PASS_ROOM, PASS_OPEN, PASS_OWNED,
-	PASSES };
+enum route_pass { PASS_LOCAL_ROOM, PASS_ROOM, PASS_OPEN, PASS_OWNED, PASSES };
 
 static bool
 pass_takes(const struct gb_route *route, const struct route_shard *shard,
@@ -155,7 +157,7 @@
 	switch (pass) {
 	case PASS_LOCAL_ROOM:
 		return shard->local && shard_open(route, shard) &&
-		    shard_room(shard) > 0;
+		       shard_room(shard) > 0;
 	case PASS_ROOM:
 		return shard_open(route, shard) && shard_room(shard) > 0;
 	case PASS_OPEN:
--- a/standin/fault.c
+++ b/standin/fault.c
@@ -42,8 +42,8 @@
 	cmd.verb = GB_VERB_STATUS;
 	cmd.body.gb_body_val = argv[2];
 	cmd.body.gb_body_len = (u_int)strlen(argv[2]);
-	gb_rpc_client_call(client, GB_PROC_FAULT, &cmd, GB_SEC, fault_done,
-	    NULL);
+	gb_rpc_client_call(
+	    client, GB_PROC_FAULT, &cmd, GB_SEC, fault_done, NULL);
 	uv_run(&loop, UV_RUN_DEFAULT);
 	return status;
 }
--- a/tests/cell.sh
+++ b/tests/cell.sh
@@ -2,8 +2,8 @@
 # processes.  Sets PIDS; cell_stop ends all that was started, by id.
 BUILD=${BUILD:-build}
 CELL=$(mktemp -d)
-BASE=${BASE:-$((20000 + ($$ % 200) * 100))}
 PIDS=""
+ENTRIES=""
 
 cell_spawn() { # log command...
 	log=$1
@@ -13,6 +13,17 @@
 	LAST=$!
 }
 
+# Port that a program says it listens on; the system chose it.
+cell_port() { # log file
+	n=0
+	while ! grep -qi 'listening' "$1"; do
+		n=$((n + 1))
+		[ $n -gt 100 ] && return 1
+		sleep 0.05
+	done
+	sed -n 's/.*[Ll]istening[^0-9]*\([0-9][0-9]*\).*/\1/p' "$1" | head -1
+}
+
 cell_dc() { # instance number -> data centre
 	case $(($1 % 3)) in
 	0) echo aarhus ;;
@@ -22,10 +33,9 @@
 }
 
 cell_store() {
-	STORE=127.0.0.1:$BASE
-	cell_spawn store "$BUILD/gooseberry-standin-store" -l "$STORE"
+	cell_spawn store "$BUILD/gooseberry-standin-store"
 	STORE_PID=$LAST
-	sleep 0.2
+	STORE=127.0.0.1:$(cell_port "$CELL/store.out")
 }
 
 cell_workers() { # how many, ms for a request
@@ -40,27 +50,32 @@
 	done
 }
 
-cell_sched() { # number
+cell_sched() { # number; a restart takes the same port again
+	eval "port=\${SCHED_PORT_$1:-0}"
 	cat >"$CELL/sched$1.json" <<EOT
 {"member": "i$1", "dc": "$(cell_dc "$1")",
  "dcs": ["aarhus", "viborg", "aalborg"],
- "listen": "127.0.0.1:$((BASE + 10 + $1))", "store": "$STORE"}
+ "listen": "127.0.0.1:$port", "store": "$STORE"}
 EOT
 	cell_spawn "sched$1" "$BUILD/gooseberry-sched" "$CELL/sched$1.json"
 	eval "SCHED_PID_$1=$LAST"
+	eval "SCHED_PORT_$1=$(cell_port "$CELL/sched$1.log")"
 }
 
-cell_entry() { # number
+cell_entry() { # number; a restart takes the same port again
+	eval "port=\${ENTRY_PORT_$1:-0}"
+	eval "own=\$SCHED_PORT_$1"
 	cat >"$CELL/entry$1.json" <<EOT
 {"member": "i$1", "dc": "$(cell_dc "$1")",
  "dcs": ["aarhus", "viborg", "aalborg"],
- "listen": "127.0.0.1:$((BASE + 30 + $1))",
- "scheds": ["127.0.0.1:$((BASE + 10 + $1))", "127.0.0.1:$((BASE + 10))",
-  "127.0.0.1:$((BASE + 11))"],
+ "listen": "127.0.0.1:$port",
+ "scheds": ["127.0.0.1:$own", "127.0.0.1:$SCHED_PORT_0"],
  "tokens": {"*": "operator-token", "byggepas": "byggepas-token"}}
 EOT
 	cell_spawn "entry$1" "$BUILD/gooseberry-entry" "$CELL/entry$1.json"
 	eval "ENTRY_PID_$1=$LAST"
+	eval "ENTRY_PORT_$1=$(cell_port "$CELL/entry$1.log")"
+	ENTRIES="$ENTRIES -e 127.0.0.1:$(eval "echo \$ENTRY_PORT_$1")"
 }
 
 cell_instances() { # how many
@@ -73,7 +88,7 @@
 }
 
 cell_ctl() {
-	"$BUILD/gooseberryctl" --server "http://127.0.0.1:$((BASE + 30))" \
+	"$BUILD/gooseberryctl" --server "http://127.0.0.1:$ENTRY_PORT_0" \
 	    --token operator-token --team byggepas "$@"
 }
 
--- a/tests/demo.sh
+++ b/tests/demo.sh
@@ -9,12 +9,8 @@
 cell_workers 50 2
 cell_instances 8
 cell_ready || { echo "demo: the cell did not come up"; cat "$CELL"/*.log; exit 1; }
-entries=""
-for i in 0 1 2 3 4 5 6 7; do
-	entries="$entries -e 127.0.0.1:$((BASE + 30 + i))"
-done
 # shellcheck disable=SC2086
-"$BUILD/gooseberry-load" $entries -L "$CELL" -P demo -s 5 -r 2000 -j 30 &
+"$BUILD/gooseberry-load" $ENTRIES -L "$CELL" -P demo -s 5 -r 2000 -j 30 &
 LOAD=$!
 sleep 1.5
 victim=$(cell_ctl shards | awk 'NR == 2 {print $2}' | tr -d i)
--- a/tests/run-processes.sh
+++ b/tests/run-processes.sh
@@ -10,14 +10,8 @@
 failed=0
 
 load() { # name seconds
-	entries=""
-	i=0
-	while [ $i -lt "$INSTANCES" ]; do
-		entries="$entries -e 127.0.0.1:$((BASE + 30 + i))"
-		i=$((i + 1))
-	done
 	# shellcheck disable=SC2086
-	"$BUILD/gooseberry-load" $entries -L "$CELL" -P "$1" -s "$2" -r 500 \
+	"$BUILD/gooseberry-load" $ALL -L "$CELL" -P "$1" -s "$2" -r 500 \
 	    -j 6 >"$CELL/load.txt" 2>&1 &
 	LOAD=$!
 }
@@ -48,6 +42,7 @@
 cell_instances "$INSTANCES"
 cell_ready || { echo "the cell did not come up"; cat "$CELL"/*.log; exit 1; }
 
+ALL=$ENTRIES
 load kill-sched 4
 sleep 1
 v=$(owner 0)
