Balance shards among members; news is told at once

Found by counting the details of refusals and the shards of failed tries. Ruled out: the retry budget (its credit was spent because every shard failed), the avoid window, the view's age. Change: an owner hands a shard to a live member that is in the shard's data centre or has two fewer, one a second; a handover for balance that takes 2 s is given up. Whoever reads a new head beats at once.

--- a/libgooseberry/process/core.h
+++ b/libgooseberry/process/core.h
@@ -372,6 +372,7 @@
 	gb_time dispatch_at;
 	gb_time digest_at;
 	bool hand_busy;
+	gb_time handing_since;
 	gb_time hand_at;
 	struct request_queue waiting;
 	uint32_t waiting_count;
@@ -445,6 +446,7 @@
 	uint32_t worker_count, worker_size;
 	struct shard *shards;
 	uint32_t shard_count;
+	gb_time rebalance_at; /**< no handover for balance before */
 	struct request *requests;
 	struct exec *execs;
 	uint64_t next_rid;
@@ -478,6 +480,8 @@
 
 /* member.c */
 void member_beats(struct gb_core *);
+/** Tell all members at once that there is news. */
+void member_beat_now(struct gb_core *);
 bool member_live(const struct gb_core *, const struct member *);
 struct member *member_find(struct gb_core *, const char *);
 struct member *member_add(struct gb_core *, const char *);
--- a/libgooseberry/process/shard.c
+++ b/libgooseberry/process/shard.c
@@ -15,6 +15,10 @@
 /** Worker clocks may differ in rate by one part in this. */
 #define SHARD_DRIFT_PART 100
 #define DIGEST_EVERY (100 * GB_MSEC)
+/** Time between two handovers for balance. */
+#define REBALANCE_EVERY GB_SEC
+/** A handover for balance that takes longer is given up. */
+#define REBALANCE_MOST (2 * GB_SEC)
 #define HAND_RETRY (100 * GB_MSEC)
 
 uint32_t
@@ -213,6 +217,44 @@
 	return far << 63 | (uint64_t)(claims & 0xffff) << 40 | hash >> 24;
 }
 
+/** Whether a member would serve a shard better than this one does, so much
+ * better that it is worth a handover: the shard's own data centre, or two
+ * shards fewer. */
+static bool
+candidate_better(const struct gb_core *core, const struct shard *shard,
+    const struct member *m)
+{
+	const char *dc = shard_dc(core, shard);
+	uint32_t own = own_claims(core);
+	bool near = strcmp(core->cfg.dc, dc) == 0;
+	bool other_near = strcmp(m->dc, dc) == 0;
+
+	if (!m->listed || !m->informed || !member_live(core, m) ||
+	    core->now - m->echoed > core->cfg.suspect_us)
+		return false;
+	if (other_near && !near)
+		return m->claim_count <= own;
+	return other_near == near && m->claim_count + 1 < own;
+}
+
+/** Give a shard to a member that is better placed, one at a time. */
+static void
+shard_rebalance(struct gb_core *core, struct shard *shard)
+{
+	struct member *m;
+
+	if (core->now < core->rebalance_at || !member_store_fresh(core))
+		return;
+	for (m = core->members; m != NULL; m = m->hh.next) {
+		if (!candidate_better(core, shard, m))
+			continue;
+		core->rebalance_at = core->now + REBALANCE_EVERY;
+		shard->handing_since = core->now;
+		shard->state = SHARD_HANDING;
+		return;
+	}
+}
+
 /** How many live members are better placed than this one. */
 static uint32_t
 candidates_before(struct gb_core *core, const struct shard *shard)
@@ -256,6 +298,7 @@
 	shard->claim_over = 0;
 	shard->state = SHARD_LOADING;
 	core->stats.takeovers++;
+	view_poll_now(core);
 	gb_env_log(&core->cfg.env, GB_LOG_INFO, "shard",
 	    "Took shard %" PRIu32 " with epoch %" PRIu64 ".", shard->id,
 	    shard->epoch);
@@ -315,6 +358,7 @@
 		shard->row_vers = result->vers;
 		shard->row.owner = 0;
 		shard_drop(core, shard);
+		view_poll_now(core);
 		gb_env_log(&core->cfg.env, GB_LOG_INFO, "shard",
 		    "Handed shard %" PRIu32 " over.", shard->id);
 	} else if (result->status == GB_STORE_CONFLICT) {
@@ -428,7 +472,12 @@
 		break;
 	case SHARD_HANDING:
 		log_tick(core, shard);
-		if (shard->state == SHARD_HANDING)
+		if (shard->state != SHARD_HANDING)
+			break;
+		if (!core->leaving && !shard->hand_busy &&
+		    core->now - shard->handing_since > REBALANCE_MOST)
+			shard->state = SHARD_ACTIVE;
+		else
 			shard_hand(core, shard);
 		break;
 	case SHARD_ACTIVE:
@@ -442,6 +491,7 @@
 			shard_digest(core, shard);
 		if (core->now >= shard->dispatch_at)
 			shard->dirty = true;
+		shard_rebalance(core, shard);
 		if (shard->dirty) {
 			shard->dispatch_at = core->now + DISPATCH_RETRY;
 			dispatch_run(core, shard);
--- a/libgooseberry/version/member.c
+++ b/libgooseberry/version/member.c
@@ -275,6 +275,15 @@
 		m->echoed = sent;
 }
 
+void
+member_beat_now(struct gb_core *core)
+{
+	struct member *m;
+
+	for (m = core->members; m != NULL; m = m->hh.next)
+		m->sent = 0;
+}
+
 void
 member_beats(struct gb_core *core)
 {
--- a/libgooseberry/version/view.c
+++ b/libgooseberry/version/view.c
@@ -187,6 +187,8 @@
 	core->poll_again = false;
 	if (!confirmed)
 		return;
+	if (core->head_seen != core->head_read)
+		member_beat_now(core);
 	core->head_seen = core->head_read;
 	core->confirmed = core->poll_started;
 	core->ever_confirmed = true;
