--- a/bench/load.c
+++ b/bench/load.c
@@ -19,6 +19,7 @@
 
 #define ENTRIES_MAX 64
 #define BODY_MOST 512
+#define TOOK_MOST 1000000
 #define HEALTH_EVERY (100 * GB_MSEC)
 #define GIVE_UP (30 * GB_SEC)
 #define FIRST_TRIES_MS 1000
@@ -51,7 +52,7 @@
 	bool accepted;
 	bool ended;
 	unsigned int execs;
-	struct call *next_idle;
+	struct call *next_again; /**< in the list of those that wait */
 };
 
 static struct {
@@ -68,13 +69,15 @@
 	uint64_t seed;
 	CURLM *multi;
 	struct call *calls;
+	struct call *again; /**< calls that wait for their next try */
 	unsigned int running;
 	uint64_t requests, answered, ran, may, refused, lost, doubled;
 	uint64_t job_count, job_ended;
 	uint64_t cut; /**< connections that ended without an answer */
 	struct call *health[ENTRIES_MAX];
 	bool down[ENTRIES_MAX];
-	struct gb_histogram latency;
+	gb_time took[TOOK_MOST]; /**< latencies of answered requests */
+	uint64_t took_count;
 } load = {.token = "operator-token",
     .prefix = "demo",
     .seconds = 4,
@@ -234,6 +237,8 @@
 		call_next_entry(call);
 		call->again_at =
 		    now + (call->retry_ms > 0 ? call->retry_ms : 50) * GB_MSEC;
+		call->next_again = load.again;
+		load.again = call;
 		return;
 	}
 	call->done = true;
@@ -241,7 +246,8 @@
 		call->accepted = ran && status == 200;
 		return;
 	}
-	gb_histogram_add(&load.latency, now - call->started);
+	if (load.took_count < TOOK_MOST)
+		load.took[load.took_count++] = now - call->started;
 	if (final)
 		load.answered++;
 	else
@@ -299,11 +305,15 @@
 calls_again(void)
 {
 	gb_time now = gb_clock_boot();
+	struct call **at = &load.again;
 	struct call *call;
 
-	for (call = load.calls; call != NULL; call = call->hh.next) {
-		if (call->again_at == 0 || call->done || call->again_at > now)
+	while ((call = *at) != NULL) {
+		if (call->again_at > now) {
+			at = &call->next_again;
 			continue;
+		}
+		*at = call->next_again;
 		call->again_at = 0;
 		call_send(call);
 	}
@@ -535,6 +545,24 @@
 	}
 }
 
+static int
+took_compare(const void *a, const void *b)
+{
+	gb_time x = *(const gb_time *)a;
+	gb_time y = *(const gb_time *)b;
+
+	return x < y ? -1 : x > y;
+}
+
+static gb_time
+took_quantile(unsigned int per_mille)
+{
+	qsort(load.took, load.took_count, sizeof(gb_time), took_compare);
+	return load.took_count == 0
+		   ? 0
+		   : load.took[load.took_count * per_mille / 1000];
+}
+
 static error_t
 option_parse(int key, char *arg, struct argp_state *state)
 {
@@ -607,9 +635,8 @@
 	       " cut=%" PRIu64 " per_s=%" PRIu64 " p50_us=%" PRId64
 	       " p99_us=%" PRId64 "\n",
 	    load.ran, load.may, load.refused, load.cut,
-	    load.answered * GB_SEC / (uint64_t)took,
-	    gb_histogram_quantile(&load.latency, 500),
-	    gb_histogram_quantile(&load.latency, 990));
+	    load.answered * GB_SEC / (uint64_t)took, took_quantile(500),
+	    took_quantile(990));
 	printf("%s: requests=%" PRIu64 " answered=%" PRIu64 " lost=%" PRIu64
 	       " doubled=%" PRIu64 " jobs=%" PRIu64 " ended=%" PRIu64 "\n",
 	    load.prefix, load.requests, load.answered,
--- a/cli/ctl.c
+++ b/cli/ctl.c
@@ -35,6 +35,8 @@
     "  workers              workers of the cell\n"
     "  drain WORKER, undrain WORKER\n"
     "  instances, shards, status [--watch]\n"
+    "  metrics              counters of a scheduler\n"
+    "  home JOB             home shard of a job (--shards)\n"
     "  trace ID             one trace as a tree (--trace-file)\n\n"
     "Examples:\n"
     "  gooseberryctl --team byggepas apply lookup.json\n"
@@ -57,7 +59,8 @@
 	OPT_TASKS,
 	OPT_SERVICE,
 	OPT_TRACE_FILE,
-	OPT_DEADLINE
+	OPT_DEADLINE,
+	OPT_SHARDS
 };
 
 static const struct argp_option options[] = {
@@ -71,6 +74,7 @@
     {"tasks", OPT_TASKS, "N", 0, "Tasks of a job", 0},
     {"service", OPT_SERVICE, "SERVICE", 0, "Document of a job", 0},
     {"trace-file", OPT_TRACE_FILE, "FILE", 0, "Spans to read", 0},
+    {"shards", OPT_SHARDS, "N", 0, "Shards of the cell, for home", 0},
     {"deadline", OPT_DEADLINE, "MS", 0, "Time that a command may take", 0},
     {0},
 };
@@ -111,6 +115,9 @@
 	case OPT_TRACE_FILE:
 		ctl->trace_file = arg;
 		return 0;
+	case OPT_SHARDS:
+		ctl->shards = (unsigned int)strtoul(arg, NULL, 10);
+		return 0;
 	case OPT_DEADLINE:
 		ctl->deadline_ms = strtoul(arg, NULL, 10);
 		return 0;
@@ -497,6 +504,28 @@
 	return ctl_show_trace(ctl->trace_file, ctl->arg[0]);
 }
 
+/** Counters of a scheduler. */
+static enum ctl_exit
+run_metrics(const struct ctl *ctl)
+{
+	struct ctl_answer answer;
+	enum ctl_exit code =
+	    ctl_call(ctl, "GET", "/v1/metrics", NULL, NULL, &answer);
+
+	if (code == CTL_OK)
+		printf("%s", answer.body.data);
+	ctl_answer_clear(&answer);
+	return code;
+}
+
+/** Home shard of a job's name. */
+static enum ctl_exit
+run_home(const struct ctl *ctl)
+{
+	printf("%u\n", gb_shard_of_job(ctl->shards, ctl->team, ctl->arg[0]));
+	return CTL_OK;
+}
+
 static const struct {
 	const char *verb;
 	unsigned int args; /**< at least */
@@ -522,6 +551,8 @@
     {"shards", 0, false, run_shards},
     {"status", 0, false, run_status},
     {"trace", 1, false, run_trace},
+    {"metrics", 0, false, run_metrics},
+    {"home", 1, true, run_home},
 };
 
 static const char *
--- a/cli/ctl.h
+++ b/cli/ctl.h
@@ -32,6 +32,7 @@
 	bool quiet; /**< say nothing of what is missing */
 	unsigned long deadline_ms;
 	unsigned int tasks;
+	unsigned int shards;
 	const char *service;
 	const char *verb;
 	const char *arg[3];
--- a/libgooseberry/gooseberry.h
+++ b/libgooseberry/gooseberry.h
@@ -628,6 +628,13 @@
 /** Microseconds on a clock that counts suspended time. */
 gb_time gb_clock_boot(void);
 gb_time gb_clock_wall(void);
+/** Processor time and resident memory of this process. */
+struct gb_usage {
+	uint64_t cpu_us;
+	uint64_t memory; /**< bytes */
+};
+
+struct gb_usage gb_usage_read(void);
 /** Lines on standard error: <priority>part: sentence.  Repeats within a
  * second are counted and told once. */
 void gb_logger_line(void *, enum gb_level, const char *, const char *);
--- a/libgooseberry/process/core.c
+++ b/libgooseberry/process/core.c
@@ -41,7 +41,6 @@
 		struct shard *shard = &core->shards[i];
 
 		shard->id = i;
-		shard->index = gb_index_new();
 		shard->vacant_since = now;
 		TAILQ_INIT(&shard->backoff);
 		TAILQ_INIT(&shard->ended);
@@ -98,7 +97,8 @@
 		}
 		log_clear(core, shard);
 		dispatch_teams_free(shard);
-		gb_index_free(shard->index);
+		if (shard->index != NULL)
+			gb_index_free(shard->index);
 		free(shard->workers);
 	}
 	while (gb_core_next(core, &action))
--- a/libgooseberry/process/core.h
+++ b/libgooseberry/process/core.h
@@ -227,6 +227,7 @@
 struct worker {
 	UT_hash_handle hh;
 	uint32_t handle;
+	uint32_t place; /**< among its shard's workers, for the index */
 	char name[GB_NAME_MAX + 1];
 	char addr[GB_NAME_MAX + 1];
 	char dc[GB_NAME_MAX + 1];
@@ -352,7 +353,7 @@
 	struct spread claim; /**< how far its taking has become known */
 	gb_time claim_over;  /**< no lease of an earlier owner lasts longer */
 	struct log log;
-	struct gb_index *index;
+	struct gb_index *index; /**< while the shard is owned */
 	struct job *jobs;
 	struct team_queue **teams; /**< one for each team of the core */
 	uint32_t team_count;
@@ -550,6 +551,9 @@
 
 /* worker.c */
 struct worker *worker_get(struct gb_core *, uint32_t);
+/** Worker at a place of a shard, as the index names it; null for GB_NONE. */
+struct worker *worker_at(
+    const struct gb_core *, const struct shard *, uint32_t place);
 void worker_instance(struct gb_core *, const gb_instance *);
 void worker_tick(struct gb_core *, struct worker *);
 void worker_index(struct gb_core *, struct worker *);
--- a/libgooseberry/process/dispatch.c
+++ b/libgooseberry/process/dispatch.c
@@ -113,11 +113,11 @@
 };
 
 static bool
-place_allows(void *data, uint32_t handle)
+place_allows(void *data, uint32_t at)
 {
 	const struct place *place = data;
-	const struct worker *w = place->core->workers[handle];
 	const struct job *job = place->job;
+	const struct worker *w = worker_at(place->core, job->shard, at);
 	uint32_t i;
 
 	if (job->spec.pool[0] != '\0' && strcmp(job->spec.pool, w->pool) != 0)
@@ -132,11 +132,11 @@
 }
 
 static uint32_t
-place_same_rack(void *data, uint32_t handle)
+place_same_rack(void *data, uint32_t at)
 {
 	const struct place *place = data;
-	uint64_t rack = place->core->workers[handle]->rack_id;
 	const struct job *job = place->job;
+	uint64_t rack = worker_at(place->core, job->shard, at)->rack_id;
 	uint32_t n = 0;
 	uint32_t i;
 
@@ -161,9 +161,9 @@
 		: place_allows,
 	    spread ? place_same_rack : NULL, &place};
 
-	return worker_get(
-	    core, gb_index_find(shard->index, &job->spec.res,
-		      spread ? &gb_scorer_spread : &gb_scorer_pack, &filter));
+	return worker_at(core, shard,
+	    gb_index_find(shard->index, &job->spec.res,
+		spread ? &gb_scorer_spread : &gb_scorer_pack, &filter));
 }
 
 static bool
--- a/libgooseberry/process/entry.c
+++ b/libgooseberry/process/entry.c
@@ -250,6 +250,7 @@
 entry_metrics(struct gb_entry *entry, struct http_call *call)
 {
 	struct gb_text out = {0};
+	const struct gb_usage used = gb_usage_read();
 	const struct gb_counter counters[] = {
 	    {"gooseberry_entry_requests_total", "Requests received.",
 		entry->requests},
@@ -267,6 +268,10 @@
 		http_server_in_flight(entry->http)},
 	    {"gooseberry_entry_view_age_ms", "Age of the view of the cell.",
 		(uint64_t)((gb_clock_boot() - entry->viewed) / GB_MSEC)},
+	    {"gooseberry_process_cpu_us_total",
+		"Processor time of the process.", used.cpu_us},
+	    {"gooseberry_process_memory_bytes",
+		"Resident memory of the process.", used.memory},
 	    {"gooseberry_entry_rpc_bytes_total", "Bytes to schedulers.",
 		gb_rpc_pool_bytes(entry->pool)},
 	};
--- a/libgooseberry/process/sched.c
+++ b/libgooseberry/process/sched.c
@@ -304,6 +304,7 @@
 sched_metrics(struct gb_sched *sched, struct gb_text *out)
 {
 	struct gb_core_stats s;
+	const struct gb_usage used = gb_usage_read();
 
 	gb_core_stats_get(sched->core, &s);
 	{
@@ -356,6 +357,10 @@
 			s.active_shards},
 		    {"gooseberry_view_fresh", "1 while the view is fresh.",
 			gb_core_fresh(sched->core, gb_clock_boot())},
+		    {"gooseberry_process_cpu_us_total",
+			"Processor time of the process.", used.cpu_us},
+		    {"gooseberry_process_memory_bytes",
+			"Resident memory of the process.", used.memory},
 		    {"gooseberry_rpc_bytes_total",
 			"Bytes to and from peers, workers and store.",
 			gb_rpc_pool_bytes(sched->pool) +
--- a/libgooseberry/process/shard.c
+++ b/libgooseberry/process/shard.c
@@ -98,6 +98,9 @@
 	request_shard_lost(core, shard);
 	job_commands_lost(core, shard);
 	worker_shard_lost(core, shard);
+	if (shard->index != NULL)
+		gb_index_free(shard->index);
+	shard->index = NULL;
 	log_clear(core, shard);
 	HASH_ITER(hh, shard->jobs, job, next)
 	{
@@ -296,6 +299,7 @@
 	shard->claim.vers = result->vers;
 	shard->claim.known_at = 0;
 	shard->claim_over = 0;
+	shard->index = gb_index_new();
 	shard->state = SHARD_LOADING;
 	core->stats.takeovers++;
 	view_poll_now(core);
--- a/libgooseberry/process/worker.c
+++ b/libgooseberry/process/worker.c
@@ -26,6 +26,14 @@
 	return handle < core->worker_count ? core->workers[handle] : NULL;
 }
 
+struct worker *
+worker_at(const struct gb_core *core, const struct shard *shard, uint32_t place)
+{
+	return place < shard->worker_count
+		   ? core->workers[shard->workers[place]]
+		   : NULL;
+}
+
 gb_res
 worker_free(const struct worker *w)
 {
@@ -54,12 +62,12 @@
 		return;
 	if (!worker_usable(w)) {
 		if (w->indexed)
-			gb_index_remove(shard->index, w->handle);
+			gb_index_remove(shard->index, w->place);
 		w->indexed = false;
 		return;
 	}
 	room = worker_free(w);
-	gb_index_set(shard->index, w->handle, &room, &w->capacity);
+	gb_index_set(shard->index, w->place, &room, &w->capacity);
 	w->indexed = true;
 }
 
@@ -256,6 +264,7 @@
 		w->shard->workers = gb_realloc(w->shard->workers,
 		    w->shard->worker_size * sizeof(uint32_t));
 	}
+	w->place = w->shard->worker_count;
 	w->shard->workers[w->shard->worker_count++] = w->handle;
 	return w;
 }
@@ -372,7 +381,7 @@
 		struct worker *w = core->workers[shard->workers[i]];
 
 		if (w->indexed)
-			gb_index_remove(shard->index, w->handle);
+			gb_index_remove(shard->index, w->place);
 		w->indexed = false;
 		w->task_count = 0;
 		w->requests = 0;
--- a/libgooseberry/request/request.c
+++ b/libgooseberry/request/request.c
@@ -411,12 +411,13 @@
 };
 
 static bool
-send_allows(void *data, uint32_t handle)
+send_allows(void *data, uint32_t at)
 {
 	const struct send *send = data;
-	const struct worker *w = send->core->workers[handle];
+	const struct worker *w =
+	    worker_at(send->core, send->request->shard, at);
 
-	if (handle == send->request->avoid)
+	if (w->handle == send->request->avoid)
 		return false;
 	return send->request->pool[0] == '\0' ||
 	       strcmp(send->request->pool, w->pool) == 0;
@@ -478,15 +479,16 @@
 	     r = next) {
 		struct send send = {core, r};
 		struct gb_filter filter = {send_allows, NULL, &send};
-		uint32_t handle;
+		struct worker *w;
 
 		next = TAILQ_NEXT(r, next);
-		handle = gb_index_find(
-		    shard->index, &r->need, &gb_scorer_spread, &filter);
-		if (handle == GB_NONE)
+		w = worker_at(core, shard,
+		    gb_index_find(
+			shard->index, &r->need, &gb_scorer_spread, &filter));
+		if (w == NULL)
 			blocked++;
 		else
-			request_send(core, r, worker_get(core, handle));
+			request_send(core, r, w);
 	}
 }
 
--- a/standin/worker.c
+++ b/standin/worker.c
@@ -241,6 +241,8 @@
 	snprintf(worker.addr, sizeof(worker.addr), "%.*s:%d",
 	    (int)(strrchr(worker.listen, ':') - worker.listen), worker.listen,
 	    gb_rpc_server_port(server));
+	printf("listening %d\n", gb_rpc_server_port(server));
+	fflush(stdout);
 	worker.pool = gb_rpc_pool_new(&worker.loop, &env);
 	worker_register();
 	uv_timer_init(&worker.loop, &worker.tick);
