--- a/libgooseberry/connection/rpc_server.c
+++ b/libgooseberry/connection/rpc_server.c
@@ -5,6 +5,7 @@
 #include <arpa/inet.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/queue.h>
 
 #include "rpc.h"
 
@@ -13,6 +14,8 @@
 	const struct gb_env *env;
 	gb_rpc_serve serve;
 	void *data;
+	TAILQ_HEAD(, rpc_connection) connections;
+	unsigned int refs; /**< its owner's, the listener's, connections' */
 	size_t bytes;
 	int port;
 };
@@ -20,6 +23,7 @@
 /** Lives as long as its socket or a call that came through it. */
 struct rpc_connection {
 	uv_tcp_t tcp;
+	TAILQ_ENTRY(rpc_connection) next;
 	struct gb_rpc_server *server;
 	struct rpc_reader reader;
 	unsigned int refs;
@@ -32,13 +36,24 @@
 	uint32_t proc;
 };
 
+static void
+server_unref(struct gb_rpc_server *server)
+{
+	if (--server->refs == 0)
+		free(server);
+}
+
 static void
 connection_unref(struct rpc_connection *conn)
 {
+	struct gb_rpc_server *server = conn->server;
+
 	if (--conn->refs > 0)
 		return;
+	TAILQ_REMOVE(&server->connections, conn, next);
 	rpc_reader_free(&conn->reader);
 	free(conn);
+	server_unref(server);
 }
 
 static void
@@ -171,6 +186,8 @@
 	conn = gb_calloc(1, sizeof(*conn));
 	conn->server = server;
 	conn->refs = 1;
+	server->refs++;
+	TAILQ_INSERT_TAIL(&server->connections, conn, next);
 	uv_tcp_init(stream->loop, &conn->tcp);
 	if (uv_accept(stream, (uv_stream_t *)&conn->tcp) != 0) {
 		connection_close(conn);
@@ -194,6 +211,8 @@
 		return NULL;
 	}
 	server = gb_calloc(1, sizeof(*server));
+	server->refs = 2;
+	TAILQ_INIT(&server->connections);
 	server->env = env;
 	server->serve = serve;
 	server->data = data;
@@ -216,11 +235,30 @@
 	return server->port;
 }
 
+static void
+server_closed(uv_handle_t *handle)
+{
+	server_unref((struct gb_rpc_server *)handle);
+}
+
 void
 gb_rpc_server_close(struct gb_rpc_server *server)
 {
 	if (!uv_is_closing((uv_handle_t *)&server->tcp))
-		uv_close((uv_handle_t *)&server->tcp, NULL);
+		uv_close((uv_handle_t *)&server->tcp, server_closed);
+}
+
+void
+gb_rpc_server_free(struct gb_rpc_server *server)
+{
+	struct rpc_connection *conn;
+
+	gb_rpc_server_close(server);
+	TAILQ_FOREACH(conn, &server->connections, next)
+	{
+		connection_close(conn);
+	}
+	server_unref(server);
 }
 
 size_t
--- a/libgooseberry/gooseberry.h
+++ b/libgooseberry/gooseberry.h
@@ -524,6 +524,8 @@
 int gb_rpc_server_port(const struct gb_rpc_server *);
 /** Stop accepting connections; those that are open stay. */
 void gb_rpc_server_close(struct gb_rpc_server *);
+/** Close all; freed once the last call is answered and the loop allows. */
+void gb_rpc_server_free(struct gb_rpc_server *);
 size_t gb_rpc_server_bytes(const struct gb_rpc_server *);
 void gb_rpc_call_reply(struct gb_rpc_call *, void *res);
 /** Say that the procedure is not offered here. */
--- a/libgooseberry/process/core.h
+++ b/libgooseberry/process/core.h
@@ -594,7 +594,6 @@
 struct task *job_task_match(struct worker *, const gb_held *, struct job **);
 void job_place(struct gb_core *, struct job *, uint32_t index, struct worker *);
 void job_tick(struct gb_core *, struct shard *);
-void job_services(struct gb_core *, struct shard *);
 void job_command(struct gb_core *, uint64_t id, const gb_command *);
 /** Answer the command whose record has been committed. */
 void job_answer_record(
@@ -606,6 +605,23 @@
 void job_stop_task(struct gb_core *, struct job *, uint32_t index);
 uint64_t job_id(const char *team, const char *name);
 
+/** Stop counting a task's resources against its worker and team. */
+void job_task_release(struct gb_core *, struct job *, uint32_t index);
+/** Count them. */
+void job_task_hold(
+    struct gb_core *, struct job *, uint32_t index, struct worker *);
+/** A task may start anew, or must end because nothing may run it again. */
+void job_task_again(
+    struct gb_core *, struct job *, uint32_t index, bool never_started);
+/** All tasks of a job have ended. */
+void job_finish(struct gb_core *, struct job *);
+
+/* service.c */
+void service_sync_all(struct gb_core *, struct shard *);
+/** A replica was reported: replace those of an older document in turn. */
+void service_task_seen(
+    struct gb_core *, struct job *, uint32_t index, uint64_t vers);
+
 /* loan.c */
 /** Lend waiting tasks of a job to a shard that has room. */
 void loan_consider(struct gb_core *, struct shard *, struct job *);
--- /dev/null
+++ b/libgooseberry/process/service.c
@@ -0,0 +1,155 @@
+/**
+ * @file service.c
+ * Replicas of services: each shard keeps its part of what the documents
+ * declare.  They are derived from the documents and never logged.
+ */
+#include <string.h>
+
+#include "core.h"
+
+/** Part of a service's replicas that one shard keeps. */
+static uint32_t
+service_share(
+    const struct gb_core *core, const struct gb_doc *doc, uint32_t shard)
+{
+	uint32_t allowed = 0;
+	uint32_t place = 0;
+	uint32_t i;
+
+	for (i = 0; i < core->shard_count; i++) {
+		uint32_t dc = i / core->cfg.shards_per_dc;
+
+		if (doc->dcs != 0 && (doc->dcs & (1u << dc)) == 0)
+			continue;
+		if (i == shard)
+			place = allowed + 1;
+		allowed++;
+	}
+	if (place == 0)
+		return 0;
+	return doc->replicas / allowed +
+	       (place <= doc->replicas % allowed ? 1 : 0);
+}
+
+/** The replicas that one shard keeps are a job of their own. */
+static void
+service_spec(
+    const struct gb_doc *doc, uint32_t shard, uint32_t tasks, gb_job_spec *spec)
+{
+	memset(spec, 0, sizeof(*spec));
+	spec->team = (char *)(uintptr_t)doc->team;
+	spec->name = (char *)(uintptr_t)doc->service;
+	spec->service = (char *)(uintptr_t)doc->service;
+	spec->pool = (char *)(uintptr_t)doc->pool;
+	spec->band = doc->band;
+	spec->idempotent = true;
+	spec->tasks = tasks;
+	spec->max_attempts = UINT32_MAX;
+	spec->res = doc->res;
+	spec->spread = doc->spread;
+	spec->vers = doc->vers;
+	spec->id = gb_hash_pair(doc->service, doc->team) + shard;
+}
+
+/** Grow or shrink a service's tasks to what its document declares. */
+static void
+service_resize(struct gb_core *core, struct shard *shard, struct job *job,
+    const gb_job_spec *spec)
+{
+	uint32_t old = job->spec.tasks;
+	uint32_t i;
+
+	(void)shard;
+	if (spec->tasks > old) {
+		job->tasks =
+		    gb_realloc(job->tasks, spec->tasks * sizeof(struct task));
+		job->ready =
+		    gb_realloc(job->ready, spec->tasks * sizeof(uint32_t));
+		memset(job->tasks + old, 0,
+		    (spec->tasks - old) * sizeof(struct task));
+	}
+	for (i = old; i < spec->tasks; i++)
+		job->tasks[i].worker = GB_NONE;
+	for (i = spec->tasks; i < old; i++) {
+		struct worker *w = worker_get(core, job->tasks[i].worker);
+
+		if (w != NULL) {
+			worker_stop(w, job, i);
+			job_task_release(core, job, i);
+			gb_res_add(&w->foreign, &job->spec.res);
+			worker_index(core, w);
+		}
+	}
+	job->rolling = 0;
+	if (spec->tasks < old) {
+		uint32_t keep = 0;
+
+		for (i = 0; i < job->ready_count; i++) {
+			if (job->ready[i] < spec->tasks)
+				job->ready[keep++] = job->ready[i];
+		}
+		job->ready_count = keep;
+		if (keep == 0)
+			job_dequeue(job);
+	}
+	job->spec.tasks = spec->tasks;
+	for (i = old; i < spec->tasks; i++)
+		job_task_ready(core, job, i);
+}
+
+static void
+service_sync(
+    struct gb_core *core, struct shard *shard, const struct gb_doc *doc)
+{
+	uint32_t share = service_share(core, doc, shard->id);
+	gb_job_spec spec;
+	struct job *job;
+	uint32_t i;
+
+	service_spec(doc, shard->id, share, &spec);
+	job = job_find(shard, spec.id);
+	if (job == NULL) {
+		if (share == 0)
+			return;
+		job = job_new(core, shard, &spec);
+		job->derived = true;
+		for (i = 0; i < share; i++) {
+			if (shard->settled)
+				job_task_ready(core, job, i);
+			else
+				job->tasks[i].state = TASK_UNSURE;
+		}
+		return;
+	}
+	if (job->spec.tasks != share)
+		service_resize(core, shard, job, &spec);
+	job->spec.vers = spec.vers;
+}
+
+void
+service_sync_all(struct gb_core *core, struct shard *shard)
+{
+	struct doc *doc;
+
+	if (shard->services_config == core->config_seq + 1)
+		return;
+	shard->services_config = core->config_seq + 1;
+	for (doc = core->docs; doc != NULL; doc = doc->hh.next) {
+		if (doc->valid && doc->now.kind == GB_KIND_SERVICE)
+			service_sync(core, shard, &doc->now);
+	}
+}
+
+
+/** Replace the tasks of an older document one after the other. */
+void
+service_task_seen(
+    struct gb_core *core, struct job *job, uint32_t index, uint64_t vers)
+{
+	if (job->rolling == index + 1 && vers == job->spec.vers)
+		job->rolling = 0;
+	if (vers == job->spec.vers || job->rolling != 0 || job->ready_count > 0)
+		return;
+	job->rolling = index + 1;
+	job_stop_task(core, job, index);
+}
--- a/libgooseberry/process/shard.c
+++ b/libgooseberry/process/shard.c
@@ -488,7 +488,7 @@
 		log_tick(core, shard);
 		if (shard->state != SHARD_ACTIVE)
 			break;
-		job_services(core, shard);
+		service_sync_all(core, shard);
 		job_tick(core, shard);
 		request_dispatch(core, shard);
 		if (core->now >= shard->digest_at)
--- /dev/null
+++ b/tests/test_rpc.c
@@ -0,0 +1,277 @@
+/**
+ * @file test_rpc.c
+ * Remote procedure calls: malformed records from a peer, answers that are
+ * late, doubled or lost, and bodies that come whole.
+ */
+#include <arpa/inet.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+#include <uv.h>
+
+#include "gooseberry.h"
+
+#define BIG (3 * 1024 * 1024)
+
+static const struct gb_env env = {NULL, NULL, NULL};
+
+/** What the server does with the next exec. */
+enum serve_mode { SERVE_ECHO, SERVE_NEVER };
+
+struct fixture {
+	uv_loop_t loop;
+	struct gb_rpc_server *server;
+	struct gb_rpc_client *client;
+	enum serve_mode mode;
+	unsigned int served;
+	struct gb_rpc_call *kept[8]; /**< calls that are never answered */
+	unsigned int ended;
+	gb_verdict verdict;
+	size_t body_len;
+	bool body_same;
+	char addr[64];
+};
+
+static void
+serve(void *data, struct gb_rpc_call *call, uint32_t proc, void *arg)
+{
+	struct fixture *f = data;
+	const gb_exec *exec = arg;
+	gb_exec_res res = {.verdict = GB_RUN, .status = 200};
+
+	f->served++;
+	if (proc != GB_PROC_EXEC) {
+		gb_rpc_call_refuse(call);
+		return;
+	}
+	if (f->mode == SERVE_NEVER) {
+		f->kept[f->served - 1] = call;
+		return;
+	}
+	res.body = exec->body;
+	gb_rpc_call_reply(call, &res);
+}
+
+static int
+setup(void **state)
+{
+	struct fixture *f = gb_calloc(1, sizeof(*f));
+	struct gb_error err = {0};
+
+	uv_loop_init(&f->loop);
+	f->server = gb_rpc_server_new(
+	    &f->loop, &env, "127.0.0.1:0", serve, f, &err);
+	snprintf(f->addr, sizeof(f->addr), "127.0.0.1:%d",
+	    gb_rpc_server_port(f->server));
+	f->client = gb_rpc_client_new(&f->loop, &env, f->addr);
+	*state = f;
+	return f->server == NULL;
+}
+
+static void
+exec_done(void *data, gb_verdict verdict, void *res)
+{
+	struct fixture *f = data;
+	const gb_exec_res *answer = res;
+	u_int i;
+
+	f->ended++;
+	f->verdict = verdict;
+	f->body_same = answer != NULL;
+	f->body_len = answer == NULL ? 0 : answer->body.gb_body_len;
+	for (i = 0; i < f->body_len; i++) {
+		if (answer->body.gb_body_val[i] != (char)(i * 7))
+			f->body_same = false;
+	}
+}
+
+static void
+exec_call(struct fixture *f, size_t len, gb_time timeout)
+{
+	gb_exec exec = {.team = "t", .service = "s", .key = "", .trace = ""};
+	size_t i;
+
+	exec.body.gb_body_len = (u_int)len;
+	exec.body.gb_body_val = gb_calloc(1, len);
+	for (i = 0; i < len; i++)
+		exec.body.gb_body_val[i] = (char)(i * 7);
+	gb_rpc_client_call(
+	    f->client, GB_PROC_EXEC, &exec, timeout, exec_done, f);
+	free(exec.body.gb_body_val);
+}
+
+static void
+run_until(struct fixture *f, unsigned int ended)
+{
+	while (f->ended < ended)
+		uv_run(&f->loop, UV_RUN_ONCE);
+}
+
+static void
+test_big_body_whole(void **state)
+{
+	struct fixture *f = *state;
+
+	exec_call(f, BIG, 20 * GB_SEC);
+	run_until(f, 1);
+	assert_int_equal(f->verdict, GB_RUN);
+	assert_int_equal(f->body_len, BIG);
+	assert_true(f->body_same);
+}
+
+static void
+test_no_answer_may_have_run(void **state)
+{
+	struct fixture *f = *state;
+
+	f->mode = SERVE_NEVER;
+	exec_call(f, 8, 200 * GB_MSEC);
+	run_until(f, 1);
+	assert_int_equal(f->served, 1);
+	assert_int_equal(f->verdict, GB_MAYBE_RUN);
+}
+
+static void
+test_no_peer_not_run(void **state)
+{
+	struct fixture *f = *state;
+	struct gb_rpc_client *nobody =
+	    gb_rpc_client_new(&f->loop, &env, "127.0.0.1:1");
+	gb_exec exec = {.team = "t", .service = "s", .key = "", .trace = ""};
+
+	gb_rpc_client_call(nobody, GB_PROC_EXEC, &exec, GB_SEC, exec_done, f);
+	run_until(f, 1);
+	assert_int_equal(f->verdict, GB_NOT_RUN);
+	gb_rpc_client_free(nobody);
+}
+
+static void
+test_foreign_procedure_not_run(void **state)
+{
+	struct fixture *f = *state;
+	gb_scan scan = {.prefix = "", .after = ""};
+
+	gb_rpc_client_call(
+	    f->client, GB_PROC_SCAN, &scan, GB_SEC, exec_done, f);
+	run_until(f, 1);
+	assert_int_equal(f->verdict, GB_NOT_RUN);
+}
+
+/** Send raw bytes from a plain socket and let the server read them. */
+static void
+junk_send(struct fixture *f, const void *data, size_t len)
+{
+	struct sockaddr_in sin = {.sin_family = AF_INET};
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	int i;
+
+	sin.sin_port = htons((uint16_t)gb_rpc_server_port(f->server));
+	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	assert_int_equal(connect(fd, (struct sockaddr *)&sin, sizeof(sin)), 0);
+	assert_int_equal(send(fd, data, len, MSG_NOSIGNAL), (ssize_t)len);
+	for (i = 0; i < 20; i++)
+		uv_run(&f->loop, UV_RUN_NOWAIT);
+	close(fd);
+	for (i = 0; i < 20; i++)
+		uv_run(&f->loop, UV_RUN_NOWAIT);
+}
+
+/** Malformed records end their own connection and nothing else. */
+static void
+test_malformed_records(void **state)
+{
+	struct fixture *f = *state;
+	uint64_t seed = 11;
+	unsigned char junk[400];
+	unsigned int round;
+	size_t i;
+	/* A call of EXEC whose arguments say a length beyond its end. */
+	const uint32_t lies[] = {htonl(0x80000000u | 52), htonl(9), 0,
+	    htonl(2), htonl(0x20676261u), htonl(1), htonl(GB_PROC_EXEC), 0, 0,
+	    0, 0, htonl(0xffffffffu), htonl(0xffffffffu),
+	    htonl(0xffffffffu)};
+	const uint32_t huge = htonl(0x7fffffffu);
+
+	junk_send(f, "GET / HTTP/1.1\r\n\r\n", 18);
+	junk_send(f, &huge, sizeof(huge));
+	junk_send(f, lies, sizeof(lies));
+	for (round = 0; round < 200; round++) {
+		for (i = 0; i < sizeof(junk); i++)
+			junk[i] = (unsigned char)gb_random_next(&seed);
+		/* A true mark, so that the record itself is read. */
+		junk[0] = 0x80;
+		junk[1] = 0;
+		junk[2] = 1;
+		junk[3] = 0x80;
+		if (round % 2 == 0)
+			memcpy(junk + 4, lies + 1, 40);
+		junk_send(f, junk, sizeof(junk));
+	}
+	exec_call(f, 100, GB_SEC);
+	run_until(f, 1);
+	assert_int_equal(f->verdict, GB_RUN);
+	assert_true(f->body_same);
+}
+
+/** A server that goes away under a call: what was sent may have run. */
+static void
+test_client_freed_under_calls(void **state)
+{
+	struct fixture *f = *state;
+
+	f->mode = SERVE_NEVER;
+	exec_call(f, 8, 5 * GB_SEC);
+	exec_call(f, 8, 5 * GB_SEC);
+	while (f->served < 2)
+		uv_run(&f->loop, UV_RUN_ONCE);
+	gb_rpc_client_free(f->client);
+	f->client = NULL;
+	assert_int_equal(f->ended, 2);
+	assert_int_equal(f->verdict, GB_MAYBE_RUN);
+}
+
+static int
+teardown(void **state)
+{
+	struct fixture *f = *state;
+	unsigned int i;
+
+	gb_rpc_client_free(f->client);
+	gb_rpc_server_free(f->server);
+	for (i = 0; i < 8; i++) {
+		if (f->kept[i] != NULL)
+			gb_rpc_call_refuse(f->kept[i]);
+	}
+	while (uv_run(&f->loop, UV_RUN_NOWAIT) != 0)
+		continue;
+	assert_int_equal(uv_loop_close(&f->loop), 0);
+	free(f);
+	return 0;
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test_setup_teardown(
+		test_big_body_whole, setup, teardown),
+	    cmocka_unit_test_setup_teardown(
+		test_no_answer_may_have_run, setup, teardown),
+	    cmocka_unit_test_setup_teardown(
+		test_no_peer_not_run, setup, teardown),
+	    cmocka_unit_test_setup_teardown(
+		test_foreign_procedure_not_run, setup, teardown),
+	    cmocka_unit_test_setup_teardown(
+		test_malformed_records, setup, teardown),
+	    cmocka_unit_test_setup_teardown(
+		test_client_freed_under_calls, setup, teardown),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
