--- a/libgooseberry/connection/rpc_server.c
+++ b/libgooseberry/connection/rpc_server.c
@@ -9,12 +9,14 @@
 
 #include "rpc.h"
 
+TAILQ_HEAD(connection_list, rpc_connection);
+
 struct gb_rpc_server {
 	uv_tcp_t tcp;
 	const struct gb_env *env;
 	gb_rpc_serve serve;
 	void *data;
-	TAILQ_HEAD(, rpc_connection) connections;
+	struct connection_list connections;
 	unsigned int refs; /**< its owner's, the listener's, connections' */
 	size_t bytes;
 	int port;
