--- a/libgooseberry/gen/proto.c
+++ b/libgooseberry/gen/proto.c
@@ -838,6 +838,21 @@
 	return TRUE;
 }
 
+bool_t
+xdr_gb_config_row (XDR *xdrs, gb_config_row *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_uint64_t (xdrs, &objp->seq))
+		 return FALSE;
+	 if (!xdr_uint64_t (xdrs, &objp->vers))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->changes.changes_val, (u_int *) &objp->changes.changes_len, GB_LIST_MAX,
+		sizeof (gb_change), (xdrproc_t) xdr_gb_change))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_gb_key_row (XDR *xdrs, gb_key_row *objp)
 {
--- a/libgooseberry/gen/proto.h
+++ b/libgooseberry/gen/proto.h
@@ -475,6 +475,16 @@
 };
 typedef struct gb_change gb_change;
 
+struct gb_config_row {
+	uint64_t seq;
+	uint64_t vers;
+	struct {
+		u_int changes_len;
+		gb_change *changes_val;
+	} changes;
+};
+typedef struct gb_config_row gb_config_row;
+
 struct gb_key_row {
 	uint64_t fingerprint;
 	uint64_t nonce;
@@ -532,6 +542,7 @@
 extern  bool_t xdr_gb_view_row (XDR *, gb_view_row*);
 extern  bool_t xdr_gb_change_kind (XDR *, gb_change_kind*);
 extern  bool_t xdr_gb_change (XDR *, gb_change*);
+extern  bool_t xdr_gb_config_row (XDR *, gb_config_row*);
 extern  bool_t xdr_gb_key_row (XDR *, gb_key_row*);
 
 #else /* K&R C */
@@ -580,6 +591,7 @@
 extern bool_t xdr_gb_view_row ();
 extern bool_t xdr_gb_change_kind ();
 extern bool_t xdr_gb_change ();
+extern bool_t xdr_gb_config_row ();
 extern bool_t xdr_gb_key_row ();
 
 #endif /* K&R C */
--- a/libgooseberry/gen/proto.x
+++ b/libgooseberry/gen/proto.x
@@ -391,6 +391,12 @@
 	gb_body body;		/* JSON text of a document */
 };
 
+struct gb_config_row {
+	uint64_t seq;		/* last change that is covered */
+	uint64_t vers;		/* of that change's row */
+	gb_change changes<GB_LIST_MAX>;
+};
+
 struct gb_key_row {
 	uint64_t fingerprint;
 	uint64_t nonce;
--- a/libgooseberry/process/core.h
+++ b/libgooseberry/process/core.h
@@ -19,6 +19,7 @@
 #define SNAPSHOT_PREFIX "snapshot/"
 #define SHARD_PREFIX "cell/shard/"
 #define CHANGE_PREFIX "change/"
+#define CONFIG_KEY "config"
 #define LOG_PREFIX "log/"
 #define OBJECT_PREFIX "object/"
 #define KEY_PREFIX "key/"
@@ -107,7 +108,8 @@
 	gb_time deadline;
 	gb_change change;
 	uint64_t expected;
-	bool sent; /**< may have been written */
+	uint64_t after_vers; /**< of the row of the change before */
+	bool sent;	     /**< may have been written */
 	bool committed;
 	struct spread spread;
 };
@@ -435,6 +437,11 @@
 	/* Documents */
 	struct doc *docs;
 	uint64_t config_seq;
+	uint64_t config_vers;  /**< of the row of the last change */
+	bool config_loaded;    /**< the snapshot of documents has been read */
+	uint64_t config_saved; /**< change that the snapshot covers */
+	uint64_t config_saved_vers; /**< of the snapshot's row */
+	bool config_saving;
 	struct change_waits changes;
 	bool change_busy;
 	gb_time change_retry_at;
@@ -511,7 +518,11 @@
 
 /* config.c */
 struct doc *config_doc(struct gb_core *, const char *team, const char *service);
-bool config_apply(struct gb_core *, const gb_change *);
+/** Apply the next change, as its row tells it; others are passed over. */
+bool config_apply(struct gb_core *, const gb_change *, uint64_t vers);
+/** Take in the snapshot of documents, if it is newer than what is known. */
+void config_load(struct gb_core *, const gb_row *);
+void config_change_key(char *out, size_t, uint64_t seq);
 void config_command(struct gb_core *, uint64_t id, const gb_command *);
 void config_tick(struct gb_core *);
 void config_free(struct gb_core *);
--- a/libgooseberry/process/job_record.c
+++ b/libgooseberry/process/job_record.c
@@ -209,7 +209,8 @@
 		for (i = 0; i < job->spec.tasks; i++) {
 			if (job->tasks[i].state == TASK_UNSURE &&
 			    job->tasks[i].worker == GB_NONE)
-				job_task_again(core, job, i, job->spec.idempotent);
+				job_task_again(
+				    core, job, i, job->spec.idempotent);
 		}
 	}
 }
--- a/libgooseberry/process/service.c
+++ b/libgooseberry/process/service.c
@@ -140,7 +140,6 @@
 	}
 }
 
-
 /** Replace the tasks of an older document one after the other. */
 void
 service_task_seen(
--- a/libgooseberry/version/config.c
+++ b/libgooseberry/version/config.c
@@ -10,6 +10,8 @@
 #include "process/core.h"
 
 #define HISTORY_MAX 32
+/** Versions of a document that a snapshot keeps. */
+#define SAVED_VERSIONS 4
 #define CHANGE_RETRY (50 * GB_MSEC)
 #define STORE_RETRY_MS 1000
 #define COMMAND_LIMIT (30 * GB_SEC)
@@ -162,15 +164,10 @@
 	}
 }
 
-bool
-config_apply(struct gb_core *core, const gb_change *change)
+/** What a change does, whatever its place in the order. */
+static void
+change_take(struct gb_core *core, const gb_change *change)
 {
-	uint32_t i;
-
-	if (change->seq != core->config_seq + 1)
-		return false;
-	core->config_seq = change->seq;
-	core->stats.changes++;
 	switch (change->kind) {
 	case GB_CHANGE_DOCUMENT:
 		doc_apply(core, change);
@@ -182,11 +179,157 @@
 		drain_apply(core, change->name, false);
 		break;
 	}
+}
+
+static void
+config_moved(struct gb_core *core, uint64_t seq, uint64_t vers)
+{
+	uint32_t i;
+
+	core->config_seq = seq;
+	core->config_vers = vers;
 	for (i = 0; i < core->shard_count; i++)
 		core->shards[i].dirty = true;
+}
+
+bool
+config_apply(struct gb_core *core, const gb_change *change, uint64_t vers)
+{
+	if (change->seq != core->config_seq + 1)
+		return false;
+	core->stats.changes++;
+	change_take(core, change);
+	config_moved(core, change->seq, vers);
 	return true;
 }
 
+/* Snapshot of the documents: what a new process reads in place of all changes
+ * since the first */
+
+void
+config_load(struct gb_core *core, const gb_row *row)
+{
+	gb_body body = row->value;
+	gb_config_row saved;
+	u_int i;
+
+	memset(&saved, 0, sizeof(saved));
+	if (!gb_xdr_decode((xdrproc_t)xdr_gb_config_row, &body, &saved)) {
+		gb_env_log(&core->cfg.env, GB_LOG_ERR, "config",
+		    "The snapshot of documents cannot be read.");
+		return;
+	}
+	core->config_saved = saved.seq;
+	core->config_saved_vers = row->vers;
+	if (saved.seq > core->config_seq) {
+		for (i = 0; i < saved.changes.changes_len; i++)
+			change_take(core, &saved.changes.changes_val[i]);
+		config_moved(core, saved.seq, saved.vers);
+	}
+	xdr_free((xdrproc_t)xdr_gb_config_row, (char *)&saved);
+}
+
+static int
+change_compare(const void *a, const void *b)
+{
+	const gb_change *x = a;
+	const gb_change *y = b;
+
+	return x->seq < y->seq ? -1 : x->seq > y->seq;
+}
+
+/** The last versions of each document and the drained workers, in order.  The
+ * changes are borrowed. */
+static void
+config_collect(const struct gb_core *core, gb_config_row *out)
+{
+	size_t most =
+	    HASH_COUNT(core->docs) * SAVED_VERSIONS + HASH_COUNT(core->drains);
+	const struct doc *doc;
+	struct drain *d;
+
+	out->seq = core->config_seq;
+	out->vers = core->config_vers;
+	out->changes.changes_val = gb_calloc(most, sizeof(gb_change));
+	for (doc = core->docs; doc != NULL; doc = doc->hh.next) {
+		u_int from = doc->history_count > SAVED_VERSIONS
+				 ? doc->history_count - SAVED_VERSIONS
+				 : 0;
+
+		for (; from < doc->history_count; from++)
+			out->changes.changes_val[out->changes.changes_len++] =
+			    doc->history[from];
+	}
+	for (d = core->drains; d != NULL; d = d->hh.next) {
+		gb_change *change =
+		    &out->changes.changes_val[out->changes.changes_len++];
+
+		change->kind = GB_CHANGE_DRAIN;
+		change->seq = core->config_seq;
+		change->team = (char *)(uintptr_t) "";
+		change->author = (char *)(uintptr_t) "";
+		change->name = d->worker;
+	}
+	qsort(out->changes.changes_val, out->changes.changes_len,
+	    sizeof(gb_change), change_compare);
+}
+
+static void
+config_reread(struct gb_core *core, const struct store_op *op,
+    const struct store_result *result)
+{
+	(void)op;
+	core->config_saving = false;
+	if (result->status == GB_STORE_OK && result->count > 0)
+		config_load(core, &result->rows[0]);
+}
+
+static void
+config_saved(struct gb_core *core, const struct store_op *op,
+    const struct store_result *result)
+{
+	if (result->status == GB_STORE_OK) {
+		core->config_saving = false;
+		core->config_saved = op->ref;
+		core->config_saved_vers = result->vers;
+		return;
+	}
+	/* Another member was first, or it is not known: look. */
+	store_op_scan(core, CONFIG_KEY, "", 1, config_reread, GB_NONE, 0);
+}
+
+/** Write a snapshot and remove the changes that it covers, but for the last
+ * ones: members that are a little behind still read those. */
+static void
+config_save(struct gb_core *core)
+{
+	uint64_t keep = core->cfg.snapshot_every;
+	uint64_t seq =
+	    core->config_saved > keep ? core->config_saved - keep : 0;
+	gb_config_row row;
+	gb_body body;
+	gb_txn txn;
+	bool ok;
+
+	memset(&row, 0, sizeof(row));
+	config_collect(core, &row);
+	ok = gb_xdr_encode((xdrproc_t)xdr_gb_config_row, &row, &body);
+	free(row.changes.changes_val);
+	if (!ok)
+		return;
+	memset(&txn, 0, sizeof(txn));
+	store_txn_cond(&txn, CONFIG_KEY, core->config_saved_vers);
+	store_txn_put(&txn, CONFIG_KEY, body);
+	while (++seq + keep <= core->config_seq) {
+		char key[GB_KEY_MAX + 1];
+
+		config_change_key(key, sizeof(key), seq);
+		store_txn_remove(&txn, key);
+	}
+	core->config_saving = true;
+	store_op_txn(core, &txn, config_saved, GB_NONE, core->config_seq);
+}
+
 /* Accepting a change */
 
 static uint64_t
@@ -254,7 +397,7 @@
 	wait->committed = true;
 	wait->spread.vers = vers;
 	core->change_busy = false;
-	config_apply(core, &wait->change);
+	config_apply(core, &wait->change, vers);
 	view_poll_now(core);
 }
 
@@ -303,8 +446,8 @@
 		change_again(core, wait);
 }
 
-static void
-change_key(char *out, size_t size, uint64_t seq)
+void
+config_change_key(char *out, size_t size, uint64_t seq)
 {
 	snprintf(out, size, CHANGE_PREFIX "%016" PRIx64, seq);
 }
@@ -315,7 +458,7 @@
 	char key[GB_KEY_MAX + 1];
 
 	core->change_busy = true;
-	change_key(key, sizeof(key), wait->change.seq);
+	config_change_key(key, sizeof(key), wait->change.seq);
 	store_op_scan(core, key, "", 1, change_checked, GB_NONE, 0);
 }
 
@@ -358,13 +501,19 @@
 		}
 		wait->change.seq = core->config_seq + 1;
 		wait->change.vers = wait->expected + 1;
+		wait->after_vers = core->config_vers;
 	}
 	if (!gb_xdr_encode((xdrproc_t)xdr_gb_change, &wait->change, &body))
 		return;
 	memset(&txn, 0, sizeof(txn));
-	change_key(key, sizeof(key), wait->change.seq);
+	config_change_key(key, sizeof(key), wait->change.seq);
 	store_txn_cond(&txn, key, 0);
 	store_txn_put(&txn, key, body);
+	if (wait->change.seq > 1) {
+		/* A late write must not meet a number that was removed. */
+		config_change_key(key, sizeof(key), wait->change.seq - 1);
+		store_txn_cond(&txn, key, wait->after_vers);
+	}
 	view_bind(core, &txn);
 	wait->sent = true;
 	core->change_busy = true;
@@ -425,6 +574,10 @@
 		next = TAILQ_NEXT(wait, next);
 		wait_tick(core, wait);
 	}
+	if (core->joined && !core->config_saving && member_store_fresh(core) &&
+	    core->config_loaded &&
+	    core->config_seq - core->config_saved >= core->cfg.snapshot_every)
+		config_save(core);
 	if (core->change_busy || !core->joined ||
 	    core->now < core->change_retry_at || !member_store_fresh(core))
 		return;
--- a/libgooseberry/version/view.c
+++ b/libgooseberry/version/view.c
@@ -198,6 +198,7 @@
 changes_polled(struct gb_core *core, const struct store_op *op,
     const struct store_result *result)
 {
+	bool gap = false;
 	u_int i;
 
 	(void)op;
@@ -212,13 +213,21 @@
 		memset(&change, 0, sizeof(change));
 		if (!gb_xdr_decode((xdrproc_t)xdr_gb_change, &body, &change))
 			continue;
-		config_apply(core, &change);
+		config_apply(core, &change, result->rows[i].vers);
+		gap = gap || change.seq > core->config_seq;
 		xdr_free((xdrproc_t)xdr_gb_change, (char *)&change);
 	}
-	if (result->more)
+	if (gap) {
+		/* The changes between have been removed: a snapshot has them.
+		 */
+		core->config_loaded = false;
+		core->rows_stale = true;
+		poll_end(core, false);
+	} else if (result->more) {
 		poll_changes(core);
-	else
+	} else {
 		poll_end(core, true);
+	}
 }
 
 static void
@@ -232,6 +241,21 @@
 	    core, CHANGE_PREFIX, after, SCAN_PAGE, changes_polled, GB_NONE, 0);
 }
 
+static void
+config_polled(struct gb_core *core, const struct store_op *op,
+    const struct store_result *result)
+{
+	(void)op;
+	if (result->status != GB_STORE_OK) {
+		poll_end(core, false);
+		return;
+	}
+	core->config_loaded = true;
+	if (result->count > 0)
+		config_load(core, &result->rows[0]);
+	poll_changes(core);
+}
+
 static void
 cell_polled(struct gb_core *core, const struct store_op *op,
     const struct store_result *result)
@@ -242,7 +266,11 @@
 		return;
 	}
 	rows_taken(core, result);
-	poll_changes(core);
+	if (core->config_loaded)
+		poll_changes(core);
+	else
+		store_op_scan(
+		    core, CONFIG_KEY, "", 1, config_polled, GB_NONE, 0);
 }
 
 static void
--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -268,6 +268,39 @@
 	cells_down(c);
 }
 
+/** Documents outlive the changes that made them: the old ones are removed,
+ * processes that start read the snapshot, and a write that comes late under a
+ * removed number does not take effect. */
+static void
+test_config_snapshot(void **state)
+{
+	struct cells *c = cells_up(9);
+	unsigned int late;
+	uint32_t i;
+
+	(void)state;
+	c->cores[1].delay = 12 * GB_SEC;
+	late = c->tracked_count;
+	cells_apply(c, 1);
+	for (i = 0; i < 70; i++) {
+		cells_apply(c, i % 2 * 2);
+		cells_run(c, 150 * GB_MSEC);
+	}
+	c->cores[1].delay = 0;
+	cells_run(c, 8 * GB_SEC);
+	assert_int_not_equal(c->tracked[late].answer.verdict, GB_RUN);
+	assert_true(c->in_force > 60);
+	for (i = 0; i < CORES; i++)
+		cells_kill(c, i);
+	for (i = 0; i < CORES; i++)
+		cells_start(c, i);
+	cells_run(c, 3 * GB_SEC);
+	for (i = 0; i < CORES; i++)
+		assert_true(gb_core_doc_vers(c->cores[i].core, c->now,
+				"byggepas", "doc") >= c->in_force);
+	cells_down(c);
+}
+
 int
 main(void)
 {
@@ -280,6 +313,7 @@
 	    cmocka_unit_test(test_all_restart),
 	    cmocka_unit_test(test_drain),
 	    cmocka_unit_test(test_lent_tasks),
+	    cmocka_unit_test(test_config_snapshot),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_rpc.c
+++ b/tests/test_rpc.c
@@ -65,8 +65,8 @@
 	struct gb_error err = {0};
 
 	uv_loop_init(&f->loop);
-	f->server = gb_rpc_server_new(
-	    &f->loop, &env, "127.0.0.1:0", serve, f, &err);
+	f->server =
+	    gb_rpc_server_new(&f->loop, &env, "127.0.0.1:0", serve, f, &err);
 	snprintf(f->addr, sizeof(f->addr), "127.0.0.1:%d",
 	    gb_rpc_server_port(f->server));
 	f->client = gb_rpc_client_new(&f->loop, &env, f->addr);
@@ -192,10 +192,9 @@
 	unsigned int round;
 	size_t i;
 	/* A call of EXEC whose arguments say a length beyond its end. */
-	const uint32_t lies[] = {htonl(0x80000000u | 52), htonl(9), 0,
-	    htonl(2), htonl(0x20676261u), htonl(1), htonl(GB_PROC_EXEC), 0, 0,
-	    0, 0, htonl(0xffffffffu), htonl(0xffffffffu),
-	    htonl(0xffffffffu)};
+	const uint32_t lies[] = {htonl(0x80000000u | 52), htonl(9), 0, htonl(2),
+	    htonl(0x20676261u), htonl(1), htonl(GB_PROC_EXEC), 0, 0, 0, 0,
+	    htonl(0xffffffffu), htonl(0xffffffffu), htonl(0xffffffffu)};
 	const uint32_t huge = htonl(0x7fffffffu);
 
 	junk_send(f, "GET / HTTP/1.1\r\n\r\n", 18);
