Requests of an earlier ownership count; a woken process gives its peers time; shares end with the shard

Found by reading: a shard that was lost kept its teams' shares, so that the same process, taking it again, saw quotas used up (test_quota_after_loss, seen failing first). Ruled out: the lease (it was good), double counting of foreign requests. Change: requests that a worker lists but no current exec stands for count as foreign; after a freeze every peer counts as just heard; shares are dropped.

--- a/libgooseberry/process/core.c
+++ b/libgooseberry/process/core.c
@@ -150,6 +150,18 @@
 	}
 }
 
+/** This process was frozen: it has heard of nobody, which says nothing of
+ * them, and its list of instances is old. */
+static void
+core_woken(struct gb_core *core)
+{
+	struct member *m;
+
+	core->list_awaited = core->now + LIST_PATIENCE;
+	for (m = core->members; m != NULL; m = m->hh.next)
+		m->heard = core->now;
+}
+
 void
 gb_core_tick(struct gb_core *core, gb_time now)
 {
@@ -157,7 +169,7 @@
 
 	core->now = now;
 	if (core->ticked != 0 && now - core->ticked > core->cfg.suspect_us)
-		core->list_awaited = now + LIST_PATIENCE;
+		core_woken(core);
 	core->ticked = now;
 	store_op_tick(core);
 	view_tick(core);
--- a/libgooseberry/process/core.h
+++ b/libgooseberry/process/core.h
@@ -24,6 +24,8 @@
 #define OBJECT_PREFIX "object/"
 #define KEY_PREFIX "key/"
 #define SCAN_PAGE 500
+/** Worker clocks may differ in rate by one part in this. */
+#define CLOCK_DRIFT_PART 100
 
 struct store_op;
 
@@ -648,6 +650,8 @@
 void dispatch_run(struct gb_core *, struct shard *);
 void dispatch_team_grow(struct gb_core *, struct shard *);
 void dispatch_teams_free(struct shard *);
+/** Nothing of the shard is used by any team any more. */
+void dispatch_forget(struct shard *);
 void dispatch_account(
     struct gb_core *, struct shard *, uint32_t team, const gb_res *, bool add);
 
@@ -655,6 +659,10 @@
 void request_dispatch(struct gb_core *, struct shard *);
 void request_tick(struct gb_core *);
 void request_shard_lost(struct gb_core *, struct shard *);
+/** Requests of this process that a worker lists, but that belong to an earlier
+ * ownership of its shard. */
+uint32_t request_unknown(
+    struct gb_core *, const struct worker *, const gb_sync_res *);
 /** A report came: free the room of requests that it no longer lists. */
 void request_reported(struct gb_core *, struct worker *, const gb_sync_res *);
 /** The worker process that held the requests has ended. */
--- a/libgooseberry/process/dispatch.c
+++ b/libgooseberry/process/dispatch.c
@@ -52,6 +52,17 @@
 	free(shard->teams);
 }
 
+void
+dispatch_forget(struct shard *shard)
+{
+	uint32_t i;
+
+	for (i = 0; i < shard->team_count; i++) {
+		shard->teams[i]->used = (gb_res){0};
+		shard->teams[i]->share = 0;
+	}
+}
+
 static int64_t
 part(int used, int total)
 {
--- a/libgooseberry/process/shard.c
+++ b/libgooseberry/process/shard.c
@@ -12,8 +12,6 @@
 /** Wait for each better-placed candidate before trying in its stead. */
 #define CANDIDATE_STEP GB_SEC
 #define DISPATCH_RETRY (200 * GB_MSEC)
-/** Worker clocks may differ in rate by one part in this. */
-#define SHARD_DRIFT_PART 100
 #define DIGEST_EVERY (100 * GB_MSEC)
 /** Time between two handovers for balance. */
 #define REBALANCE_EVERY GB_SEC
@@ -106,6 +104,7 @@
 	{
 		job_free(core, job);
 	}
+	dispatch_forget(shard);
 	shard->holder = NULL;
 	shard->free_slots = 0;
 	shard->preempting = 0;
@@ -456,7 +455,7 @@
 	if (shard->claim_over != 0 || !member_spread_known(core, &shard->claim))
 		return;
 	shard->claim_over = shard->claim.known_at + core->cfg.fresh_us + lease +
-			    lease / SHARD_DRIFT_PART + core->cfg.margin_us;
+			    lease / CLOCK_DRIFT_PART + core->cfg.margin_us;
 	worker_claim_over(core, shard);
 }
 
--- a/libgooseberry/process/worker.c
+++ b/libgooseberry/process/worker.c
@@ -13,8 +13,6 @@
 
 #include "core.h"
 
-/** Worker clocks may differ in rate by one part in this. */
-#define DRIFT_PART 100
 #define BLAME_LIMIT 3
 #define PROBE_AFTER (30 * GB_SEC)
 /** At most one worker in this many is set aside. */
@@ -280,8 +278,8 @@
 static gb_time
 worker_lease_end(const struct gb_core *core, gb_time now)
 {
-	return now + core->cfg.lease_us + core->cfg.lease_us / DRIFT_PART +
-	       core->cfg.margin_us;
+	return now + core->cfg.lease_us +
+	       core->cfg.lease_us / CLOCK_DRIFT_PART + core->cfg.margin_us;
 }
 
 void
@@ -522,6 +520,7 @@
 worker_report(struct gb_core *core, struct worker *w, const gb_sync_res *res)
 {
 	gb_res foreign = {0};
+	int requests;
 	uint32_t stamp = ++w->reports;
 	uint32_t i;
 	u_int n;
@@ -541,8 +540,9 @@
 			worker_ack(w, &held->id);
 		}
 	}
-	foreign.slots += (int)res->requests;
-	foreign.conns += (int)res->requests;
+	requests = (int)(res->requests + request_unknown(core, w, res));
+	foreign.slots += requests;
+	foreign.conns += requests;
 	w->foreign = foreign;
 	for (i = w->task_count; i > 0; i--) {
 		struct task_ref ref;
--- a/libgooseberry/request/request.c
+++ b/libgooseberry/request/request.c
@@ -601,6 +601,24 @@
 		request_dispatch(core, w->shard);
 }
 
+uint32_t
+request_unknown(
+    struct gb_core *core, const struct worker *w, const gb_sync_res *res)
+{
+	uint32_t unknown = 0;
+	u_int i;
+
+	for (i = 0; i < res->own.own_len; i++) {
+		struct exec *e;
+
+		HASH_FIND(
+		    hh, core->execs, &res->own.own_val[i], sizeof(e->rid), e);
+		if (e == NULL || e->serial != w->shard->serial)
+			unknown++;
+	}
+	return unknown;
+}
+
 void
 request_reported(struct gb_core *core, struct worker *w, const gb_sync_res *res)
 {
--- a/tests/bites.sh
+++ b/tests/bites.sh
@@ -72,8 +72,8 @@
     'if (res->verdict == GB_MAYBE_RUN && w->shard->serial == 1 + e->serial)'
 bite "an owner's own lease is forgotten" \
     libgooseberry/process/worker.c \
-    'return now + core->cfg.lease_us + core->cfg.lease_us / DRIFT_PART +' \
-    'return now + core->cfg.sync_us * 3 + 0 * DRIFT_PART +'
+    'return now + core->cfg.lease_us + core->cfg.lease_us / CLOCK_DRIFT_PART +' \
+    'return now + core->cfg.sync_us * 3 + 0 * CLOCK_DRIFT_PART +'
 bite "leaving workers get work" \
     libgooseberry/process/worker.c \
     'w->platform == GB_INSTANCE_LIVE && !w->draining && !w->sidelined;' \
--- a/tests/fuzz_cells.c
+++ b/tests/fuzz_cells.c
@@ -166,8 +166,8 @@
 	cells_run(c, (gb_time)(1 + code / 16) * 20 * GB_MSEC);
 }
 
-static void
-document(struct cells *c, const char *service, const char *rest)
+void
+fuzz_cells_document(struct cells *c, const char *service, const char *rest)
 {
 	char text[256];
 	gb_command cmd = {.verb = GB_VERB_APPLY,
@@ -188,23 +188,23 @@
 fuzz_cells_documents(struct cells *c)
 {
 	cells_run(c, 2 * GB_SEC);
-	document(c, "idem",
+	fuzz_cells_document(c, "idem",
 	    "\"kind\": \"batch\", \"resources\": {\"cpu_milli\": 1500}, "
 	    "\"policy\": {\"run_ms\": 400, \"idempotent\": true, "
 	    "\"max_attempts\": 50}");
-	document(c, "once",
+	fuzz_cells_document(c, "once",
 	    "\"kind\": \"batch\", \"resources\": {\"cpu_milli\": 1000}, "
 	    "\"policy\": {\"run_ms\": 300, \"idempotent\": false}");
-	document(c, "gang",
+	fuzz_cells_document(c, "gang",
 	    "\"kind\": \"gang\", \"resources\": {\"cpu_milli\": 2000}, "
 	    "\"policy\": {\"run_ms\": 300, \"max_attempts\": 50}");
-	document(c, "far",
+	fuzz_cells_document(c, "far",
 	    "\"kind\": \"batch\", \"resources\": {\"cpu_milli\": 1500}, "
 	    "\"placement\": {\"dcs\": [\"b\"]}, "
 	    "\"policy\": {\"run_ms\": 300, \"idempotent\": false}");
-	document(c, "lookup",
+	fuzz_cells_document(c, "lookup",
 	    "\"kind\": \"lookup\", \"policy\": {\"timeout_ms\": 800}");
-	document(c, "renewal",
+	fuzz_cells_document(c, "renewal",
 	    "\"kind\": \"request\", \"policy\": {\"timeout_ms\": 800}");
 }
 
--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -301,6 +301,37 @@
 	cells_down(c);
 }
 
+/** A shard that is lost and taken again starts with nothing used of a team's
+ * quota. */
+static void
+test_quota_after_loss(void **state)
+{
+	struct cells *c = cells_up(10);
+	unsigned int round;
+	unsigned int first;
+	unsigned int i;
+
+	(void)state;
+	fuzz_cells_document(
+	    c, "quota", "\"kind\": \"team\", \"quota\": {\"cpu_milli\": 6000}");
+	for (round = 0; round < 4; round++) {
+		for (i = 0; i < 6; i++)
+			cells_submit(c, 0, 0, 2);
+		cells_run(c, 200 * GB_MSEC);
+		for (i = 0; i < CORES; i++)
+			cells_pause(c, i, i == round % CORES ? GB_SEC : 0);
+		cells_run(c, 2 * GB_SEC);
+	}
+	cells_run(c, 10 * GB_SEC);
+	first = c->tracked_count;
+	for (i = 0; i < 4; i++)
+		cells_submit(c, 0, 0, 1);
+	cells_run(c, 3 * GB_SEC);
+	for (i = first; i < c->tracked_count; i++)
+		assert_true(c->tracked[i].starts > 0);
+	cells_down(c);
+}
+
 int
 main(void)
 {
@@ -314,6 +345,7 @@
 	    cmocka_unit_test(test_drain),
 	    cmocka_unit_test(test_lent_tasks),
 	    cmocka_unit_test(test_config_snapshot),
+	    cmocka_unit_test(test_quota_after_loss),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
