Room is not kept for a gang whose tasks another shard has

Cause, found by reading dispatch.c anew: after a gang that had room kept was lent, its home shard went on keeping room until the gang had ended elsewhere, so batch work waited (test_lent_gang_keeps_no_room, seen failing first: 0 of 2 tasks started in 2 s). Change: lend first, then give the room back when nothing waits any more.

--- a/libgooseberry/process/dispatch.c
+++ b/libgooseberry/process/dispatch.c
@@ -362,13 +362,14 @@
 	}
 	started = job->spec.gang ? gang_start(core, shard, job)
 				 : job_start_one(core, shard, job);
+	if (!started)
+		loan_consider(core, shard, job);
 	if (job->ready_count == 0) {
 		job_dequeue(job);
 		if (shard->holder == job)
 			shard->holder = NULL;
+		return started;
 	}
-	if (!started)
-		loan_consider(core, shard, job);
 	if (!started && job->spec.gang)
 		gang_hold(core, shard, job);
 	if (!started && job->reason == WAIT_ROOM &&
--- a/libgooseberry/process/loan.c
+++ b/libgooseberry/process/loan.c
@@ -192,8 +192,6 @@
 		loan->tasks.tasks_val[i] = index;
 		job->tasks[index].state = TASK_LENDING;
 	}
-	if (job->ready_count == 0)
-		job_dequeue(job);
 	job->lend_at = core->now + LEND_AGAIN;
 	job->lent += count;
 	core->stats.lent += count;
--- a/tests/cells.c
+++ b/tests/cells.c
@@ -872,7 +872,8 @@
 void
 cells_submit(struct cells *c, uint32_t core, unsigned int kind, uint32_t tasks)
 {
-	static const char *const services[] = {"idem", "once", "gang", "far"};
+	static const char *const services[] = {
+	    "idem", "once", "gang", "far", "long", "slow"};
 	struct tracked *t = track(c, core);
 	gb_command cmd = {.verb = GB_VERB_SUBMIT};
 	char text[96];
@@ -880,7 +881,7 @@
 
 	if (t == NULL)
 		return;
-	if (kind == 2 && tasks > GANG_MOST)
+	if ((kind == 2 || kind == 5) && tasks > GANG_MOST)
 		tasks = GANG_MOST;
 	t->job = true;
 	t->idempotent = kind != 1 && kind != 3;
--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -332,6 +332,61 @@
 	cells_down(c);
 }
 
+/** Work of a kind whose home is shard 0. */
+static struct tracked *
+submit_at_home(struct cells *c, unsigned int kind)
+{
+	unsigned int n;
+
+	for (n = 0; n < 32; n++) {
+		char next[24];
+
+		snprintf(next, sizeof(next), "x%u", c->names + 1);
+		if (gb_shard_of_job(2, "byggepas", next) == 0)
+			break;
+		c->names++;
+	}
+	cells_submit(c, 0, kind, 2);
+	return &c->tracked[c->tracked_count - 1];
+}
+
+static void
+drain_from(struct cells *c, uint32_t from, uint32_t to, bool drain)
+{
+	for (; from < to; from++)
+		cells_drain(c, 0, from, drain);
+	cells_run(c, 2 * GB_SEC);
+}
+
+/** A gang that has waited long has room kept for it, but not once another
+ * shard has its tasks. */
+static void
+test_lent_gang_keeps_no_room(void **state)
+{
+	struct cells *c = cells_up(11);
+	struct tracked *gang;
+	struct tracked *batch;
+
+	(void)state;
+	fuzz_cells_document(c, "long",
+	    "\"kind\": \"batch\", \"policy\": {\"run_ms\": 5000, "
+	    "\"idempotent\": true}");
+	fuzz_cells_document(
+	    c, "slow", "\"kind\": \"gang\", \"policy\": {\"run_ms\": 15000}");
+	drain_from(c, 0, WORKERS, true);
+	gang = submit_at_home(c, 5);
+	cells_run(c, 3 * GB_SEC);
+	assert_int_equal(gang->starts, 0);
+	drain_from(c, 3, WORKERS, false);
+	cells_run(c, 3 * GB_SEC);
+	assert_int_equal(gang->starts, 2);
+	drain_from(c, 0, 3, false);
+	batch = submit_at_home(c, 4);
+	cells_run(c, 2 * GB_SEC);
+	assert_int_equal(batch->starts, 2);
+	cells_down(c);
+}
+
 int
 main(void)
 {
@@ -346,6 +401,7 @@
 	    cmocka_unit_test(test_lent_tasks),
 	    cmocka_unit_test(test_config_snapshot),
 	    cmocka_unit_test(test_quota_after_loss),
+	    cmocka_unit_test(test_lent_gang_keeps_no_room),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
