--- a/bench/bench.sh
+++ b/bench/bench.sh
@@ -100,3 +100,28 @@
 	cell_sched "$victim"
 	sleep 4
 done
+cell_stop
+
+# From the submission of a document to "in force" at 8 instances.
+. tests/cell.sh
+cell_store
+cell_workers 8 0
+cell_instances 8
+cell_ready || exit 1
+sleep 4
+for try in 1 2 3 4 5 6 7 8 9 10; do
+	t0=$(date +%s%N)
+	cell_ctl apply tests/demo/lookup.json >/dev/null || exit 1
+	t1=$(date +%s%N)
+	echo "bench in_force instances=8 try=$try ms=$(((t1 - t0) / 1000000))"
+done
+# The same with one scheduler frozen: it cannot be told, so its view has to
+# run out.
+kill -STOP "$SCHED_PID_5"
+for try in 1 2 3; do
+	t0=$(date +%s%N)
+	cell_ctl apply tests/demo/lookup.json >/dev/null || exit 1
+	t1=$(date +%s%N)
+	echo "bench in_force_one_frozen instances=8 try=$try ms=$(((t1 - t0) / 1000000))"
+done
+kill -CONT "$SCHED_PID_5"
