Nothing is offered that nobody uses

Cause, found by reading core.h against its users: four functions were shared and used in one file, and documents took a field, policy.checkpoint, that had no effect. Change: static, and the field is an error until it does something.

--- a/libgooseberry/gooseberry.h
+++ b/libgooseberry/gooseberry.h
@@ -146,7 +146,6 @@
 	enum gb_band band;
 	enum gb_spread spread;
 	bool idempotent;
-	bool can_checkpoint;
 	gb_res res;	       /**< of one task or request */
 	gb_res quota;	       /**< kind team only; 0: no limit */
 	uint32_t weight;       /**< kind team only */
--- a/libgooseberry/process/core.h
+++ b/libgooseberry/process/core.h
@@ -524,7 +524,6 @@
 bool config_apply(struct gb_core *, const gb_change *, uint64_t vers);
 /** Take in the snapshot of documents, if it is newer than what is known. */
 void config_load(struct gb_core *, const gb_row *);
-void config_change_key(char *out, size_t, uint64_t seq);
 void config_command(struct gb_core *, uint64_t id, const gb_command *);
 void config_tick(struct gb_core *);
 void config_free(struct gb_core *);
@@ -540,8 +539,6 @@
 struct shard *shard_get(struct gb_core *, uint32_t);
 bool shard_serial_stale(const struct gb_core *, const struct store_op *);
 void shard_key(char *out, size_t, uint32_t shard);
-bool shard_row_encode(
-    uint64_t epoch, uint64_t owner, const char *member, gb_body *);
 
 /* log.c */
 /** Takes over the record. */
@@ -558,7 +555,6 @@
 /* recover.c */
 void recover_start(struct gb_core *, struct shard *);
 void recover_tick(struct gb_core *, struct shard *);
-void recover_records(struct gb_core *, struct shard *, const gb_batch *);
 /** All that must last of a shard, as records. */
 bool recover_snapshot(struct gb_core *, struct shard *, gb_body *);
 
@@ -613,7 +609,6 @@
     struct gb_core *, struct shard *, uint64_t answer, const gb_record *);
 void job_commands_tick(struct gb_core *);
 void job_commands_lost(struct gb_core *, struct shard *);
-void job_enqueue(struct gb_core *, struct job *);
 void job_dequeue(struct job *);
 void job_stop_task(struct gb_core *, struct job *, uint32_t index);
 uint64_t job_id(const char *team, const char *name);
--- a/libgooseberry/process/job.c
+++ b/libgooseberry/process/job.c
@@ -54,7 +54,7 @@
 	return job->spec.deadline_us - job->spec.run_us;
 }
 
-void
+static void
 job_enqueue(struct gb_core *core, struct job *job)
 {
 	struct job_queue *queue;
--- a/libgooseberry/process/recover.c
+++ b/libgooseberry/process/recover.c
@@ -19,7 +19,7 @@
 	shard->log.retry_at = core->now + READ_RETRY;
 }
 
-void
+static void
 recover_records(
     struct gb_core *core, struct shard *shard, const gb_batch *batch)
 {
--- a/libgooseberry/process/shard.c
+++ b/libgooseberry/process/shard.c
@@ -72,7 +72,7 @@
 	snprintf(out, size, SHARD_PREFIX "%04" PRIu32, shard);
 }
 
-bool
+static bool
 shard_row_encode(
     uint64_t epoch, uint64_t owner, const char *member, gb_body *out)
 {
--- a/libgooseberry/version/config.c
+++ b/libgooseberry/version/config.c
@@ -203,6 +203,12 @@
 	return true;
 }
 
+static void
+config_change_key(char *out, size_t size, uint64_t seq)
+{
+	snprintf(out, size, CHANGE_PREFIX "%016" PRIx64, seq);
+}
+
 /* Snapshot of the documents: what a new process reads in place of all changes
  * since the first */
 
@@ -446,12 +452,6 @@
 		change_again(core, wait);
 }
 
-void
-config_change_key(char *out, size_t size, uint64_t seq)
-{
-	snprintf(out, size, CHANGE_PREFIX "%016" PRIx64, seq);
-}
-
 static void
 change_check(struct gb_core *core, const struct change_wait *wait)
 {
--- a/libgooseberry/version/document.c
+++ b/libgooseberry/version/document.c
@@ -71,7 +71,6 @@
     CHOICE("kind", true, kind_names, kind),
     CHOICE("policy.band", false, band_names, band),
     {"policy.idempotent", FIELD_BOOL, false, 0, 0, NULL, 0, AT(idempotent)},
-    {"policy.checkpoint", FIELD_BOOL, false, 0, 0, NULL, 0, AT(can_checkpoint)},
     INT("policy.max_attempts", 1, 1000, max_attempts),
     INT("policy.queue_limit", 0, 100000, queue_limit),
     MS("policy.timeout_ms", 1, 600000, timeout_us),
