--- a/cli/daemon.c
+++ b/cli/daemon.c
@@ -9,6 +9,9 @@
 
 #include "daemon.h"
 
+/** Names the settings file when the command line does not. */
+#define SETTINGS_VARIABLE "GOOSEBERRYCART_CONFIG"
+
 enum option_key { OPT_PRINT = 'p', OPT_CHECK = 'c', OPT_DOCUMENT = 1000 };
 
 struct options {
@@ -51,6 +54,8 @@
 		options.file = arg;
 		return 0;
 	case ARGP_KEY_END:
+		if (options.file == NULL)
+			options.file = getenv(SETTINGS_VARIABLE);
 		if (options.file == NULL && !options.document)
 			argp_usage(state);
 		return 0;
--- a/libgooseberry/connection/http.c
+++ b/libgooseberry/connection/http.c
@@ -188,6 +188,22 @@
 	return out;
 }
 
+void
+http_call_host(const struct http_call *call, char *out, size_t size)
+{
+	const h2o_req_t *req = call->req;
+	char *port;
+
+	if (req == NULL)
+		out[0] = '\0';
+	else
+		snprintf(out, size, "%.*s", (int)req->authority.len,
+		    req->authority.base);
+	port = strchr(out, ':');
+	if (port != NULL)
+		*port = '\0';
+}
+
 void
 http_call_add(struct http_call *call, const char *name, const char *value)
 {
@@ -208,9 +224,10 @@
 		const char *reason;
 	} reasons[] = {{200, "OK"}, {201, "Created"}, {400, "Bad Request"},
 	    {401, "Unauthorized"}, {403, "Forbidden"}, {404, "Not Found"},
-	    {405, "Method Not Allowed"}, {409, "Conflict"},
+	    {405, "Method Not Allowed"}, {409, "Conflict"}, {410, "Gone"},
 	    {412, "Precondition Failed"}, {413, "Payload Too Large"},
 	    {422, "Unprocessable Entity"}, {428, "Precondition Required"},
+	    {429, "Too Many Requests"},
 	    {502, "Bad Gateway"}, {503, "Service Unavailable"},
 	    {504, "Gateway Timeout"}};
 	size_t i;
--- a/libgooseberry/connection/http.h
+++ b/libgooseberry/connection/http.h
@@ -36,6 +36,8 @@
 /** Header of a request or null; lives as long as the connection. */
 const char *http_call_header(
     const struct http_call *, const char *name, char *out, size_t size);
+/** Host that the request is for, without a port. */
+void http_call_host(const struct http_call *, char *out, size_t size);
 /** Add a header to the answer. */
 void http_call_add(struct http_call *, const char *name, const char *value);
 /** Send the answer and end the call. */
--- a/libgooseberry/connection/rpc_method.c
+++ b/libgooseberry/connection/rpc_method.c
@@ -20,4 +20,8 @@
     METHOD(GB_PROC_COMMAND, "command", gb_command, gb_answer),
     METHOD(GB_PROC_FAULT, "fault", gb_command, gb_answer),
     METHOD(GB_PROC_LEND, "lend", gb_lend, gb_loan),
+    METHOD(GB_PROC_FLOW_SUBMIT, "flow_submit", gb_flow_submit, gb_flow_answer),
+    METHOD(GB_PROC_FLOW_ASK, "flow_ask", gb_flow_ask, gb_flow_answer),
+    METHOD(GB_PROC_HELLO, "hello", gb_hello, gb_hello_res),
+    METHOD(GB_PROC_ADVISE, "advise", gb_advice_ask, gb_advice_res),
 };
--- a/libgooseberry/gen/proto.c
+++ b/libgooseberry/gen/proto.c
@@ -870,3 +870,276 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_gb_step (XDR *xdrs, gb_step *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_uint32_t (xdrs, &objp->count))
+		 return FALSE;
+	 if (!xdr_gb_res (xdrs, &objp->res))
+		 return FALSE;
+	 if (!xdr_int64_t (xdrs, &objp->estimate_us))
+		 return FALSE;
+	 if (!xdr_uint32_t (xdrs, &objp->flags))
+		 return FALSE;
+	 if (!xdr_uint32_t (xdrs, &objp->per_worker))
+		 return FALSE;
+	 if (!xdr_gb_name (xdrs, &objp->label))
+		 return FALSE;
+	 if (!xdr_gb_name (xdrs, &objp->rack))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->after.after_val, (u_int *) &objp->after.after_len, GB_STEPS_MAX,
+		sizeof (uint32_t), (xdrproc_t) xdr_uint32_t))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_gb_flow (XDR *xdrs, gb_flow *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_gb_name (xdrs, &objp->id))
+		 return FALSE;
+	 if (!xdr_gb_name (xdrs, &objp->queue))
+		 return FALSE;
+	 if (!xdr_gb_name (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_int64_t (xdrs, &objp->submitted_us))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->spec, GB_SPEC_MAX))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->steps.steps_val, (u_int *) &objp->steps.steps_len, GB_STEPS_MAX,
+		sizeof (gb_step), (xdrproc_t) xdr_gb_step))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_gb_flow_status (XDR *xdrs, gb_flow_status *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_gb_task_state (XDR *xdrs, gb_task_state *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_uint32_t (xdrs, &objp->step))
+		 return FALSE;
+	 if (!xdr_uint32_t (xdrs, &objp->index))
+		 return FALSE;
+	 if (!xdr_uint32_t (xdrs, &objp->failures))
+		 return FALSE;
+	 if (!xdr_uint64_t (xdrs, &objp->failed_run))
+		 return FALSE;
+	 if (!xdr_gb_name (xdrs, &objp->checkpoint))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_gb_flow_state (XDR *xdrs, gb_flow_state *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_gb_flow_status (xdrs, &objp->status))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->cancelled))
+		 return FALSE;
+	 if (!xdr_int64_t (xdrs, &objp->changed_us))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->done.done_val, (u_int *) &objp->done.done_len, GB_STEPS_MAX,
+		sizeof (gb_body), (xdrproc_t) xdr_gb_body))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->tasks.tasks_val, (u_int *) &objp->tasks.tasks_len, GB_TASKS_MAX,
+		sizeof (gb_task_state), (xdrproc_t) xdr_gb_task_state))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_gb_owner_row (XDR *xdrs, gb_owner_row *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_uint64_t (xdrs, &objp->epoch))
+		 return FALSE;
+	 if (!xdr_gb_name (xdrs, &objp->name))
+		 return FALSE;
+	 if (!xdr_gb_name (xdrs, &objp->addr))
+		 return FALSE;
+	 if (!xdr_uint64_t (xdrs, &objp->incarnation))
+		 return FALSE;
+	 if (!xdr_uint64_t (xdrs, &objp->serial))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_gb_flow_verdict (XDR *xdrs, gb_flow_verdict *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_gb_flow_submit (XDR *xdrs, gb_flow_submit *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_uint64_t (xdrs, &objp->config))
+		 return FALSE;
+	 if (!xdr_gb_flow (xdrs, &objp->flow))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_gb_flow_op (XDR *xdrs, gb_flow_op *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_gb_flow_ask (XDR *xdrs, gb_flow_ask *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_gb_flow_op (xdrs, &objp->op))
+		 return FALSE;
+	 if (!xdr_gb_name (xdrs, &objp->id))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_gb_flow_answer (XDR *xdrs, gb_flow_answer *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_gb_flow_verdict (xdrs, &objp->verdict))
+		 return FALSE;
+	 if (!xdr_gb_flow_status (xdrs, &objp->status))
+		 return FALSE;
+	 if (!xdr_uint32_t (xdrs, &objp->pending))
+		 return FALSE;
+	 if (!xdr_int64_t (xdrs, &objp->retry_after_us))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_gb_hello (XDR *xdrs, gb_hello *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_gb_name (xdrs, &objp->name))
+		 return FALSE;
+	 if (!xdr_gb_name (xdrs, &objp->addr))
+		 return FALSE;
+	 if (!xdr_gb_name (xdrs, &objp->dc))
+		 return FALSE;
+	 if (!xdr_uint64_t (xdrs, &objp->incarnation))
+		 return FALSE;
+	 if (!xdr_uint64_t (xdrs, &objp->epoch))
+		 return FALSE;
+	 if (!xdr_uint64_t (xdrs, &objp->config))
+		 return FALSE;
+	 if (!xdr_uint32_t (xdrs, &objp->cpu_milli))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->leaving))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_gb_hello_res (XDR *xdrs, gb_hello_res *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bool (xdrs, &objp->owner))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->vacating))
+		 return FALSE;
+	 if (!xdr_uint64_t (xdrs, &objp->epoch))
+		 return FALSE;
+	 if (!xdr_gb_name (xdrs, &objp->owner_addr))
+		 return FALSE;
+	 if (!xdr_int64_t (xdrs, &objp->owner_heard_us))
+		 return FALSE;
+	 if (!xdr_int64_t (xdrs, &objp->store_silent_us))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->members.members_val, (u_int *) &objp->members.members_len, 4096,
+		sizeof (gb_name), (xdrproc_t) xdr_gb_name))
+		 return FALSE;
+	 if (!xdr_uint64_t (xdrs, &objp->config))
+		 return FALSE;
+	 if (!xdr_gb_body (xdrs, &objp->config_text))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_gb_advice_ask (XDR *xdrs, gb_advice_ask *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_gb_name (xdrs, &objp->step))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->workers.workers_val, (u_int *) &objp->workers.workers_len, 100,
+		sizeof (gb_name), (xdrproc_t) xdr_gb_name))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_gb_ticket (XDR *xdrs, gb_ticket *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_gb_name (xdrs, &objp->worker))
+		 return FALSE;
+	 if (!xdr_gb_name (xdrs, &objp->ticket))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_gb_advice_status (XDR *xdrs, gb_advice_status *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_gb_advice_res (XDR *xdrs, gb_advice_res *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_gb_advice_status (xdrs, &objp->status))
+		 return FALSE;
+	 if (!xdr_int64_t (xdrs, &objp->valid_us))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->approved.approved_val, (u_int *) &objp->approved.approved_len, 100,
+		sizeof (gb_ticket), (xdrproc_t) xdr_gb_ticket))
+		 return FALSE;
+	return TRUE;
+}
--- a/libgooseberry/gen/proto.h
+++ b/libgooseberry/gen/proto.h
@@ -493,6 +493,180 @@
 	gb_body body;
 };
 typedef struct gb_key_row gb_key_row;
+#define GB_SPEC_MAX 16384
+#define GB_STEPS_MAX 64
+#define GB_TASKS_MAX 100000
+#define GB_STEP_GANG 1
+#define GB_STEP_SAME_RACK 2
+#define GB_STEP_CHECKPOINT 4
+#define GB_STEP_SPECULATIVE 8
+
+struct gb_step {
+	uint32_t count;
+	gb_res res;
+	int64_t estimate_us;
+	uint32_t flags;
+	uint32_t per_worker;
+	gb_name label;
+	gb_name rack;
+	struct {
+		u_int after_len;
+		uint32_t *after_val;
+	} after;
+};
+typedef struct gb_step gb_step;
+
+struct gb_flow {
+	gb_name id;
+	gb_name queue;
+	gb_name service;
+	int64_t submitted_us;
+	char *spec;
+	struct {
+		u_int steps_len;
+		gb_step *steps_val;
+	} steps;
+};
+typedef struct gb_flow gb_flow;
+
+enum gb_flow_status {
+	GB_FLOW_QUEUED = 0,
+	GB_FLOW_RUNNING = 1,
+	GB_FLOW_SUCCEEDED = 2,
+	GB_FLOW_FAILED = 3,
+	GB_FLOW_CANCELLED = 4,
+	GB_FLOW_UNKNOWN = 5,
+};
+typedef enum gb_flow_status gb_flow_status;
+
+struct gb_task_state {
+	uint32_t step;
+	uint32_t index;
+	uint32_t failures;
+	uint64_t failed_run;
+	gb_name checkpoint;
+};
+typedef struct gb_task_state gb_task_state;
+
+struct gb_flow_state {
+	gb_flow_status status;
+	bool_t cancelled;
+	int64_t changed_us;
+	struct {
+		u_int done_len;
+		gb_body *done_val;
+	} done;
+	struct {
+		u_int tasks_len;
+		gb_task_state *tasks_val;
+	} tasks;
+};
+typedef struct gb_flow_state gb_flow_state;
+
+struct gb_owner_row {
+	uint64_t epoch;
+	gb_name name;
+	gb_name addr;
+	uint64_t incarnation;
+	uint64_t serial;
+};
+typedef struct gb_owner_row gb_owner_row;
+
+enum gb_flow_verdict {
+	GB_FLOW_ACCEPTED = 0,
+	GB_FLOW_REFUSED = 1,
+	GB_FLOW_MAYBE = 2,
+	GB_FLOW_NOT_OWNER = 3,
+	GB_FLOW_BEHIND = 4,
+};
+typedef enum gb_flow_verdict gb_flow_verdict;
+
+struct gb_flow_submit {
+	uint64_t config;
+	gb_flow flow;
+};
+typedef struct gb_flow_submit gb_flow_submit;
+
+enum gb_flow_op {
+	GB_FLOW_OP_STATE = 1,
+	GB_FLOW_OP_CANCEL = 2,
+	GB_FLOW_OP_PENDING = 3,
+};
+typedef enum gb_flow_op gb_flow_op;
+
+struct gb_flow_ask {
+	gb_flow_op op;
+	gb_name id;
+};
+typedef struct gb_flow_ask gb_flow_ask;
+
+struct gb_flow_answer {
+	gb_flow_verdict verdict;
+	gb_flow_status status;
+	uint32_t pending;
+	int64_t retry_after_us;
+};
+typedef struct gb_flow_answer gb_flow_answer;
+
+struct gb_hello {
+	gb_name name;
+	gb_name addr;
+	gb_name dc;
+	uint64_t incarnation;
+	uint64_t epoch;
+	uint64_t config;
+	uint32_t cpu_milli;
+	bool_t leaving;
+};
+typedef struct gb_hello gb_hello;
+
+struct gb_hello_res {
+	bool_t owner;
+	bool_t vacating;
+	uint64_t epoch;
+	gb_name owner_addr;
+	int64_t owner_heard_us;
+	int64_t store_silent_us;
+	struct {
+		u_int members_len;
+		gb_name *members_val;
+	} members;
+	uint64_t config;
+	gb_body config_text;
+};
+typedef struct gb_hello_res gb_hello_res;
+
+struct gb_advice_ask {
+	gb_name step;
+	struct {
+		u_int workers_len;
+		gb_name *workers_val;
+	} workers;
+};
+typedef struct gb_advice_ask gb_advice_ask;
+
+struct gb_ticket {
+	gb_name worker;
+	gb_name ticket;
+};
+typedef struct gb_ticket gb_ticket;
+
+enum gb_advice_status {
+	GB_ADVICE_OK = 0,
+	GB_ADVICE_BUSY = 1,
+	GB_ADVICE_LOST = 2,
+};
+typedef enum gb_advice_status gb_advice_status;
+
+struct gb_advice_res {
+	gb_advice_status status;
+	int64_t valid_us;
+	struct {
+		u_int approved_len;
+		gb_ticket *approved_val;
+	} approved;
+};
+typedef struct gb_advice_res gb_advice_res;
 
 /* the xdr functions */
 
@@ -544,6 +718,23 @@
 extern  bool_t xdr_gb_change (XDR *, gb_change*);
 extern  bool_t xdr_gb_config_row (XDR *, gb_config_row*);
 extern  bool_t xdr_gb_key_row (XDR *, gb_key_row*);
+extern  bool_t xdr_gb_step (XDR *, gb_step*);
+extern  bool_t xdr_gb_flow (XDR *, gb_flow*);
+extern  bool_t xdr_gb_flow_status (XDR *, gb_flow_status*);
+extern  bool_t xdr_gb_task_state (XDR *, gb_task_state*);
+extern  bool_t xdr_gb_flow_state (XDR *, gb_flow_state*);
+extern  bool_t xdr_gb_owner_row (XDR *, gb_owner_row*);
+extern  bool_t xdr_gb_flow_verdict (XDR *, gb_flow_verdict*);
+extern  bool_t xdr_gb_flow_submit (XDR *, gb_flow_submit*);
+extern  bool_t xdr_gb_flow_op (XDR *, gb_flow_op*);
+extern  bool_t xdr_gb_flow_ask (XDR *, gb_flow_ask*);
+extern  bool_t xdr_gb_flow_answer (XDR *, gb_flow_answer*);
+extern  bool_t xdr_gb_hello (XDR *, gb_hello*);
+extern  bool_t xdr_gb_hello_res (XDR *, gb_hello_res*);
+extern  bool_t xdr_gb_advice_ask (XDR *, gb_advice_ask*);
+extern  bool_t xdr_gb_ticket (XDR *, gb_ticket*);
+extern  bool_t xdr_gb_advice_status (XDR *, gb_advice_status*);
+extern  bool_t xdr_gb_advice_res (XDR *, gb_advice_res*);
 
 #else /* K&R C */
 extern bool_t xdr_gb_name ();
@@ -593,6 +784,23 @@
 extern bool_t xdr_gb_change ();
 extern bool_t xdr_gb_config_row ();
 extern bool_t xdr_gb_key_row ();
+extern bool_t xdr_gb_step ();
+extern bool_t xdr_gb_flow ();
+extern bool_t xdr_gb_flow_status ();
+extern bool_t xdr_gb_task_state ();
+extern bool_t xdr_gb_flow_state ();
+extern bool_t xdr_gb_owner_row ();
+extern bool_t xdr_gb_flow_verdict ();
+extern bool_t xdr_gb_flow_submit ();
+extern bool_t xdr_gb_flow_op ();
+extern bool_t xdr_gb_flow_ask ();
+extern bool_t xdr_gb_flow_answer ();
+extern bool_t xdr_gb_hello ();
+extern bool_t xdr_gb_hello_res ();
+extern bool_t xdr_gb_advice_ask ();
+extern bool_t xdr_gb_ticket ();
+extern bool_t xdr_gb_advice_status ();
+extern bool_t xdr_gb_advice_res ();
 
 #endif /* K&R C */
 
--- a/libgooseberry/gen/proto.x
+++ b/libgooseberry/gen/proto.x
@@ -404,3 +404,155 @@
 	uint32_t status;
 	gb_body body;
 };
+
+/*
+ * Flows: jobs of dependent steps, which one owner of the pool schedules.  The
+ * records are kept in the platform's tables; the messages go between nodes.
+ */
+
+const GB_SPEC_MAX = 16384;
+const GB_STEPS_MAX = 64;
+const GB_TASKS_MAX = 100000;
+
+/* Flags of a step */
+const GB_STEP_GANG = 1;		/* tasks run only together */
+const GB_STEP_SAME_RACK = 2;
+const GB_STEP_CHECKPOINT = 4;
+const GB_STEP_SPECULATIVE = 8;	/* copies may run side by side */
+
+struct gb_step {
+	uint32_t count;
+	gb_res res;		/* of one task */
+	int64_t estimate_us;	/* declared run time, often far off */
+	uint32_t flags;
+	uint32_t per_worker;	/* most tasks on one worker, 0: no limit */
+	gb_name label;		/* a worker must have it, empty: any */
+	gb_name rack;		/* where the data is, empty: anywhere */
+	uint32_t after<GB_STEPS_MAX>;
+};
+
+/* What a caller submitted.  Never changes once it is stored. */
+struct gb_flow {
+	gb_name id;
+	gb_name queue;
+	gb_name service;
+	int64_t submitted_us;	/* wall clock of the node that took it */
+	string spec<GB_SPEC_MAX>;
+	gb_step steps<GB_STEPS_MAX>;
+};
+
+enum gb_flow_status {
+	GB_FLOW_QUEUED = 0,
+	GB_FLOW_RUNNING = 1,
+	GB_FLOW_SUCCEEDED = 2,
+	GB_FLOW_FAILED = 3,
+	GB_FLOW_CANCELLED = 4,
+	GB_FLOW_UNKNOWN = 5	/* nobody submitted it */
+};
+
+/* A task with more to tell than whether it is done.  What holds for a gang as
+ * a whole stands under its first task. */
+struct gb_task_state {
+	uint32_t step;
+	uint32_t index;
+	uint32_t failures;
+	uint64_t failed_run;	/* the last one that was counted */
+	gb_name checkpoint;
+};
+
+/* What has become of a flow. */
+struct gb_flow_state {
+	gb_flow_status status;
+	bool cancelled;
+	int64_t changed_us;	/* wall clock of the last change */
+	gb_body done<GB_STEPS_MAX>;	/* a bit for each task of a step */
+	gb_task_state tasks<GB_TASKS_MAX>;
+};
+
+/* Who owns the pool.  One copy in each part, so that every transaction of a
+ * part can be bound to it. */
+struct gb_owner_row {
+	uint64_t epoch;
+	gb_name name;
+	gb_name addr;		/* of its peer port, empty: nobody owns it */
+	uint64_t incarnation;
+	uint64_t serial;	/* grows with each write of the row */
+};
+
+enum gb_flow_verdict {
+	GB_FLOW_ACCEPTED = 0,
+	GB_FLOW_REFUSED = 1,	/* never runs */
+	GB_FLOW_MAYBE = 2,	/* may have been accepted */
+	GB_FLOW_NOT_OWNER = 3,	/* ask another node; nothing was done */
+	GB_FLOW_BEHIND = 4	/* has an older configuration */
+};
+
+struct gb_flow_submit {
+	uint64_t config;	/* version by which the caller found the queue */
+	gb_flow flow;
+};
+
+enum gb_flow_op {
+	GB_FLOW_OP_STATE = 1,
+	GB_FLOW_OP_CANCEL = 2,
+	GB_FLOW_OP_PENDING = 3
+};
+
+struct gb_flow_ask {
+	gb_flow_op op;
+	gb_name id;		/* of the flow, or name of the queue */
+};
+
+struct gb_flow_answer {
+	gb_flow_verdict verdict;
+	gb_flow_status status;
+	uint32_t pending;
+	int64_t retry_after_us;
+};
+
+/* A node tells the owner that it lives; the answer tells what the node needs
+ * to know. */
+struct gb_hello {
+	gb_name name;
+	gb_name addr;
+	gb_name dc;
+	uint64_t incarnation;
+	uint64_t epoch;		/* newest that it has seen */
+	uint64_t config;
+	uint32_t cpu_milli;
+	bool leaving;
+};
+
+struct gb_hello_res {
+	bool owner;		/* answers as the owner */
+	bool vacating;		/* the owner stops: take over at once */
+	uint64_t epoch;
+	gb_name owner_addr;	/* as far as known */
+	int64_t owner_heard_us;	/* since the owner last answered this node */
+	int64_t store_silent_us;	/* since the owner's last store answer */
+	gb_name members<4096>;	/* addresses of peer ports */
+	uint64_t config;
+	gb_body config_text;	/* empty unless the caller's is older */
+};
+
+struct gb_advice_ask {
+	gb_name step;
+	gb_name workers<100>;
+};
+
+struct gb_ticket {
+	gb_name worker;
+	gb_name ticket;
+};
+
+enum gb_advice_status {
+	GB_ADVICE_OK = 0,
+	GB_ADVICE_BUSY = 1,	/* refused, ask again later */
+	GB_ADVICE_LOST = 2	/* no answer came */
+};
+
+struct gb_advice_res {
+	gb_advice_status status;
+	int64_t valid_us;
+	gb_ticket approved<100>;
+};
--- /dev/null
+++ b/libgooseberry/node/intake.c
@@ -0,0 +1,339 @@
+/**
+ * @file intake.c
+ * Takes callers' requests to the owner of the pool.
+ *
+ * Load: the owner is lost for a second or two while callers go on.  A
+ * submission that finds no owner is written to the store by this node, under
+ * the same condition that the owner would use, so that it is accepted without
+ * waiting; the new owner finds it there.  Whether it may have been accepted is
+ * kept apart from whether it surely was not: only the latter is refused.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "node_state.h"
+
+/** A try at the owner; the owner writes within 20 to 40 ms when all is calm. */
+#define TRY_TIMEOUT (1200 * GB_MSEC)
+/** Pause between tries. */
+#define TRY_PAUSE (40 * GB_MSEC)
+/** A submission waits this long for an owner to appear before this node
+ * writes it itself. */
+#define WRITE_AFTER (120 * GB_MSEC)
+/** A caller's answer goes out this much before its time is up. */
+#define ANSWER_MARGIN (150 * GB_MSEC)
+/** Time to come back after a refusal for want of an owner and the store. */
+#define RETRY_AFTER (GB_SEC)
+
+static void
+intake_free(struct intake *in)
+{
+	TAILQ_REMOVE(&in->node->intakes, in, next);
+	if (in->submit != NULL) {
+		xdr_free((xdrproc_t)xdr_gb_flow_submit, (char *)in->submit);
+		free(in->submit);
+	}
+	free(in->ask.id);
+	free(in);
+}
+
+static void
+intake_finish(struct intake *in, const gb_flow_answer *answer)
+{
+	in->answer(in->data, answer);
+	intake_free(in);
+}
+
+static void
+intake_give_up(struct intake *in)
+{
+	gb_flow_answer answer = {0};
+
+	answer.verdict = in->maybe ? GB_FLOW_MAYBE : GB_FLOW_REFUSED;
+	answer.retry_after_us = RETRY_AFTER;
+	gb_event(in->node->events, GB_EVENT_NORMAL, "request_given_up",
+	    "{s:s, s:b, s:I, s:I, s:s}", "flow",
+	    in->submit != NULL ? in->submit->flow.id : in->ask.id, "maybe",
+	    in->maybe, "tries", (json_int_t)in->tries, "age_ms",
+	    (json_int_t)((node_now() - in->began) / GB_MSEC), "owner",
+	    in->node->watch.owner);
+	intake_finish(in, &answer);
+}
+
+static void
+intake_again(struct intake *in)
+{
+	in->out = false;
+	in->next_try = node_now() + TRY_PAUSE;
+}
+
+/* At the store, without the owner ----------------------------------------- */
+
+static gb_flow_status
+state_status(const struct gb_pool_row *row)
+{
+	gb_flow_state state = {0};
+	gb_flow_status status = GB_FLOW_QUEUED;
+
+	if (gb_xdr_decode((xdrproc_t)xdr_gb_flow_state, &row->value, &state))
+		status = state.status;
+	xdr_free((xdrproc_t)xdr_gb_flow_state, (char *)&state);
+	return status;
+}
+
+static void
+state_read(struct node_call *call, const struct gb_pool_read_res *res)
+{
+	struct intake *in = call->data;
+	gb_flow_answer answer = {0};
+
+	if (res->status != GB_STORE_OK) {
+		intake_again(in);
+		return;
+	}
+	if (in->ask.op == GB_FLOW_OP_CANCEL && res->row_count > 0) {
+		/* It is there: the owner must hear of it. */
+		intake_again(in);
+		return;
+	}
+	answer.verdict = GB_FLOW_ACCEPTED;
+	answer.status =
+	    res->row_count == 0 ? GB_FLOW_UNKNOWN : state_status(&res->rows[0]);
+	intake_finish(in, &answer);
+}
+
+static void
+intake_read(struct intake *in)
+{
+	struct gb_node *node = in->node;
+	char to[GB_KEY_MAX + 1];
+	const struct gb_pool_read read = {
+	    gb_pool_part(in->ask.id), GB_POOL_STATES, in->ask.id, to, 1};
+
+	snprintf(to, sizeof(to), "%.200s0", in->ask.id);
+	in->out = true;
+	node->platform.read(node->platform.data,
+	    node_call_new(node, in, NULL, state_read), &read);
+}
+
+static void
+flow_written(struct node_call *call, const struct gb_pool_txn_res *res)
+{
+	struct intake *in = call->data;
+	gb_flow_answer answer = {0};
+
+	switch (res->status) {
+	case GB_STORE_OK:
+	case GB_STORE_CONFLICT: /* it has been stored before */
+		answer.verdict = GB_FLOW_ACCEPTED;
+		gb_event(in->node->events, GB_EVENT_NORMAL,
+		    "flow_stored_without_owner", "{s:s, s:b}", "flow",
+		    in->submit->flow.id, "repeated",
+		    res->status == GB_STORE_CONFLICT);
+		intake_finish(in, &answer);
+		break;
+	case GB_STORE_REFUSED:
+		intake_again(in);
+		break;
+	default:
+		in->maybe = true;
+		intake_again(in);
+		break;
+	}
+}
+
+static void
+intake_write(struct intake *in)
+{
+	struct gb_node *node = in->node;
+	const char *id = in->submit->flow.id;
+	gb_flow_state state = {0};
+	struct gb_pool_row cond = {0};
+	struct gb_pool_row puts[3] = {0};
+	struct gb_pool_txn txn = {gb_pool_part(id), &cond, 1, puts, 3};
+
+	cond.table = GB_POOL_STATES;
+	cond.key = id;
+	puts[0].table = GB_POOL_STATES;
+	puts[1].table = GB_POOL_FLOWS;
+	puts[2].table = GB_POOL_INBOX;
+	puts[0].key = puts[1].key = puts[2].key = id;
+	if (!gb_xdr_encode(
+		(xdrproc_t)xdr_gb_flow_state, &state, &puts[0].value) ||
+	    !gb_xdr_encode(
+		(xdrproc_t)xdr_gb_flow, &in->submit->flow, &puts[1].value))
+		abort(); /* made and checked by this process */
+	in->out = true;
+	node->platform.txn(node->platform.data,
+	    node_call_new(node, in, flow_written, NULL), &txn);
+	free(puts[0].value.gb_body_val);
+	free(puts[1].value.gb_body_val);
+}
+
+/* At the owner ------------------------------------------------------------ */
+
+void
+intake_answered(struct intake *in, const gb_flow_answer *answer)
+{
+	switch (answer->verdict) {
+	case GB_FLOW_NOT_OWNER:
+	case GB_FLOW_BEHIND:
+		intake_again(in);
+		return;
+	case GB_FLOW_MAYBE:
+		in->maybe = true;
+		intake_again(in);
+		return;
+	case GB_FLOW_REFUSED:
+		if (in->maybe) {
+			/* An earlier try may have been accepted. */
+			intake_again(in);
+			return;
+		}
+		break;
+	default:
+		break;
+	}
+	if (in->submit == NULL && in->ask.op != GB_FLOW_OP_PENDING &&
+	    answer->status == GB_FLOW_UNKNOWN) {
+		/* The owner may have missed it: the store has the last word. */
+		intake_read(in);
+		return;
+	}
+	intake_finish(in, answer);
+}
+
+static void
+owner_answered(void *data, gb_verdict verdict, void *res)
+{
+	struct intake *in = data;
+
+	if (verdict == GB_RUN) {
+		intake_answered(in, res);
+		return;
+	}
+	if (verdict == GB_MAYBE_RUN)
+		in->maybe = true;
+	intake_again(in);
+}
+
+static void
+intake_local(struct intake *in)
+{
+	struct gb_node *node = in->node;
+	struct node_caller *caller = gb_calloc(1, sizeof(*caller));
+
+	caller->token = ++node->next_id;
+	caller->intake = in;
+	HASH_ADD(hh, node->callers, token, sizeof(caller->token), caller);
+	if (in->submit != NULL)
+		gb_pool_submit(
+		    node->pool, node_now(), caller->token, in->submit);
+	else
+		gb_pool_ask(node->pool, node_now(), caller->token, &in->ask);
+}
+
+static void
+intake_remote(struct intake *in, gb_time left)
+{
+	struct gb_node *node = in->node;
+	struct gb_rpc_client *peer =
+	    gb_rpc_pool_get(node->peers, node->watch.owner);
+	gb_time timeout = left < TRY_TIMEOUT ? left : TRY_TIMEOUT;
+
+	if (in->submit != NULL)
+		gb_rpc_client_call(peer, GB_PROC_FLOW_SUBMIT, in->submit,
+		    timeout, owner_answered, in);
+	else
+		gb_rpc_client_call(peer, GB_PROC_FLOW_ASK, &in->ask, timeout,
+		    owner_answered, in);
+}
+
+static void
+intake_try(struct intake *in, gb_time now)
+{
+	struct gb_node *node = in->node;
+	bool silent =
+	    now - node->watch.heard > 600 * GB_MSEC || node->watch.refused > 0;
+	bool owner = node->watch.owner[0] != '\0' && !node->watch.vacant;
+
+	in->tries++;
+	in->out = true;
+	if (gb_pool_owns(node->pool)) {
+		intake_local(in);
+	} else if (owner && !(silent && in->tries > 1)) {
+		intake_remote(in, in->deadline - now);
+	} else if (in->submit != NULL && now - in->began >= WRITE_AFTER) {
+		intake_write(in);
+	} else if (in->submit == NULL && in->ask.op == GB_FLOW_OP_STATE &&
+		   in->tries > 2) {
+		intake_read(in);
+	} else {
+		intake_again(in);
+	}
+}
+
+void
+intake_tick(struct gb_node *node)
+{
+	gb_time now = node_now();
+	struct intake *in;
+	struct intake *next;
+
+	for (in = TAILQ_FIRST(&node->intakes); in != NULL; in = next) {
+		next = TAILQ_NEXT(in, next);
+		if (in->out)
+			continue;
+		if (in->deadline <= now)
+			intake_give_up(in);
+		else if (in->next_try <= now)
+			intake_try(in, now);
+	}
+}
+
+static struct intake *
+intake_new(
+    struct gb_node *node, gb_time timeout, gb_node_answer answer, void *data)
+{
+	struct intake *in = gb_calloc(1, sizeof(*in));
+	gb_time now = node_now();
+
+	in->node = node;
+	in->began = now;
+	in->deadline =
+	    now + (timeout > 2 * ANSWER_MARGIN ? timeout - ANSWER_MARGIN
+					       : timeout / 2);
+	in->answer = answer;
+	in->data = data;
+	TAILQ_INSERT_TAIL(&node->intakes, in, next);
+	return in;
+}
+
+void
+gb_node_submit(struct gb_node *node, const gb_flow_submit *submit,
+    gb_time timeout, gb_node_answer answer, void *data)
+{
+	struct intake *in = intake_new(node, timeout, answer, data);
+
+	in->submit = gb_calloc(1, sizeof(*in->submit));
+	in->ask.id = gb_strdup("");
+	if (!gb_xdr_copy((xdrproc_t)xdr_gb_flow_submit, submit, in->submit,
+		sizeof(*in->submit))) {
+		intake_give_up(in);
+		return;
+	}
+	intake_try(in, in->began);
+}
+
+void
+gb_node_ask(struct gb_node *node, const gb_flow_ask *ask, gb_time timeout,
+    gb_node_answer answer, void *data)
+{
+	struct intake *in = intake_new(node, timeout, answer, data);
+
+	in->ask.op = ask->op;
+	in->ask.id = gb_strdup(ask->id);
+	intake_try(in, in->began);
+}
--- /dev/null
+++ b/libgooseberry/node/node.c
@@ -0,0 +1,439 @@
+/**
+ * @file node.c
+ * The process of a node: carries events into the pool core and the watch, and
+ * what they ask for out.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "node_state.h"
+
+/** Tick of an owner, and of a node with callers that wait. */
+#define TICK_BUSY_MS 5
+/** Tick of a node that has little to do. */
+#define TICK_IDLE_MS 25
+/** A call of advice by way of a member. */
+#define ADVISE_TIMEOUT (3 * GB_SEC)
+
+gb_time
+node_now(void)
+{
+	return gb_clock_boot();
+}
+
+uint64_t
+node_call_new(struct gb_node *node, void *data,
+    void (*txn_done)(struct node_call *, const struct gb_pool_txn_res *),
+    void (*read_done)(struct node_call *, const struct gb_pool_read_res *))
+{
+	struct node_call *call = gb_calloc(1, sizeof(*call));
+
+	call->id = ++node->next_id | NODE_CALL;
+	call->node = node;
+	call->data = data;
+	call->txn_done = txn_done;
+	call->read_done = read_done;
+	HASH_ADD(hh, node->calls, id, sizeof(call->id), call);
+	return call->id;
+}
+
+static struct node_call *
+node_call_take(struct gb_node *node, uint64_t id)
+{
+	struct node_call *call;
+
+	HASH_FIND(hh, node->calls, &id, sizeof(id), call);
+	if (call != NULL)
+		HASH_DEL(node->calls, call);
+	return call;
+}
+
+static struct node_caller *
+node_caller_take(struct gb_node *node, uint64_t token)
+{
+	struct node_caller *caller;
+
+	HASH_FIND(hh, node->callers, &token, sizeof(token), caller);
+	if (caller != NULL)
+		HASH_DEL(node->callers, caller);
+	return caller;
+}
+
+/* Operations of the pool core --------------------------------------------- */
+
+static void
+op_start(void *data, uint64_t call, const struct gb_pool_order *order)
+{
+	struct gb_node *node = data;
+
+	node->platform.start(node->platform.data, call, order);
+}
+
+static void
+op_stop(void *data, uint64_t call, const struct gb_pool_order *order)
+{
+	struct gb_node *node = data;
+
+	node->platform.stop(node->platform.data, call, order);
+}
+
+static void
+op_hold(void *data, uint64_t call, const struct gb_pool_hold *hold)
+{
+	struct gb_node *node = data;
+
+	node->platform.hold(node->platform.data, call, hold);
+}
+
+/** What the end of a member's call of advice needs. */
+struct advise_op {
+	struct gb_node *node;
+	uint64_t call;
+};
+
+static void
+advise_answered(void *data, gb_verdict verdict, void *arg)
+{
+	struct advise_op *op = data;
+	gb_advice_res lost = {0};
+
+	lost.status = GB_ADVICE_LOST;
+	gb_pool_advise_done(op->node->pool, node_now(), op->call,
+	    verdict == GB_RUN ? arg : &lost);
+	free(op);
+}
+
+static void
+op_advise(
+    void *data, uint64_t call, const char *member, const gb_advice_ask *ask)
+{
+	struct gb_node *node = data;
+	struct advise_op *op;
+
+	if (strcmp(member, node->settings.addr) == 0) {
+		node->platform.advise(node->platform.data, call, ask);
+		return;
+	}
+	op = gb_calloc(1, sizeof(*op));
+	op->node = node;
+	op->call = call;
+	gb_rpc_client_call(gb_rpc_pool_get(node->peers, member), GB_PROC_ADVISE,
+	    (void *)ask, ADVISE_TIMEOUT, advise_answered, op);
+}
+
+static void
+op_txn(void *data, uint64_t call, const struct gb_pool_txn *txn)
+{
+	struct gb_node *node = data;
+
+	node->platform.txn(node->platform.data, call, txn);
+}
+
+static void
+op_read(void *data, uint64_t call, const struct gb_pool_read *read)
+{
+	struct gb_node *node = data;
+
+	node->platform.read(node->platform.data, call, read);
+}
+
+static void
+op_answer(void *data, uint64_t token, const gb_flow_answer *answer)
+{
+	struct gb_node *node = data;
+	struct node_caller *caller = node_caller_take(node, token);
+
+	if (caller == NULL)
+		return;
+	if (caller->call != NULL)
+		gb_rpc_call_reply(caller->call, (void *)answer);
+	else
+		intake_answered(caller->intake, answer);
+	free(caller);
+}
+
+static void
+op_owner(void *data, bool owns, uint64_t epoch)
+{
+	struct gb_node *node = data;
+
+	(void)epoch;
+	if (!owns)
+		watch_lost(&node->watch, node_now());
+	if (!owns && node->leaving)
+		node->released = true;
+	node->platform.follow_workers(node->platform.data, owns);
+}
+
+/* Ends of calls ----------------------------------------------------------- */
+
+void
+gb_node_start_done(
+    struct gb_node *node, uint64_t call, const struct gb_pool_order_res *res)
+{
+	gb_pool_start_done(node->pool, node_now(), call, res);
+}
+
+void
+gb_node_stop_done(
+    struct gb_node *node, uint64_t call, const struct gb_pool_order_res *res)
+{
+	gb_pool_stop_done(node->pool, node_now(), call, res);
+}
+
+void
+gb_node_hold_done(
+    struct gb_node *node, uint64_t call, const struct gb_pool_report *report)
+{
+	gb_pool_hold_done(node->pool, node_now(), call, report);
+}
+
+void
+gb_node_advise_done(
+    struct gb_node *node, uint64_t call, const gb_advice_res *res)
+{
+	struct node_caller *caller;
+
+	if ((call & NODE_CALL) == 0) {
+		gb_pool_advise_done(node->pool, node_now(), call, res);
+		return;
+	}
+	caller = node_caller_take(node, call & ~NODE_CALL);
+	if (caller == NULL)
+		return;
+	gb_rpc_call_reply(caller->call, (void *)res);
+	free(caller);
+}
+
+void
+gb_node_txn_done(
+    struct gb_node *node, uint64_t id, const struct gb_pool_txn_res *res)
+{
+	struct node_call *call;
+
+	if ((id & NODE_CALL) == 0) {
+		gb_pool_txn_done(node->pool, node_now(), id, res);
+		return;
+	}
+	call = node_call_take(node, id);
+	if (call == NULL)
+		return;
+	call->txn_done(call, res);
+	free(call);
+}
+
+void
+gb_node_read_done(
+    struct gb_node *node, uint64_t id, const struct gb_pool_read_res *res)
+{
+	struct node_call *call;
+
+	if ((id & NODE_CALL) == 0) {
+		gb_pool_read_done(node->pool, node_now(), id, res);
+		return;
+	}
+	call = node_call_take(node, id);
+	if (call == NULL)
+		return;
+	call->read_done(call, res);
+	free(call);
+}
+
+/* News -------------------------------------------------------------------- */
+
+void
+gb_node_config_seen(struct gb_node *node, const char *text, size_t len)
+{
+	struct gb_pool_config *config = node->platform.config_decode(text, len);
+
+	if (config == NULL) {
+		gb_event(node->events, GB_EVENT_ALWAYS, "config_unreadable",
+		    "{s:I}", "bytes", (json_int_t)len);
+		return;
+	}
+	if (node->config != NULL && config->version <= node->config->version) {
+		gb_pool_config_unref(config);
+		return;
+	}
+	gb_event(node->events, GB_EVENT_ALWAYS, "config_taken",
+	    "{s:I, s:I, s:I}", "version", (json_int_t)config->version, "before",
+	    (json_int_t)(node->config == NULL ? 0 : node->config->version),
+	    "queues", (json_int_t)config->queue_count);
+	gb_pool_config_unref(node->config);
+	node->config = config;
+	free(node->config_text);
+	node->config_text = gb_calloc(1, len + 1);
+	memcpy(node->config_text, text, len);
+	node->config_len = len;
+	gb_pool_configure(node->pool, node_now(), config);
+}
+
+void
+gb_node_workers_seen(struct gb_node *node, const struct gb_pool_entry *entries,
+    size_t count, bool whole)
+{
+	gb_pool_workers(node->pool, node_now(), entries, count, whole);
+}
+
+/* Watch ------------------------------------------------------------------- */
+
+static void
+owner_row_read(struct node_call *call, const struct gb_pool_read_res *res)
+{
+	struct gb_node *node = call->node;
+	gb_owner_row row = {0};
+
+	if (res->status != GB_STORE_OK) {
+		watch_row_failed(&node->watch, node_now());
+		return;
+	}
+	if (res->row_count == 0 || !gb_xdr_decode((xdrproc_t)xdr_gb_owner_row,
+				       &res->rows[0].value, &row)) {
+		watch_row(&node->watch, node_now(), NULL, 0);
+		return;
+	}
+	watch_row(&node->watch, node_now(), row.addr, row.epoch);
+	gb_pool_epoch_seen(node->pool, node_now(), row.epoch);
+	xdr_free((xdrproc_t)xdr_gb_owner_row, (char *)&row);
+}
+
+static void
+owner_row_ask(struct gb_node *node)
+{
+	const struct gb_pool_read read = {
+	    0, GB_POOL_OWNERS, GB_POOL_OWNER_KEY, GB_POOL_OWNER_KEY "0", 1};
+
+	node->watch.read_out = true;
+	node->platform.read(node->platform.data,
+	    node_call_new(node, NULL, NULL, owner_row_read), &read);
+}
+
+static void
+watch_tick(struct gb_node *node)
+{
+	if (gb_pool_owns(node->pool) || gb_pool_taking(node->pool)) {
+		if (gb_pool_owns(node->pool))
+			gb_pool_member(node->pool, node_now(),
+			    node->settings.addr, !node->leaving);
+		return;
+	}
+	switch (watch_next(&node->watch, node_now())) {
+	case WATCH_READ:
+		owner_row_ask(node);
+		break;
+	case WATCH_HELLO:
+		node_hello(node);
+		break;
+	case WATCH_POLL:
+		node_poll_members(node);
+		break;
+	case WATCH_TAKE:
+		if (node->leaving) {
+			watch_lost(&node->watch, node_now());
+			break;
+		}
+		gb_event(node->events, GB_EVENT_ALWAYS, "takeover_decided",
+		    "{s:s, s:I, s:I, s:b}", "owner", node->watch.owner,
+		    "silent_ms",
+		    (json_int_t)((node_now() - node->watch.heard) / GB_MSEC),
+		    "refused", (json_int_t)node->watch.refused, "vacant",
+		    node->watch.vacant);
+		watch_lost(&node->watch, node_now());
+		gb_pool_take(node->pool, node_now());
+		break;
+	default:
+		break;
+	}
+}
+
+static void
+on_tick(uv_timer_t *timer)
+{
+	struct gb_node *node = timer->data;
+	bool busy;
+
+	gb_pool_tick(node->pool, node_now(), gb_clock_wall());
+	watch_tick(node);
+	intake_tick(node);
+	busy = gb_pool_owns(node->pool) || gb_pool_taking(node->pool) ||
+	       !TAILQ_EMPTY(&node->intakes) || node->leaving;
+	if (busy == node->busy_tick)
+		return;
+	node->busy_tick = busy;
+	uv_timer_start(
+	    timer, on_tick, TICK_BUSY_MS, busy ? TICK_BUSY_MS : TICK_IDLE_MS);
+}
+
+/* Node -------------------------------------------------------------------- */
+
+static const struct gb_pool_ops pool_ops = {op_start, op_stop, op_hold,
+    op_advise, op_txn, op_read, op_answer, op_owner, NULL};
+
+struct gb_node *
+gb_node_new(struct uv_loop_s *loop, const struct gb_env *env,
+    const struct gb_node_settings *settings,
+    const struct gb_node_platform *platform, struct gb_events *events,
+    struct gb_error *err)
+{
+	struct gb_node *node = gb_calloc(1, sizeof(*node));
+	struct gb_pool_settings pool = {0};
+	struct gb_pool_ops ops = pool_ops;
+
+	node->loop = loop;
+	node->env = env;
+	node->settings = *settings;
+	node->platform = *platform;
+	node->events = events;
+	node->incarnation = gb_hash(settings->name, strlen(settings->name)) ^
+			    (uint64_t)gb_clock_wall();
+	TAILQ_INIT(&node->intakes);
+	node->peers = gb_rpc_pool_new(loop, env);
+	node->server =
+	    gb_rpc_server_new(loop, env, settings->addr, node_serve, node, err);
+	if (node->server == NULL)
+		return NULL;
+	pool.name = node->settings.name;
+	pool.addr = node->settings.addr;
+	pool.incarnation = node->incarnation;
+	pool.seed = node->incarnation;
+	pool.limits.lease_us = settings->lease_ms * GB_MSEC;
+	pool.limits.stop_us = settings->stop_ms * GB_MSEC;
+	pool.limits.gang_us = settings->gang_ms * GB_MSEC;
+	pool.limits.keep_us = settings->keep_s * GB_SEC;
+	pool.limits.remote_factor = (double)settings->remote_percent / 100;
+	pool.events = events;
+	ops.data = node;
+	node->pool = gb_pool_new(&pool, &ops, node_now());
+	watch_init(&node->watch, settings->addr, node_now(), node->incarnation);
+	uv_timer_init(loop, &node->tick);
+	node->tick.data = node;
+	uv_timer_start(&node->tick, on_tick, TICK_BUSY_MS, TICK_IDLE_MS);
+	return node;
+}
+
+void
+gb_node_leave(struct gb_node *node)
+{
+	node->leaving = true;
+	gb_pool_release(node->pool, node_now());
+}
+
+bool
+gb_node_left(const struct gb_node *node)
+{
+	return !gb_pool_owns(node->pool) && !gb_pool_taking(node->pool);
+}
+
+bool
+gb_node_ready(const struct gb_node *node)
+{
+	return node->config != NULL && !node->leaving;
+}
+
+const struct gb_pool_config *
+gb_node_config(const struct gb_node *node)
+{
+	return node->config;
+}
--- /dev/null
+++ b/libgooseberry/node/node.h
@@ -0,0 +1,94 @@
+/**
+ * @file node.h
+ * A node: one process on each instance.  Takes callers' flows in, hands them
+ * to the owner of the pool, calls the advice service for the owner, and takes
+ * the pool over when the owner is lost.
+ */
+#ifndef GB_NODE_H
+#define GB_NODE_H
+
+#include "pool.h"
+
+struct gb_node;
+
+/** The outside systems.  Every call ends later with one of the functions
+ * below that bear its name, exactly once, under the same number. */
+struct gb_node_platform {
+	void (*start)(void *, uint64_t call, const struct gb_pool_order *);
+	void (*stop)(void *, uint64_t call, const struct gb_pool_order *);
+	void (*hold)(void *, uint64_t call, const struct gb_pool_hold *);
+	void (*advise)(void *, uint64_t call, const gb_advice_ask *);
+	void (*txn)(void *, uint64_t call, const struct gb_pool_txn *);
+	void (*read)(void *, uint64_t call, const struct gb_pool_read *);
+	/** Follow the list of workers, or stop doing so. */
+	void (*follow_workers)(void *, bool on);
+	/** Decode a configuration in the form in which it was stored; null when
+	 * it is malformed. */
+	struct gb_pool_config *(*config_decode)(const char *, size_t);
+	void *data;
+};
+
+/** Settings of gooseberry-node. */
+struct gb_node_settings {
+	char name[GB_NAME_MAX + 1];
+	char dc[GB_NAME_MAX + 1];
+	char addr[GB_NAME_MAX + 1]; /**< of the peer port */
+	char front[GB_NAME_MAX + 1];
+	char ready[GB_NAME_MAX + 1];
+	char metrics[GB_NAME_MAX + 1];
+	char store[GB_NAME_MAX + 1];
+	char advice[GB_NAME_MAX + 1];
+	char cpu_share[GB_NAME_MAX + 1];
+	char orders[GB_NAME_MAX + 1];
+	int64_t lease_ms, stop_ms, gang_ms, keep_s, remote_percent;
+	int64_t log_lines, log_level, grace_ms;
+};
+
+extern const struct gb_setting gb_node_settings_table[];
+extern const size_t gb_node_settings_count;
+
+struct gb_node *gb_node_new(struct uv_loop_s *, const struct gb_env *,
+    const struct gb_node_settings *, const struct gb_node_platform *,
+    struct gb_events *, struct gb_error *);
+/** Planned stop: hand the pool over. */
+void gb_node_leave(struct gb_node *);
+/** Whether the pool has been handed over. */
+bool gb_node_left(const struct gb_node *);
+/** Whether callers should be sent here. */
+bool gb_node_ready(const struct gb_node *);
+const struct gb_pool_config *gb_node_config(const struct gb_node *);
+
+/* Callers ----------------------------------------------------------------- */
+
+typedef void (*gb_node_answer)(void *, const gb_flow_answer *);
+
+/** Take a flow in; answered once, within the timeout. */
+void gb_node_submit(struct gb_node *, const gb_flow_submit *, gb_time timeout,
+    gb_node_answer, void *);
+void gb_node_ask(struct gb_node *, const gb_flow_ask *, gb_time timeout,
+    gb_node_answer, void *);
+
+/* News of the platform ---------------------------------------------------- */
+
+/** The newest configuration, as it is stored. */
+void gb_node_config_seen(struct gb_node *, const char *, size_t);
+/** Entries of the list of workers; a whole list names all there are. */
+void gb_node_workers_seen(
+    struct gb_node *, const struct gb_pool_entry *, size_t count, bool whole);
+void gb_node_start_done(
+    struct gb_node *, uint64_t call, const struct gb_pool_order_res *);
+void gb_node_stop_done(
+    struct gb_node *, uint64_t call, const struct gb_pool_order_res *);
+void gb_node_hold_done(
+    struct gb_node *, uint64_t call, const struct gb_pool_report *);
+void gb_node_advise_done(
+    struct gb_node *, uint64_t call, const gb_advice_res *);
+void gb_node_txn_done(
+    struct gb_node *, uint64_t call, const struct gb_pool_txn_res *);
+void gb_node_read_done(
+    struct gb_node *, uint64_t call, const struct gb_pool_read_res *);
+
+/** Counters in the common text form. */
+void gb_node_metrics(struct gb_node *, struct gb_text *);
+
+#endif
--- /dev/null
+++ b/libgooseberry/node/node_settings.c
@@ -0,0 +1,54 @@
+/**
+ * @file settings.c
+ * Settings of gooseberry-node.
+ */
+#include "node.h"
+
+#define NODE(member) offsetof(struct gb_node_settings, member)
+
+const struct gb_setting gb_node_settings_table[] = {
+    {"name", GB_SET_STRING, "name", 1, GB_NAME_MAX, NULL,
+	"Name of this instance, unique in the cell.", NODE(name)},
+    {"dc", GB_SET_STRING, "name", 1, GB_NAME_MAX, NULL,
+	"Data centre of this instance.", NODE(dc)},
+    {"listen", GB_SET_ADDR, "IP:port", 0, 0, NULL,
+	"Where other nodes reach this one.", NODE(addr)},
+    {"front", GB_SET_ADDR, "IP:port", 0, 0, NULL,
+	"Where callers reach this node over HTTP.", NODE(front)},
+    {"ready", GB_SET_ADDR, "IP:port", 0, 0, NULL,
+	"Where the balancer asks whether this node is ready.", NODE(ready)},
+    {"metrics", GB_SET_ADDR, "IP:port", 0, 0, NULL,
+	"Where counters and histograms are served.", NODE(metrics)},
+    {"store", GB_SET_ADDR, "IP:port", 0, 0, NULL, "The platform's tables.",
+	NODE(store)},
+    {"advice", GB_SET_ADDR, "IP:port", 0, 0, "\"127.0.0.1:1\"",
+	"The service that says which workers may run a step.", NODE(advice)},
+    {"cpu_share", GB_SET_STRING, "cores", 1, GB_NAME_MAX, "\"1\"",
+	"Share of a core that this instance has.", NODE(cpu_share)},
+    {"orders", GB_SET_STRING, "way", 1, GB_NAME_MAX, "\"invocation\"",
+	"How workers take orders; invocation is served.", NODE(orders)},
+    {"lease_ms", GB_SET_INT, "ms", 500, 600000, NULL,
+	"Longest lease that a worker grants.", NODE(lease_ms)},
+    {"stop_ms", GB_SET_INT, "ms", 1, 60000, "200",
+	"A stop of a task takes at most this long.", NODE(stop_ms)},
+    {"gang_ms", GB_SET_INT, "ms", 100, 60000, "3000",
+	"Members of a gang wait this long for each other.", NODE(gang_ms)},
+    {"keep_s", GB_SET_INT, "s", 1, 86400, "120",
+	"How long the state of a finished flow is answered.", NODE(keep_s)},
+    {"remote_percent", GB_SET_INT, "percent", 100, 10000, "300",
+	"Run time away from the data, in percent of that beside it.",
+	NODE(remote_percent)},
+    {"log_lines", GB_SET_INT, "lines/s", 0, 100000, "400",
+	"Structured lines a second beyond which ordinary ones are counted "
+	"only.",
+	NODE(log_lines)},
+    {"log_level", GB_SET_INT, "level", 0, 7, "6",
+	"Most verbose level of plain messages (syslog's numbers).",
+	NODE(log_level)},
+    {"grace_ms", GB_SET_INT, "ms", 100, 600000, "6000",
+	"Time between the request to stop and the end of the process.",
+	NODE(grace_ms)},
+};
+
+const size_t gb_node_settings_count =
+    sizeof(gb_node_settings_table) / sizeof(gb_node_settings_table[0]);
--- /dev/null
+++ b/libgooseberry/node/node_state.h
@@ -0,0 +1,106 @@
+/**
+ * @file node_state.h
+ * State of a node, shared by the files that make it up.
+ */
+#ifndef GB_NODE_STATE_H
+#define GB_NODE_STATE_H
+
+#include <sys/queue.h>
+
+#include <uthash.h>
+#include <uv.h>
+
+#include "node.h"
+#include "watch.h"
+
+/** Marks calls of the node itself among those of the pool core. */
+#define NODE_CALL (UINT64_C(1) << 62)
+
+struct node_member {
+	UT_hash_handle hh;
+	char addr[GB_NAME_MAX + 1];
+	gb_time heard;
+	uint64_t config;
+	bool leaving;
+};
+
+/** What the end of a call of the node's own has to go on with. */
+struct node_call {
+	UT_hash_handle hh;
+	uint64_t id;
+	void (*txn_done)(struct node_call *, const struct gb_pool_txn_res *);
+	void (*read_done)(struct node_call *, const struct gb_pool_read_res *);
+	struct gb_node *node;
+	void *data;
+};
+
+/** A caller's request that is on its way. */
+struct intake {
+	TAILQ_ENTRY(intake) next;
+	struct gb_node *node;
+	gb_flow_submit *submit; /**< or null, and then ask holds */
+	gb_flow_ask ask;
+	gb_time began;
+	gb_time deadline;
+	gb_time next_try;
+	bool out;   /**< a try is out */
+	bool maybe; /**< an earlier try may have been carried out */
+	unsigned int tries;
+	gb_node_answer answer;
+	void *data;
+};
+
+TAILQ_HEAD(intakes, intake);
+
+/** A caller of the pool core, here or at a peer. */
+struct node_caller {
+	UT_hash_handle hh;
+	uint64_t token;
+	struct gb_rpc_call *call; /**< of a peer, or null */
+	struct intake *intake;
+};
+
+struct gb_node {
+	uv_loop_t *loop;
+	uv_timer_t tick;
+	bool busy_tick; /**< ticks as often as an owner does */
+	const struct gb_env *env;
+	struct gb_events *events;
+	struct gb_node_settings settings;
+	struct gb_node_platform platform;
+	struct gb_pool *pool;
+	struct gb_rpc_pool *peers;
+	struct gb_rpc_server *server;
+	struct watch watch;
+	uint64_t incarnation;
+	struct gb_pool_config *config;
+	char *config_text;
+	size_t config_len;
+	struct node_member *members; /**< the owner's: those that say hello */
+	char (*known)[GB_NAME_MAX + 1]; /**< others: told by the owner */
+	size_t known_count;
+	struct node_call *calls;
+	struct node_caller *callers;
+	uint64_t next_id;
+	struct intakes intakes;
+	bool leaving;
+	bool released;
+	gb_time leave_at;
+};
+
+gb_time node_now(void);
+uint64_t node_call_new(struct gb_node *, void *data,
+    void (*txn_done)(struct node_call *, const struct gb_pool_txn_res *),
+    void (*read_done)(struct node_call *, const struct gb_pool_read_res *));
+
+/* intake.c */
+void intake_tick(struct gb_node *);
+/** The pool core answered. */
+void intake_answered(struct intake *, const gb_flow_answer *);
+
+/* peers.c */
+void node_serve(void *, struct gb_rpc_call *, uint32_t proc, void *arg);
+void node_hello(struct gb_node *);
+void node_poll_members(struct gb_node *);
+
+#endif
--- /dev/null
+++ b/libgooseberry/node/peers.c
@@ -0,0 +1,246 @@
+/**
+ * @file peers.c
+ * Calls between nodes.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "node_state.h"
+
+/** A hello without answer after this counts as silence. */
+#define HELLO_TIMEOUT (600 * GB_MSEC)
+/** Members that are asked whether they hear the owner. */
+#define POLL_MEMBERS 3
+/** Members that have not said hello for this long are not told of. */
+#define MEMBER_KEEP (5 * GB_SEC)
+
+static void
+hello_fill(struct gb_node *node, gb_hello *hello)
+{
+	memset(hello, 0, sizeof(*hello));
+	hello->name = node->settings.name;
+	hello->addr = node->settings.addr;
+	hello->dc = node->settings.dc;
+	hello->incarnation = node->incarnation;
+	hello->epoch = gb_pool_epoch(node->pool);
+	hello->config = node->config == NULL ? 0 : node->config->version;
+	hello->leaving = node->leaving;
+}
+
+static void
+members_learn(struct gb_node *node, const gb_hello_res *res)
+{
+	u_int i;
+
+	free(node->known);
+	node->known = gb_calloc(res->members.members_len, GB_NAME_MAX + 1);
+	node->known_count = 0;
+	for (i = 0; i < res->members.members_len; i++) {
+		if (strcmp(res->members.members_val[i], node->settings.addr) ==
+		    0)
+			continue;
+		snprintf(node->known[node->known_count++], GB_NAME_MAX + 1,
+		    "%s", res->members.members_val[i]);
+	}
+}
+
+static void
+config_learn(struct gb_node *node, const gb_hello_res *res)
+{
+	if (res->config_text.gb_body_len > 0)
+		gb_node_config_seen(node, res->config_text.gb_body_val,
+		    res->config_text.gb_body_len);
+}
+
+static void
+hello_done(void *data, gb_verdict verdict, void *arg)
+{
+	struct gb_node *node = data;
+	const gb_hello_res *res = arg;
+	gb_time now = node_now();
+
+	if (verdict != GB_RUN) {
+		watch_unheard(&node->watch, now, verdict == GB_NOT_RUN);
+		return;
+	}
+	config_learn(node, res);
+	if (!res->owner) {
+		watch_denied(&node->watch, now, res->owner_addr, res->epoch);
+		return;
+	}
+	gb_pool_epoch_seen(node->pool, now, res->epoch);
+	members_learn(node, res);
+	watch_heard(&node->watch, now, res->vacating && !node->leaving,
+	    res->store_silent_us, (unsigned int)node->known_count);
+}
+
+void
+node_hello(struct gb_node *node)
+{
+	gb_hello hello;
+
+	hello_fill(node, &hello);
+	node->watch.hello_out = true;
+	gb_rpc_client_call(gb_rpc_pool_get(node->peers, node->watch.owner),
+	    GB_PROC_HELLO, &hello, HELLO_TIMEOUT, hello_done, node);
+}
+
+static void
+poll_done(void *data, gb_verdict verdict, void *arg)
+{
+	struct gb_node *node = data;
+	const gb_hello_res *res = arg;
+
+	if (verdict != GB_RUN) {
+		watch_polled(&node->watch, WATCH_NO_WORD);
+		return;
+	}
+	config_learn(node, res);
+	if (res->owner || res->owner_heard_us < 600 * GB_MSEC)
+		watch_polled(&node->watch, WATCH_HEARS);
+	else
+		watch_polled(&node->watch, WATCH_HEARS_NOT);
+}
+
+void
+node_poll_members(struct gb_node *node)
+{
+	unsigned int asked = 0;
+	gb_hello hello;
+	size_t from;
+	size_t i;
+
+	hello_fill(node, &hello);
+	from = node->known_count == 0
+		   ? 0
+		   : gb_random_next(&node->watch.seed) % node->known_count;
+	for (i = 0; i < node->known_count && asked < POLL_MEMBERS; i++) {
+		const char *addr = node->known[(from + i) % node->known_count];
+
+		if (strcmp(addr, node->watch.owner) == 0)
+			continue;
+		asked++;
+	}
+	watch_poll_begun(&node->watch, node_now(), asked);
+	for (i = 0; i < node->known_count && asked > 0; i++) {
+		const char *addr = node->known[(from + i) % node->known_count];
+
+		if (strcmp(addr, node->watch.owner) == 0)
+			continue;
+		asked--;
+		gb_rpc_client_call(gb_rpc_pool_get(node->peers, addr),
+		    GB_PROC_HELLO, &hello, HELLO_TIMEOUT, poll_done, node);
+	}
+}
+
+/* Serving ----------------------------------------------------------------- */
+
+static void
+member_heard(struct gb_node *node, const gb_hello *hello)
+{
+	struct node_member *member;
+	gb_time now = node_now();
+
+	HASH_FIND_STR(node->members, hello->addr, member);
+	if (member == NULL) {
+		member = gb_calloc(1, sizeof(*member));
+		snprintf(member->addr, sizeof(member->addr), "%s", hello->addr);
+		HASH_ADD_STR(node->members, addr, member);
+		gb_event(node->events, GB_EVENT_ALWAYS, "member_heard",
+		    "{s:s, s:s}", "member", hello->name, "addr", hello->addr);
+	}
+	member->heard = now;
+	member->config = hello->config;
+	member->leaving = hello->leaving;
+	gb_pool_member(node->pool, now, hello->addr, !hello->leaving);
+}
+
+static void
+members_fill(struct gb_node *node, gb_hello_res *res)
+{
+	struct node_member *member;
+	struct node_member *next;
+	gb_time now = node_now();
+	u_int count = HASH_COUNT(node->members);
+
+	res->members.members_val = gb_calloc(count + 1, sizeof(gb_name));
+	HASH_ITER(hh, node->members, member, next)
+	{
+		if (now - member->heard > MEMBER_KEEP) {
+			HASH_DEL(node->members, member);
+			free(member);
+			continue;
+		}
+		res->members.members_val[res->members.members_len++] =
+		    member->addr;
+	}
+}
+
+static void
+serve_hello(
+    struct gb_node *node, struct gb_rpc_call *call, const gb_hello *hello)
+{
+	gb_hello_res res = {0};
+	gb_time now = node_now();
+
+	gb_pool_epoch_seen(node->pool, now, hello->epoch);
+	res.owner = gb_pool_owns(node->pool) || node->released;
+	res.vacating = node->leaving;
+	res.epoch = gb_pool_epoch(node->pool);
+	res.owner_addr = node->watch.owner;
+	res.owner_heard_us = now - node->watch.heard;
+	if (gb_pool_owns(node->pool)) {
+		member_heard(node, hello);
+		members_fill(node, &res);
+		res.owner_addr = node->settings.addr;
+		res.owner_heard_us = 0;
+		res.store_silent_us = gb_pool_store_silent(node->pool, now);
+	}
+	res.config = node->config == NULL ? 0 : node->config->version;
+	if (hello->config < res.config) {
+		res.config_text.gb_body_val = node->config_text;
+		res.config_text.gb_body_len = (u_int)node->config_len;
+	}
+	gb_rpc_call_reply(call, &res);
+	free(res.members.members_val);
+}
+
+static struct node_caller *
+caller_new(struct gb_node *node, struct gb_rpc_call *call)
+{
+	struct node_caller *caller = gb_calloc(1, sizeof(*caller));
+
+	caller->token = ++node->next_id;
+	caller->call = call;
+	HASH_ADD(hh, node->callers, token, sizeof(caller->token), caller);
+	return caller;
+}
+
+void
+node_serve(void *data, struct gb_rpc_call *call, uint32_t proc, void *arg)
+{
+	struct gb_node *node = data;
+
+	switch (proc) {
+	case GB_PROC_HELLO:
+		serve_hello(node, call, arg);
+		break;
+	case GB_PROC_FLOW_SUBMIT:
+		gb_pool_submit(
+		    node->pool, node_now(), caller_new(node, call)->token, arg);
+		break;
+	case GB_PROC_FLOW_ASK:
+		gb_pool_ask(
+		    node->pool, node_now(), caller_new(node, call)->token, arg);
+		break;
+	case GB_PROC_ADVISE:
+		node->platform.advise(node->platform.data,
+		    caller_new(node, call)->token | NODE_CALL, arg);
+		break;
+	default:
+		gb_rpc_call_refuse(call);
+		break;
+	}
+}
--- /dev/null
+++ b/libgooseberry/node/watch.c
@@ -0,0 +1,216 @@
+/**
+ * @file watch.c
+ * When to take the pool over.
+ *
+ * A takeover costs a second read of all state and the tickets that were
+ * fetched, but nothing that runs.  It is begun when the owner's address refuses
+ * connections, when the owner is silent and other members do not hear it
+ * either, when the owner itself has lost the store, or at once when the owner
+ * says that it stops.  A node that reaches nobody at all is more likely cut
+ * off itself, and waits longer.
+ */
+#include <string.h>
+
+#include "watch.h"
+
+/** Interval of hellos to the owner. */
+#define WATCH_HELLO_EVERY (200 * GB_MSEC)
+/** Silence after which the owner is suspected; processor shares of a tenth of
+ * a second and slow nodes stay well under it. */
+#define WATCH_SUSPECT (900 * GB_MSEC)
+/** The same when this node reaches no other member either. */
+#define WATCH_ALONE (3500 * GB_MSEC)
+/** Hellos in a row that find nobody listening.  A restarted process listens
+ * again after a moment, but has forgotten everything. */
+#define WATCH_REFUSED 2
+/** An owner without the store can't accept work or record ends. */
+#define WATCH_STORE_SILENT (2500 * GB_MSEC)
+/** Pause between reads of the owner's row. */
+#define WATCH_READ_EVERY (150 * GB_MSEC)
+/** Nodes that see the same thing take the pool one after the other. */
+#define WATCH_SPREAD (60 * GB_MSEC)
+/** Members have this long to say whether they hear the owner. */
+#define WATCH_POLL (350 * GB_MSEC)
+
+void
+watch_init(struct watch *w, const char *self, gb_time now, uint64_t seed)
+{
+	memset(w, 0, sizeof(*w));
+	snprintf(w->self, sizeof(w->self), "%s", self);
+	w->heard = now;
+	w->seed = seed;
+}
+
+static gb_time
+watch_spread(struct watch *w)
+{
+	return (gb_time)(gb_random_next(&w->seed) % WATCH_SPREAD);
+}
+
+static void
+watch_vacate(struct watch *w, gb_time now)
+{
+	if (w->vacant)
+		return;
+	w->vacant = true;
+	w->take_at = now + watch_spread(w);
+}
+
+/** What the members that were asked have said. */
+static bool
+watch_agreed(struct watch *w, gb_time now)
+{
+	if (w->hearing > 0) {
+		/* It is this node that can't reach the owner. */
+		w->polled = 0;
+		w->heard = now - WATCH_SUSPECT / 2;
+		return false;
+	}
+	if (w->deaf > 0)
+		return true;
+	return now - w->heard > WATCH_ALONE;
+}
+
+static enum watch_action
+watch_suspicion(struct watch *w, gb_time now)
+{
+	if (!w->suspected)
+		return w->next_read <= now ? WATCH_READ : WATCH_NOTHING;
+	if (w->refused >= WATCH_REFUSED)
+		return WATCH_TAKE;
+	if (w->members < 2)
+		return WATCH_TAKE;
+	if (w->polled == 0)
+		return WATCH_POLL;
+	if (w->words < w->polled && now - w->polled_at < WATCH_POLL)
+		return WATCH_NOTHING;
+	if (watch_agreed(w, now))
+		return WATCH_TAKE;
+	if (now - w->polled_at > WATCH_SUSPECT)
+		w->polled = 0;
+	return WATCH_NOTHING;
+}
+
+enum watch_action
+watch_next(struct watch *w, gb_time now)
+{
+	if (w->read_out)
+		return WATCH_NOTHING;
+	if (w->vacant)
+		return w->take_at <= now ? WATCH_TAKE : WATCH_NOTHING;
+	if (w->owner[0] == '\0')
+		return w->next_read <= now ? WATCH_READ : WATCH_NOTHING;
+	if (now - w->heard > WATCH_SUSPECT || w->refused >= WATCH_REFUSED) {
+		enum watch_action action = watch_suspicion(w, now);
+
+		if (action != WATCH_NOTHING)
+			return action;
+	}
+	if (!w->hello_out && w->next_hello <= now)
+		return WATCH_HELLO;
+	return WATCH_NOTHING;
+}
+
+void
+watch_row(struct watch *w, gb_time now, const char *addr, uint64_t epoch)
+{
+	w->read_out = false;
+	w->next_read = now + WATCH_READ_EVERY;
+	if (addr == NULL || addr[0] == '\0' || strcmp(addr, w->self) == 0) {
+		watch_vacate(w, now);
+		return;
+	}
+	if (epoch == w->epoch && strcmp(addr, w->owner) == 0) {
+		w->suspected = true;
+		return;
+	}
+	snprintf(w->owner, sizeof(w->owner), "%s", addr);
+	w->epoch = epoch;
+	w->vacant = false;
+	w->suspected = false;
+	w->refused = 0;
+	w->polled = 0;
+	w->heard = now;
+	w->next_hello = now;
+}
+
+void
+watch_row_failed(struct watch *w, gb_time now)
+{
+	w->read_out = false;
+	w->next_read = now + WATCH_READ_EVERY + watch_spread(w);
+}
+
+void
+watch_heard(struct watch *w, gb_time now, bool vacating, gb_time store_silent,
+    unsigned int members)
+{
+	w->hello_out = false;
+	w->next_hello = now + WATCH_HELLO_EVERY;
+	w->heard = now;
+	w->refused = 0;
+	w->suspected = false;
+	w->polled = 0;
+	w->members = members;
+	if (vacating || store_silent > WATCH_STORE_SILENT)
+		watch_vacate(w, now);
+}
+
+void
+watch_denied(struct watch *w, gb_time now, const char *owner, uint64_t epoch)
+{
+	w->hello_out = false;
+	w->next_hello = now + WATCH_HELLO_EVERY / 2;
+	if (epoch > w->epoch && owner[0] != '\0' &&
+	    strcmp(owner, w->self) != 0) {
+		snprintf(w->owner, sizeof(w->owner), "%s", owner);
+		w->epoch = epoch;
+		w->heard = now;
+		return;
+	}
+	/* It owned the pool by the row, but has forgotten: ask the store. */
+	w->refused = WATCH_REFUSED;
+}
+
+void
+watch_unheard(struct watch *w, gb_time now, bool refused)
+{
+	w->hello_out = false;
+	w->next_hello = now + WATCH_HELLO_EVERY;
+	if (refused)
+		w->refused++;
+}
+
+void
+watch_poll_begun(struct watch *w, gb_time now, unsigned int members)
+{
+	w->polled = members;
+	w->polled_at = now;
+	w->words = 0;
+	w->deaf = 0;
+	w->hearing = 0;
+	if (members == 0)
+		w->polled = 1;
+}
+
+void
+watch_polled(struct watch *w, enum watch_word word)
+{
+	w->words++;
+	if (word == WATCH_HEARS)
+		w->hearing++;
+	if (word == WATCH_HEARS_NOT)
+		w->deaf++;
+}
+
+void
+watch_lost(struct watch *w, gb_time now)
+{
+	w->vacant = false;
+	w->owner[0] = '\0';
+	w->suspected = false;
+	w->refused = 0;
+	w->polled = 0;
+	w->heard = now;
+	w->next_read = now + watch_spread(w);
+}
--- /dev/null
+++ b/libgooseberry/node/watch.h
@@ -0,0 +1,63 @@
+/**
+ * @file watch.h
+ * Watches the owner of the pool and decides when to take over.  No I/O.
+ */
+#ifndef GB_WATCH_H
+#define GB_WATCH_H
+
+#include "gooseberry.h"
+
+/** What to do next. */
+enum watch_action {
+	WATCH_NOTHING,
+	WATCH_READ,  /**< the owner's row */
+	WATCH_HELLO, /**< to the owner */
+	WATCH_POLL,  /**< other members: do they hear the owner? */
+	WATCH_TAKE   /**< the pool */
+};
+
+/** Answer of a member that was asked about the owner. */
+enum watch_word { WATCH_HEARS, WATCH_HEARS_NOT, WATCH_NO_WORD };
+
+struct watch {
+	char self[GB_NAME_MAX + 1];  /**< address of this node */
+	char owner[GB_NAME_MAX + 1]; /**< address, empty: not known */
+	uint64_t epoch;
+	bool vacant; /**< nobody owns the pool */
+	bool read_out;
+	bool hello_out;
+	bool
+	    suspected; /**< the row was read anew since the owner fell silent */
+	gb_time next_read;
+	gb_time next_hello;
+	gb_time heard;	      /**< the owner's last answer */
+	unsigned int refused; /**< hellos in a row that reached nobody */
+	gb_time take_at;      /**< not before */
+	unsigned int polled;  /**< members asked */
+	unsigned int words;   /**< answers and failures of these */
+	unsigned int deaf;    /**< do not hear the owner either */
+	unsigned int hearing;
+	gb_time polled_at;
+	unsigned int members; /**< other members that are known */
+	uint64_t seed;
+};
+
+void watch_init(struct watch *, const char *self, gb_time now, uint64_t seed);
+enum watch_action watch_next(struct watch *, gb_time now);
+/** The owner's row was read; without a row the address is null. */
+void watch_row(struct watch *, gb_time now, const char *addr, uint64_t epoch);
+void watch_row_failed(struct watch *, gb_time now);
+/** The owner answered a hello. */
+void watch_heard(struct watch *, gb_time now, bool vacating,
+    gb_time store_silent, unsigned int members);
+/** The node that was said to own the pool does not, and knows this much. */
+void watch_denied(
+    struct watch *, gb_time now, const char *owner, uint64_t epoch);
+/** A hello got no answer; refused when nobody was reached at all. */
+void watch_unheard(struct watch *, gb_time now, bool refused);
+void watch_poll_begun(struct watch *, gb_time now, unsigned int members);
+void watch_polled(struct watch *, enum watch_word);
+/** Another node took the pool, or this one failed to. */
+void watch_lost(struct watch *, gb_time now);
+
+#endif
--- /dev/null
+++ b/libgooseberry/pool.h
@@ -0,0 +1,348 @@
+/**
+ * @file pool.h
+ * Public interface of the pool core: one owner schedules flows (jobs of
+ * dependent steps) on all workers of a pool.
+ *
+ * The core does no I/O and reads no clock.  Events come in as calls that carry
+ * the time; what has to be done goes out through struct gb_pool_ops, whose
+ * calls end later with one of the gb_pool_*_done functions, exactly once and
+ * never from within the call itself.  Times are microseconds of a clock that
+ * counts suspended time, unless a name says otherwise.
+ */
+#ifndef GB_POOL_H
+#define GB_POOL_H
+
+#include "gooseberry.h"
+
+/* Configuration of the cell ----------------------------------------------- */
+
+/** What the advice service of a queue costs: its time for a call. */
+struct gb_pool_advice {
+	bool needed;
+	gb_time decide_us;   /**< for each call */
+	gb_time per_item_us; /**< more for each worker that is named */
+	gb_time valid_us;    /**< life of a ticket */
+};
+
+/** A queue of flows. */
+struct gb_pool_queue {
+	char name[GB_NAME_MAX + 1];
+	char host[GB_NAME_MAX + 1];
+	char prefix[GB_NAME_MAX + 1]; /**< of the path, ends with a slash */
+	char service[GB_NAME_MAX + 1];
+	uint32_t priority; /**< 0 is the most urgent */
+	uint32_t max_attempts;
+	double stretch;	   /**< objective over the longest chain of work */
+	gb_time target_us; /**< added to it */
+	struct gb_pool_advice advice;
+};
+
+struct gb_pool_service {
+	char name[GB_NAME_MAX + 1];
+	bool guarded; /**< its workers refuse what does not fit */
+};
+
+/** One version of the operator's configuration. */
+struct gb_pool_config {
+	unsigned int refs;
+	uint64_t version;
+	struct gb_pool_queue *queues;
+	size_t queue_count;
+	struct gb_pool_service *services;
+	size_t service_count;
+};
+
+struct gb_pool_config *gb_pool_config_new(size_t queues, size_t services);
+struct gb_pool_config *gb_pool_config_ref(struct gb_pool_config *);
+void gb_pool_config_unref(struct gb_pool_config *);
+const struct gb_pool_queue *gb_pool_config_queue(
+    const struct gb_pool_config *, const char *name);
+/** Queue of a request: the longest prefix of the path for that host. */
+const struct gb_pool_queue *gb_pool_config_route(
+    const struct gb_pool_config *, const char *host, const char *path);
+
+/* Workers ----------------------------------------------------------------- */
+
+#define GB_POOL_LABELS 8
+
+/** An entry of the platform's list of workers. */
+struct gb_pool_entry {
+	char id[GB_NAME_MAX + 1]; /**< of this lifetime of the worker */
+	char addr[GB_NAME_MAX + 1];
+	char dc[GB_NAME_MAX + 1];
+	char service[GB_NAME_MAX + 1];
+	char label[GB_POOL_LABELS][GB_NAME_MAX + 1];
+	uint32_t label_count;
+	gb_res capacity;
+	bool draining;
+	bool removed; /**< is no longer listed */
+};
+
+/** Identifies one start of a task. */
+struct gb_pool_run_id {
+	const char *flow;
+	uint32_t step;
+	uint32_t index;
+	uint64_t run;
+};
+
+/** An order for a worker: start or stop a run. */
+struct gb_pool_order {
+	const char *worker; /**< lifetime that is meant */
+	const char *addr;
+	struct gb_pool_run_id id;
+	uint64_t token; /**< fencing token */
+	/* For starts only */
+	const char *spec;
+	int64_t lease_end_ms; /**< on the worker's clock */
+	const char *checkpoint;
+	const char *ticket;
+};
+
+enum gb_pool_order_status {
+	GB_POOL_ORDER_DONE,
+	GB_POOL_ORDER_FENCED, /**< the worker knows a newer owner */
+	GB_POOL_ORDER_OLD,    /**< such a run has ended or been stopped */
+	GB_POOL_ORDER_LATE,   /**< its lease would have lapsed already */
+	GB_POOL_ORDER_NO_ROOM,
+	GB_POOL_ORDER_NO_TICKET,
+	GB_POOL_ORDER_REFUSED, /**< unhealthy worker; nothing was done */
+	GB_POOL_ORDER_REBORN,  /**< another lifetime answered */
+	GB_POOL_ORDER_MALFORMED,
+	GB_POOL_ORDER_LOST /**< no answer; may be done, also later */
+};
+
+struct gb_pool_order_res {
+	enum gb_pool_order_status status;
+	int64_t clock_ms; /**< the worker's, 0: not told */
+};
+
+/** Renew a worker's lease and ask what it runs. */
+struct gb_pool_hold {
+	const char *worker;
+	const char *addr;
+	uint64_t token;
+	int64_t lease_end_ms; /**< on the worker's clock, 0: do not renew */
+	uint64_t cursor;      /**< ends up to this number are stored */
+	gb_time wait_us;      /**< the answer may wait for an end this long */
+};
+
+enum gb_pool_how {
+	GB_POOL_DONE,
+	GB_POOL_FAILED,
+	GB_POOL_STOPPED,
+	GB_POOL_LAPSED,
+	GB_POOL_BROKEN, /**< another member of the gang ended */
+	GB_POOL_ALONE	/**< the other members did not come in time */
+};
+
+/** A run that a worker lists, or its end. */
+struct gb_pool_seen {
+	char flow[GB_NAME_MAX + 1];
+	uint32_t occurrence;
+	uint32_t step;
+	uint32_t index;
+	uint64_t run;
+	char checkpoint[GB_NAME_MAX + 1];
+	uint32_t percent;     /**< of a run: how far it has come */
+	uint64_t number;      /**< of an end: position in the worker's list */
+	enum gb_pool_how how; /**< of an end */
+};
+
+struct gb_pool_report {
+	enum gb_pool_order_status status;
+	int64_t clock_ms;
+	struct gb_pool_seen *running;
+	size_t running_count;
+	struct gb_pool_seen *ended;
+	size_t ended_count;
+};
+
+/* Store ------------------------------------------------------------------- */
+
+/** Tables of the pool. */
+enum gb_pool_table {
+	GB_POOL_OWNERS, /**< who owns the pool, one row in each part */
+	GB_POOL_FLOWS,	/**< what was submitted */
+	GB_POOL_STATES, /**< what became of it */
+	GB_POOL_INBOX,	/**< flows that were stored without the owner */
+	GB_POOL_TABLES
+};
+
+/** Rows of one part are written one transaction after the other.  One part
+ * carries about 3,000 rows a second (95 rows each 30 ms), which is more than
+ * the largest deployment that is played needs; more parts for more. */
+#define GB_POOL_PARTS 1
+/** Key of the owner's row. */
+#define GB_POOL_OWNER_KEY "owner"
+
+uint32_t gb_pool_part(const char *flow_id);
+
+struct gb_pool_row {
+	enum gb_pool_table table;
+	const char *key;
+	uint64_t vers; /**< of a condition: 0 says that it must be absent */
+	bool remove;
+	gb_body value;
+};
+
+struct gb_pool_txn {
+	uint32_t part;
+	struct gb_pool_row *conds;
+	size_t cond_count;
+	struct gb_pool_row *puts;
+	size_t put_count;
+};
+
+struct gb_pool_txn_res {
+	gb_store_status status;
+	uint64_t vers;		  /**< of what was put */
+	struct gb_pool_row *rows; /**< after a conflict: the conditions' rows */
+	size_t row_count;
+};
+
+/** Rows of a table with from <= key < to. */
+struct gb_pool_read {
+	uint32_t part;
+	enum gb_pool_table table;
+	const char *from; /**< empty: from the first */
+	const char *to;	  /**< empty: to the last */
+	uint32_t limit;
+};
+
+struct gb_pool_read_res {
+	gb_store_status status;
+	struct gb_pool_row *rows;
+	size_t row_count;
+	bool more;
+};
+
+/* Core -------------------------------------------------------------------- */
+
+/** What the core asks its owner to do.  Pointers in arguments hold only for
+ * the time of the call. */
+struct gb_pool_ops {
+	void (*start)(void *, uint64_t call, const struct gb_pool_order *);
+	void (*stop)(void *, uint64_t call, const struct gb_pool_order *);
+	void (*hold)(void *, uint64_t call, const struct gb_pool_hold *);
+	/** Ask the advice service by way of a member. */
+	void (*advise)(void *, uint64_t call, const char *member_addr,
+	    const gb_advice_ask *);
+	void (*txn)(void *, uint64_t call, const struct gb_pool_txn *);
+	void (*read)(void *, uint64_t call, const struct gb_pool_read *);
+	/** Answer a submission or question. */
+	void (*answer)(void *, uint64_t token, const gb_flow_answer *);
+	/** Ownership was gained or lost. */
+	void (*owner)(void *, bool owns, uint64_t epoch);
+	void *data;
+};
+
+/** Bounds of the deployment. */
+struct gb_pool_limits {
+	gb_time lease_us;     /**< longest lease that a worker grants */
+	gb_time stop_us;      /**< a stop takes at most this long */
+	gb_time gang_us;      /**< members of a gang wait this long */
+	gb_time keep_us;      /**< states are answered this long */
+	double remote_factor; /**< slowdown away from the data */
+};
+
+struct gb_pool_settings {
+	const char *name;     /**< of this node */
+	const char *addr;     /**< of its peer port */
+	uint64_t incarnation; /**< differs with each start of the process */
+	uint64_t seed;
+	struct gb_pool_limits limits;
+	struct gb_events *events;
+};
+
+struct gb_pool;
+
+struct gb_pool *gb_pool_new(
+    const struct gb_pool_settings *, const struct gb_pool_ops *, gb_time now);
+struct gb_pool *gb_pool_ref(struct gb_pool *);
+void gb_pool_unref(struct gb_pool *);
+
+/** Let time pass; call at least every GB_POOL_TICK_US. */
+void gb_pool_tick(struct gb_pool *, gb_time now, gb_time wall);
+#define GB_POOL_TICK_US (5 * GB_MSEC)
+
+/** Try to become the owner. */
+void gb_pool_take(struct gb_pool *, gb_time now);
+/** Write what is pending, then give the ownership up. */
+void gb_pool_release(struct gb_pool *, gb_time now);
+/** Somebody was heard of that owns the pool at a later epoch. */
+void gb_pool_epoch_seen(struct gb_pool *, gb_time now, uint64_t epoch);
+bool gb_pool_owns(const struct gb_pool *);
+/** Whether the ownership is being gained. */
+bool gb_pool_taking(const struct gb_pool *);
+uint64_t gb_pool_epoch(const struct gb_pool *);
+/** Time since the store last confirmed the ownership. */
+gb_time gb_pool_store_silent(const struct gb_pool *, gb_time now);
+
+void gb_pool_configure(struct gb_pool *, gb_time now, struct gb_pool_config *);
+/** Entries of the list of workers that are new or have changed; a whole list
+ * names all there are. */
+void gb_pool_workers(struct gb_pool *, gb_time now,
+    const struct gb_pool_entry *, size_t count, bool whole);
+/** A member that may ask the advice service. */
+void gb_pool_member(
+    struct gb_pool *, gb_time now, const char *addr, bool usable);
+/** A row was added to the inbox of a part. */
+void gb_pool_inbox(struct gb_pool *, gb_time now, const char *flow_id);
+
+/** Take a flow in; answered through ops.answer. */
+void gb_pool_submit(
+    struct gb_pool *, gb_time now, uint64_t token, const gb_flow_submit *);
+void gb_pool_ask(
+    struct gb_pool *, gb_time now, uint64_t token, const gb_flow_ask *);
+
+void gb_pool_start_done(struct gb_pool *, gb_time now, uint64_t call,
+    const struct gb_pool_order_res *);
+void gb_pool_stop_done(struct gb_pool *, gb_time now, uint64_t call,
+    const struct gb_pool_order_res *);
+void gb_pool_hold_done(struct gb_pool *, gb_time now, uint64_t call,
+    const struct gb_pool_report *);
+void gb_pool_advise_done(
+    struct gb_pool *, gb_time now, uint64_t call, const gb_advice_res *);
+void gb_pool_txn_done(struct gb_pool *, gb_time now, uint64_t call,
+    const struct gb_pool_txn_res *);
+void gb_pool_read_done(struct gb_pool *, gb_time now, uint64_t call,
+    const struct gb_pool_read_res *);
+
+/** Whether a flow can be taken in at all: its shape is served. */
+bool gb_flow_check(const gb_flow *, struct gb_error *);
+
+/** Counters of a core, for the metrics address. */
+struct gb_pool_stats {
+	uint64_t submitted, accepted, refused, repeated;
+	uint64_t starts, starts_refused, starts_lost, stops, holds;
+	uint64_t done, failed, stopped, lapsed, broken, alone;
+	uint64_t advice_calls, advice_busy, advice_lost;
+	uint64_t txns, txn_conflicts, txn_lost, rows, reads, takeovers, losses;
+	uint64_t flows, waiting, running, workers, sidelined;
+	struct gb_histogram accept_us, first_start_us, finish_us, advice_us;
+	struct gb_histogram txn_us, start_us, takeover_us;
+};
+
+const struct gb_pool_stats *gb_pool_stats(struct gb_pool *);
+
+/* Events ------------------------------------------------------------------ */
+
+/** Structured log: a JSON object a line, bounded, never blocking. */
+struct gb_events;
+
+/** What a line is about, which decides what is left out under load. */
+enum gb_event_class {
+	GB_EVENT_ALWAYS, /**< starts, stops, dependencies, failures */
+	GB_EVENT_NORMAL	 /**< one of many; dropped beyond the budget */
+};
+
+struct gb_events *gb_events_new(
+    struct uv_loop_s *, int fd, uint32_t lines_per_s, const char *node);
+void gb_events_free(struct gb_events *);
+/** Write a line.  The format is json_pack's, for the line's own fields. */
+void gb_event(struct gb_events *, enum gb_event_class, const char *event,
+    const char *fmt, ...);
+uint64_t gb_events_dropped(const struct gb_events *);
+
+#endif
--- /dev/null
+++ b/libgooseberry/pool/advice.c
@@ -0,0 +1,279 @@
+/**
+ * @file advice.c
+ * Asking which workers may run a step.
+ *
+ * Load: the advice service takes 12 to 560 ms a call and more for each worker
+ * named, handles one call at a time for each calling node, and its tickets
+ * last 1.5 to 2.5 s; all calls together take 3 seconds a second and more.  So
+ * every node asks in its own name (a lane), one call at a time, in the order
+ * in which flows wait.  Which workers are approved does not change: the first
+ * call names all, later ones only those that are about to be used.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "state.h"
+
+/** A member that was not heard of for this long has no lane. */
+#define LANE_SILENCE (1200 * GB_MSEC)
+/** Pause of a lane after a refusal or a lost answer. */
+#define LANE_PAUSE (300 * GB_MSEC)
+/** A ticket counts from when the service decided, before its answer came. */
+#define TICKET_TRAVEL (30 * GB_MSEC)
+/** A step whose workers were all turned down asks again after this. */
+#define ADVICE_AGAIN (2 * GB_SEC)
+
+void
+pool_advice_lane(struct gb_pool *pool, const char *addr, bool usable)
+{
+	struct pool_lane *lane = NULL;
+	size_t i;
+
+	for (i = 0; i < pool->lane_count; i++) {
+		if (strcmp(pool->lanes[i].addr, addr) == 0)
+			lane = &pool->lanes[i];
+	}
+	if (lane == NULL && !usable)
+		return;
+	if (lane == NULL) {
+		pool->lanes = gb_realloc(
+		    pool->lanes, (pool->lane_count + 1) * sizeof(*lane));
+		lane = &pool->lanes[pool->lane_count++];
+		memset(lane, 0, sizeof(*lane));
+		snprintf(lane->addr, sizeof(lane->addr), "%s", addr);
+	}
+	lane->usable = usable;
+	lane->heard = pool->now;
+}
+
+static struct pool_lane *
+lane_free(const struct gb_pool *pool)
+{
+	size_t i;
+
+	for (i = 0; i < pool->lane_count; i++) {
+		struct pool_lane *lane = &pool->lanes[i];
+
+		if (lane->usable && lane->call == 0 &&
+		    lane->back_off_until <= pool->now &&
+		    pool->now - lane->heard < LANE_SILENCE)
+			return lane;
+	}
+	return NULL;
+}
+
+bool
+pool_advice_lane_free(const struct gb_pool *pool)
+{
+	return lane_free(pool) != NULL;
+}
+
+static struct pool_lane *
+lane_of_call(const struct gb_pool *pool, uint64_t call)
+{
+	size_t i;
+
+	for (i = 0; i < pool->lane_count; i++) {
+		if (pool->lanes[i].call == call)
+			return &pool->lanes[i];
+	}
+	return NULL;
+}
+
+/** Name all workers that could run the step, from a random one on when there
+ * are more than a call takes. */
+static void
+ask_all(struct gb_pool *pool, const struct pool_flow *flow,
+    const struct pool_step *step, gb_advice_ask *ask)
+{
+	uint32_t from =
+	    pool->worker_count == 0
+		? 0
+		: (uint32_t)(gb_random_next(&pool->seed) % pool->worker_count);
+	uint32_t i;
+
+	for (i = 0; i < pool->worker_count; i++) {
+		struct pool_worker *worker =
+		    pool->workers[(from + i) % pool->worker_count];
+
+		if (ask->workers.workers_len >= POOL_ADVICE_MOST)
+			break;
+		if (!worker->listed || worker->over || worker->entry.draining ||
+		    !pool_fit_allows(pool, flow, step, worker))
+			continue;
+		ask->workers.workers_val[ask->workers.workers_len++] =
+		    worker->entry.id;
+	}
+}
+
+static void
+ask_some(struct gb_pool *pool, const uint32_t *workers, uint32_t count,
+    gb_advice_ask *ask)
+{
+	uint32_t i;
+
+	for (i = 0; i < count && i < POOL_ADVICE_MOST; i++)
+		ask->workers.workers_val[ask->workers.workers_len++] =
+		    pool->workers[workers[i]]->entry.id;
+}
+
+bool
+pool_advice_ask(struct gb_pool *pool, struct pool_flow *flow, uint32_t number,
+    const uint32_t *workers, uint32_t count)
+{
+	struct pool_step *step = &flow->steps[number];
+	struct pool_lane *lane = lane_free(pool);
+	char *names[POOL_ADVICE_MOST];
+	char step_name[GB_NAME_MAX + 1];
+	struct pool_advice_call *call;
+	gb_advice_ask ask = {0};
+
+	if (lane == NULL || step->advice_call != 0)
+		return false;
+	ask.workers.workers_val = names;
+	snprintf(
+	    step_name, sizeof(step_name), "%.40s.0.%u", flow->spec.id, number);
+	ask.step = step_name;
+	if (count == 0)
+		ask_all(pool, flow, step, &ask);
+	else
+		ask_some(pool, workers, count, &ask);
+	if (ask.workers.workers_len == 0)
+		return false;
+	call = gb_calloc(1, sizeof(*call));
+	call->id = ++pool->next_call;
+	call->lane = lane;
+	call->step = number;
+	call->first = count == 0;
+	call->sent = pool->now;
+	snprintf(call->flow, sizeof(call->flow), "%s", flow->spec.id);
+	HASH_ADD(hh, pool->advice_calls, id, sizeof(call->id), call);
+	lane->call = call->id;
+	step->advice_call = call->id;
+	pool->stats.advice_calls++;
+	gb_event(pool->cfg.events, GB_EVENT_NORMAL, "advice_ask",
+	    "{s:s, s:I, s:s, s:I, s:b}", "flow", flow->spec.id, "step",
+	    (json_int_t)number, "lane", lane->addr, "workers",
+	    (json_int_t)ask.workers.workers_len, "first", call->first);
+	pool->ops.advise(pool->ops.data, call->id, lane->addr, &ask);
+	return true;
+}
+
+void
+pool_advice_claims_drop(struct gb_pool *pool, struct pool_step *step)
+{
+	struct pool_worker *worker;
+	gb_res room;
+	uint32_t i;
+	uint32_t j;
+
+	for (i = 0; i < step->claim_count; i++) {
+		worker = pool_worker_get(pool, step->claims[i].worker);
+		room = step->spec->res;
+		for (j = 0; j < step->claims[i].tasks; j++)
+			gb_res_sub(&worker->claimed, &room);
+	}
+	free(step->claims);
+	step->claims = NULL;
+	step->claim_count = 0;
+}
+
+static void
+approval_set(struct gb_pool *pool, struct pool_step *step,
+    const gb_ticket *ticket, gb_time expires)
+{
+	struct pool_worker *worker = pool_worker_find(pool, ticket->worker);
+	struct pool_approval *a = NULL;
+	uint32_t i;
+
+	if (worker == NULL)
+		return;
+	for (i = 0; i < step->approved_count; i++) {
+		if (step->approved[i].worker == worker->handle)
+			a = &step->approved[i];
+	}
+	if (a == NULL) {
+		step->approved = gb_realloc(
+		    step->approved, (step->approved_count + 1) * sizeof(*a));
+		a = &step->approved[step->approved_count++];
+		a->worker = worker->handle;
+	}
+	a->expires = expires;
+	snprintf(a->ticket, sizeof(a->ticket), "%s", ticket->ticket);
+}
+
+static void
+advice_take(struct gb_pool *pool, struct pool_flow *flow,
+    const struct pool_advice_call *call, const gb_advice_res *res)
+{
+	struct pool_step *step = &flow->steps[call->step];
+	gb_time expires = pool->now + res->valid_us - TICKET_TRAVEL;
+	uint32_t i;
+
+	step->advice = POOL_ADVICE_KNOWN;
+	for (i = 0; i < res->approved.approved_len; i++)
+		approval_set(
+		    pool, step, &res->approved.approved_val[i], expires);
+	if (step->approved_count == 0) {
+		step->advice = POOL_ADVICE_NONE;
+		step->advice_retry_at = pool->now + ADVICE_AGAIN;
+	}
+}
+
+void
+pool_advice_done(struct gb_pool *pool, uint64_t id, const gb_advice_res *res)
+{
+	struct pool_lane *lane = lane_of_call(pool, id);
+	struct pool_advice_call *call;
+	struct pool_flow *flow;
+
+	HASH_FIND(hh, pool->advice_calls, &id, sizeof(id), call);
+	if (call == NULL)
+		return;
+	HASH_DEL(pool->advice_calls, call);
+	gb_histogram_add(&pool->stats.advice_us, pool->now - call->sent);
+	if (lane != NULL) {
+		lane->call = 0;
+		if (res->status != GB_ADVICE_OK)
+			lane->back_off_until = pool->now + LANE_PAUSE;
+	}
+	if (res->status == GB_ADVICE_BUSY)
+		pool->stats.advice_busy++;
+	if (res->status == GB_ADVICE_LOST)
+		pool->stats.advice_lost++;
+	gb_event(pool->cfg.events,
+	    res->status == GB_ADVICE_OK ? GB_EVENT_NORMAL : GB_EVENT_ALWAYS,
+	    "advice", "{s:s, s:I, s:i, s:I, s:I}", "flow", call->flow, "step",
+	    (json_int_t)call->step, "status", (int)res->status, "approved",
+	    (json_int_t)res->approved.approved_len, "took_ms",
+	    (json_int_t)((pool->now - call->sent) / GB_MSEC));
+	flow = pool_flow_find(pool, call->flow);
+	if (flow != NULL && !flow->closed && call->step < flow->step_count &&
+	    flow->steps[call->step].advice_call == id) {
+		flow->steps[call->step].advice_call = 0;
+		pool_advice_claims_drop(pool, &flow->steps[call->step]);
+		if (res->status == GB_ADVICE_OK)
+			advice_take(pool, flow, call, res);
+	}
+	pool->work_changed = true;
+	free(call);
+}
+
+/** Forget what was asked by an earlier ownership. */
+void
+pool_advice_reset(struct gb_pool *pool)
+{
+	struct pool_advice_call *call;
+	struct pool_advice_call *next;
+	size_t i;
+
+	HASH_ITER(hh, pool->advice_calls, call, next)
+	{
+		HASH_DEL(pool->advice_calls, call);
+		free(call);
+	}
+	for (i = 0; i < pool->lane_count; i++)
+		pool->lanes[i].call = 0;
+}
--- /dev/null
+++ b/libgooseberry/pool/call.c
@@ -0,0 +1,49 @@
+/**
+ * @file call.c
+ * Calls that are out, by their number.  An answer from an earlier term of
+ * ownership tells nothing about this one and is dropped.
+ */
+#include <stdlib.h>
+
+#include "state.h"
+
+struct pool_call *
+pool_call_new(struct gb_pool *pool, enum pool_call_kind kind)
+{
+	struct pool_call *call = gb_calloc(1, sizeof(*call));
+
+	call->id = ++pool->next_call;
+	call->kind = kind;
+	call->epoch = pool->term;
+	call->sent = pool->now;
+	call->worker = GB_NONE;
+	HASH_ADD(hh, pool->calls, id, sizeof(call->id), call);
+	return call;
+}
+
+struct pool_call *
+pool_call_take(struct gb_pool *pool, uint64_t id)
+{
+	struct pool_call *call;
+
+	HASH_FIND(hh, pool->calls, &id, sizeof(id), call);
+	if (call == NULL)
+		return NULL;
+	HASH_DEL(pool->calls, call);
+	if (call->epoch == pool->term)
+		return call;
+	free(call);
+	return NULL;
+}
+
+void
+pool_call_forget(struct gb_pool *pool, uint64_t id)
+{
+	struct pool_call *call;
+
+	if (id == 0)
+		return;
+	HASH_FIND(hh, pool->calls, &id, sizeof(id), call);
+	if (call != NULL)
+		call->run = NULL;
+}
--- /dev/null
+++ b/libgooseberry/pool/dispatch.c
@@ -0,0 +1,240 @@
+/**
+ * @file dispatch.c
+ * Starts what can start: goes through the flows in the order of waiting, asks
+ * for advice, places tasks.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "state.h"
+
+/** A new copy of a straggler is started when its run takes this many times as
+ * long as was expected. */
+#define DISPATCH_STRAGGLER 2.0
+/** Workers named beside those that are needed when tickets are renewed. */
+#define DISPATCH_SPARE 2
+
+static bool
+step_needs_advice(const struct gb_pool *pool, const struct pool_flow *flow)
+{
+	const struct gb_pool_queue *queue =
+	    gb_pool_config_queue(pool->config, flow->spec.queue);
+
+	return queue != NULL && queue->advice.needed;
+}
+
+static uint64_t
+run_number_next(const struct gb_pool *pool, const struct pool_step *step)
+{
+	uint64_t base = (pool->epoch - 1) * 100000;
+
+	return (step->run_number > base ? step->run_number : base) + 1;
+}
+
+static const char *
+ticket_of(
+    const struct gb_pool *pool, const struct pool_step *step, uint32_t worker)
+{
+	const struct pool_approval *a = pool_fit_ticket(pool, step, worker);
+
+	return a == NULL ? NULL : a->ticket;
+}
+
+/** Start the next waiting tasks on the workers that were found for them. */
+static void
+step_start(struct gb_pool *pool, struct pool_flow *flow, uint32_t number,
+    const uint32_t *workers, uint32_t count)
+{
+	struct pool_step *step = &flow->steps[number];
+	bool gang = (step->spec->flags & GB_STEP_GANG) != 0;
+	uint64_t run = run_number_next(pool, step);
+	uint32_t placed = 0;
+	uint32_t i;
+
+	for (i = 0; i < step->spec->count && placed < count; i++) {
+		struct pool_task *task = &step->tasks[i];
+
+		if (task->done || !TAILQ_EMPTY(&task->runs) ||
+		    task->retry_at > pool->now)
+			continue;
+		pool_run_start(pool, flow, number, i,
+		    gang ? run : run_number_next(pool, step),
+		    pool->workers[workers[placed]],
+		    ticket_of(pool, step, workers[placed]));
+		placed++;
+	}
+}
+
+static int
+worker_compare(const void *a, const void *b)
+{
+	const uint32_t *x = a;
+	const uint32_t *y = b;
+
+	return *x < *y ? -1 : *x > *y;
+}
+
+/** Keep the room that a placement uses, until the tickets are there. */
+static void
+step_claim(struct gb_pool *pool, struct pool_step *step,
+    const uint32_t *workers, uint32_t count)
+{
+	struct pool_claim *claim = NULL;
+	uint32_t i;
+
+	step->claims = gb_calloc(count, sizeof(*step->claims));
+	for (i = 0; i < count; i++) {
+		if (claim == NULL || claim->worker != workers[i]) {
+			claim = &step->claims[step->claim_count++];
+			claim->worker = workers[i];
+		}
+		claim->tasks++;
+		gb_res_add(
+		    &pool->workers[workers[i]]->claimed, &step->spec->res);
+	}
+}
+
+/** Renew tickets for the workers that a placement uses and a few more. */
+static void
+step_renew(struct gb_pool *pool, struct pool_flow *flow, uint32_t number,
+    uint32_t *workers, uint32_t count)
+{
+	struct pool_step *step = &flow->steps[number];
+	uint32_t *names =
+	    gb_calloc(count + step->approved_count, sizeof(*names));
+	uint32_t distinct = 0;
+	uint32_t spare = 0;
+	uint32_t i;
+	uint32_t j;
+
+	qsort(workers, count, sizeof(*workers), worker_compare);
+	for (i = 0; i < count; i++) {
+		if (distinct == 0 || names[distinct - 1] != workers[i])
+			names[distinct++] = workers[i];
+	}
+	for (i = 0; i < step->approved_count && spare < DISPATCH_SPARE; i++) {
+		const struct pool_worker *worker =
+		    pool_worker_get(pool, step->approved[i].worker);
+
+		for (j = 0; j < distinct; j++) {
+			if (names[j] == worker->handle)
+				break;
+		}
+		if (j < distinct || !pool_fit_usable(pool, worker))
+			continue;
+		names[distinct++] = worker->handle;
+		spare++;
+	}
+	if (pool_advice_ask(pool, flow, number, names, distinct) &&
+	    (step->spec->flags & GB_STEP_GANG) != 0)
+		step_claim(pool, step, workers, count);
+	free(names);
+}
+
+static void
+step_dispatch(struct gb_pool *pool, struct pool_flow *flow, uint32_t number)
+{
+	struct pool_step *step = &flow->steps[number];
+	bool advice = step_needs_advice(pool, flow);
+	uint32_t wanted = pool_flow_waiting(pool, flow, step);
+	uint32_t *workers;
+	uint32_t placed;
+
+	if (wanted == 0 || step->claim_count > 0)
+		return;
+	if (advice && step->advice == POOL_ADVICE_NONE) {
+		if (step->advice_retry_at <= pool->now)
+			pool_advice_ask(pool, flow, number, NULL, 0);
+		return;
+	}
+	workers = gb_calloc(wanted, sizeof(*workers));
+	placed = pool_fit_place(pool, flow, step, wanted, true, workers);
+	step_start(pool, flow, number, workers, placed);
+	if (advice && placed < wanted && step->advice_call == 0 &&
+	    pool_advice_lane_free(pool)) {
+		wanted -= placed;
+		placed =
+		    pool_fit_place(pool, flow, step, wanted, false, workers);
+		if (placed > 0)
+			step_renew(pool, flow, number, workers, placed);
+	}
+	free(workers);
+}
+
+/** A gang of which an earlier owner left only a part can't go on. */
+static void
+step_mend(struct gb_pool *pool, struct pool_flow *flow, uint32_t number)
+{
+	struct pool_step *step = &flow->steps[number];
+
+	if ((step->spec->flags & GB_STEP_GANG) == 0 || !pool->settled ||
+	    step->active == 0 || step->done > 0 ||
+	    step->active == step->spec->count)
+		return;
+	pool_flow_stop_step(
+	    pool, flow, number, NULL, "the gang is not complete");
+}
+
+/** Start copies of stragglers where copies are allowed. */
+static void
+step_copies(struct gb_pool *pool, struct pool_flow *flow, uint32_t number)
+{
+	struct pool_step *step = &flow->steps[number];
+	gb_time usual = pool_rank_estimate(pool, flow, step);
+	uint32_t worker;
+	uint32_t i;
+
+	if ((step->spec->flags & GB_STEP_SPECULATIVE) == 0 ||
+	    (step->spec->flags & GB_STEP_GANG) != 0 ||
+	    !pool_flow_step_ready(flow, step))
+		return;
+	for (i = 0; i < step->spec->count; i++) {
+		struct pool_run *run = TAILQ_FIRST(&step->tasks[i].runs);
+
+		if (run == NULL || TAILQ_NEXT(run, of_task) != NULL ||
+		    step->tasks[i].done || run->state == POOL_RUN_STOPPING ||
+		    (double)(pool->now - run->started) <
+			DISPATCH_STRAGGLER * (double)usual)
+			continue;
+		if (pool_fit_place(pool, flow, step, 1, true, &worker) == 0 ||
+		    pool->workers[worker] == run->worker)
+			continue;
+		pool_run_start(pool, flow, number, i,
+		    run_number_next(pool, step), pool->workers[worker],
+		    ticket_of(pool, step, worker));
+	}
+}
+
+static int
+flow_compare(const void *a, const void *b)
+{
+	return pool_rank_compare(*(const struct pool_flow *const *)a,
+	    *(const struct pool_flow *const *)b);
+}
+
+void
+pool_dispatch(struct gb_pool *pool)
+{
+	struct pool_flow **flows = gb_calloc(pool->open_count, sizeof(*flows));
+	struct pool_flow *flow;
+	uint32_t count = 0;
+	uint32_t i;
+	uint32_t j;
+
+	TAILQ_FOREACH(flow, &pool->open, open_next)
+	{
+		if (flow->status >= GB_FLOW_SUCCEEDED || flow->cancelled)
+			continue;
+		pool_rank_flow(pool, flow);
+		flows[count++] = flow;
+	}
+	qsort(flows, count, sizeof(*flows), flow_compare);
+	for (i = 0; i < count; i++) {
+		for (j = 0; j < flows[i]->step_count; j++) {
+			step_mend(pool, flows[i], j);
+			step_dispatch(pool, flows[i], j);
+			step_copies(pool, flows[i], j);
+		}
+	}
+	free(flows);
+}
--- /dev/null
+++ b/libgooseberry/pool/event.c
@@ -0,0 +1,142 @@
+/**
+ * @file event.c
+ * Structured log: one JSON object a line, to a descriptor that is never
+ * waited for.  Lines beyond the budget and what the reader does not take are
+ * counted, and the count is told with the next line that gets through.
+ */
+#include <errno.h>
+#include <fcntl.h>
+#include <stdarg.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <jansson.h>
+
+#include "pool.h"
+
+/** Bytes that wait for the reader before lines are dropped. */
+#define EVENTS_BUFFER (128 * 1024)
+/** Lines are gathered into writes of this size. */
+#define EVENTS_CHUNK 8192
+
+struct gb_events {
+	char *buffer;
+	size_t len;
+	int fd;
+	uint32_t budget; /**< normal lines a second */
+	uint32_t left;
+	gb_time second; /**< in which the budget counts */
+	uint64_t dropped;
+	uint64_t told;
+	gb_time flushed;
+	const char *node;
+};
+
+struct gb_events *
+gb_events_new(
+    struct uv_loop_s *loop, int fd, uint32_t lines_per_s, const char *node)
+{
+	struct gb_events *events = gb_calloc(1, sizeof(*events));
+	int flags = fcntl(fd, F_GETFL);
+
+	(void)loop;
+	if (flags >= 0)
+		fcntl(fd, F_SETFL, flags | O_NONBLOCK);
+	events->buffer = gb_calloc(1, EVENTS_BUFFER);
+	events->fd = fd;
+	events->budget = lines_per_s;
+	events->node = node;
+	return events;
+}
+
+static void
+events_flush(struct gb_events *events)
+{
+	ssize_t n;
+
+	while (events->len > 0) {
+		n = write(events->fd, events->buffer, events->len);
+		if (n <= 0)
+			return;
+		events->len -= (size_t)n;
+		memmove(events->buffer, events->buffer + n, events->len);
+	}
+}
+
+void
+gb_events_free(struct gb_events *events)
+{
+	if (events == NULL)
+		return;
+	events_flush(events);
+	free(events->buffer);
+	free(events);
+}
+
+uint64_t
+gb_events_dropped(const struct gb_events *events)
+{
+	return events->dropped;
+}
+
+/** Whether the budget lets a line through. */
+static bool
+events_admit(struct gb_events *events, enum gb_event_class class, gb_time now)
+{
+	if (now / GB_SEC != events->second) {
+		events->second = now / GB_SEC;
+		events->left = events->budget;
+	}
+	if (class == GB_EVENT_ALWAYS)
+		return true;
+	if (events->left == 0) {
+		events->dropped++;
+		return false;
+	}
+	events->left--;
+	return true;
+}
+
+void
+gb_event(struct gb_events *events, enum gb_event_class class, const char *event,
+    const char *fmt, ...)
+{
+	gb_time now;
+	json_t *line;
+	size_t room;
+	size_t n;
+	va_list ap;
+
+	if (events == NULL)
+		return;
+	now = gb_clock_boot();
+	if (!events_admit(events, class, now))
+		return;
+	va_start(ap, fmt);
+	line = json_vpack_ex(NULL, 0, fmt, ap);
+	va_end(ap);
+	if (line == NULL)
+		line = json_pack("{s:s}", "error", "the line's fields are bad");
+	json_object_set_new(line, "event", json_string(event));
+	json_object_set_new(line, "node", json_string(events->node));
+	json_object_set_new(line, "t_ms", json_integer(now / GB_MSEC));
+	if (events->dropped > events->told)
+		json_object_set_new(line, "dropped",
+		    json_integer((json_int_t)(events->dropped - events->told)));
+	room = EVENTS_BUFFER - events->len;
+	n = json_dumpb(line, events->buffer + events->len, room, JSON_COMPACT);
+	json_decref(line);
+	if (n + 1 > room) {
+		events->dropped++;
+	} else {
+		events->told = events->dropped;
+		events->len += n;
+		events->buffer[events->len++] = '\n';
+	}
+	if (class == GB_EVENT_ALWAYS || events->len >= EVENTS_CHUNK ||
+	    now - events->flushed >= GB_SEC) {
+		events->flushed = now;
+		events_flush(events);
+	}
+}
--- /dev/null
+++ b/libgooseberry/pool/fit.c
@@ -0,0 +1,325 @@
+/**
+ * @file fit.c
+ * Placement: which workers run the tasks of a step.
+ *
+ * Load: gangs of up to 48 tasks that only a quarter of the workers may run
+ * stand beside single small tasks that most may run.  Workers are therefore
+ * filled one after the other, the fullest that still fits first, so that
+ * whole workers stay free for the gangs.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "state.h"
+
+/** A ticket must still hold when the order reaches the worker: a round trip
+ * between data centres and a queue of orders before it. */
+#define FIT_TICKET_MARGIN (60 * GB_MSEC)
+/** Work away from its data counts as if the worker were this much fuller. */
+#define FIT_REMOTE_PENALTY 4.0
+
+gb_res
+pool_fit_free(const struct pool_worker *worker)
+{
+	gb_res room = worker->entry.capacity;
+
+	gb_res_sub(&room, &worker->used);
+	gb_res_sub(&room, &worker->claimed);
+	return room;
+}
+
+bool
+pool_fit_usable(const struct gb_pool *pool, const struct pool_worker *worker)
+{
+	return worker->listed && worker->fenced && !worker->over &&
+	       !worker->foreign && !worker->entry.draining &&
+	       worker->silent == 0 && worker->aside_until <= pool->now;
+}
+
+static bool
+fit_label(const struct pool_worker *worker, const char *label)
+{
+	uint32_t i;
+
+	for (i = 0; i < worker->entry.label_count; i++) {
+		if (strcmp(worker->entry.label[i], label) == 0)
+			return true;
+	}
+	return false;
+}
+
+static const char *
+fit_service(const struct gb_pool *pool, const struct pool_flow *flow)
+{
+	const struct gb_pool_queue *queue =
+	    gb_pool_config_queue(pool->config, flow->spec.queue);
+
+	return queue == NULL ? flow->spec.service : queue->service;
+}
+
+bool
+pool_fit_allows(const struct gb_pool *pool, const struct pool_flow *flow,
+    const struct pool_step *step, const struct pool_worker *worker)
+{
+	if (strcmp(worker->entry.service, fit_service(pool, flow)) != 0)
+		return false;
+	return step->spec->label[0] == '\0' ||
+	       fit_label(worker, step->spec->label);
+}
+
+static const struct pool_approval *
+fit_approval(const struct pool_step *step, uint32_t worker)
+{
+	uint32_t i;
+
+	for (i = 0; i < step->approved_count; i++) {
+		if (step->approved[i].worker == worker)
+			return &step->approved[i];
+	}
+	return NULL;
+}
+
+const struct pool_approval *
+pool_fit_ticket(
+    const struct gb_pool *pool, const struct pool_step *step, uint32_t worker)
+{
+	const struct pool_approval *a = fit_approval(step, worker);
+
+	if (a == NULL || a->expires < pool->now + FIT_TICKET_MARGIN)
+		return NULL;
+	return a;
+}
+
+/** Tasks of a step that may run on one worker together, by its room. */
+static uint32_t
+fit_times(const gb_res *need, const gb_res *room)
+{
+	int64_t times = INT32_MAX;
+
+	if (need->cpu > 0)
+		times = room->cpu / need->cpu;
+	if (need->mem > 0 && room->mem / need->mem < times)
+		times = room->mem / need->mem;
+	if (need->accel > 0 && room->accel / need->accel < times)
+		times = room->accel / need->accel;
+	return times < 0 ? 0 : (uint32_t)times;
+}
+
+/** Runs of a step that a worker has already. */
+static uint32_t
+fit_on_worker(const struct pool_flow *flow, const struct pool_step *step,
+    const struct pool_worker *worker)
+{
+	const struct pool_run *run;
+	uint32_t count = 0;
+
+	TAILQ_FOREACH(run, &worker->runs, of_worker)
+	{
+		if (run->flow == flow && &flow->steps[run->step] == step)
+			count++;
+	}
+	return count;
+}
+
+/** A worker that may take tasks of the step. */
+struct fit_candidate {
+	uint32_t worker;
+	uint32_t times;
+	double score; /**< the lowest goes first */
+};
+
+static int
+fit_compare(const void *a, const void *b)
+{
+	const struct fit_candidate *x = a;
+	const struct fit_candidate *y = b;
+
+	if (x->score != y->score)
+		return x->score < y->score ? -1 : 1;
+	return x->worker < y->worker ? -1 : x->worker > y->worker;
+}
+
+static double
+fit_score(const struct pool_step *step, const struct pool_worker *worker,
+    const gb_res *room)
+{
+	double left = (double)(room->cpu - step->spec->res.cpu) /
+		      (double)(worker->entry.capacity.cpu + 1);
+	double score = left;
+
+	if (step->spec->rack[0] != '\0' &&
+	    strcmp(step->spec->rack, worker->rack) != 0)
+		score += FIT_REMOTE_PENALTY;
+	if (worker->failures > 0)
+		score += 1.0;
+	if (worker->pace < 1.0)
+		score += 1.0 - worker->pace;
+	return score;
+}
+
+static bool
+fit_candidate(const struct gb_pool *pool, const struct pool_flow *flow,
+    const struct pool_step *step, bool tickets, struct pool_worker *worker,
+    const char *rack, struct fit_candidate *out)
+{
+	const struct gb_pool_queue *queue =
+	    gb_pool_config_queue(pool->config, flow->spec.queue);
+	gb_res room;
+	uint32_t already;
+
+	if (worker == NULL || !pool_fit_usable(pool, worker) ||
+	    !pool_fit_allows(pool, flow, step, worker))
+		return false;
+	if (rack != NULL && strcmp(rack, worker->rack) != 0)
+		return false;
+	if (tickets && queue != NULL && queue->advice.needed &&
+	    pool_fit_ticket(pool, step, worker->handle) == NULL)
+		return false;
+	room = pool_fit_free(worker);
+	out->worker = worker->handle;
+	out->times = fit_times(&step->spec->res, &room);
+	if (step->spec->per_worker > 0) {
+		already = fit_on_worker(flow, step, worker);
+		if (already >= step->spec->per_worker)
+			return false;
+		if (out->times > step->spec->per_worker - already)
+			out->times = step->spec->per_worker - already;
+	}
+	out->score = fit_score(step, worker, &room);
+	return out->times > 0;
+}
+
+/** All workers that may take tasks: the approved ones where advice is needed,
+ * else all of the pool. */
+static size_t
+fit_candidates(const struct gb_pool *pool, const struct pool_flow *flow,
+    const struct pool_step *step, bool tickets, const char *rack,
+    struct fit_candidate *out)
+{
+	const struct gb_pool_queue *queue =
+	    gb_pool_config_queue(pool->config, flow->spec.queue);
+	size_t count = 0;
+	uint32_t i;
+
+	if (queue != NULL && queue->advice.needed) {
+		for (i = 0; i < step->approved_count; i++) {
+			if (fit_candidate(pool, flow, step, tickets,
+				pool_worker_get(pool, step->approved[i].worker),
+				rack, &out[count]))
+				count++;
+		}
+	} else {
+		for (i = 0; i < pool->worker_count; i++) {
+			if (fit_candidate(pool, flow, step, tickets,
+				pool->workers[i], rack, &out[count]))
+				count++;
+		}
+	}
+	qsort(out, count, sizeof(*out), fit_compare);
+	return count;
+}
+
+static uint32_t
+fit_fill(const struct fit_candidate *candidates, size_t count, uint32_t wanted,
+    uint32_t *out)
+{
+	uint32_t placed = 0;
+	uint32_t j;
+	size_t i;
+
+	for (i = 0; i < count && placed < wanted; i++) {
+		for (j = 0; j < candidates[i].times && placed < wanted; j++)
+			out[placed++] = candidates[i].worker;
+	}
+	return placed;
+}
+
+/** One task a worker at a time, so that each goes where it fits best. */
+static uint32_t
+fit_spread(struct fit_candidate *candidates, size_t count, uint32_t wanted,
+    uint32_t *out)
+{
+	uint32_t placed = 0;
+	size_t i;
+
+	while (placed < wanted) {
+		uint32_t before = placed;
+
+		for (i = 0; i < count && placed < wanted; i++) {
+			if (candidates[i].times == 0)
+				continue;
+			candidates[i].times--;
+			out[placed++] = candidates[i].worker;
+		}
+		if (placed == before)
+			break;
+	}
+	return placed;
+}
+
+/** A gang whose tasks slow down across racks: the first rack that fits it. */
+static uint32_t
+fit_same_rack(const struct gb_pool *pool, const struct pool_flow *flow,
+    const struct pool_step *step, uint32_t wanted, bool tickets,
+    struct fit_candidate *room, uint32_t *out)
+{
+	uint32_t i;
+	size_t count;
+
+	for (i = 0; i < pool->worker_count; i++) {
+		if (pool->workers[i] == NULL)
+			continue;
+		count = fit_candidates(
+		    pool, flow, step, tickets, pool->workers[i]->rack, room);
+		if (fit_fill(room, count, wanted, out) == wanted)
+			return wanted;
+	}
+	return 0;
+}
+
+uint32_t
+pool_fit_place(const struct gb_pool *pool, const struct pool_flow *flow,
+    const struct pool_step *step, uint32_t wanted, bool tickets, uint32_t *out)
+{
+	struct fit_candidate *candidates =
+	    gb_calloc(pool->worker_count, sizeof(*candidates));
+	bool gang = (step->spec->flags & GB_STEP_GANG) != 0;
+	uint32_t placed = 0;
+	size_t count;
+
+	if ((step->spec->flags & GB_STEP_SAME_RACK) != 0)
+		placed = fit_same_rack(
+		    pool, flow, step, wanted, tickets, candidates, out);
+	if (placed < wanted) {
+		count =
+		    fit_candidates(pool, flow, step, tickets, NULL, candidates);
+		placed = gang ? fit_fill(candidates, count, wanted, out)
+			      : fit_spread(candidates, count, wanted, out);
+	}
+	free(candidates);
+	return gang && placed < wanted ? 0 : placed;
+}
+
+bool
+pool_fit_possible(const struct gb_pool *pool, const struct pool_flow *flow,
+    const struct pool_step *step)
+{
+	uint64_t times = 0;
+	uint32_t here;
+	uint32_t i;
+
+	for (i = 0; i < pool->worker_count; i++) {
+		const struct pool_worker *worker = pool->workers[i];
+
+		if (worker == NULL ||
+		    !pool_fit_allows(pool, flow, step, worker))
+			continue;
+		here = fit_times(&step->spec->res, &worker->entry.capacity);
+		if (step->spec->per_worker > 0 && here > step->spec->per_worker)
+			here = step->spec->per_worker;
+		times += here;
+	}
+	if ((step->spec->flags & GB_STEP_GANG) != 0)
+		return times >= step->spec->count;
+	return times > 0;
+}
--- /dev/null
+++ b/libgooseberry/pool/flow.c
@@ -0,0 +1,571 @@
+/**
+ * @file flow.c
+ * Life of a flow: its steps and tasks, what has ended, what must be stored.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "state.h"
+
+/** A finished flow is forgotten this much later than its state must be
+ * answered, for callers that are late. */
+#define FLOW_KEEP_MARGIN (30 * GB_SEC)
+
+struct pool_flow *
+pool_flow_find(struct gb_pool *pool, const char *id)
+{
+	struct pool_flow *flow;
+
+	HASH_FIND_STR(pool->flows, id, flow);
+	return flow;
+}
+
+static void
+flow_steps_new(struct pool_flow *flow)
+{
+	uint32_t i;
+	uint32_t j;
+
+	flow->step_count = flow->spec.steps.steps_len;
+	flow->steps = gb_calloc(flow->step_count, sizeof(*flow->steps));
+	for (i = 0; i < flow->step_count; i++) {
+		struct pool_step *step = &flow->steps[i];
+
+		step->spec = &flow->spec.steps.steps_val[i];
+		step->tasks =
+		    gb_calloc(step->spec->count, sizeof(*step->tasks));
+		for (j = 0; j < step->spec->count; j++)
+			TAILQ_INIT(&step->tasks[j].runs);
+	}
+}
+
+static void
+flow_steps_free(struct pool_flow *flow)
+{
+	uint32_t i;
+	uint32_t j;
+
+	for (i = 0; i < flow->step_count; i++) {
+		for (j = 0; j < flow->steps[i].spec->count; j++)
+			free(flow->steps[i].tasks[j].checkpoint);
+		free(flow->steps[i].tasks);
+		free(flow->steps[i].approved);
+		free(flow->steps[i].claims);
+	}
+	free(flow->steps);
+	flow->steps = NULL;
+	flow->step_count = 0;
+}
+
+struct pool_flow *
+pool_flow_new(struct gb_pool *pool, gb_flow *spec)
+{
+	struct pool_flow *flow = gb_calloc(1, sizeof(*flow));
+	gb_time age = pool->wall - spec->submitted_us;
+
+	flow->spec = *spec;
+	memset(spec, 0, sizeof(*spec));
+	STAILQ_INIT(&flow->waiters);
+	flow_steps_new(flow);
+	/* Clocks of nodes differ and jump: an age that cannot be is none. */
+	if (age < 0 || age > pool->cfg.limits.keep_us)
+		age = 0;
+	flow->submitted = pool->now - age;
+	flow->change = 1;
+	HASH_ADD_KEYPTR(
+	    hh, pool->flows, flow->spec.id, strlen(flow->spec.id), flow);
+	TAILQ_INSERT_TAIL(&pool->open, flow, open_next);
+	pool->open_count++;
+	return flow;
+}
+
+static void
+flow_answer(struct gb_pool *pool, const struct pool_waiter *waiter,
+    gb_flow_verdict verdict)
+{
+	gb_flow_answer answer = {0};
+
+	answer.verdict = verdict;
+	answer.status = waiter->status;
+	pool->ops.answer(pool->ops.data, waiter->token, &answer);
+}
+
+void
+pool_flow_free(struct gb_pool *pool, struct pool_flow *flow)
+{
+	struct pool_waiter *waiter;
+	uint32_t i;
+	uint32_t j;
+	struct pool_run *run;
+
+	while ((waiter = STAILQ_FIRST(&flow->waiters)) != NULL) {
+		STAILQ_REMOVE_HEAD(&flow->waiters, next);
+		/* The change may have been written, or may yet be. */
+		flow_answer(pool, waiter, GB_FLOW_MAYBE);
+		free(waiter);
+	}
+	for (i = 0; i < flow->step_count; i++) {
+		pool_advice_claims_drop(pool, &flow->steps[i]);
+		for (j = 0; j < flow->steps[i].spec->count; j++) {
+			while ((run = TAILQ_FIRST(
+				    &flow->steps[i].tasks[j].runs)) != NULL)
+				pool_run_free(pool, run);
+		}
+	}
+	if (!flow->closed) {
+		TAILQ_REMOVE(&pool->open, flow, open_next);
+		pool->open_count--;
+	}
+	if (flow->dirty)
+		TAILQ_REMOVE(&pool->parts[gb_pool_part(flow->spec.id)].dirty,
+		    flow, dirty_next);
+	HASH_DEL(pool->flows, flow);
+	flow_steps_free(flow);
+	xdr_free((xdrproc_t)xdr_gb_flow, (char *)&flow->spec);
+	free(flow);
+}
+
+static void
+flow_changed(struct gb_pool *pool, struct pool_flow *flow)
+{
+	flow->change++;
+	pool_writer_dirty(pool, flow);
+}
+
+/* Stored form ------------------------------------------------------------- */
+
+static bool
+task_has_state(const struct pool_task *task)
+{
+	return task->failures > 0 || (task->checkpoint != NULL && !task->done);
+}
+
+static void
+step_state_fill(
+    const struct pool_step *step, uint32_t number, gb_flow_state *state)
+{
+	gb_body *bits = &state->done.done_val[number];
+	gb_task_state *out;
+	uint32_t i;
+
+	bits->gb_body_len = (step->spec->count + 7) / 8;
+	bits->gb_body_val = gb_calloc(1, bits->gb_body_len);
+	for (i = 0; i < step->spec->count; i++) {
+		const struct pool_task *task = &step->tasks[i];
+
+		if (task->done)
+			bits->gb_body_val[i / 8] |= (char)(1 << (i % 8));
+		if (!task_has_state(task))
+			continue;
+		out = &state->tasks.tasks_val[state->tasks.tasks_len++];
+		out->step = number;
+		out->index = i;
+		out->failures = task->failures;
+		out->failed_run = task->failed_run;
+		out->checkpoint =
+		    gb_strdup(task->checkpoint == NULL ? "" : task->checkpoint);
+	}
+}
+
+void
+pool_flow_state_fill(const struct pool_flow *flow, gb_flow_state *state)
+{
+	size_t count = 0;
+	uint32_t i;
+	uint32_t j;
+
+	memset(state, 0, sizeof(*state));
+	state->status = flow->status;
+	state->cancelled = flow->cancelled;
+	if (flow->status >= GB_FLOW_SUCCEEDED)
+		return;
+	for (i = 0; i < flow->step_count; i++) {
+		for (j = 0; j < flow->steps[i].spec->count; j++) {
+			if (task_has_state(&flow->steps[i].tasks[j]))
+				count++;
+		}
+	}
+	state->tasks.tasks_val = gb_calloc(count, sizeof(gb_task_state));
+	state->done.done_val = gb_calloc(flow->step_count, sizeof(gb_body));
+	state->done.done_len = flow->step_count;
+	for (i = 0; i < flow->step_count; i++)
+		step_state_fill(&flow->steps[i], i, state);
+}
+
+void
+pool_flow_state_clear(gb_flow_state *state)
+{
+	xdr_free((xdrproc_t)xdr_gb_flow_state, (char *)state);
+}
+
+static void
+task_checkpoint(struct pool_task *task, const char *checkpoint)
+{
+	free(task->checkpoint);
+	task->checkpoint = gb_strdup(checkpoint);
+}
+
+static bool
+step_load(struct pool_step *step, const gb_body *bits)
+{
+	uint32_t i;
+
+	if (bits->gb_body_len < (step->spec->count + 7) / 8)
+		return false;
+	for (i = 0; i < step->spec->count; i++) {
+		if ((bits->gb_body_val[i / 8] & (1 << (i % 8))) == 0)
+			continue;
+		step->tasks[i].done = true;
+		step->done++;
+	}
+	return true;
+}
+
+bool
+pool_flow_load(
+    struct gb_pool *pool, struct pool_flow *flow, const gb_flow_state *state)
+{
+	const gb_task_state *task;
+	uint32_t i;
+
+	(void)pool;
+	flow->created = true;
+	flow->cancelled = state->cancelled;
+	flow->status = state->status;
+	flow->stored = flow->change;
+	if (state->status >= GB_FLOW_SUCCEEDED)
+		return true;
+	if (state->done.done_len != 0 &&
+	    state->done.done_len != flow->step_count)
+		return false;
+	for (i = 0; i < state->done.done_len; i++) {
+		if (!step_load(&flow->steps[i], &state->done.done_val[i]))
+			return false;
+		flow->begun = flow->begun || flow->steps[i].done > 0;
+	}
+	for (i = 0; i < state->tasks.tasks_len; i++) {
+		task = &state->tasks.tasks_val[i];
+		if (task->step >= flow->step_count ||
+		    task->index >= flow->steps[task->step].spec->count)
+			return false;
+		flow->steps[task->step].tasks[task->index].failures =
+		    task->failures;
+		flow->steps[task->step].tasks[task->index].failed_run =
+		    task->failed_run;
+		if (task->checkpoint[0] != '\0')
+			task_checkpoint(
+			    &flow->steps[task->step].tasks[task->index],
+			    task->checkpoint);
+		flow->begun = true;
+	}
+	return true;
+}
+
+/* Waiting callers --------------------------------------------------------- */
+
+void
+pool_flow_wait(struct gb_pool *pool, struct pool_flow *flow, uint64_t token,
+    uint64_t change, gb_flow_status status)
+{
+	struct pool_waiter *waiter = gb_calloc(1, sizeof(*waiter));
+
+	waiter->token = token;
+	waiter->change = change;
+	waiter->status = status;
+	if (flow->stored >= change) {
+		flow_answer(pool, waiter, GB_FLOW_ACCEPTED);
+		free(waiter);
+		return;
+	}
+	STAILQ_INSERT_TAIL(&flow->waiters, waiter, next);
+}
+
+/** Free what was submitted, but for the names. */
+static void
+flow_trim(struct pool_flow *flow)
+{
+	gb_flow rest = flow->spec;
+
+	memset(&flow->spec, 0, sizeof(flow->spec));
+	flow->spec.id = rest.id;
+	flow->spec.queue = rest.queue;
+	rest.id = NULL;
+	rest.queue = NULL;
+	xdr_free((xdrproc_t)xdr_gb_flow, (char *)&rest);
+}
+
+/** Everything of the flow is over: keep its state alone. */
+static void
+flow_close(struct gb_pool *pool, struct pool_flow *flow)
+{
+	flow->closed = true;
+	TAILQ_REMOVE(&pool->open, flow, open_next);
+	pool->open_count--;
+	flow_steps_free(flow);
+	flow_trim(flow);
+	flow_changed(pool, flow);
+}
+
+void
+pool_flow_stored(struct gb_pool *pool, struct pool_flow *flow, uint64_t change)
+{
+	struct pool_waiter *waiter;
+	struct pool_waiter *next;
+
+	if (flow->stored == 0)
+		gb_histogram_add(
+		    &pool->stats.accept_us, pool->now - flow->submitted);
+	if (change > flow->stored)
+		flow->stored = change;
+	for (waiter = STAILQ_FIRST(&flow->waiters); waiter != NULL;
+	     waiter = next) {
+		next = STAILQ_NEXT(waiter, next);
+		if (waiter->change > flow->stored)
+			continue;
+		STAILQ_REMOVE(&flow->waiters, waiter, pool_waiter, next);
+		flow_answer(pool, waiter, GB_FLOW_ACCEPTED);
+		free(waiter);
+	}
+	pool->work_changed = true;
+}
+
+gb_flow_status
+pool_flow_shown(const struct pool_flow *flow)
+{
+	if (flow->status >= GB_FLOW_SUCCEEDED &&
+	    (flow->closed || flow->stored >= flow->change))
+		return flow->status;
+	return flow->begun ? GB_FLOW_RUNNING : GB_FLOW_QUEUED;
+}
+
+/* Steps and tasks --------------------------------------------------------- */
+
+static bool
+step_whole(const struct pool_flow *flow, const struct pool_step *step)
+{
+	return step->done == step->spec->count &&
+	       flow->stored >= step->done_change;
+}
+
+bool
+pool_flow_step_ready(const struct pool_flow *flow, const struct pool_step *step)
+{
+	uint32_t i;
+
+	if (flow->status >= GB_FLOW_SUCCEEDED || flow->cancelled ||
+	    !flow->created || flow->stored == 0)
+		return false;
+	for (i = 0; i < step->spec->after.after_len; i++) {
+		if (!step_whole(
+			flow, &flow->steps[step->spec->after.after_val[i]]))
+			return false;
+	}
+	return true;
+}
+
+uint32_t
+pool_flow_waiting(const struct gb_pool *pool, const struct pool_flow *flow,
+    const struct pool_step *step)
+{
+	uint32_t count = 0;
+	uint32_t i;
+
+	if (!pool_flow_step_ready(flow, step))
+		return 0;
+	if (!pool->settled && !flow->fresh)
+		return 0;
+	if ((step->spec->flags & GB_STEP_GANG) != 0) {
+		if (step->active > 0 || step->done > 0 ||
+		    step->tasks[0].retry_at > pool->now)
+			return 0;
+		return step->spec->count;
+	}
+	for (i = 0; i < step->spec->count; i++) {
+		if (!step->tasks[i].done && TAILQ_EMPTY(&step->tasks[i].runs) &&
+		    step->tasks[i].retry_at <= pool->now)
+			count++;
+	}
+	return count;
+}
+
+void
+pool_flow_stop_step(struct gb_pool *pool, struct pool_flow *flow, uint32_t step,
+    const struct pool_run *but, const char *why)
+{
+	struct pool_run *run;
+	uint32_t i;
+
+	for (i = 0; i < flow->steps[step].spec->count; i++) {
+		TAILQ_FOREACH(run, &flow->steps[step].tasks[i].runs, of_task)
+		{
+			if (run != but)
+				pool_run_stop(pool, run, why);
+		}
+	}
+}
+
+static void
+flow_over(struct gb_pool *pool, struct pool_flow *flow, gb_flow_status status,
+    const char *why)
+{
+	uint32_t i;
+
+	flow->status = status;
+	flow->ended = pool->now;
+	flow_changed(pool, flow);
+	for (i = 0; i < flow->step_count; i++) {
+		pool_advice_claims_drop(pool, &flow->steps[i]);
+		pool_flow_stop_step(pool, flow, i, NULL, why);
+	}
+	if (status == GB_FLOW_SUCCEEDED)
+		gb_histogram_add(
+		    &pool->stats.finish_us, pool->now - flow->submitted);
+	gb_event(pool->cfg.events, GB_EVENT_NORMAL, "flow_over",
+	    "{s:s, s:s, s:s, s:s, s:I, s:I}", "flow", flow->spec.id, "queue",
+	    flow->spec.queue, "status",
+	    status == GB_FLOW_SUCCEEDED ? "succeeded"
+	    : status == GB_FLOW_FAILED	? "failed"
+					: "cancelled",
+	    "why", why, "age_ms",
+	    (json_int_t)((pool->now - flow->submitted) / GB_MSEC), "late_ms",
+	    (json_int_t)((pool->now - flow->due) / GB_MSEC));
+}
+
+void
+pool_flow_cancel(struct gb_pool *pool, struct pool_flow *flow)
+{
+	if (flow->status >= GB_FLOW_SUCCEEDED)
+		return;
+	flow->cancelled = true;
+	flow_over(pool, flow, GB_FLOW_CANCELLED, "cancelled by its caller");
+}
+
+static struct pool_run *
+task_run(const struct pool_task *task, uint64_t number,
+    const struct pool_worker *worker)
+{
+	struct pool_run *run;
+
+	TAILQ_FOREACH(run, &task->runs, of_task)
+	{
+		if (run->number == number && run->worker == worker)
+			return run;
+	}
+	return NULL;
+}
+
+static void
+step_task_done(struct gb_pool *pool, struct pool_flow *flow, uint32_t number,
+    uint32_t index)
+{
+	struct pool_step *step = &flow->steps[number];
+	struct pool_run *run;
+	uint32_t i;
+
+	if ((step->spec->flags & GB_STEP_GANG) != 0) {
+		/* The end of one member stands for all. */
+		for (i = 0; i < step->spec->count; i++)
+			step->tasks[i].done = true;
+		step->done = step->spec->count;
+	} else {
+		step->tasks[index].done = true;
+		step->done++;
+		TAILQ_FOREACH(run, &step->tasks[index].runs, of_task)
+		pool_run_stop(pool, run, "another copy is done");
+	}
+	flow_changed(pool, flow);
+	step->done_change = flow->change;
+	for (i = 0; i < flow->step_count; i++) {
+		if (flow->steps[i].done < flow->steps[i].spec->count)
+			return;
+	}
+	flow_over(pool, flow, GB_FLOW_SUCCEEDED, "all tasks are done");
+}
+
+static uint32_t
+flow_attempts(const struct gb_pool *pool, const struct pool_flow *flow)
+{
+	const struct gb_pool_queue *queue =
+	    gb_pool_config_queue(pool->config, flow->spec.queue);
+
+	return queue == NULL || queue->max_attempts == 0 ? 1
+							 : queue->max_attempts;
+}
+
+static void
+step_task_failed(struct gb_pool *pool, struct pool_flow *flow,
+    struct pool_task *task, uint64_t run)
+{
+	if (run <= task->failed_run)
+		return; /* counted before, or another member of the gang */
+	task->failed_run = run;
+	task->failures++;
+	flow_changed(pool, flow);
+	if (task->failures >= flow_attempts(pool, flow))
+		flow_over(pool, flow, GB_FLOW_FAILED,
+		    "a task failed as often as it may");
+}
+
+void
+pool_flow_ended(struct gb_pool *pool, struct pool_flow *flow,
+    const struct gb_pool_seen *seen, struct pool_worker *worker)
+{
+	struct pool_step *step = &flow->steps[seen->step];
+	bool gang = (step->spec->flags & GB_STEP_GANG) != 0;
+	struct pool_task *task = &step->tasks[seen->index];
+	struct pool_task *carrier = gang ? &step->tasks[0] : task;
+	struct pool_run *run = task_run(task, seen->run, worker);
+	bool over = flow->status >= GB_FLOW_SUCCEEDED;
+
+	if (run != NULL) {
+		pool_health_ended(pool, worker, run, seen->how);
+		pool_run_free(pool, run);
+	}
+	pool->work_changed = true;
+	if (over || task->done)
+		return;
+	if (seen->checkpoint[0] != '\0' &&
+	    (step->spec->flags & GB_STEP_CHECKPOINT) != 0 &&
+	    seen->how != GB_POOL_DONE) {
+		task_checkpoint(carrier, seen->checkpoint);
+		flow_changed(pool, flow);
+	}
+	if (seen->how == GB_POOL_DONE) {
+		step_task_done(pool, flow, seen->step, seen->index);
+		return;
+	}
+	if (seen->how == GB_POOL_FAILED)
+		step_task_failed(pool, flow, carrier, seen->run);
+	if (gang && flow->status < GB_FLOW_SUCCEEDED)
+		pool_flow_stop_step(
+		    pool, flow, seen->step, NULL, "a member of the gang ended");
+}
+
+/** Flows that are over: let go of what is no longer needed. */
+void
+pool_flow_sweep(struct gb_pool *pool)
+{
+	struct pool_flow *flow;
+	struct pool_flow *next;
+	gb_time keep = pool->cfg.limits.keep_us + FLOW_KEEP_MARGIN;
+
+	HASH_ITER(hh, pool->flows, flow, next)
+	{
+		if (flow->status < GB_FLOW_SUCCEEDED ||
+		    flow->stored < flow->change)
+			continue;
+		if (!flow->closed && flow->runs == 0 &&
+		    STAILQ_EMPTY(&flow->waiters))
+			flow_close(pool, flow);
+		else if (flow->closed && !flow->dirty &&
+			 pool->now - flow->ended > keep && flow->forgotten)
+			pool_flow_free(pool, flow);
+		else if (flow->closed && !flow->dirty &&
+			 pool->now - flow->ended > keep) {
+			flow->forgotten = true;
+			flow_changed(pool, flow);
+		}
+	}
+}
--- /dev/null
+++ b/libgooseberry/pool/health.c
@@ -0,0 +1,104 @@
+/**
+ * @file health.c
+ * Health of workers, by what they do with their work.
+ *
+ * Load: a tenth of the workers fail whatever they start while their own health
+ * answers are good, or let it stand still; and a failing worker is always
+ * free, so that it draws more work than its like.  On the other side a tenth
+ * of the flows fail by their own fault.  Several failures in a row, of
+ * different flows, therefore set a worker aside for a time that doubles; a
+ * single one only sends work elsewhere first.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "state.h"
+
+/** Failures in a row that set a worker aside.  Of healthy workers' runs about
+ * 8% fail, so that three in a row come once in 2,000 runs. */
+#define HEALTH_FAILURES 3
+/** First and longest time aside. */
+#define HEALTH_ASIDE (4 * GB_SEC)
+#define HEALTH_ASIDE_MOST (20 * GB_SEC)
+/** A run that makes no progress for this long stands still: the percent of the
+ * longest tasks (12 s) moves each 0.12 s, seen each 0.9 s. */
+#define HEALTH_STANDSTILL (2200 * GB_MSEC)
+/** Weight of the newest run in a queue's averages. */
+#define HEALTH_WEIGHT 0.05
+
+static void
+worker_aside(struct gb_pool *pool, struct pool_worker *worker, const char *why)
+{
+	worker->aside_for =
+	    worker->aside_for == 0 ? HEALTH_ASIDE : worker->aside_for * 2;
+	if (worker->aside_for > HEALTH_ASIDE_MOST)
+		worker->aside_for = HEALTH_ASIDE_MOST;
+	worker->aside_until = pool->now + worker->aside_for;
+	worker->failures = HEALTH_FAILURES - 1;
+	pool->stats.sidelined++;
+	gb_event(pool->cfg.events, GB_EVENT_ALWAYS, "worker_set_aside",
+	    "{s:s, s:s, s:I}", "worker", worker->entry.id, "why", why, "for_ms",
+	    (json_int_t)(worker->aside_for / GB_MSEC));
+}
+
+static void
+queue_learn(struct gb_pool *pool, const struct pool_run *run)
+{
+	struct pool_queue_stat *stat =
+	    pool_rank_queue(pool, run->flow->spec.queue);
+	double took = (double)(pool->now - run->started);
+	double declared = (double)run->flow->steps[run->step].spec->estimate_us;
+
+	if (run->state != POOL_RUN_RUNNING || run->confirmed == 0)
+		return;
+	stat->run_us =
+	    stat->run_us <= 0
+		? took
+		: stat->run_us + HEALTH_WEIGHT * (took - stat->run_us);
+	if (declared > 0)
+		stat->ratio += HEALTH_WEIGHT * (took / declared - stat->ratio);
+}
+
+void
+pool_health_ended(struct gb_pool *pool, struct pool_worker *worker,
+    const struct pool_run *run, enum gb_pool_how how)
+{
+	uint64_t flow = gb_hash(run->flow->spec.id, strlen(run->flow->spec.id));
+
+	if (how == GB_POOL_DONE) {
+		queue_learn(pool, run);
+		worker->failures = 0;
+		worker->aside_for = 0;
+		worker->failed_flow = 0;
+		return;
+	}
+	if (how != GB_POOL_FAILED || flow == worker->failed_flow)
+		return;
+	worker->failed_flow = flow;
+	if (++worker->failures >= HEALTH_FAILURES)
+		worker_aside(pool, worker, "its runs fail one after the other");
+}
+
+void
+pool_health_check(struct gb_pool *pool, struct pool_worker *worker)
+{
+	struct pool_run *run;
+	bool gang;
+
+	TAILQ_FOREACH(run, &worker->runs, of_worker)
+	{
+		if (run->state != POOL_RUN_RUNNING || run->confirmed == 0 ||
+		    pool->now - run->moved < HEALTH_STANDSTILL)
+			continue;
+		gang = (run->flow->steps[run->step].spec->flags &
+			   GB_STEP_GANG) != 0;
+		if (worker->aside_until <= pool->now && !gang)
+			worker_aside(pool, worker, "a run stands still");
+		pool_run_stop(pool, run, "it makes no progress");
+		if (gang)
+			pool_flow_stop_step(pool, run->flow, run->step, run,
+			    "the gang makes no progress");
+	}
+}
--- /dev/null
+++ b/libgooseberry/pool/pool.c
@@ -0,0 +1,407 @@
+/**
+ * @file pool.c
+ * The pool core: events come in, and go to the file that is in charge.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "state.h"
+
+/** Starts are decided at most this often; a decision goes through all flows
+ * that wait (about 0.3 us each), and events come in bunches. */
+#define DISPATCH_GAP (4 * GB_MSEC)
+/** Time alone makes flows late and tickets old, so look at least this often. */
+#define DISPATCH_IDLE (100 * GB_MSEC)
+/** Flows that are over are let go of this often. */
+#define SWEEP_GAP (500 * GB_MSEC)
+
+struct gb_pool *
+gb_pool_new(const struct gb_pool_settings *settings,
+    const struct gb_pool_ops *ops, gb_time now)
+{
+	struct gb_pool *pool = gb_calloc(1, sizeof(*pool));
+
+	pool->refs = 1;
+	pool->cfg = *settings;
+	pool->name = gb_strdup(settings->name);
+	pool->addr = gb_strdup(settings->addr);
+	pool->ops = *ops;
+	pool->now = now;
+	pool->seed = settings->seed;
+	TAILQ_INIT(&pool->open);
+	pool_writer_reset(pool);
+	return pool;
+}
+
+struct gb_pool *
+gb_pool_ref(struct gb_pool *pool)
+{
+	pool->refs++;
+	return pool;
+}
+
+void
+gb_pool_unref(struct gb_pool *pool)
+{
+	struct pool_queue_stat *stat;
+	struct pool_queue_stat *next_stat;
+	struct pool_flow *flow;
+	struct pool_flow *next_flow;
+	struct pool_call *call;
+	struct pool_call *next_call;
+
+	if (pool == NULL || --pool->refs > 0)
+		return;
+	HASH_ITER(hh, pool->flows, flow, next_flow)
+	pool_flow_free(pool, flow);
+	pool_advice_reset(pool);
+	pool_writer_reset(pool);
+	pool_workers_free(pool);
+	HASH_ITER(hh, pool->calls, call, next_call)
+	{
+		HASH_DEL(pool->calls, call);
+		free(call);
+	}
+	HASH_ITER(hh, pool->queues, stat, next_stat)
+	{
+		HASH_DEL(pool->queues, stat);
+		free(stat);
+	}
+	gb_pool_config_unref(pool->config);
+	free(pool->lanes);
+	free(pool->name);
+	free(pool->addr);
+	free(pool);
+}
+
+static bool
+pool_active(const struct gb_pool *pool)
+{
+	return pool->phase == POOL_OWNER_ACTIVE;
+}
+
+void
+gb_pool_tick(struct gb_pool *pool, gb_time now, gb_time wall)
+{
+	uint32_t i;
+
+	pool->now = now;
+	pool->wall = wall;
+	pool_owner_tick(pool);
+	if (pool->phase == POOL_OWNER_RELEASING)
+		pool_writer_tick(pool);
+	if (!pool_active(pool))
+		return;
+	for (i = 0; i < pool->worker_count && pool_active(pool); i++)
+		pool_worker_tick(pool, pool->workers[i]);
+	if ((pool->work_changed && now - pool->dispatch_at >= DISPATCH_GAP) ||
+	    now - pool->dispatch_at >= DISPATCH_IDLE) {
+		pool->work_changed = false;
+		pool->dispatch_at = now;
+		pool_dispatch(pool);
+	}
+	if (now - pool->sweep_at >= SWEEP_GAP) {
+		pool->sweep_at = now;
+		pool_flow_sweep(pool);
+	}
+	pool_writer_tick(pool);
+}
+
+/* Ownership --------------------------------------------------------------- */
+
+void
+gb_pool_take(struct gb_pool *pool, gb_time now)
+{
+	pool->now = now;
+	pool_owner_take(pool);
+}
+
+void
+gb_pool_release(struct gb_pool *pool, gb_time now)
+{
+	pool->now = now;
+	pool_owner_release(pool);
+}
+
+void
+gb_pool_epoch_seen(struct gb_pool *pool, gb_time now, uint64_t epoch)
+{
+	pool->now = now;
+	if (epoch <= pool->epoch)
+		return;
+	if (pool->phase >= POOL_OWNER_LOADING)
+		pool_owner_lose(pool, "a newer owner was heard of", epoch);
+	pool->epoch = epoch;
+}
+
+bool
+gb_pool_owns(const struct gb_pool *pool)
+{
+	return pool_active(pool);
+}
+
+bool
+gb_pool_taking(const struct gb_pool *pool)
+{
+	return pool->phase != POOL_OWNER_NONE && !pool_active(pool);
+}
+
+uint64_t
+gb_pool_epoch(const struct gb_pool *pool)
+{
+	return pool->epoch;
+}
+
+gb_time
+gb_pool_store_silent(const struct gb_pool *pool, gb_time now)
+{
+	return now - pool->confirmed;
+}
+
+/* What is known of the cell ----------------------------------------------- */
+
+void
+gb_pool_configure(
+    struct gb_pool *pool, gb_time now, struct gb_pool_config *config)
+{
+	pool->now = now;
+	if (pool->config != NULL && config->version <= pool->config->version)
+		return;
+	gb_pool_config_unref(pool->config);
+	pool->config = gb_pool_config_ref(config);
+	pool->work_changed = true;
+}
+
+void
+gb_pool_workers(struct gb_pool *pool, gb_time now,
+    const struct gb_pool_entry *entries, size_t count, bool whole)
+{
+	size_t i;
+
+	pool->now = now;
+	if (whole) {
+		pool->listed = true;
+		for (i = 0; i < pool->worker_count; i++)
+			pool->workers[i]->listed = false;
+	}
+	for (i = 0; i < count; i++)
+		pool_worker_entry(pool, &entries[i]);
+}
+
+void
+gb_pool_member(struct gb_pool *pool, gb_time now, const char *addr, bool usable)
+{
+	pool->now = now;
+	pool_advice_lane(pool, addr, usable);
+}
+
+void
+gb_pool_inbox(struct gb_pool *pool, gb_time now, const char *flow_id)
+{
+	pool->now = now;
+	pool_owner_inbox(pool, gb_pool_part(flow_id));
+}
+
+/* Callers ----------------------------------------------------------------- */
+
+static void
+pool_answer(struct gb_pool *pool, uint64_t token, gb_flow_verdict verdict,
+    gb_time retry_after)
+{
+	gb_flow_answer answer = {0};
+
+	answer.verdict = verdict;
+	answer.retry_after_us = retry_after;
+	pool->ops.answer(pool->ops.data, token, &answer);
+}
+
+static void
+pool_accept(struct gb_pool *pool, uint64_t token, const gb_flow *spec)
+{
+	struct pool_flow *flow;
+	gb_flow copy = {0};
+
+	if (!gb_xdr_copy((xdrproc_t)xdr_gb_flow, spec, &copy, sizeof(copy))) {
+		pool_answer(pool, token, GB_FLOW_REFUSED, 0);
+		return;
+	}
+	flow = pool_flow_new(pool, &copy);
+	flow->fresh = true;
+	pool->stats.accepted++;
+	pool_writer_dirty(pool, flow);
+	pool_flow_wait(pool, flow, token, flow->change, GB_FLOW_QUEUED);
+	gb_event(pool->cfg.events, GB_EVENT_NORMAL, "flow_accepted",
+	    "{s:s, s:s, s:I, s:I}", "flow", flow->spec.id, "queue",
+	    flow->spec.queue, "steps", (json_int_t)flow->step_count,
+	    "open_flows", (json_int_t)pool->open_count);
+}
+
+void
+gb_pool_submit(struct gb_pool *pool, gb_time now, uint64_t token,
+    const gb_flow_submit *submit)
+{
+	struct pool_flow *flow;
+	gb_time retry_after = 0;
+	const char *why = "";
+
+	pool->now = now;
+	pool->stats.submitted++;
+	if (!pool_active(pool)) {
+		pool_answer(pool, token, GB_FLOW_NOT_OWNER, 0);
+		return;
+	}
+	if (pool->config == NULL || pool->config->version < submit->config) {
+		pool_answer(pool, token, GB_FLOW_BEHIND, 0);
+		return;
+	}
+	flow = pool_flow_find(pool, submit->flow.id);
+	if (flow != NULL) {
+		pool->stats.repeated++;
+		pool_flow_wait(pool, flow, token, 1, pool_flow_shown(flow));
+		return;
+	}
+	if (!pool_admit(pool, &submit->flow, &retry_after, &why)) {
+		pool->stats.refused++;
+		gb_event(pool->cfg.events, GB_EVENT_NORMAL, "flow_refused",
+		    "{s:s, s:s, s:s, s:I, s:I}", "flow", submit->flow.id,
+		    "queue", submit->flow.queue, "why", why, "open_flows",
+		    (json_int_t)pool->open_count, "retry_after_ms",
+		    (json_int_t)(retry_after / GB_MSEC));
+		pool_answer(pool, token, GB_FLOW_REFUSED, retry_after);
+		return;
+	}
+	pool_accept(pool, token, &submit->flow);
+}
+
+static uint32_t
+pool_pending(struct gb_pool *pool, const char *queue)
+{
+	struct pool_flow *flow;
+	uint32_t count = 0;
+
+	TAILQ_FOREACH(flow, &pool->open, open_next)
+	{
+		if (!flow->begun && flow->status < GB_FLOW_SUCCEEDED &&
+		    strcmp(flow->spec.queue, queue) == 0)
+			count++;
+	}
+	return count;
+}
+
+void
+gb_pool_ask(
+    struct gb_pool *pool, gb_time now, uint64_t token, const gb_flow_ask *ask)
+{
+	gb_flow_answer answer = {0};
+	struct pool_flow *flow;
+
+	pool->now = now;
+	if (!pool_active(pool)) {
+		pool_answer(pool, token, GB_FLOW_NOT_OWNER, 0);
+		return;
+	}
+	flow = pool_flow_find(pool, ask->id);
+	answer.verdict = GB_FLOW_ACCEPTED;
+	if (ask->op == GB_FLOW_OP_PENDING) {
+		answer.pending = pool_pending(pool, ask->id);
+	} else if (flow == NULL) {
+		answer.status = GB_FLOW_UNKNOWN;
+	} else if (ask->op == GB_FLOW_OP_CANCEL) {
+		pool_flow_cancel(pool, flow);
+		pool_flow_wait(pool, flow, token, flow->change, flow->status);
+		return;
+	} else {
+		answer.status = pool_flow_shown(flow);
+	}
+	pool->ops.answer(pool->ops.data, token, &answer);
+}
+
+/* Ends of calls ----------------------------------------------------------- */
+
+void
+gb_pool_start_done(struct gb_pool *pool, gb_time now, uint64_t id,
+    const struct gb_pool_order_res *res)
+{
+	struct pool_call *call = pool_call_take(pool, id);
+
+	pool->now = now;
+	if (call == NULL)
+		return;
+	pool_run_start_done(pool, call, res);
+	free(call);
+}
+
+void
+gb_pool_stop_done(struct gb_pool *pool, gb_time now, uint64_t id,
+    const struct gb_pool_order_res *res)
+{
+	struct pool_call *call = pool_call_take(pool, id);
+
+	pool->now = now;
+	if (call == NULL)
+		return;
+	pool_run_stop_done(pool, call, res);
+	free(call);
+}
+
+void
+gb_pool_hold_done(struct gb_pool *pool, gb_time now, uint64_t id,
+    const struct gb_pool_report *report)
+{
+	struct pool_call *call = pool_call_take(pool, id);
+
+	pool->now = now;
+	if (call == NULL)
+		return;
+	pool_worker_hold_done(pool, call, report);
+	free(call);
+}
+
+void
+gb_pool_advise_done(
+    struct gb_pool *pool, gb_time now, uint64_t id, const gb_advice_res *res)
+{
+	pool->now = now;
+	pool_advice_done(pool, id, res);
+	if (pool_active(pool))
+		pool_dispatch(pool);
+}
+
+void
+gb_pool_txn_done(struct gb_pool *pool, gb_time now, uint64_t id,
+    const struct gb_pool_txn_res *res)
+{
+	struct pool_call *call = pool_call_take(pool, id);
+
+	pool->now = now;
+	if (call == NULL)
+		return;
+	if (call->kind == POOL_CALL_OWNER_TXN)
+		pool_owner_txn_done(pool, call, res);
+	else
+		pool_writer_done(pool, call, res);
+	free(call);
+}
+
+void
+gb_pool_read_done(struct gb_pool *pool, gb_time now, uint64_t id,
+    const struct gb_pool_read_res *res)
+{
+	struct pool_call *call = pool_call_take(pool, id);
+
+	pool->now = now;
+	if (call == NULL)
+		return;
+	pool_owner_read_done(pool, call, res);
+	free(call);
+}
+
+const struct gb_pool_stats *
+gb_pool_stats(struct gb_pool *pool)
+{
+	pool->stats.flows = pool->open_count;
+	pool->stats.workers = pool->worker_count;
+	return &pool->stats;
+}
--- /dev/null
+++ b/libgooseberry/pool/rank.c
@@ -0,0 +1,119 @@
+/**
+ * @file rank.c
+ * Order of waiting.
+ *
+ * Load: more is asked than can be done for seconds at a time (bursts of 1.6 to
+ * 2.2 times on a pool that is 81% to 89% full).  A flow earns in full until
+ * its objective, a fifth of it until three times that, then nothing.  So flows
+ * that can still meet their objective go first, by the latest time at which
+ * they may start; then those that are late but still earn; last those that can
+ * earn nothing more.  The last two still end, whenever there is room.
+ */
+#include <string.h>
+
+#include "state.h"
+
+/** A late flow earns something until this many times its objective.  From
+ * the users' rules. */
+#define RANK_LATE_FACTOR 3
+/** Weight of the newest run in the averages of a queue: about the last
+ * hundred runs count. */
+#define RANK_STRETCH_DEFAULT 2.0
+
+enum rank_tier { RANK_ON_TIME, RANK_LATE, RANK_TOO_LATE };
+
+struct pool_queue_stat *
+pool_rank_queue(struct gb_pool *pool, const char *name)
+{
+	struct pool_queue_stat *stat;
+
+	HASH_FIND_STR(pool->queues, name, stat);
+	if (stat != NULL)
+		return stat;
+	stat = gb_calloc(1, sizeof(*stat));
+	snprintf(stat->name, sizeof(stat->name), "%s", name);
+	stat->ratio = 1.0;
+	HASH_ADD_STR(pool->queues, name, stat);
+	return stat;
+}
+
+/** Declared run times are off by up to 90%, so that the queue's own average
+ * counts as much as what the caller declared. */
+gb_time
+pool_rank_estimate(const struct gb_pool *pool, const struct pool_flow *flow,
+    const struct pool_step *step)
+{
+	struct pool_queue_stat *stat;
+	gb_time declared = step->spec->estimate_us;
+
+	HASH_FIND_STR(pool->queues, flow->spec.queue, stat);
+	if (stat == NULL || stat->run_us <= 0)
+		return declared;
+	if (declared <= 0)
+		return (gb_time)stat->run_us;
+	return (gb_time)((stat->run_us + (double)declared * stat->ratio) / 2);
+}
+
+/** Longest chain of work behind a step, with the step itself. */
+static gb_time
+rank_chain(const struct gb_pool *pool, const struct pool_flow *flow,
+    gb_time *chains, bool left_only)
+{
+	gb_time longest = 0;
+	uint32_t i;
+	uint32_t j;
+
+	for (i = 0; i < flow->step_count; i++) {
+		const struct pool_step *step = &flow->steps[i];
+		gb_time before = 0;
+
+		for (j = 0; j < step->spec->after.after_len; j++) {
+			uint32_t k = step->spec->after.after_val[j];
+
+			if (k < i && chains[k] > before)
+				before = chains[k];
+		}
+		chains[i] = before;
+		if (!left_only || step->done < step->spec->count)
+			chains[i] += pool_rank_estimate(pool, flow, step);
+		if (chains[i] > longest)
+			longest = chains[i];
+	}
+	return longest;
+}
+
+void
+pool_rank_flow(struct gb_pool *pool, struct pool_flow *flow)
+{
+	const struct gb_pool_queue *queue =
+	    gb_pool_config_queue(pool->config, flow->spec.queue);
+	gb_time chains[GB_STEPS_MAX] = {0};
+	double stretch = queue == NULL ? RANK_STRETCH_DEFAULT : queue->stretch;
+	gb_time target = queue == NULL ? GB_SEC : queue->target_us;
+	gb_time objective;
+
+	objective = target + (gb_time)(stretch * (double)rank_chain(pool, flow,
+						     chains, false));
+	flow->remaining = rank_chain(pool, flow, chains, true);
+	flow->due = flow->submitted + objective;
+	flow->late_due = flow->submitted + RANK_LATE_FACTOR * objective;
+	if (pool->now + flow->remaining <= flow->due)
+		flow->tier = RANK_ON_TIME;
+	else if (pool->now + flow->remaining <= flow->late_due)
+		flow->tier = RANK_LATE;
+	else
+		flow->tier = RANK_TOO_LATE;
+}
+
+int
+pool_rank_compare(const struct pool_flow *a, const struct pool_flow *b)
+{
+	gb_time latest_a = a->due - a->remaining;
+	gb_time latest_b = b->due - b->remaining;
+
+	if (a->tier != b->tier)
+		return a->tier < b->tier ? -1 : 1;
+	if (latest_a != latest_b)
+		return latest_a < latest_b ? -1 : 1;
+	return strcmp(a->spec.id, b->spec.id);
+}
--- /dev/null
+++ b/libgooseberry/pool/state.h
@@ -0,0 +1,468 @@
+/**
+ * @file state.h
+ * State of a pool core, shared by the files that make it up.
+ *
+ * Calls go one way, from the top of this list to its end: pool.c, owner.c,
+ * dispatch.c, advice.c, flow.c and runner.c (which meet over the ends of
+ * runs), writer.c, then the decisions without side effects: rank.c, fit.c,
+ * admit.c.
+ */
+#ifndef GB_POOL_STATE_H
+#define GB_POOL_STATE_H
+
+#include <sys/queue.h>
+
+#include <uthash.h>
+
+#include "pool.h"
+
+struct pool_flow;
+struct pool_worker;
+
+/** How many workers the advice service takes in one call. */
+#define POOL_ADVICE_MOST 100
+
+/* Runs: a task on a worker ------------------------------------------------ */
+
+enum pool_run_state {
+	POOL_RUN_STARTING, /**< the order is out */
+	POOL_RUN_RUNNING,
+	POOL_RUN_UNSURE, /**< no answer to the order; may run, now or later */
+	POOL_RUN_STOPPING
+};
+
+struct pool_run {
+	TAILQ_ENTRY(pool_run) of_worker;
+	TAILQ_ENTRY(pool_run) of_task;
+	struct pool_flow *flow;
+	uint32_t step;
+	uint32_t index;
+	uint64_t number; /**< of the start; rises for ever */
+	struct pool_worker *worker;
+	enum pool_run_state state;
+	gb_res res;
+	uint64_t start_call; /**< that is out, 0: none */
+	uint64_t stop_call;
+	gb_time started;
+	gb_time confirmed; /**< when the worker first said that it runs, 0 */
+	gb_time stopped;   /**< when the worker confirmed a stop, 0: not yet */
+	gb_time stop_at;   /**< next try of an unanswered stop */
+	gb_time lapse_at;  /**< an order without answer can't begin after */
+	uint32_t percent;
+	gb_time moved; /**< when the percent last rose */
+	char checkpoint[GB_NAME_MAX + 1];
+};
+
+TAILQ_HEAD(pool_runs, pool_run);
+
+/* Flows ------------------------------------------------------------------- */
+
+struct pool_task {
+	struct pool_runs runs; /**< one, or two of a speculative step */
+	bool done;
+	uint32_t failures;
+	uint64_t failed_run;
+	gb_time retry_at; /**< not started before */
+	char *checkpoint;
+};
+
+/** A worker that may run a step, with the ticket that proves it. */
+struct pool_approval {
+	uint32_t worker; /**< handle */
+	gb_time expires;
+	char ticket[GB_NAME_MAX + 1];
+};
+
+enum pool_advice_state {
+	POOL_ADVICE_NONE, /**< nothing known yet */
+	POOL_ADVICE_ASKED,
+	POOL_ADVICE_KNOWN
+};
+
+struct pool_step {
+	const gb_step *spec;
+	struct pool_task *tasks;
+	uint32_t done;	      /**< tasks whose end has been seen */
+	uint64_t done_change; /**< change of the flow that made it whole */
+	uint32_t active;      /**< tasks that have a run */
+	uint64_t run_number;  /**< newest number given to a start */
+	enum pool_advice_state advice;
+	uint64_t advice_call;
+	gb_time advice_retry_at;
+	struct pool_approval *approved;
+	uint32_t approved_count;
+	/** Room that is kept while tickets are renewed: tasks a worker. */
+	struct pool_claim *claims;
+	uint32_t claim_count;
+	gb_time blocked_since; /**< no room was found since then, 0 */
+};
+
+struct pool_claim {
+	uint32_t worker;
+	uint32_t tasks;
+};
+
+/** A caller that waits until a change is stored. */
+struct pool_waiter {
+	STAILQ_ENTRY(pool_waiter) next;
+	uint64_t token;
+	uint64_t change;
+	gb_flow_status status;
+};
+
+STAILQ_HEAD(pool_waiters, pool_waiter);
+
+struct pool_flow {
+	UT_hash_handle hh;
+	TAILQ_ENTRY(pool_flow) dirty_next;
+	TAILQ_ENTRY(pool_flow) open_next;
+	gb_flow spec; /**< emptied once the flow is over and stored */
+	struct pool_step *steps;
+	uint32_t step_count;
+	gb_flow_status status;
+	bool cancelled;
+	bool created; /**< its rows stand in the store */
+	bool in_inbox;
+	bool dirty;
+	bool closed; /**< over, stored, nothing runs: only the state is kept */
+	bool forgotten;	  /**< its rows are removed with the next write */
+	bool fresh;	  /**< taken in by this owner: nobody else started it */
+	uint64_t change;  /**< grows with each change that must be stored */
+	uint64_t stored;  /**< change that the store has */
+	uint64_t sending; /**< change that is being written */
+	uint32_t runs;
+	gb_time submitted;
+	gb_time first_start;
+	gb_time ended;
+	bool begun;
+	/* What rank.c worked out */
+	gb_time due;	   /**< to earn in full */
+	gb_time late_due;  /**< to earn anything */
+	gb_time remaining; /**< longest chain that is left */
+	int tier;
+	gb_flow_state *loading; /**< state of a flow that is being read */
+	struct pool_waiters waiters;
+};
+
+TAILQ_HEAD(pool_flows, pool_flow);
+
+/* Workers ----------------------------------------------------------------- */
+
+/** An end whose change is not stored yet. */
+struct pool_end {
+	STAILQ_ENTRY(pool_end) next;
+	uint64_t number;
+	char flow[GB_NAME_MAX + 1];
+	uint64_t change;
+};
+
+STAILQ_HEAD(pool_ends, pool_end);
+
+struct pool_worker {
+	UT_hash_handle hh;
+	uint32_t handle;
+	struct gb_pool_entry entry;
+	char rack[GB_NAME_MAX + 1];
+	gb_res used;	/**< by runs */
+	gb_res claimed; /**< kept for gangs whose tickets are renewed */
+	bool listed;	/**< by the platform */
+	bool fenced;	/**< has answered this owner */
+	bool over;	/**< its lifetime has ended, or its lease lapsed */
+	bool foreign;	/**< runs something whose size is unknown */
+	uint64_t hold_call;
+	gb_time hold_sent;
+	gb_time hold_at;       /**< next hold */
+	gb_time answered;      /**< last hold that was answered */
+	gb_time answered_sent; /**< when that one was sent */
+	unsigned int silent;   /**< holds without answer in a row */
+	int64_t clock_ms;      /**< its clock in the last answer */
+	gb_time clock_at;      /**< when that answer came */
+	int64_t lease_end_ms;  /**< latest end of a lease that was sent */
+	gb_time lapse_at;      /**< surely over by then */
+	uint64_t seen;	       /**< number of the last end taken in */
+	uint64_t acked;	       /**< ends up to it are stored */
+	struct pool_ends ends;
+	struct pool_runs runs;
+	uint32_t run_count;
+	/* Health, by what it does with its work */
+	unsigned int failures; /**< in a row, of different flows */
+	uint64_t failed_flow;
+	gb_time aside_until;
+	gb_time aside_for; /**< length of the last time set aside */
+	double pace;	   /**< of its work against the average, 1: like it */
+};
+
+/* Writer ------------------------------------------------------------------ */
+
+enum pool_part_phase {
+	POOL_PART_IDLE,
+	POOL_PART_WRITING,
+	POOL_PART_SEALING, /**< making sure that a lost write can't land */
+	POOL_PART_WAITING  /**< refused; tries again */
+};
+
+/** Rows of one part, written one transaction at a time. */
+struct pool_part {
+	enum pool_part_phase phase;
+	uint64_t owner_vers; /**< version of the owner's row */
+	uint64_t serial;     /**< of the owner's row */
+	uint64_t call;
+	gb_time sent;
+	gb_time retry_at;
+	unsigned int tries;
+	bool seal;  /**< a write was lost */
+	bool renew; /**< write the owner's row */
+	bool renew_sent;
+	struct pool_flows dirty;
+	struct pool_flow **sent_flows;
+	size_t sent_count;
+};
+
+/* Advice ------------------------------------------------------------------ */
+
+/** A member that asks the advice service, one call at a time. */
+struct pool_lane {
+	char addr[GB_NAME_MAX + 1];
+	bool usable;
+	uint64_t call;
+	gb_time heard;
+	gb_time back_off_until;
+};
+
+struct pool_advice_call {
+	UT_hash_handle hh;
+	uint64_t id;
+	struct pool_lane *lane;
+	char flow[GB_NAME_MAX + 1];
+	uint32_t step;
+	bool first; /**< named all workers */
+	gb_time sent;
+};
+
+/* Ownership --------------------------------------------------------------- */
+
+enum pool_owner_phase {
+	POOL_OWNER_NONE,
+	POOL_OWNER_READING, /**< the owner's rows */
+	POOL_OWNER_CLAIMING,
+	POOL_OWNER_LOADING,
+	POOL_OWNER_ACTIVE,
+	POOL_OWNER_RELEASING
+};
+
+/** Which call of the core an answer belongs to. */
+enum pool_call_kind {
+	POOL_CALL_RUN_START,
+	POOL_CALL_RUN_STOP,
+	POOL_CALL_HOLD,
+	POOL_CALL_PART,	      /**< transaction of the writer */
+	POOL_CALL_OWNER_READ, /**< of an owner's row */
+	POOL_CALL_OWNER_TXN,
+	POOL_CALL_LOAD_STATES,
+	POOL_CALL_LOAD_FLOWS,
+	POOL_CALL_INBOX_LIST,
+	POOL_CALL_INBOX_FLOW
+};
+
+struct pool_call {
+	UT_hash_handle hh;
+	uint64_t id;
+	enum pool_call_kind kind;
+	uint64_t epoch; /**< term in which it was made */
+	gb_time sent;
+	uint32_t part;
+	uint32_t worker;
+	struct pool_run *run; /**< null once the run has gone */
+};
+
+/** What is learned of a queue from its runs. */
+struct pool_queue_stat {
+	UT_hash_handle hh;
+	char name[GB_NAME_MAX + 1];
+	double ratio; /**< run time over declared run time, smoothed */
+	double run_us;
+	double approved_share; /**< of the workers that are asked about */
+	uint32_t waiting;      /**< flows that have not begun */
+};
+
+struct gb_pool {
+	unsigned int refs;
+	struct gb_pool_settings cfg;
+	char *name;
+	char *addr;
+	struct gb_pool_ops ops;
+	gb_time now;
+	gb_time wall;
+	uint64_t seed;
+	uint64_t next_call;
+	struct pool_call *calls;
+	/* Ownership */
+	enum pool_owner_phase phase;
+	uint64_t epoch; /**< of this owner, or the newest that is known */
+	uint64_t term;	/**< grows when ownership is gained or lost */
+	gb_time taken_at;
+	gb_time confirmed; /**< last answer of the store to this owner */
+	unsigned int reads_out;
+	bool claim_failed;
+	uint64_t claim_epoch;
+	uint64_t claim_vers[GB_POOL_PARTS];
+	gb_time settle_at;  /**< no run of an earlier owner lasts longer */
+	bool settled;	    /**< every run of earlier owners is known */
+	gb_time release_by; /**< give up what is not written by then */
+	gb_time inbox_at;
+	/* Flows */
+	struct pool_flow *flows;
+	struct pool_flows open; /**< those that are not over */
+	uint32_t open_count;
+	struct gb_pool_config *config;
+	struct pool_queue_stat *queues;
+	struct pool_part parts[GB_POOL_PARTS];
+	/* Workers */
+	struct pool_worker *workers_by_id;
+	struct pool_worker **workers;
+	uint32_t worker_count;
+	uint32_t worker_size;
+	bool listed; /**< the list of workers has been read */
+	/* Advice */
+	struct pool_lane *lanes;
+	size_t lane_count;
+	struct pool_advice_call *advice_calls;
+	/* Dispatch */
+	bool work_changed;
+	gb_time dispatch_at;
+	gb_time sweep_at;
+	struct gb_pool_stats stats;
+};
+
+/* call.c */
+struct pool_call *pool_call_new(struct gb_pool *, enum pool_call_kind);
+/** Take the call of an answer out of the table; null when it belongs to an
+ * earlier term, so that the answer tells nothing. */
+struct pool_call *pool_call_take(struct gb_pool *, uint64_t id);
+/** The run has gone: an answer that still comes has nobody to tell. */
+void pool_call_forget(struct gb_pool *, uint64_t id);
+
+/* rank.c */
+/** Work out due times, what is left and the tier of a flow. */
+void pool_rank_flow(struct gb_pool *, struct pool_flow *);
+/** Order of waiting: negative when the first goes before the second. */
+int pool_rank_compare(const struct pool_flow *, const struct pool_flow *);
+struct pool_queue_stat *pool_rank_queue(struct gb_pool *, const char *name);
+/** Expected run time of a task of a step. */
+gb_time pool_rank_estimate(
+    const struct gb_pool *, const struct pool_flow *, const struct pool_step *);
+
+/* fit.c */
+/** Room of a worker that nothing uses or keeps. */
+gb_res pool_fit_free(const struct pool_worker *);
+/** Whether a worker may be given new work now. */
+bool pool_fit_usable(const struct gb_pool *, const struct pool_worker *);
+/** Whether a worker may run a step, by its service, labels and rack. */
+bool pool_fit_allows(const struct gb_pool *, const struct pool_flow *,
+    const struct pool_step *, const struct pool_worker *);
+/** Approval with a ticket that still holds when an order arrives, or null. */
+const struct pool_approval *pool_fit_ticket(
+    const struct gb_pool *, const struct pool_step *, uint32_t worker);
+/** Place tasks of a step: as many as can be, all of a gang or none.  Fills
+ * one worker handle a task; returns how many tasks were placed.  Without
+ * tickets every approved worker counts. */
+uint32_t pool_fit_place(const struct gb_pool *, const struct pool_flow *,
+    const struct pool_step *, uint32_t wanted, bool tickets, uint32_t *out);
+/** Whether the step could run if all its workers were empty. */
+bool pool_fit_possible(
+    const struct gb_pool *, const struct pool_flow *, const struct pool_step *);
+
+/* admit.c */
+/** Whether to take a flow in; else when to come back. */
+bool pool_admit(
+    struct gb_pool *, const gb_flow *, gb_time *retry_after, const char **why);
+
+/* writer.c */
+void pool_writer_dirty(struct gb_pool *, struct pool_flow *);
+void pool_writer_tick(struct gb_pool *);
+void pool_writer_done(
+    struct gb_pool *, const struct pool_call *, const struct gb_pool_txn_res *);
+void pool_writer_reset(struct gb_pool *);
+bool pool_writer_idle(const struct gb_pool *);
+bool pool_writer_owner_body(const struct gb_pool *, uint64_t epoch,
+    uint64_t serial, bool vacant, gb_body *);
+
+/* flow.c */
+struct pool_flow *pool_flow_find(struct gb_pool *, const char *id);
+/** Takes over the specification. */
+struct pool_flow *pool_flow_new(struct gb_pool *, gb_flow *);
+void pool_flow_free(struct gb_pool *, struct pool_flow *);
+void pool_flow_state_fill(const struct pool_flow *, gb_flow_state *);
+void pool_flow_state_clear(gb_flow_state *);
+bool pool_flow_load(
+    struct gb_pool *, struct pool_flow *, const gb_flow_state *);
+/** A change of a flow has been stored. */
+void pool_flow_stored(struct gb_pool *, struct pool_flow *, uint64_t change);
+void pool_flow_wait(struct gb_pool *, struct pool_flow *, uint64_t token,
+    uint64_t change, gb_flow_status);
+bool pool_flow_step_ready(const struct pool_flow *, const struct pool_step *);
+/** Tasks of a step that may be started now. */
+uint32_t pool_flow_waiting(
+    const struct gb_pool *, const struct pool_flow *, const struct pool_step *);
+void pool_flow_cancel(struct gb_pool *, struct pool_flow *);
+/** A run has ended; the change is to be stored before it is acknowledged. */
+void pool_flow_ended(struct gb_pool *, struct pool_flow *,
+    const struct gb_pool_seen *, struct pool_worker *);
+/** Stop what runs of a step, but for one run. */
+void pool_flow_stop_step(struct gb_pool *, struct pool_flow *, uint32_t step,
+    const struct pool_run *but, const char *why);
+/** Let go of flows that are over. */
+void pool_flow_sweep(struct gb_pool *);
+gb_flow_status pool_flow_shown(const struct pool_flow *);
+
+/* runner.c */
+struct pool_worker *pool_worker_get(const struct gb_pool *, uint32_t handle);
+struct pool_worker *pool_worker_find(struct gb_pool *, const char *id);
+void pool_worker_entry(struct gb_pool *, const struct gb_pool_entry *);
+void pool_worker_tick(struct gb_pool *, struct pool_worker *);
+void pool_workers_reset(struct gb_pool *);
+void pool_workers_free(struct gb_pool *);
+/** Start a run of a task. */
+void pool_run_start(struct gb_pool *, struct pool_flow *, uint32_t step,
+    uint32_t index, uint64_t number, struct pool_worker *, const char *ticket);
+void pool_run_stop(struct gb_pool *, struct pool_run *, const char *why);
+void pool_run_free(struct gb_pool *, struct pool_run *);
+void pool_run_start_done(struct gb_pool *, const struct pool_call *,
+    const struct gb_pool_order_res *);
+void pool_run_stop_done(struct gb_pool *, const struct pool_call *,
+    const struct gb_pool_order_res *);
+void pool_worker_hold_done(
+    struct gb_pool *, const struct pool_call *, const struct gb_pool_report *);
+
+/* health.c */
+/** Count an end of a run for or against its worker. */
+void pool_health_ended(struct gb_pool *, struct pool_worker *,
+    const struct pool_run *, enum gb_pool_how);
+/** Look for runs that have come to a standstill. */
+void pool_health_check(struct gb_pool *, struct pool_worker *);
+
+/* advice.c */
+void pool_advice_lane(struct gb_pool *, const char *addr, bool usable);
+bool pool_advice_lane_free(const struct gb_pool *);
+/** Ask about workers; with none named, about all that could run the step. */
+bool pool_advice_ask(struct gb_pool *, struct pool_flow *, uint32_t step,
+    const uint32_t *workers, uint32_t count);
+void pool_advice_done(struct gb_pool *, uint64_t call, const gb_advice_res *);
+void pool_advice_claims_drop(struct gb_pool *, struct pool_step *);
+void pool_advice_reset(struct gb_pool *);
+
+/* dispatch.c */
+void pool_dispatch(struct gb_pool *);
+
+/* owner.c */
+void pool_owner_take(struct gb_pool *);
+void pool_owner_release(struct gb_pool *);
+void pool_owner_lose(struct gb_pool *, const char *why, uint64_t epoch);
+void pool_owner_tick(struct gb_pool *);
+void pool_owner_read_done(struct gb_pool *, const struct pool_call *,
+    const struct gb_pool_read_res *);
+void pool_owner_txn_done(
+    struct gb_pool *, const struct pool_call *, const struct gb_pool_txn_res *);
+void pool_owner_inbox(struct gb_pool *, uint32_t part);
+
+#endif
--- /dev/null
+++ b/libgooseberry/pool/writer.c
@@ -0,0 +1,412 @@
+/**
+ * @file writer.c
+ * Writes what must last, many changes in one transaction.
+ *
+ * Every transaction is bound to the version of the owner's row, so that a
+ * former owner writes nothing.  A transaction without answer may still be
+ * carried out seconds later; before anything else is written, the owner's row
+ * is written anew ("sealing"), after which the lost one can no longer land.
+ * A flow is created only where no row of that id stands, so that a submission
+ * that comes twice stays one.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "state.h"
+
+/** Entries in one transaction; the store takes 100. */
+#define WRITER_ENTRIES_MOST 94
+/** Bytes of values in one transaction; the store takes 1 MB in base64. */
+#define WRITER_BYTES_MOST (400 * 1024)
+/** Pause between transactions of a part, which gathers changes: calls are
+ * paid for, and a submission waits half of it on average. */
+#define WRITER_GAP (20 * GB_MSEC)
+/** First and longest pause after a refusal. */
+#define WRITER_RETRY_BASE (50 * GB_MSEC)
+#define WRITER_RETRY_MOST (400 * GB_MSEC)
+
+uint32_t
+gb_pool_part(const char *flow_id)
+{
+	return (uint32_t)(gb_hash(flow_id, strlen(flow_id)) % GB_POOL_PARTS);
+}
+
+void
+pool_writer_dirty(struct gb_pool *pool, struct pool_flow *flow)
+{
+	struct pool_part *part = &pool->parts[gb_pool_part(flow->spec.id)];
+
+	if (flow->dirty)
+		return;
+	flow->dirty = true;
+	TAILQ_INSERT_TAIL(&part->dirty, flow, dirty_next);
+}
+
+bool
+pool_writer_owner_body(const struct gb_pool *pool, uint64_t epoch,
+    uint64_t serial, bool vacant, gb_body *body)
+{
+	gb_owner_row row = {0};
+	char none[] = "";
+
+	row.epoch = epoch;
+	row.name = pool->name;
+	row.addr = vacant ? none : pool->addr;
+	row.incarnation = pool->cfg.incarnation;
+	row.serial = serial;
+	return gb_xdr_encode((xdrproc_t)xdr_gb_owner_row, &row, body);
+}
+
+/** A transaction that is being put together. */
+struct draft {
+	struct gb_pool_row conds[WRITER_ENTRIES_MOST + 4];
+	struct gb_pool_row puts[WRITER_ENTRIES_MOST + 4];
+	struct gb_pool_txn txn;
+	size_t bytes;
+};
+
+static void
+draft_cond(struct draft *draft, enum gb_pool_table table, const char *key,
+    uint64_t vers)
+{
+	struct gb_pool_row *row = &draft->conds[draft->txn.cond_count++];
+
+	memset(row, 0, sizeof(*row));
+	row->table = table;
+	row->key = key;
+	row->vers = vers;
+}
+
+static struct gb_pool_row *
+draft_put(struct draft *draft, enum gb_pool_table table, const char *key)
+{
+	struct gb_pool_row *row = &draft->puts[draft->txn.put_count++];
+
+	memset(row, 0, sizeof(*row));
+	row->table = table;
+	row->key = key;
+	return row;
+}
+
+static void
+draft_value(struct draft *draft, struct gb_pool_row *row, xdrproc_t proc,
+    const void *message)
+{
+	if (!gb_xdr_encode(proc, message, &row->value))
+		abort(); /* the message was made or checked by this process */
+	draft->bytes += row->value.gb_body_len;
+}
+
+static void
+draft_remove(struct draft *draft, enum gb_pool_table table, const char *key)
+{
+	draft_put(draft, table, key)->remove = true;
+}
+
+static void
+draft_clear(struct draft *draft)
+{
+	size_t i;
+
+	for (i = 0; i < draft->txn.put_count; i++)
+		free(draft->puts[i].value.gb_body_val);
+}
+
+static void
+draft_flow(struct draft *draft, struct pool_flow *flow)
+{
+	gb_flow_state state;
+
+	if (!flow->created) {
+		draft_cond(draft, GB_POOL_STATES, flow->spec.id, 0);
+		draft_value(draft,
+		    draft_put(draft, GB_POOL_FLOWS, flow->spec.id),
+		    (xdrproc_t)xdr_gb_flow, &flow->spec);
+	}
+	if (flow->closed)
+		draft_remove(draft, GB_POOL_FLOWS, flow->spec.id);
+	if (flow->in_inbox)
+		draft_remove(draft, GB_POOL_INBOX, flow->spec.id);
+	if (flow->forgotten) {
+		draft_remove(draft, GB_POOL_STATES, flow->spec.id);
+		return;
+	}
+	pool_flow_state_fill(flow, &state);
+	draft_value(draft, draft_put(draft, GB_POOL_STATES, flow->spec.id),
+	    (xdrproc_t)xdr_gb_flow_state, &state);
+	pool_flow_state_clear(&state);
+}
+
+static void
+draft_owner(
+    struct gb_pool *pool, const struct pool_part *part, struct draft *draft)
+{
+	struct gb_pool_row *row =
+	    draft_put(draft, GB_POOL_OWNERS, GB_POOL_OWNER_KEY);
+
+	if (!pool_writer_owner_body(pool, pool->epoch, part->serial + 1,
+		pool->phase == POOL_OWNER_RELEASING && part->renew &&
+		    TAILQ_EMPTY(&part->dirty),
+		&row->value))
+		abort(); /* names were checked with the settings */
+}
+
+static void
+part_send(struct gb_pool *pool, uint32_t number, struct draft *draft,
+    enum pool_part_phase phase)
+{
+	struct pool_part *part = &pool->parts[number];
+	struct pool_call *call = pool_call_new(pool, POOL_CALL_PART);
+
+	call->part = number;
+	part->phase = phase;
+	part->call = call->id;
+	part->sent = pool->now;
+	draft->txn.part = number;
+	draft->txn.conds = draft->conds;
+	draft->txn.puts = draft->puts;
+	pool->stats.txns++;
+	pool->stats.rows += draft->txn.put_count;
+	pool->ops.txn(pool->ops.data, call->id, &draft->txn);
+	draft_clear(draft);
+}
+
+static void
+part_seal(struct gb_pool *pool, uint32_t number)
+{
+	struct pool_part *part = &pool->parts[number];
+	struct draft draft = {0};
+
+	draft_cond(&draft, GB_POOL_OWNERS, GB_POOL_OWNER_KEY, part->owner_vers);
+	draft_owner(pool, part, &draft);
+	part->renew_sent = true;
+	part_send(pool, number, &draft, POOL_PART_SEALING);
+}
+
+static void
+part_write(struct gb_pool *pool, uint32_t number)
+{
+	struct pool_part *part = &pool->parts[number];
+	struct draft draft = {0};
+	struct pool_flow *flow;
+
+	draft_cond(&draft, GB_POOL_OWNERS, GB_POOL_OWNER_KEY, part->owner_vers);
+	part->sent_flows =
+	    gb_calloc(WRITER_ENTRIES_MOST, sizeof(struct pool_flow *));
+	part->sent_count = 0;
+	while ((flow = TAILQ_FIRST(&part->dirty)) != NULL &&
+	       draft.txn.cond_count + draft.txn.put_count + 5 <=
+		   WRITER_ENTRIES_MOST &&
+	       draft.bytes < WRITER_BYTES_MOST) {
+		TAILQ_REMOVE(&part->dirty, flow, dirty_next);
+		flow->dirty = false;
+		flow->sending = flow->change;
+		draft_flow(&draft, flow);
+		part->sent_flows[part->sent_count++] = flow;
+	}
+	part->renew_sent = part->renew;
+	if (part->renew)
+		draft_owner(pool, part, &draft);
+	part_send(pool, number, &draft, POOL_PART_WRITING);
+}
+
+static void
+part_tick(struct gb_pool *pool, uint32_t number)
+{
+	struct pool_part *part = &pool->parts[number];
+
+	if (part->phase == POOL_PART_WAITING && part->retry_at <= pool->now)
+		part->phase = POOL_PART_IDLE;
+	if (part->phase != POOL_PART_IDLE ||
+	    pool->now - part->sent < WRITER_GAP)
+		return;
+	if (part->seal)
+		part_seal(pool, number);
+	else if (part->renew || !TAILQ_EMPTY(&part->dirty))
+		part_write(pool, number);
+}
+
+void
+pool_writer_tick(struct gb_pool *pool)
+{
+	uint32_t i;
+
+	for (i = 0; i < GB_POOL_PARTS; i++)
+		part_tick(pool, i);
+}
+
+/** The flows of a write go back among those that wait for the next. */
+static void
+part_requeue(struct gb_pool *pool, struct pool_part *part)
+{
+	size_t i;
+
+	for (i = 0; i < part->sent_count; i++)
+		pool_writer_dirty(pool, part->sent_flows[i]);
+	part->sent_count = 0;
+}
+
+static void
+part_pause(struct gb_pool *pool, struct pool_part *part)
+{
+	gb_time pause = WRITER_RETRY_BASE
+			<< (part->tries < 4 ? part->tries : 4);
+
+	if (pause > WRITER_RETRY_MOST)
+		pause = WRITER_RETRY_MOST;
+	part->tries++;
+	part->phase = POOL_PART_WAITING;
+	part->retry_at = pool->now + pause;
+}
+
+static void
+part_stored(struct gb_pool *pool, struct pool_part *part)
+{
+	struct pool_flow **flows = part->sent_flows;
+	size_t count = part->sent_count;
+	size_t i;
+
+	part->sent_flows = NULL;
+	part->sent_count = 0;
+	for (i = 0; i < count; i++) {
+		flows[i]->created = true;
+		flows[i]->in_inbox = false;
+		pool_flow_stored(pool, flows[i], flows[i]->sending);
+	}
+	free(flows);
+}
+
+/** Whether a row of the owner is this process's; takes in its version. */
+static bool
+part_owner_row(
+    struct gb_pool *pool, struct pool_part *part, const struct gb_pool_row *row)
+{
+	gb_owner_row owner = {0};
+	bool mine;
+
+	if (row->vers == 0 ||
+	    !gb_xdr_decode((xdrproc_t)xdr_gb_owner_row, &row->value, &owner)) {
+		pool_owner_lose(pool, "the owner's row is missing", 0);
+		return false;
+	}
+	mine = owner.epoch == pool->epoch &&
+	       owner.incarnation == pool->cfg.incarnation;
+	if (mine) {
+		if (row->vers != part->owner_vers)
+			part->seal = false;
+		part->owner_vers = row->vers;
+		part->serial = owner.serial;
+	}
+	xdr_free((xdrproc_t)xdr_gb_owner_row, (char *)&owner);
+	if (!mine)
+		pool_owner_lose(
+		    pool, "another node owns the pool", owner.epoch);
+	return mine;
+}
+
+static void
+part_conflict(struct gb_pool *pool, struct pool_part *part,
+    const struct gb_pool_txn_res *res)
+{
+	struct pool_flow *flow;
+	size_t i;
+
+	pool->stats.txn_conflicts++;
+	for (i = 0; i < res->row_count; i++) {
+		if (res->rows[i].table == GB_POOL_OWNERS) {
+			if (!part_owner_row(pool, part, &res->rows[i]))
+				return;
+			continue;
+		}
+		flow = pool_flow_find(pool, res->rows[i].key);
+		if (flow == NULL || res->rows[i].vers == 0)
+			continue;
+		gb_event(pool->cfg.events, GB_EVENT_NORMAL, "flow_found_stored",
+		    "{s:s, s:I}", "flow", flow->spec.id, "version",
+		    (json_int_t)res->rows[i].vers);
+		flow->created = true;
+	}
+	part_requeue(pool, part);
+	part->phase = POOL_PART_IDLE;
+}
+
+static void
+part_lost(struct gb_pool *pool, struct pool_part *part)
+{
+	pool->stats.txn_lost++;
+	gb_event(pool->cfg.events, GB_EVENT_ALWAYS, "store_answer_lost",
+	    "{s:I, s:I}", "flows", (json_int_t)part->sent_count, "age_ms",
+	    (json_int_t)((pool->now - part->sent) / GB_MSEC));
+	part->seal = true;
+	part_requeue(pool, part);
+	part_pause(pool, part);
+}
+
+void
+pool_writer_done(struct gb_pool *pool, const struct pool_call *call,
+    const struct gb_pool_txn_res *res)
+{
+	struct pool_part *part = &pool->parts[call->part];
+
+	if (part->call != call->id)
+		return;
+	part->call = 0;
+	gb_histogram_add(&pool->stats.txn_us, pool->now - call->sent);
+	switch (res->status) {
+	case GB_STORE_OK:
+		pool->confirmed = call->sent;
+		part->phase = POOL_PART_IDLE;
+		part->tries = 0;
+		part->seal = false;
+		if (part->renew_sent) {
+			part->owner_vers = res->vers;
+			part->serial++;
+			part->renew = false;
+		}
+		part_stored(pool, part);
+		break;
+	case GB_STORE_CONFLICT:
+		pool->confirmed = call->sent;
+		part_conflict(pool, part, res);
+		break;
+	case GB_STORE_REFUSED:
+		part_requeue(pool, part);
+		part_pause(pool, part);
+		break;
+	default:
+		part_lost(pool, part);
+		break;
+	}
+	free(part->sent_flows);
+	part->sent_flows = NULL;
+}
+
+bool
+pool_writer_idle(const struct gb_pool *pool)
+{
+	uint32_t i;
+
+	for (i = 0; i < GB_POOL_PARTS; i++) {
+		if (pool->parts[i].phase != POOL_PART_IDLE ||
+		    pool->parts[i].renew || pool->parts[i].seal ||
+		    !TAILQ_EMPTY(&pool->parts[i].dirty))
+			return false;
+	}
+	return true;
+}
+
+void
+pool_writer_reset(struct gb_pool *pool)
+{
+	uint32_t i;
+
+	for (i = 0; i < GB_POOL_PARTS; i++) {
+		struct pool_part *part = &pool->parts[i];
+
+		free(part->sent_flows);
+		memset(part, 0, sizeof(*part));
+		TAILQ_INIT(&part->dirty);
+	}
+}
