--- a/libgooseberry/gen/proto.c
+++ b/libgooseberry/gen/proto.c
@@ -907,6 +907,8 @@
 		 return FALSE;
 	 if (!xdr_gb_name (xdrs, &objp->service))
 		 return FALSE;
+	 if (!xdr_uint32_t (xdrs, &objp->max_attempts))
+		 return FALSE;
 	 if (!xdr_int64_t (xdrs, &objp->submitted_us))
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->spec, GB_SPEC_MAX))
@@ -936,9 +938,8 @@
 		 return FALSE;
 	 if (!xdr_uint32_t (xdrs, &objp->index))
 		 return FALSE;
-	 if (!xdr_uint32_t (xdrs, &objp->failures))
-		 return FALSE;
-	 if (!xdr_uint64_t (xdrs, &objp->failed_run))
+	 if (!xdr_array (xdrs, (char **)&objp->failed_runs.failed_runs_val, (u_int *) &objp->failed_runs.failed_runs_len, GB_ATTEMPTS_MAX,
+		sizeof (uint64_t), (xdrproc_t) xdr_uint64_t))
 		 return FALSE;
 	 if (!xdr_gb_name (xdrs, &objp->checkpoint))
 		 return FALSE;
@@ -1072,8 +1073,75 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->owner))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->taking))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->vacating))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_BOOL(buf, objp->owner);
+		IXDR_PUT_BOOL(buf, objp->taking);
+		IXDR_PUT_BOOL(buf, objp->vacating);
+		}
+		 if (!xdr_uint64_t (xdrs, &objp->epoch))
+			 return FALSE;
+		 if (!xdr_gb_name (xdrs, &objp->owner_addr))
+			 return FALSE;
+		 if (!xdr_int64_t (xdrs, &objp->owner_heard_us))
+			 return FALSE;
+		 if (!xdr_int64_t (xdrs, &objp->store_silent_us))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->members.members_val, (u_int *) &objp->members.members_len, 4096,
+			sizeof (gb_name), (xdrproc_t) xdr_gb_name))
+			 return FALSE;
+		 if (!xdr_uint64_t (xdrs, &objp->config))
+			 return FALSE;
+		 if (!xdr_gb_body (xdrs, &objp->config_text))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->owner))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->taking))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->vacating))
+				 return FALSE;
+
+		} else {
+		objp->owner = IXDR_GET_BOOL(buf);
+		objp->taking = IXDR_GET_BOOL(buf);
+		objp->vacating = IXDR_GET_BOOL(buf);
+		}
+		 if (!xdr_uint64_t (xdrs, &objp->epoch))
+			 return FALSE;
+		 if (!xdr_gb_name (xdrs, &objp->owner_addr))
+			 return FALSE;
+		 if (!xdr_int64_t (xdrs, &objp->owner_heard_us))
+			 return FALSE;
+		 if (!xdr_int64_t (xdrs, &objp->store_silent_us))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->members.members_val, (u_int *) &objp->members.members_len, 4096,
+			sizeof (gb_name), (xdrproc_t) xdr_gb_name))
+			 return FALSE;
+		 if (!xdr_uint64_t (xdrs, &objp->config))
+			 return FALSE;
+		 if (!xdr_gb_body (xdrs, &objp->config_text))
+			 return FALSE;
+	 return TRUE;
+	}
+
 	 if (!xdr_bool (xdrs, &objp->owner))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->taking))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->vacating))
 		 return FALSE;
 	 if (!xdr_uint64_t (xdrs, &objp->epoch))
--- a/libgooseberry/gen/proto.h
+++ b/libgooseberry/gen/proto.h
@@ -496,6 +496,7 @@
 #define GB_SPEC_MAX 16384
 #define GB_STEPS_MAX 64
 #define GB_TASKS_MAX 100000
+#define GB_ATTEMPTS_MAX 64
 #define GB_STEP_GANG 1
 #define GB_STEP_SAME_RACK 2
 #define GB_STEP_CHECKPOINT 4
@@ -520,6 +521,7 @@
 	gb_name id;
 	gb_name queue;
 	gb_name service;
+	uint32_t max_attempts;
 	int64_t submitted_us;
 	char *spec;
 	struct {
@@ -542,8 +544,10 @@
 struct gb_task_state {
 	uint32_t step;
 	uint32_t index;
-	uint32_t failures;
-	uint64_t failed_run;
+	struct {
+		u_int failed_runs_len;
+		uint64_t *failed_runs_val;
+	} failed_runs;
 	gb_name checkpoint;
 };
 typedef struct gb_task_state gb_task_state;
@@ -622,6 +626,7 @@
 
 struct gb_hello_res {
 	bool_t owner;
+	bool_t taking;
 	bool_t vacating;
 	uint64_t epoch;
 	gb_name owner_addr;
--- a/libgooseberry/gen/proto.x
+++ b/libgooseberry/gen/proto.x
@@ -413,6 +413,7 @@
 const GB_SPEC_MAX = 16384;
 const GB_STEPS_MAX = 64;
 const GB_TASKS_MAX = 100000;
+const GB_ATTEMPTS_MAX = 64;
 
 /* Flags of a step */
 const GB_STEP_GANG = 1;		/* tasks run only together */
@@ -436,6 +437,7 @@
 	gb_name id;
 	gb_name queue;
 	gb_name service;
+	uint32_t max_attempts;	/* of a task, when it was submitted */
 	int64_t submitted_us;	/* wall clock of the node that took it */
 	string spec<GB_SPEC_MAX>;
 	gb_step steps<GB_STEPS_MAX>;
@@ -455,8 +457,7 @@
 struct gb_task_state {
 	uint32_t step;
 	uint32_t index;
-	uint32_t failures;
-	uint64_t failed_run;	/* the last one that was counted */
+	uint64_t failed_runs<GB_ATTEMPTS_MAX>;	/* ends come in any order */
 	gb_name checkpoint;
 };
 
@@ -525,6 +526,7 @@
 
 struct gb_hello_res {
 	bool owner;		/* answers as the owner */
+	bool taking;		/* has claimed the pool and is loading it */
 	bool vacating;		/* the owner stops: take over at once */
 	uint64_t epoch;
 	gb_name owner_addr;	/* as far as known */
--- a/libgooseberry/node/node.c
+++ b/libgooseberry/node/node.c
@@ -313,6 +313,8 @@
 static void
 watch_tick(struct gb_node *node)
 {
+	uint64_t epoch;
+
 	if (gb_pool_owns(node->pool) || gb_pool_taking(node->pool)) {
 		if (gb_pool_owns(node->pool))
 			gb_pool_member(node->pool, node_now(),
@@ -330,7 +332,7 @@
 		node_poll_members(node);
 		break;
 	case WATCH_TAKE:
-		if (node->leaving) {
+		if (node->leaving || node->config == NULL) {
 			watch_lost(&node->watch, node_now());
 			break;
 		}
@@ -340,8 +342,9 @@
 		    (json_int_t)((node_now() - node->watch.heard) / GB_MSEC),
 		    "refused", (json_int_t)node->watch.refused, "vacant",
 		    node->watch.vacant);
+		epoch = node->watch.epoch;
 		watch_lost(&node->watch, node_now());
-		gb_pool_take(node->pool, node_now());
+		gb_pool_take(node->pool, node_now(), epoch);
 		break;
 	default:
 		break;
--- a/libgooseberry/node/peers.c
+++ b/libgooseberry/node/peers.c
@@ -66,6 +66,10 @@
 		return;
 	}
 	config_learn(node, res);
+	if (res->taking) {
+		watch_taking(&node->watch, now);
+		return;
+	}
 	if (!res->owner) {
 		watch_denied(&node->watch, now, res->owner_addr, res->epoch);
 		return;
@@ -98,7 +102,7 @@
 		return;
 	}
 	config_learn(node, res);
-	if (res->owner || res->owner_heard_us < 600 * GB_MSEC)
+	if (res->owner || res->taking || res->owner_heard_us < 600 * GB_MSEC)
 		watch_polled(&node->watch, WATCH_HEARS);
 	else
 		watch_polled(&node->watch, WATCH_HEARS_NOT);
@@ -187,6 +191,7 @@
 
 	gb_pool_epoch_seen(node->pool, now, hello->epoch);
 	res.owner = gb_pool_owns(node->pool) || node->released;
+	res.taking = gb_pool_loading(node->pool);
 	res.vacating = node->leaving;
 	res.epoch = gb_pool_epoch(node->pool);
 	res.owner_addr = node->watch.owner;
--- a/libgooseberry/node/watch.c
+++ b/libgooseberry/node/watch.c
@@ -61,9 +61,11 @@
 watch_agreed(struct watch *w, gb_time now)
 {
 	if (w->hearing > 0) {
-		/* It is this node that can't reach the owner. */
+		/* It is this node that can't reach the owner.  What it tells
+		 * others of the owner must not change by that. */
 		w->polled = 0;
-		w->heard = now - WATCH_SUSPECT / 2;
+		w->suspected = false;
+		w->cleared_until = now + WATCH_SUSPECT / 2;
 		return false;
 	}
 	if (w->deaf > 0)
@@ -100,7 +102,8 @@
 		return w->take_at <= now ? WATCH_TAKE : WATCH_NOTHING;
 	if (w->owner[0] == '\0')
 		return w->next_read <= now ? WATCH_READ : WATCH_NOTHING;
-	if (now - w->heard > WATCH_SUSPECT || w->refused >= WATCH_REFUSED) {
+	if (w->cleared_until <= now &&
+	    (now - w->heard > WATCH_SUSPECT || w->refused >= WATCH_REFUSED)) {
 		enum watch_action action = watch_suspicion(w, now);
 
 		if (action != WATCH_NOTHING)
@@ -117,6 +120,7 @@
 	w->read_out = false;
 	w->next_read = now + WATCH_READ_EVERY;
 	if (addr == NULL || addr[0] == '\0' || strcmp(addr, w->self) == 0) {
+		w->epoch = epoch;
 		watch_vacate(w, now);
 		return;
 	}
@@ -168,8 +172,18 @@
 		w->heard = now;
 		return;
 	}
-	/* It owned the pool by the row, but has forgotten: ask the store. */
-	w->refused = WATCH_REFUSED;
+	/* It owned the pool by the row, but has forgotten so.  It learns of
+	 * it from the row itself; if it does not, this counts as silence. */
+	w->suspected = false;
+}
+
+void
+watch_taking(struct watch *w, gb_time now)
+{
+	w->hello_out = false;
+	w->next_hello = now + WATCH_HELLO_EVERY / 4;
+	w->heard = now;
+	w->refused = 0;
 }
 
 void
--- a/libgooseberry/node/watch.h
+++ b/libgooseberry/node/watch.h
@@ -38,6 +38,7 @@
 	unsigned int deaf;    /**< do not hear the owner either */
 	unsigned int hearing;
 	gb_time polled_at;
+	gb_time cleared_until; /**< others hear the owner: no suspicion */
 	unsigned int members; /**< other members that are known */
 	uint64_t seed;
 };
@@ -53,6 +54,8 @@
 /** The node that was said to own the pool does not, and knows this much. */
 void watch_denied(
     struct watch *, gb_time now, const char *owner, uint64_t epoch);
+/** The node that the row names is taking the pool over: wait for it. */
+void watch_taking(struct watch *, gb_time now);
 /** A hello got no answer; refused when nobody was reached at all. */
 void watch_unheard(struct watch *, gb_time now, bool refused);
 void watch_poll_begun(struct watch *, gb_time now, unsigned int members);
--- a/libgooseberry/pool.h
+++ b/libgooseberry/pool.h
@@ -266,8 +266,9 @@
 void gb_pool_tick(struct gb_pool *, gb_time now, gb_time wall);
 #define GB_POOL_TICK_US (5 * GB_MSEC)
 
-/** Try to become the owner. */
-void gb_pool_take(struct gb_pool *, gb_time now);
+/** Try to become the owner after the one of that epoch; given up when the
+ * store names a later one. */
+void gb_pool_take(struct gb_pool *, gb_time now, uint64_t after);
 /** Write what is pending, then give the ownership up. */
 void gb_pool_release(struct gb_pool *, gb_time now);
 /** Somebody was heard of that owns the pool at a later epoch. */
@@ -275,6 +276,8 @@
 bool gb_pool_owns(const struct gb_pool *);
 /** Whether the ownership is being gained. */
 bool gb_pool_taking(const struct gb_pool *);
+/** Whether it has been gained, and what is stored is being read. */
+bool gb_pool_loading(const struct gb_pool *);
 uint64_t gb_pool_epoch(const struct gb_pool *);
 /** Time since the store last confirmed the ownership. */
 gb_time gb_pool_store_silent(const struct gb_pool *, gb_time now);
--- a/libgooseberry/pool/flow.c
+++ b/libgooseberry/pool/flow.c
@@ -41,6 +41,13 @@
 	}
 }
 
+static void
+task_clear(struct pool_task *task)
+{
+	free(task->checkpoint);
+	free(task->failed_runs);
+}
+
 static void
 flow_steps_free(struct pool_flow *flow)
 {
@@ -49,7 +56,7 @@
 
 	for (i = 0; i < flow->step_count; i++) {
 		for (j = 0; j < flow->steps[i].spec->count; j++)
-			free(flow->steps[i].tasks[j].checkpoint);
+			task_clear(&flow->steps[i].tasks[j]);
 		free(flow->steps[i].tasks);
 		free(flow->steps[i].approved);
 		free(flow->steps[i].claims);
@@ -162,8 +169,11 @@
 		out = &state->tasks.tasks_val[state->tasks.tasks_len++];
 		out->step = number;
 		out->index = i;
-		out->failures = task->failures;
-		out->failed_run = task->failed_run;
+		out->failed_runs.failed_runs_len = task->failures;
+		out->failed_runs.failed_runs_val =
+		    gb_calloc(task->failures, sizeof(uint64_t));
+		memcpy(out->failed_runs.failed_runs_val, task->failed_runs,
+		    task->failures * sizeof(uint64_t));
 		out->checkpoint =
 		    gb_strdup(task->checkpoint == NULL ? "" : task->checkpoint);
 	}
@@ -223,6 +233,35 @@
 	return true;
 }
 
+/** Count a failed run once, in whatever order ends come. */
+static bool
+task_failed_once(struct pool_task *task, uint64_t run)
+{
+	uint32_t i;
+
+	for (i = 0; i < task->failures; i++) {
+		if (task->failed_runs[i] == run)
+			return false;
+	}
+	if (task->failures >= GB_ATTEMPTS_MAX)
+		return false;
+	task->failed_runs = gb_realloc(
+	    task->failed_runs, (task->failures + 1) * sizeof(uint64_t));
+	task->failed_runs[task->failures++] = run;
+	return true;
+}
+
+static void
+task_load(struct pool_task *task, const gb_task_state *state)
+{
+	u_int i;
+
+	for (i = 0; i < state->failed_runs.failed_runs_len; i++)
+		task_failed_once(task, state->failed_runs.failed_runs_val[i]);
+	if (state->checkpoint[0] != '\0')
+		task_checkpoint(task, state->checkpoint);
+}
+
 bool
 pool_flow_load(
     struct gb_pool *pool, struct pool_flow *flow, const gb_flow_state *state)
@@ -250,14 +289,7 @@
 		if (task->step >= flow->step_count ||
 		    task->index >= flow->steps[task->step].spec->count)
 			return false;
-		flow->steps[task->step].tasks[task->index].failures =
-		    task->failures;
-		flow->steps[task->step].tasks[task->index].failed_run =
-		    task->failed_run;
-		if (task->checkpoint[0] != '\0')
-			task_checkpoint(
-			    &flow->steps[task->step].tasks[task->index],
-			    task->checkpoint);
+		task_load(&flow->steps[task->step].tasks[task->index], task);
 		flow->begun = true;
 	}
 	return true;
@@ -417,7 +449,9 @@
 	flow_changed(pool, flow);
 	for (i = 0; i < flow->step_count; i++) {
 		pool_advice_claims_drop(pool, &flow->steps[i]);
-		pool_flow_stop_step(pool, flow, i, NULL, why);
+		/* The members of a gang end with the one that is done. */
+		if (status != GB_FLOW_SUCCEEDED)
+			pool_flow_stop_step(pool, flow, i, NULL, why);
 	}
 	if (status == GB_FLOW_SUCCEEDED)
 		gb_histogram_add(
@@ -489,19 +523,18 @@
 {
 	const struct gb_pool_queue *queue =
 	    gb_pool_config_queue(pool->config, flow->spec.queue);
+	uint32_t most =
+	    queue == NULL ? flow->spec.max_attempts : queue->max_attempts;
 
-	return queue == NULL || queue->max_attempts == 0 ? 1
-							 : queue->max_attempts;
+	return most == 0 ? 1 : most;
 }
 
 static void
 step_task_failed(struct gb_pool *pool, struct pool_flow *flow,
     struct pool_task *task, uint64_t run)
 {
-	if (run <= task->failed_run)
+	if (!task_failed_once(task, run))
 		return; /* counted before, or another member of the gang */
-	task->failed_run = run;
-	task->failures++;
 	flow_changed(pool, flow);
 	if (task->failures >= flow_attempts(pool, flow))
 		flow_over(pool, flow, GB_FLOW_FAILED,
--- a/libgooseberry/pool/health.c
+++ b/libgooseberry/pool/health.c
@@ -25,6 +25,8 @@
 /** A run that makes no progress for this long stands still: the percent of the
  * longest tasks (12 s) moves each 0.12 s, seen each 0.9 s. */
 #define HEALTH_STANDSTILL (2200 * GB_MSEC)
+/** Percent from which a run only waits for others. */
+#define HEALTH_WHOLE 99
 /** Weight of the newest run in a queue's averages. */
 #define HEALTH_WEIGHT 0.05
 
@@ -81,19 +83,43 @@
 		worker_aside(pool, worker, "its runs fail one after the other");
 }
 
+/** A run that has come to its end waits for the others of its gang. */
+static bool
+run_still(const struct gb_pool *pool, const struct pool_run *run)
+{
+	return run->state == POOL_RUN_RUNNING && run->confirmed != 0 &&
+	    run->percent < HEALTH_WHOLE &&
+	    pool->now - run->moved >= HEALTH_STANDSTILL;
+}
+
+/** Members of a gang work together: none of them moves. */
+static bool
+gang_still(const struct gb_pool *pool, const struct pool_step *step)
+{
+	const struct pool_run *run;
+	uint32_t i;
+
+	for (i = 0; i < step->spec->count; i++) {
+		TAILQ_FOREACH(run, &step->tasks[i].runs, of_task) {
+			if (!run_still(pool, run))
+				return false;
+		}
+	}
+	return true;
+}
+
 void
 pool_health_check(struct gb_pool *pool, struct pool_worker *worker)
 {
 	struct pool_run *run;
-	bool gang;
 
-	TAILQ_FOREACH(run, &worker->runs, of_worker)
-	{
-		if (run->state != POOL_RUN_RUNNING || run->confirmed == 0 ||
-		    pool->now - run->moved < HEALTH_STANDSTILL)
+	TAILQ_FOREACH(run, &worker->runs, of_worker) {
+		struct pool_step *step = &run->flow->steps[run->step];
+		bool gang = (step->spec->flags & GB_STEP_GANG) != 0;
+
+		if (!run_still(pool, run) ||
+		    (gang && !gang_still(pool, step)))
 			continue;
-		gang = (run->flow->steps[run->step].spec->flags &
-			   GB_STEP_GANG) != 0;
 		if (worker->aside_until <= pool->now && !gang)
 			worker_aside(pool, worker, "a run stands still");
 		pool_run_stop(pool, run, "it makes no progress");
--- a/libgooseberry/pool/owner.c
+++ b/libgooseberry/pool/owner.c
@@ -95,7 +95,7 @@
 }
 
 void
-pool_owner_take(struct gb_pool *pool)
+pool_owner_take(struct gb_pool *pool, uint64_t after)
 {
 	uint32_t i;
 
@@ -106,6 +106,7 @@
 	owner_phase(pool, POOL_OWNER_READING);
 	pool->taken_at = pool->now;
 	pool->claim_failed = false;
+	pool->claim_after = after;
 	pool->claim_epoch = pool->epoch + 1;
 	gb_event(pool->cfg.events, GB_EVENT_ALWAYS, "takeover_begun", "{s:I}",
 	    "known_epoch", (json_int_t)pool->epoch);
@@ -161,6 +162,8 @@
 	}
 	if (row.epoch >= pool->claim_epoch)
 		pool->claim_epoch = row.epoch + 1;
+	if (row.epoch > pool->claim_after && row.addr[0] != '\0')
+		pool->claim_failed = true;
 	xdr_free((xdrproc_t)xdr_gb_owner_row, (char *)&row);
 }
 
@@ -394,7 +397,7 @@
 		if (pool->reads_out == 0 && !pool->claim_failed)
 			owner_claim(pool);
 		else if (pool->reads_out == 0)
-			owner_give_up(pool, "the owner's row is unreadable");
+			owner_give_up(pool, "another node was first, or the owner's row is unreadable");
 		break;
 	case POOL_CALL_LOAD_STATES:
 		for (i = 0; i < res->row_count; i++)
--- a/libgooseberry/pool/pool.c
+++ b/libgooseberry/pool/pool.c
@@ -112,10 +112,10 @@
 /* Ownership --------------------------------------------------------------- */
 
 void
-gb_pool_take(struct gb_pool *pool, gb_time now)
+gb_pool_take(struct gb_pool *pool, gb_time now, uint64_t after)
 {
 	pool->now = now;
-	pool_owner_take(pool);
+	pool_owner_take(pool, after);
 }
 
 void
@@ -148,6 +148,12 @@
 	return pool->phase != POOL_OWNER_NONE && !pool_active(pool);
 }
 
+bool
+gb_pool_loading(const struct gb_pool *pool)
+{
+	return pool->phase == POOL_OWNER_LOADING;
+}
+
 uint64_t
 gb_pool_epoch(const struct gb_pool *pool)
 {
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -61,7 +61,7 @@
 	struct pool_runs runs; /**< one, or two of a speculative step */
 	bool done;
 	uint32_t failures;
-	uint64_t failed_run;
+	uint64_t *failed_runs; /**< numbers of the runs that failed */
 	gb_time retry_at; /**< not started before */
 	char *checkpoint;
 };
@@ -305,6 +305,7 @@
 	unsigned int reads_out;
 	bool claim_failed;
 	uint64_t claim_epoch;
+	uint64_t claim_after; /**< epoch of the owner that is succeeded */
 	uint64_t claim_vers[GB_POOL_PARTS];
 	gb_time settle_at;  /**< no run of an earlier owner lasts longer */
 	bool settled;	    /**< every run of earlier owners is known */
@@ -455,7 +456,7 @@
 void pool_dispatch(struct gb_pool *);
 
 /* owner.c */
-void pool_owner_take(struct gb_pool *);
+void pool_owner_take(struct gb_pool *, uint64_t after);
 void pool_owner_release(struct gb_pool *);
 void pool_owner_lose(struct gb_pool *, const char *why, uint64_t epoch);
 void pool_owner_tick(struct gb_pool *);
