--- a/libgooseberry/pool/dispatch.c
+++ b/libgooseberry/pool/dispatch.c
@@ -131,14 +131,26 @@
 	free(names);
 }
 
+/** The gang found no room: keep it for later. */
+static void
+step_book(struct gb_pool *pool, struct pool_flow *flow, uint32_t number)
+{
+	struct pool_step *step = &flow->steps[number];
+
+	if (!pool_book(pool, flow, step, &flow->wait))
+		flow->wait = 0;
+}
+
 static void
 step_dispatch(struct gb_pool *pool, struct pool_flow *flow, uint32_t number)
 {
 	struct pool_step *step = &flow->steps[number];
+	bool gang = (step->spec->flags & GB_STEP_GANG) != 0;
 	bool advice = step_needs_advice(pool, flow);
 	uint32_t wanted = pool_flow_waiting(pool, flow, step);
+	uint32_t started;
+	uint32_t placed = 0;
 	uint32_t *workers;
-	uint32_t placed;
 
 	if (wanted == 0 || step->claim_count > 0)
 		return;
@@ -148,16 +160,17 @@
 		return;
 	}
 	workers = gb_calloc(wanted, sizeof(*workers));
-	placed = pool_fit_place(pool, flow, step, wanted, true, workers);
-	step_start(pool, flow, number, workers, placed);
-	if (advice && placed < wanted && step->advice_call == 0 &&
-	    pool_advice_lane_free(pool)) {
-		wanted -= placed;
-		placed =
-		    pool_fit_place(pool, flow, step, wanted, false, workers);
-		if (placed > 0)
-			step_renew(pool, flow, number, workers, placed);
-	}
+	started = pool_fit_place(pool, flow, step, wanted, true, workers);
+	step_start(pool, flow, number, workers, started);
+	if (started < wanted && step->advice_call == 0)
+		placed = pool_fit_place(
+		    pool, flow, step, wanted - started, false, workers);
+	if (placed > 0 && advice && pool_advice_lane_free(pool))
+		step_renew(pool, flow, number, workers, placed);
+	if (gang && started > 0)
+		flow->wait = 0;
+	if (gang && started == 0 && step->claim_count == 0)
+		step_book(pool, flow, number);
 	free(workers);
 }
 
@@ -229,6 +242,7 @@
 		flows[count++] = flow;
 	}
 	qsort(flows, count, sizeof(*flows), flow_compare);
+	pool_book_clear(pool);
 	for (i = 0; i < count; i++) {
 		for (j = 0; j < flows[i]->step_count; j++) {
 			step_mend(pool, flows[i], j);
--- a/libgooseberry/pool/fit.c
+++ b/libgooseberry/pool/fit.c
@@ -17,6 +17,8 @@
 #define FIT_TICKET_MARGIN (60 * GB_MSEC)
 /** Work away from its data counts as if the worker were this much fuller. */
 #define FIT_REMOTE_PENALTY 4.0
+/** So does room that a gang waits for: others are used first. */
+#define FIT_BOOKED_PENALTY 0.5
 
 gb_res
 pool_fit_free(const struct pool_worker *worker)
@@ -79,6 +81,17 @@
 	return NULL;
 }
 
+bool
+pool_fit_approved(const struct gb_pool *pool, const struct pool_flow *flow,
+    const struct pool_step *step, uint32_t worker)
+{
+	const struct gb_pool_queue *queue =
+	    gb_pool_config_queue(pool->config, flow->spec.queue);
+
+	return queue == NULL || !queue->advice.needed ||
+	    fit_approval(step, worker) != NULL;
+}
+
 const struct pool_approval *
 pool_fit_ticket(
     const struct gb_pool *pool, const struct pool_step *step, uint32_t worker)
@@ -150,6 +163,8 @@
 	if (step->spec->rack[0] != '\0' &&
 	    strcmp(step->spec->rack, worker->rack) != 0)
 		score += FIT_REMOTE_PENALTY;
+	if (worker->was_booked)
+		score += FIT_BOOKED_PENALTY;
 	if (worker->failures > 0)
 		score += 1.0;
 	if (worker->pace < 1.0)
@@ -176,6 +191,10 @@
 	    pool_fit_ticket(pool, step, worker->handle) == NULL)
 		return false;
 	room = pool_fit_free(worker);
+	if (worker->booked_at != 0 &&
+	    pool->now + pool_rank_estimate(pool, flow, step) >
+		worker->booked_at)
+		gb_res_sub(&room, &worker->booked);
 	out->worker = worker->handle;
 	out->times = fit_times(&step->spec->res, &room);
 	if (step->spec->per_worker > 0) {
--- a/libgooseberry/pool/rank.c
+++ b/libgooseberry/pool/rank.c
@@ -94,7 +94,7 @@
 
 	objective = target + (gb_time)(stretch * (double)rank_chain(pool, flow,
 						     chains, false));
-	flow->remaining = rank_chain(pool, flow, chains, true);
+	flow->remaining = rank_chain(pool, flow, chains, true) + flow->wait;
 	flow->due = flow->submitted + objective;
 	flow->late_due = flow->submitted + RANK_LATE_FACTOR * objective;
 	if (pool->now + flow->remaining <= flow->due)
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -5,7 +5,7 @@
  * Calls go one way, from the top of this list to its end: pool.c, owner.c,
  * dispatch.c, advice.c, flow.c and runner.c (which meet over the ends of
  * runs), writer.c, then the decisions without side effects: rank.c, fit.c,
- * admit.c.
+ * book.c, admit.c.
  */
 #ifndef GB_POOL_STATE_H
 #define GB_POOL_STATE_H
@@ -94,7 +94,6 @@
 	/** Room that is kept while tickets are renewed: tasks a worker. */
 	struct pool_claim *claims;
 	uint32_t claim_count;
-	gb_time blocked_since; /**< no room was found since then, 0 */
 };
 
 struct pool_claim {
@@ -139,6 +138,7 @@
 	gb_time due;	   /**< to earn in full */
 	gb_time late_due;  /**< to earn anything */
 	gb_time remaining; /**< longest chain that is left */
+	gb_time wait; /**< until room for a gang is expected, as last seen */
 	int tier;
 	gb_flow_state *loading; /**< state of a flow that is being read */
 	struct pool_waiters waiters;
@@ -165,6 +165,9 @@
 	char rack[GB_NAME_MAX + 1];
 	gb_res used;	/**< by runs */
 	gb_res claimed; /**< kept for gangs whose tickets are renewed */
+	gb_res booked;	   /**< kept for gangs that wait for room */
+	gb_time booked_at; /**< when the first of them wants it, 0: none */
+	bool was_booked;   /**< in the dispatch before this one */
 	bool listed;	/**< by the platform */
 	bool fenced;	/**< has answered this owner */
 	bool over;	/**< its lifetime has ended, or its lease lapsed */
@@ -373,6 +376,20 @@
 bool pool_fit_possible(
     const struct gb_pool *, const struct pool_flow *, const struct pool_step *);
 
+/** Whether advice, where it is needed, has approved a worker. */
+bool pool_fit_approved(const struct gb_pool *, const struct pool_flow *,
+    const struct pool_step *, uint32_t worker);
+
+/* book.c */
+/** Time until a run is expected to end. */
+gb_time pool_book_run_left(const struct gb_pool *, const struct pool_run *);
+/** Keep room for a gang; tells how long it will have to wait.  False when it
+ * would not fit even if all that runs ended. */
+bool pool_book(
+    struct gb_pool *, struct pool_flow *, struct pool_step *, gb_time *wait);
+/** Begin anew: bookings are worked out in each dispatch. */
+void pool_book_clear(struct gb_pool *);
+
 /* admit.c */
 /** Whether to take a flow in; else when to come back. */
 bool pool_admit(
