--- a/libgooseberry/node/peers.c
+++ b/libgooseberry/node/peers.c
@@ -127,6 +127,10 @@
 			continue;
 		asked++;
 	}
+	gb_event(node->events, GB_EVENT_ALWAYS, "owner_suspected",
+	    "{s:s, s:I, s:I, s:I}", "owner", node->watch.owner, "silent_ms",
+	    (json_int_t)((node_now() - node->watch.heard) / GB_MSEC), "members",
+	    (json_int_t)node->known_count, "asked", (json_int_t)asked);
 	watch_poll_begun(&node->watch, node_now(), asked);
 	for (i = 0; i < node->known_count && asked > 0; i++) {
 		const char *addr = node->known[(from + i) % node->known_count];
--- a/libgooseberry/node/watch.c
+++ b/libgooseberry/node/watch.c
@@ -30,7 +30,7 @@
 /** Nodes that see the same thing take the pool one after the other. */
 #define WATCH_SPREAD (60 * GB_MSEC)
 /** Members have this long to say whether they hear the owner. */
-#define WATCH_POLL (350 * GB_MSEC)
+#define WATCH_POLL_WAIT (350 * GB_MSEC)
 
 void
 watch_init(struct watch *w, const char *self, gb_time now, uint64_t seed)
@@ -84,7 +84,7 @@
 		return WATCH_TAKE;
 	if (w->polled == 0)
 		return WATCH_POLL;
-	if (w->words < w->polled && now - w->polled_at < WATCH_POLL)
+	if (w->words < w->polled && now - w->polled_at < WATCH_POLL_WAIT)
 		return WATCH_NOTHING;
 	if (watch_agreed(w, now))
 		return WATCH_TAKE;
