--- a/libgooseberry/pool/runner.c
+++ b/libgooseberry/pool/runner.c
@@ -34,6 +34,8 @@
 /** Pause after a hold without answer, times the number of them. */
 #define HOLD_RETRY (100 * GB_MSEC)
 #define HOLD_RETRY_MOST (800 * GB_MSEC)
+/** Holds without answer in a row after which the lease is left to lapse. */
+#define HOLD_RENEW_TRIES 2
 /** A stop without answer is sent again after this. */
 #define STOP_RETRY (500 * GB_MSEC)
 /** A worker lists this many ends at once; then some may be missing. */
@@ -673,7 +675,10 @@
 	hold.worker = worker->entry.id;
 	hold.addr = worker->entry.addr;
 	hold.token = pool->epoch;
-	hold.lease_end_ms = worker_lease(pool, worker, NULL);
+	/* A hold without answer may still renew the lease: a worker that stays
+	 * silent is asked without doing so, or its runs would never lapse. */
+	if (worker->silent < HOLD_RENEW_TRIES)
+		hold.lease_end_ms = worker_lease(pool, worker, NULL);
 	hold.cursor = worker->acked;
 	if (worker->fenced && worker->silent == 0)
 		hold.wait_us =
