--- a/libgooseberry/gen/proto.c
+++ b/libgooseberry/gen/proto.c
@@ -1097,6 +1097,8 @@
 			 return FALSE;
 		 if (!xdr_int64_t (xdrs, &objp->store_silent_us))
 			 return FALSE;
+		 if (!xdr_uint32_t (xdrs, &objp->largest_milli))
+			 return FALSE;
 		 if (!xdr_array (xdrs, (char **)&objp->members.members_val, (u_int *) &objp->members.members_len, 4096,
 			sizeof (gb_name), (xdrproc_t) xdr_gb_name))
 			 return FALSE;
@@ -1128,6 +1130,8 @@
 			 return FALSE;
 		 if (!xdr_int64_t (xdrs, &objp->store_silent_us))
 			 return FALSE;
+		 if (!xdr_uint32_t (xdrs, &objp->largest_milli))
+			 return FALSE;
 		 if (!xdr_array (xdrs, (char **)&objp->members.members_val, (u_int *) &objp->members.members_len, 4096,
 			sizeof (gb_name), (xdrproc_t) xdr_gb_name))
 			 return FALSE;
@@ -1152,6 +1156,8 @@
 		 return FALSE;
 	 if (!xdr_int64_t (xdrs, &objp->store_silent_us))
 		 return FALSE;
+	 if (!xdr_uint32_t (xdrs, &objp->largest_milli))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->members.members_val, (u_int *) &objp->members.members_len, 4096,
 		sizeof (gb_name), (xdrproc_t) xdr_gb_name))
 		 return FALSE;
--- a/libgooseberry/gen/proto.h
+++ b/libgooseberry/gen/proto.h
@@ -632,6 +632,7 @@
 	gb_name owner_addr;
 	int64_t owner_heard_us;
 	int64_t store_silent_us;
+	uint32_t largest_milli;
 	struct {
 		u_int members_len;
 		gb_name *members_val;
--- a/libgooseberry/gen/proto.x
+++ b/libgooseberry/gen/proto.x
@@ -532,6 +532,7 @@
 	gb_name owner_addr;	/* as far as known */
 	int64_t owner_heard_us;	/* since the owner last answered this node */
 	int64_t store_silent_us;	/* since the owner's last store answer */
+	uint32_t largest_milli;	/* processor of the largest live member */
 	gb_name members<4096>;	/* addresses of peer ports */
 	uint64_t config;
 	gb_body config_text;	/* empty unless the caller's is older */
--- a/libgooseberry/node/node.c
+++ b/libgooseberry/node/node.c
@@ -14,6 +14,13 @@
 #define TICK_BUSY_MS 5
 /** Tick of a node that has little to do. */
 #define TICK_IDLE_MS 25
+/** An owner stays for this long before it makes way for a larger node, so that
+ * the pool does not go to and fro. */
+#define DEFER_AFTER (1500 * GB_MSEC)
+/** It looks who has taken the pool only after the others had time to. */
+#define DEFER_PAUSE (800 * GB_MSEC)
+/** A member heard within this is alive. */
+#define DEFER_HEARD (600 * GB_MSEC)
 /** A call of advice by way of a member. */
 #define ADVISE_TIMEOUT (3 * GB_SEC)
 
@@ -161,9 +168,12 @@
 
 	(void)epoch;
 	if (!owns)
-		watch_lost(&node->watch, node_now());
-	if (!owns && node->leaving)
-		node->released = true;
+		watch_lost(&node->watch, node_now(),
+		    node->deferring ? DEFER_PAUSE : 0);
+	node->released = !owns && (node->leaving || node->deferring);
+	node->deferring = false;
+	if (owns)
+		node->owned_at = node_now();
 	node->platform.follow_workers(node->platform.data, owns);
 }
 
@@ -310,15 +320,41 @@
 	    node_call_new(node, NULL, NULL, owner_row_read), &read);
 }
 
+/** A member that is much larger should own the pool. */
+static void
+defer_to_larger(struct gb_node *node)
+{
+	const struct node_member *member;
+
+	if (node_now() - node->owned_at < DEFER_AFTER)
+		return;
+	for (member = node->members; member != NULL; member = member->hh.next) {
+		if (member->leaving ||
+		    node_now() - member->heard > DEFER_HEARD ||
+		    member->cpu_milli * 2 < node->cpu_milli * 3)
+			continue;
+		gb_event(node->events, GB_EVENT_ALWAYS, "pool_left_to_larger",
+		    "{s:s, s:I, s:I}", "member", member->addr, "cpu_milli",
+		    (json_int_t)member->cpu_milli, "own_milli",
+		    (json_int_t)node->cpu_milli);
+		node->deferring = true;
+		node->watch.largest_milli = member->cpu_milli;
+		gb_pool_release(node->pool, node_now());
+		return;
+	}
+}
+
 static void
 watch_tick(struct gb_node *node)
 {
 	uint64_t epoch;
 
 	if (gb_pool_owns(node->pool) || gb_pool_taking(node->pool)) {
-		if (gb_pool_owns(node->pool))
-			gb_pool_member(node->pool, node_now(),
-			    node->settings.addr, !node->leaving);
+		if (!gb_pool_owns(node->pool))
+			return;
+		gb_pool_member(node->pool, node_now(), node->settings.addr,
+		    !node->leaving);
+		defer_to_larger(node);
 		return;
 	}
 	switch (watch_next(&node->watch, node_now())) {
@@ -333,7 +369,7 @@
 		break;
 	case WATCH_TAKE:
 		if (node->leaving || node->config == NULL) {
-			watch_lost(&node->watch, node_now());
+			watch_lost(&node->watch, node_now(), 0);
 			break;
 		}
 		gb_event(node->events, GB_EVENT_ALWAYS, "takeover_decided",
@@ -343,7 +379,7 @@
 		    "refused", (json_int_t)node->watch.refused, "vacant",
 		    node->watch.vacant);
 		epoch = node->watch.epoch;
-		watch_lost(&node->watch, node_now());
+		watch_lost(&node->watch, node_now(), 0);
 		gb_pool_take(node->pool, node_now(), epoch);
 		break;
 	default:
@@ -409,7 +445,10 @@
 	pool.events = events;
 	ops.data = node;
 	node->pool = gb_pool_new(&pool, &ops, node_now());
-	watch_init(&node->watch, settings->addr, node_now(), node->incarnation);
+	node->cpu_milli =
+	    (uint32_t)(strtod(settings->cpu_share, NULL) * 1000);
+	watch_init(&node->watch, settings->addr, node->cpu_milli, node_now(),
+	    node->incarnation);
 	uv_timer_init(loop, &node->tick);
 	node->tick.data = node;
 	uv_timer_start(&node->tick, on_tick, TICK_BUSY_MS, TICK_IDLE_MS);
--- a/libgooseberry/node/node_state.h
+++ b/libgooseberry/node/node_state.h
@@ -22,6 +22,7 @@
 	gb_time heard;
 	uint64_t config;
 	bool leaving;
+	uint32_t cpu_milli;
 };
 
 /** What the end of a call of the node's own has to go on with. */
@@ -73,6 +74,8 @@
 	struct gb_rpc_server *server;
 	struct watch watch;
 	uint64_t incarnation;
+	uint32_t cpu_milli; /**< processor of this node */
+	gb_time owned_at;   /**< when it last gained the pool */
 	struct gb_pool_config *config;
 	char *config_text;
 	size_t config_len;
@@ -84,7 +87,8 @@
 	uint64_t next_id;
 	struct intakes intakes;
 	bool leaving;
-	bool released;
+	bool released;  /**< gave the pool up: the next may take it at once */
+	bool deferring; /**< gives it up to a larger node */
 	gb_time leave_at;
 };
 
--- a/libgooseberry/node/peers.c
+++ b/libgooseberry/node/peers.c
@@ -26,6 +26,7 @@
 	hello->incarnation = node->incarnation;
 	hello->epoch = gb_pool_epoch(node->pool);
 	hello->config = node->config == NULL ? 0 : node->config->version;
+	hello->cpu_milli = node->cpu_milli;
 	hello->leaving = node->leaving;
 }
 
@@ -76,6 +77,7 @@
 	}
 	gb_pool_epoch_seen(node->pool, now, res->epoch);
 	members_learn(node, res);
+	node->watch.largest_milli = res->largest_milli;
 	watch_heard(&node->watch, now, res->vacating && !node->leaving,
 	    res->store_silent_us, (unsigned int)node->known_count);
 }
@@ -162,6 +164,7 @@
 	member->heard = now;
 	member->config = hello->config;
 	member->leaving = hello->leaving;
+	member->cpu_milli = hello->cpu_milli;
 	gb_pool_member(node->pool, now, hello->addr, !hello->leaving);
 }
 
@@ -183,6 +186,8 @@
 		}
 		res->members.members_val[res->members.members_len++] =
 		    member->addr;
+		if (member->cpu_milli > res->largest_milli)
+			res->largest_milli = member->cpu_milli;
 	}
 }
 
@@ -196,7 +201,7 @@
 	gb_pool_epoch_seen(node->pool, now, hello->epoch);
 	res.owner = gb_pool_owns(node->pool) || node->released;
 	res.taking = gb_pool_loading(node->pool);
-	res.vacating = node->leaving;
+	res.vacating = node->leaving || node->released;
 	res.epoch = gb_pool_epoch(node->pool);
 	res.owner_addr = node->watch.owner;
 	res.owner_heard_us = now - node->watch.heard;
--- a/libgooseberry/node/watch.c
+++ b/libgooseberry/node/watch.c
@@ -29,14 +29,19 @@
 #define WATCH_READ_EVERY (150 * GB_MSEC)
 /** Nodes that see the same thing take the pool one after the other. */
 #define WATCH_SPREAD (60 * GB_MSEC)
+/** Head start of larger nodes: a claim takes about 30 ms. */
+#define WATCH_DEFER (300 * GB_MSEC)
+#define CORE_MILLI 1000
 /** Members have this long to say whether they hear the owner. */
 #define WATCH_POLL_WAIT (350 * GB_MSEC)
 
 void
-watch_init(struct watch *w, const char *self, gb_time now, uint64_t seed)
+watch_init(struct watch *w, const char *self, uint32_t own_milli, gb_time now,
+    uint64_t seed)
 {
 	memset(w, 0, sizeof(*w));
 	snprintf(w->self, sizeof(w->self), "%s", self);
+	w->own_milli = own_milli;
 	w->heard = now;
 	w->seed = seed;
 }
@@ -47,13 +52,28 @@
 	return (gb_time)(gb_random_next(&w->seed) % WATCH_SPREAD);
 }
 
+/** A small node leaves the pool to a larger one: the owner's work takes about
+ * a fifth of a core at 350 workers. */
+static gb_time
+watch_deference(const struct watch *w)
+{
+	if (w->largest_milli == 0)
+		return w->own_milli >= CORE_MILLI
+		    ? 0
+		    : WATCH_DEFER * (CORE_MILLI - (gb_time)w->own_milli) /
+			CORE_MILLI;
+	return (uint64_t)w->own_milli * 5 < (uint64_t)w->largest_milli * 4
+	    ? WATCH_DEFER
+	    : 0;
+}
+
 static void
 watch_vacate(struct watch *w, gb_time now)
 {
 	if (w->vacant)
 		return;
 	w->vacant = true;
-	w->take_at = now + watch_spread(w);
+	w->take_at = now + watch_spread(w) + watch_deference(w);
 }
 
 /** What the members that were asked have said. */
@@ -78,16 +98,18 @@
 {
 	if (!w->suspected)
 		return w->next_read <= now ? WATCH_READ : WATCH_NOTHING;
-	if (w->refused >= WATCH_REFUSED)
-		return WATCH_TAKE;
-	if (w->members < 2)
-		return WATCH_TAKE;
+	if (w->refused >= WATCH_REFUSED || w->members < 2) {
+		watch_vacate(w, now);
+		return WATCH_NOTHING;
+	}
 	if (w->polled == 0)
 		return WATCH_POLL;
 	if (w->words < w->polled && now - w->polled_at < WATCH_POLL_WAIT)
 		return WATCH_NOTHING;
-	if (watch_agreed(w, now))
-		return WATCH_TAKE;
+	if (watch_agreed(w, now)) {
+		watch_vacate(w, now);
+		return WATCH_NOTHING;
+	}
 	if (now - w->polled_at > WATCH_SUSPECT)
 		w->polled = 0;
 	return WATCH_NOTHING;
@@ -158,6 +180,8 @@
 	w->members = members;
 	if (vacating || store_silent > WATCH_STORE_SILENT)
 		watch_vacate(w, now);
+	else
+		w->vacant = false;
 }
 
 void
@@ -218,7 +242,7 @@
 }
 
 void
-watch_lost(struct watch *w, gb_time now)
+watch_lost(struct watch *w, gb_time now, gb_time pause)
 {
 	w->vacant = false;
 	w->owner[0] = '\0';
@@ -226,5 +250,5 @@
 	w->refused = 0;
 	w->polled = 0;
 	w->heard = now;
-	w->next_read = now + watch_spread(w);
+	w->next_read = now + watch_spread(w) + pause;
 }
--- a/libgooseberry/node/watch.h
+++ b/libgooseberry/node/watch.h
@@ -40,10 +40,13 @@
 	gb_time polled_at;
 	gb_time cleared_until; /**< others hear the owner: no suspicion */
 	unsigned int members; /**< other members that are known */
+	uint32_t own_milli;	/**< processor of this node, in thousandths */
+	uint32_t largest_milli; /**< of the largest live member, 0: unknown */
 	uint64_t seed;
 };
 
-void watch_init(struct watch *, const char *self, gb_time now, uint64_t seed);
+void watch_init(struct watch *, const char *self, uint32_t own_milli,
+    gb_time now, uint64_t seed);
 enum watch_action watch_next(struct watch *, gb_time now);
 /** The owner's row was read; without a row the address is null. */
 void watch_row(struct watch *, gb_time now, const char *addr, uint64_t epoch);
@@ -61,6 +64,6 @@
 void watch_poll_begun(struct watch *, gb_time now, unsigned int members);
 void watch_polled(struct watch *, enum watch_word);
 /** Another node took the pool, or this one failed to. */
-void watch_lost(struct watch *, gb_time now);
+void watch_lost(struct watch *, gb_time now, gb_time pause);
 
 #endif
--- a/libgooseberry/pool/dispatch.c
+++ b/libgooseberry/pool/dispatch.c
@@ -11,18 +11,12 @@
 /** A new copy of a straggler is started when its run takes this many times as
  * long as was expected. */
 #define DISPATCH_STRAGGLER 2.0
+/** Steps that find no room in one pass before the rest is left for the next:
+ * each costs about 4 us at 350 workers. */
+#define DISPATCH_MISSES 80
 /** Workers named beside those that are needed when tickets are renewed. */
 #define DISPATCH_SPARE 2
 
-static bool
-step_needs_advice(const struct gb_pool *pool, const struct pool_flow *flow)
-{
-	const struct gb_pool_queue *queue =
-	    gb_pool_config_queue(pool->config, flow->spec.queue);
-
-	return queue != NULL && queue->advice.needed;
-}
-
 static uint64_t
 run_number_next(const struct gb_pool *pool, const struct pool_step *step)
 {
@@ -54,8 +48,7 @@
 	for (i = 0; i < step->spec->count && placed < count; i++) {
 		struct pool_task *task = &step->tasks[i];
 
-		if (task->done || !TAILQ_EMPTY(&task->runs) ||
-		    task->retry_at > pool->now)
+		if (task->done || !TAILQ_EMPTY(&task->runs))
 			continue;
 		pool_run_start(pool, flow, number, i,
 		    gang ? run : run_number_next(pool, step),
@@ -141,23 +134,24 @@
 		flow->wait = 0;
 }
 
-static void
+/** Returns whether the step waits for want of room. */
+static bool
 step_dispatch(struct gb_pool *pool, struct pool_flow *flow, uint32_t number)
 {
 	struct pool_step *step = &flow->steps[number];
 	bool gang = (step->spec->flags & GB_STEP_GANG) != 0;
-	bool advice = step_needs_advice(pool, flow);
+	bool advice = POOL_ADVICE_NEEDED(flow);
 	uint32_t wanted = pool_flow_waiting(pool, flow, step);
 	uint32_t started;
 	uint32_t placed = 0;
 	uint32_t *workers;
 
 	if (wanted == 0 || step->claim_count > 0)
-		return;
+		return false;
 	if (advice && step->advice == POOL_ADVICE_NONE) {
 		if (step->advice_retry_at <= pool->now)
 			pool_advice_ask(pool, flow, number, NULL, 0);
-		return;
+		return false;
 	}
 	workers = gb_calloc(wanted, sizeof(*workers));
 	started = pool_fit_place(pool, flow, step, wanted, true, workers);
@@ -172,6 +166,7 @@
 	if (gang && started == 0 && step->claim_count == 0)
 		step_book(pool, flow, number);
 	free(workers);
+	return started + placed == 0;
 }
 
 /** A gang of which an earlier owner left only a part can't go on. */
@@ -193,7 +188,7 @@
 step_copies(struct gb_pool *pool, struct pool_flow *flow, uint32_t number)
 {
 	struct pool_step *step = &flow->steps[number];
-	gb_time usual = pool_rank_estimate(pool, flow, step);
+	gb_time usual;
 	uint32_t worker;
 	uint32_t i;
 
@@ -201,6 +196,7 @@
 	    (step->spec->flags & GB_STEP_GANG) != 0 ||
 	    !pool_flow_step_ready(flow, step))
 		return;
+	usual = pool_rank_estimate(pool, flow, step);
 	for (i = 0; i < step->spec->count; i++) {
 		struct pool_run *run = TAILQ_FIRST(&step->tasks[i].runs);
 
@@ -230,6 +226,7 @@
 {
 	struct pool_flow **flows = gb_calloc(pool->open_count, sizeof(*flows));
 	struct pool_flow *flow;
+	uint32_t misses = 0;
 	uint32_t count = 0;
 	uint32_t i;
 	uint32_t j;
@@ -246,7 +243,9 @@
 	for (i = 0; i < count; i++) {
 		for (j = 0; j < flows[i]->step_count; j++) {
 			step_mend(pool, flows[i], j);
-			step_dispatch(pool, flows[i], j);
+			if (misses < DISPATCH_MISSES &&
+			    step_dispatch(pool, flows[i], j))
+				misses++;
 			step_copies(pool, flows[i], j);
 		}
 	}
--- a/libgooseberry/pool/fit.c
+++ b/libgooseberry/pool/fit.c
@@ -51,19 +51,17 @@
 }
 
 static const char *
-fit_service(const struct gb_pool *pool, const struct pool_flow *flow)
+fit_service(const struct pool_flow *flow)
 {
-	const struct gb_pool_queue *queue =
-	    gb_pool_config_queue(pool->config, flow->spec.queue);
-
-	return queue == NULL ? flow->spec.service : queue->service;
+	return flow->queue == NULL ? flow->spec.service : flow->queue->service;
 }
 
 bool
 pool_fit_allows(const struct gb_pool *pool, const struct pool_flow *flow,
     const struct pool_step *step, const struct pool_worker *worker)
 {
-	if (strcmp(worker->entry.service, fit_service(pool, flow)) != 0)
+	(void)pool;
+	if (strcmp(worker->entry.service, fit_service(flow)) != 0)
 		return false;
 	return step->spec->label[0] == '\0' ||
 	       fit_label(worker, step->spec->label);
@@ -85,11 +83,9 @@
 pool_fit_approved(const struct gb_pool *pool, const struct pool_flow *flow,
     const struct pool_step *step, uint32_t worker)
 {
-	const struct gb_pool_queue *queue =
-	    gb_pool_config_queue(pool->config, flow->spec.queue);
 
-	return queue == NULL || !queue->advice.needed ||
-	    fit_approval(step, worker) != NULL;
+	(void)pool;
+	return !POOL_ADVICE_NEEDED(flow) || fit_approval(step, worker) != NULL;
 }
 
 const struct pool_approval *
@@ -135,7 +131,7 @@
 }
 
 /** A worker that may take tasks of the step. */
-struct fit_candidate {
+struct pool_candidate {
 	uint32_t worker;
 	uint32_t times;
 	double score; /**< the lowest goes first */
@@ -144,8 +140,8 @@
 static int
 fit_compare(const void *a, const void *b)
 {
-	const struct fit_candidate *x = a;
-	const struct fit_candidate *y = b;
+	const struct pool_candidate *x = a;
+	const struct pool_candidate *y = b;
 
 	if (x->score != y->score)
 		return x->score < y->score ? -1 : 1;
@@ -175,19 +171,20 @@
 static bool
 fit_candidate(const struct gb_pool *pool, const struct pool_flow *flow,
     const struct pool_step *step, bool tickets, struct pool_worker *worker,
-    const char *rack, struct fit_candidate *out)
+    const char *rack, struct pool_candidate *out)
 {
-	const struct gb_pool_queue *queue =
-	    gb_pool_config_queue(pool->config, flow->spec.queue);
 	gb_res room;
 	uint32_t already;
 
-	if (worker == NULL || !pool_fit_usable(pool, worker) ||
+	if (worker == NULL || worker->entry.capacity.cpu - worker->used.cpu <
+		step->spec->res.cpu)
+		return false;
+	if (!pool_fit_usable(pool, worker) ||
 	    !pool_fit_allows(pool, flow, step, worker))
 		return false;
 	if (rack != NULL && strcmp(rack, worker->rack) != 0)
 		return false;
-	if (tickets && queue != NULL && queue->advice.needed &&
+	if (tickets && POOL_ADVICE_NEEDED(flow) &&
 	    pool_fit_ticket(pool, step, worker->handle) == NULL)
 		return false;
 	room = pool_fit_free(worker);
@@ -213,14 +210,12 @@
 static size_t
 fit_candidates(const struct gb_pool *pool, const struct pool_flow *flow,
     const struct pool_step *step, bool tickets, const char *rack,
-    struct fit_candidate *out)
+    struct pool_candidate *out)
 {
-	const struct gb_pool_queue *queue =
-	    gb_pool_config_queue(pool->config, flow->spec.queue);
 	size_t count = 0;
 	uint32_t i;
 
-	if (queue != NULL && queue->advice.needed) {
+	if (POOL_ADVICE_NEEDED(flow)) {
 		for (i = 0; i < step->approved_count; i++) {
 			if (fit_candidate(pool, flow, step, tickets,
 				pool_worker_get(pool, step->approved[i].worker),
@@ -234,12 +229,13 @@
 				count++;
 		}
 	}
-	qsort(out, count, sizeof(*out), fit_compare);
+	if (count > 1)
+		qsort(out, count, sizeof(*out), fit_compare);
 	return count;
 }
 
 static uint32_t
-fit_fill(const struct fit_candidate *candidates, size_t count, uint32_t wanted,
+fit_fill(const struct pool_candidate *candidates, size_t count, uint32_t wanted,
     uint32_t *out)
 {
 	uint32_t placed = 0;
@@ -255,7 +251,7 @@
 
 /** One task a worker at a time, so that each goes where it fits best. */
 static uint32_t
-fit_spread(struct fit_candidate *candidates, size_t count, uint32_t wanted,
+fit_spread(struct pool_candidate *candidates, size_t count, uint32_t wanted,
     uint32_t *out)
 {
 	uint32_t placed = 0;
@@ -280,7 +276,7 @@
 static uint32_t
 fit_same_rack(const struct gb_pool *pool, const struct pool_flow *flow,
     const struct pool_step *step, uint32_t wanted, bool tickets,
-    struct fit_candidate *room, uint32_t *out)
+    struct pool_candidate *room, uint32_t *out)
 {
 	uint32_t i;
 	size_t count;
@@ -296,12 +292,22 @@
 	return 0;
 }
 
+static struct pool_candidate *
+fit_scratch(struct gb_pool *pool)
+{
+	if (pool->candidate_size < pool->worker_count) {
+		pool->candidate_size = pool->worker_count;
+		pool->candidates = gb_realloc(pool->candidates,
+		    pool->candidate_size * sizeof(*pool->candidates));
+	}
+	return pool->candidates;
+}
+
 uint32_t
-pool_fit_place(const struct gb_pool *pool, const struct pool_flow *flow,
+pool_fit_place(struct gb_pool *pool, const struct pool_flow *flow,
     const struct pool_step *step, uint32_t wanted, bool tickets, uint32_t *out)
 {
-	struct fit_candidate *candidates =
-	    gb_calloc(pool->worker_count, sizeof(*candidates));
+	struct pool_candidate *candidates = fit_scratch(pool);
 	bool gang = (step->spec->flags & GB_STEP_GANG) != 0;
 	uint32_t placed = 0;
 	size_t count;
@@ -315,7 +321,6 @@
 		placed = gang ? fit_fill(candidates, count, wanted, out)
 			      : fit_spread(candidates, count, wanted, out);
 	}
-	free(candidates);
 	return gang && placed < wanted ? 0 : placed;
 }
 
--- a/libgooseberry/pool/flow.c
+++ b/libgooseberry/pool/flow.c
@@ -81,6 +81,7 @@
 		age = 0;
 	flow->submitted = pool->now - age;
 	flow->change = 1;
+	flow->queue = gb_pool_config_queue(pool->config, flow->spec.queue);
 	HASH_ADD_KEYPTR(
 	    hh, pool->flows, flow->spec.id, strlen(flow->spec.id), flow);
 	TAILQ_INSERT_TAIL(&pool->open, flow, open_next);
@@ -401,25 +402,16 @@
 pool_flow_waiting(const struct gb_pool *pool, const struct pool_flow *flow,
     const struct pool_step *step)
 {
-	uint32_t count = 0;
-	uint32_t i;
+	uint32_t left = step->spec->count - step->done;
 
-	if (!pool_flow_step_ready(flow, step))
+	if (left == 0 || !pool_flow_step_ready(flow, step))
 		return 0;
 	if (!pool->settled && !flow->fresh)
 		return 0;
-	if ((step->spec->flags & GB_STEP_GANG) != 0) {
-		if (step->active > 0 || step->done > 0 ||
-		    step->tasks[0].retry_at > pool->now)
-			return 0;
-		return step->spec->count;
-	}
-	for (i = 0; i < step->spec->count; i++) {
-		if (!step->tasks[i].done && TAILQ_EMPTY(&step->tasks[i].runs) &&
-		    step->tasks[i].retry_at <= pool->now)
-			count++;
-	}
-	return count;
+	if ((step->spec->flags & GB_STEP_GANG) != 0)
+		return step->active > 0 ? 0 : left;
+	/* Tasks that are done may have a run that is still being stopped. */
+	return left > step->active_open ? left - step->active_open : 0;
 }
 
 void
@@ -503,9 +495,12 @@
 		for (i = 0; i < step->spec->count; i++)
 			step->tasks[i].done = true;
 		step->done = step->spec->count;
+		step->active_open = 0;
 	} else {
 		step->tasks[index].done = true;
 		step->done++;
+		if (!TAILQ_EMPTY(&step->tasks[index].runs))
+			step->active_open--;
 		TAILQ_FOREACH(run, &step->tasks[index].runs, of_task)
 		pool_run_stop(pool, run, "another copy is done");
 	}
@@ -519,12 +514,10 @@
 }
 
 static uint32_t
-flow_attempts(const struct gb_pool *pool, const struct pool_flow *flow)
+flow_attempts(const struct pool_flow *flow)
 {
-	const struct gb_pool_queue *queue =
-	    gb_pool_config_queue(pool->config, flow->spec.queue);
-	uint32_t most =
-	    queue == NULL ? flow->spec.max_attempts : queue->max_attempts;
+	uint32_t most = flow->queue == NULL ? flow->spec.max_attempts
+					    : flow->queue->max_attempts;
 
 	return most == 0 ? 1 : most;
 }
@@ -536,7 +529,7 @@
 	if (!task_failed_once(task, run))
 		return; /* counted before, or another member of the gang */
 	flow_changed(pool, flow);
-	if (task->failures >= flow_attempts(pool, flow))
+	if (task->failures >= flow_attempts(flow))
 		flow_over(pool, flow, GB_FLOW_FAILED,
 		    "a task failed as often as it may");
 }
--- a/libgooseberry/pool/pool.c
+++ b/libgooseberry/pool/pool.c
@@ -12,6 +12,8 @@
 /** Starts are decided at most this often; a decision goes through all flows
  * that wait (about 0.3 us each), and events come in bunches. */
 #define DISPATCH_GAP (4 * GB_MSEC)
+/** More for each open flow, so that a backlog does not eat the processor. */
+#define DISPATCH_GAP_FLOW 20
 /** Time alone makes flows late and tickets old, so look at least this often. */
 #define DISPATCH_IDLE (100 * GB_MSEC)
 /** Flows that are over are let go of this often. */
@@ -71,6 +73,7 @@
 	}
 	gb_pool_config_unref(pool->config);
 	free(pool->lanes);
+	free(pool->candidates);
 	free(pool->name);
 	free(pool->addr);
 	free(pool);
@@ -85,6 +88,7 @@
 void
 gb_pool_tick(struct gb_pool *pool, gb_time now, gb_time wall)
 {
+	gb_time gap;
 	uint32_t i;
 
 	pool->now = now;
@@ -96,7 +100,8 @@
 		return;
 	for (i = 0; i < pool->worker_count && pool_active(pool); i++)
 		pool_worker_tick(pool, pool->workers[i]);
-	if ((pool->work_changed && now - pool->dispatch_at >= DISPATCH_GAP) ||
+	gap = DISPATCH_GAP + DISPATCH_GAP_FLOW * (gb_time)pool->open_count;
+	if ((pool->work_changed && now - pool->dispatch_at >= gap) ||
 	    now - pool->dispatch_at >= DISPATCH_IDLE) {
 		pool->work_changed = false;
 		pool->dispatch_at = now;
@@ -172,11 +177,15 @@
 gb_pool_configure(
     struct gb_pool *pool, gb_time now, struct gb_pool_config *config)
 {
+	struct pool_flow *flow;
+
 	pool->now = now;
 	if (pool->config != NULL && config->version <= pool->config->version)
 		return;
 	gb_pool_config_unref(pool->config);
 	pool->config = gb_pool_config_ref(config);
+	for (flow = pool->flows; flow != NULL; flow = flow->hh.next)
+		flow->queue = gb_pool_config_queue(config, flow->spec.queue);
 	pool->work_changed = true;
 }
 
--- a/libgooseberry/pool/rank.c
+++ b/libgooseberry/pool/rank.c
@@ -16,9 +16,11 @@
 /** A late flow earns something until this many times its objective.  From
  * the users' rules. */
 #define RANK_LATE_FACTOR 3
-/** Weight of the newest run in the averages of a queue: about the last
- * hundred runs count. */
+/** Stretch of a queue that is no longer configured. */
 #define RANK_STRETCH_DEFAULT 2.0
+/** Averages of a queue move slowly; chains are worked out anew after this, or
+ * when something of the flow has changed. */
+#define RANK_AGE (300 * GB_MSEC)
 
 enum rank_tier { RANK_ON_TIME, RANK_LATE, RANK_TOO_LATE };
 
@@ -82,21 +84,31 @@
 	return longest;
 }
 
-void
-pool_rank_flow(struct gb_pool *pool, struct pool_flow *flow)
+static void
+rank_chains(struct gb_pool *pool, struct pool_flow *flow)
 {
-	const struct gb_pool_queue *queue =
-	    gb_pool_config_queue(pool->config, flow->spec.queue);
+	const struct gb_pool_queue *queue = flow->queue;
 	gb_time chains[GB_STEPS_MAX] = {0};
 	double stretch = queue == NULL ? RANK_STRETCH_DEFAULT : queue->stretch;
 	gb_time target = queue == NULL ? GB_SEC : queue->target_us;
 	gb_time objective;
 
-	objective = target + (gb_time)(stretch * (double)rank_chain(pool, flow,
-						     chains, false));
-	flow->remaining = rank_chain(pool, flow, chains, true) + flow->wait;
+	objective = target +
+	    (gb_time)(stretch * (double)rank_chain(pool, flow, chains, false));
+	flow->chain = rank_chain(pool, flow, chains, true);
 	flow->due = flow->submitted + objective;
 	flow->late_due = flow->submitted + RANK_LATE_FACTOR * objective;
+	flow->ranked = flow->change;
+	flow->ranked_at = pool->now;
+}
+
+void
+pool_rank_flow(struct gb_pool *pool, struct pool_flow *flow)
+{
+	if (flow->ranked != flow->change ||
+	    pool->now - flow->ranked_at > RANK_AGE)
+		rank_chains(pool, flow);
+	flow->remaining = flow->chain + flow->wait;
 	if (pool->now + flow->remaining <= flow->due)
 		flow->tier = RANK_ON_TIME;
 	else if (pool->now + flow->remaining <= flow->late_due)
--- a/libgooseberry/pool/runner.c
+++ b/libgooseberry/pool/runner.c
@@ -111,8 +111,10 @@
 	run->res = s->spec->res;
 	run->started = pool->now;
 	run->moved = pool->now;
-	if (TAILQ_EMPTY(&s->tasks[index].runs))
+	if (TAILQ_EMPTY(&s->tasks[index].runs)) {
 		s->active++;
+		s->active_open++;
+	}
 	TAILQ_INSERT_TAIL(&s->tasks[index].runs, run, of_task);
 	TAILQ_INSERT_TAIL(&worker->runs, run, of_worker);
 	worker->run_count++;
@@ -133,8 +135,11 @@
 	pool_call_forget(pool, run->start_call);
 	pool_call_forget(pool, run->stop_call);
 	TAILQ_REMOVE(&task->runs, run, of_task);
-	if (TAILQ_EMPTY(&task->runs))
+	if (TAILQ_EMPTY(&task->runs)) {
 		step->active--;
+		if (!task->done)
+			step->active_open--;
+	}
 	TAILQ_REMOVE(&run->worker->runs, run, of_worker);
 	run->worker->run_count--;
 	gb_res_sub(&run->worker->used, &run->res);
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -62,7 +62,6 @@
 	bool done;
 	uint32_t failures;
 	uint64_t *failed_runs; /**< numbers of the runs that failed */
-	gb_time retry_at; /**< not started before */
 	char *checkpoint;
 };
 
@@ -85,6 +84,7 @@
 	uint32_t done;	      /**< tasks whose end has been seen */
 	uint64_t done_change; /**< change of the flow that made it whole */
 	uint32_t active;      /**< tasks that have a run */
+	uint32_t active_open; /**< of these, tasks that are not done */
 	uint64_t run_number;  /**< newest number given to a start */
 	enum pool_advice_state advice;
 	uint64_t advice_call;
@@ -116,6 +116,8 @@
 	TAILQ_ENTRY(pool_flow) dirty_next;
 	TAILQ_ENTRY(pool_flow) open_next;
 	gb_flow spec; /**< emptied once the flow is over and stored */
+	/** Its queue in the configuration in force, or null. */
+	const struct gb_pool_queue *queue;
 	struct pool_step *steps;
 	uint32_t step_count;
 	gb_flow_status status;
@@ -139,6 +141,9 @@
 	gb_time late_due;  /**< to earn anything */
 	gb_time remaining; /**< longest chain that is left */
 	gb_time wait; /**< until room for a gang is expected, as last seen */
+	uint64_t ranked;   /**< change for which the chain was worked out */
+	gb_time ranked_at;
+	gb_time chain; /**< longest chain that is left, without the wait */
 	int tier;
 	gb_flow_state *loading; /**< state of a flow that is being read */
 	struct pool_waiters waiters;
@@ -333,11 +338,17 @@
 	struct pool_advice_call *advice_calls;
 	/* Dispatch */
 	bool work_changed;
+	struct pool_candidate *candidates; /**< scratch, one a worker */
+	uint32_t candidate_size;
 	gb_time dispatch_at;
 	gb_time sweep_at;
 	struct gb_pool_stats stats;
 };
 
+/** Queue of a flow; refreshed whenever the configuration changes. */
+#define POOL_ADVICE_NEEDED(flow) \
+	((flow)->queue != NULL && (flow)->queue->advice.needed)
+
 /* call.c */
 struct pool_call *pool_call_new(struct gb_pool *, enum pool_call_kind);
 /** Take the call of an answer out of the table; null when it belongs to an
@@ -370,7 +381,7 @@
 /** Place tasks of a step: as many as can be, all of a gang or none.  Fills
  * one worker handle a task; returns how many tasks were placed.  Without
  * tickets every approved worker counts. */
-uint32_t pool_fit_place(const struct gb_pool *, const struct pool_flow *,
+uint32_t pool_fit_place(struct gb_pool *, const struct pool_flow *,
     const struct pool_step *, uint32_t wanted, bool tickets, uint32_t *out);
 /** Whether the step could run if all its workers were empty. */
 bool pool_fit_possible(
