--- a/libgooseberry/pool/advice.c
+++ b/libgooseberry/pool/advice.c
@@ -82,11 +82,31 @@
 	return NULL;
 }
 
-/** Name all workers that could run the step, from a random one on when there
- * are more than a call takes. */
+static bool
+step_asked(const struct pool_step *step, uint32_t worker)
+{
+	return worker < step->asked_size && step->asked[worker] != 0;
+}
+
+static void
+step_asked_set(struct pool_step *step, uint32_t worker)
+{
+	uint32_t size = step->asked_size;
+
+	if (worker >= size) {
+		step->asked_size = worker + 64;
+		step->asked = gb_realloc(step->asked, step->asked_size);
+		memset(step->asked + size, 0, step->asked_size - size);
+	}
+	step->asked[worker] = 1;
+	step->asked_count++;
+}
+
+/** Name workers that could run the step and have not been asked about, from a
+ * random one on when there are more than a call takes. */
 static void
 ask_all(struct gb_pool *pool, const struct pool_flow *flow,
-    const struct pool_step *step, gb_advice_ask *ask)
+    struct pool_step *step, gb_advice_ask *ask)
 {
 	uint32_t from =
 	    pool->worker_count == 0
@@ -100,9 +120,12 @@
 
 		if (ask->workers.workers_len >= POOL_ADVICE_MOST)
 			break;
-		if (!worker->listed || worker->over || worker->entry.draining ||
+		if (!worker->listed || worker->over ||
+		    worker->entry.draining ||
+		    step_asked(step, worker->handle) ||
 		    !pool_fit_allows(pool, flow, step, worker))
 			continue;
+		step_asked_set(step, worker->handle);
 		ask->workers.workers_val[ask->workers.workers_len++] =
 		    worker->entry.id;
 	}
@@ -204,6 +227,15 @@
 	snprintf(a->ticket, sizeof(a->ticket), "%s", ticket->ticket);
 }
 
+/** What was asked got no answer: all may be asked about again. */
+static void
+advice_unasked(struct pool_step *step)
+{
+	if (step->asked != NULL)
+		memset(step->asked, 0, step->asked_size);
+	step->asked_count = 0;
+}
+
 static void
 advice_take(struct gb_pool *pool, struct pool_flow *flow,
     const struct pool_advice_call *call, const gb_advice_res *res)
@@ -219,6 +251,7 @@
 	if (step->approved_count == 0) {
 		step->advice = POOL_ADVICE_NONE;
 		step->advice_retry_at = pool->now + ADVICE_AGAIN;
+		advice_unasked(step);
 	}
 }
 
@@ -256,6 +289,8 @@
 		pool_advice_claims_drop(pool, &flow->steps[call->step]);
 		if (res->status == GB_ADVICE_OK)
 			advice_take(pool, flow, call, res);
+		else if (call->first)
+			advice_unasked(&flow->steps[call->step]);
 	}
 	pool->work_changed = true;
 	free(call);
--- a/libgooseberry/pool/dispatch.c
+++ b/libgooseberry/pool/dispatch.c
@@ -14,6 +14,9 @@
 /** Steps that find no room in one pass before the rest is left for the next:
  * each costs about 4 us at 350 workers. */
 #define DISPATCH_MISSES 80
+/** Room on approved workers, were they empty, over what a step needs: with less
+ * a gang waits for nearly all of them to be free at once. */
+#define DISPATCH_CHOICE 3
 /** Workers named beside those that are needed when tickets are renewed. */
 #define DISPATCH_SPARE 2
 
@@ -134,6 +137,20 @@
 		flow->wait = 0;
 }
 
+/** Too few workers are approved for the step to find room soon: ask about
+ * others. */
+static void
+step_ask_more(struct gb_pool *pool, struct pool_flow *flow, uint32_t number)
+{
+	struct pool_step *step = &flow->steps[number];
+
+	if (step->advice_call != 0 || step->asked_count >= pool->worker_count ||
+	    pool_fit_slots(pool, flow, step) >=
+		(uint64_t)step->spec->count * DISPATCH_CHOICE)
+		return;
+	pool_advice_ask(pool, flow, number, NULL, 0);
+}
+
 /** Returns whether the step waits for want of room. */
 static bool
 step_dispatch(struct gb_pool *pool, struct pool_flow *flow, uint32_t number)
@@ -161,6 +178,8 @@
 		    pool, flow, step, wanted - started, false, workers);
 	if (placed > 0 && advice && pool_advice_lane_free(pool))
 		step_renew(pool, flow, number, workers, placed);
+	if (advice && started + placed == 0)
+		step_ask_more(pool, flow, number);
 	if (gang && started > 0)
 		flow->wait = 0;
 	if (gang && started == 0 && step->claim_count == 0)
--- a/libgooseberry/pool/fit.c
+++ b/libgooseberry/pool/fit.c
@@ -324,6 +324,29 @@
 	return gang && placed < wanted ? 0 : placed;
 }
 
+uint64_t
+pool_fit_slots(const struct gb_pool *pool, const struct pool_flow *flow,
+    const struct pool_step *step)
+{
+	uint64_t slots = 0;
+	uint32_t here;
+	uint32_t i;
+
+	(void)flow;
+	for (i = 0; i < step->approved_count; i++) {
+		const struct pool_worker *worker =
+		    pool_worker_get(pool, step->approved[i].worker);
+
+		if (!worker->listed || worker->over || worker->entry.draining)
+			continue;
+		here = fit_times(&step->spec->res, &worker->entry.capacity);
+		if (step->spec->per_worker > 0 && here > step->spec->per_worker)
+			here = step->spec->per_worker;
+		slots += here;
+	}
+	return slots;
+}
+
 bool
 pool_fit_possible(const struct gb_pool *pool, const struct pool_flow *flow,
     const struct pool_step *step)
--- a/libgooseberry/pool/flow.c
+++ b/libgooseberry/pool/flow.c
@@ -59,6 +59,7 @@
 			task_clear(&flow->steps[i].tasks[j]);
 		free(flow->steps[i].tasks);
 		free(flow->steps[i].approved);
+		free(flow->steps[i].asked);
 		free(flow->steps[i].claims);
 	}
 	free(flow->steps);
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -91,6 +91,9 @@
 	gb_time advice_retry_at;
 	struct pool_approval *approved;
 	uint32_t approved_count;
+	uint8_t *asked; /**< by worker handle: advice has been asked about it */
+	uint32_t asked_size;
+	uint32_t asked_count;
 	/** Room that is kept while tickets are renewed: tasks a worker. */
 	struct pool_claim *claims;
 	uint32_t claim_count;
@@ -383,6 +386,9 @@
  * tickets every approved worker counts. */
 uint32_t pool_fit_place(struct gb_pool *, const struct pool_flow *,
     const struct pool_step *, uint32_t wanted, bool tickets, uint32_t *out);
+/** Tasks of a step that would fit on its approved workers, were they empty. */
+uint64_t pool_fit_slots(const struct gb_pool *, const struct pool_flow *,
+    const struct pool_step *);
 /** Whether the step could run if all its workers were empty. */
 bool pool_fit_possible(
     const struct gb_pool *, const struct pool_flow *, const struct pool_step *);
@@ -473,7 +479,8 @@
 /* advice.c */
 void pool_advice_lane(struct gb_pool *, const char *addr, bool usable);
 bool pool_advice_lane_free(const struct gb_pool *);
-/** Ask about workers; with none named, about all that could run the step. */
+/** Ask about workers; with none named, about those that could run the step and
+ * have not been asked about, as many as one call takes. */
 bool pool_advice_ask(struct gb_pool *, struct pool_flow *, uint32_t step,
     const uint32_t *workers, uint32_t count);
 void pool_advice_done(struct gb_pool *, uint64_t call, const gb_advice_res *);
