--- a/libgooseberry/pool/advice.c
+++ b/libgooseberry/pool/advice.c
@@ -255,8 +255,9 @@
 	}
 }
 
-void
-pool_advice_done(struct gb_pool *pool, uint64_t id, const gb_advice_res *res)
+struct pool_flow *
+pool_advice_done(struct gb_pool *pool, uint64_t id, const gb_advice_res *res,
+    uint32_t *step)
 {
 	struct pool_lane *lane = lane_of_call(pool, id);
 	struct pool_advice_call *call;
@@ -264,7 +265,8 @@
 
 	HASH_FIND(hh, pool->advice_calls, &id, sizeof(id), call);
 	if (call == NULL)
-		return;
+		return NULL;
+	*step = call->step;
 	HASH_DEL(pool->advice_calls, call);
 	gb_histogram_add(&pool->stats.advice_us, pool->now - call->sent);
 	if (lane != NULL) {
@@ -291,9 +293,11 @@
 			advice_take(pool, flow, call, res);
 		else if (call->first)
 			advice_unasked(&flow->steps[call->step]);
+	} else {
+		flow = NULL;
 	}
-	pool->work_changed = true;
 	free(call);
+	return flow;
 }
 
 /** Forget what was asked by an earlier ownership. */
--- a/libgooseberry/pool/book.c
+++ b/libgooseberry/pool/book.c
@@ -16,6 +16,10 @@
 
 /** What is left of a run that has taken longer than was expected. */
 #define BOOK_OVERDUE (150 * GB_MSEC)
+/** Tasks of one gang that are counted on one worker, and runs of a worker whose
+ * ends are looked at: a worker holds about 8. */
+#define BOOK_SLOTS_MOST 32
+#define BOOK_RUNS_MOST 64
 /** Progress below this says little about the speed of a run, in percent. */
 #define BOOK_PROGRESS 10
 
@@ -35,7 +39,7 @@
 }
 
 /** Room that falls free on a worker at some time. */
-struct book_slot {
+struct pool_slot {
 	gb_time wait;
 	uint32_t worker;
 };
@@ -43,8 +47,8 @@
 static int
 slot_compare(const void *a, const void *b)
 {
-	const struct book_slot *x = a;
-	const struct book_slot *y = b;
+	const struct pool_slot *x = a;
+	const struct pool_slot *y = b;
 
 	if (x->wait != y->wait)
 		return x->wait < y->wait ? -1 : 1;
@@ -69,9 +73,9 @@
 /** When a worker will have room for one, two and more tasks of the step. */
 static size_t
 worker_slots(const struct gb_pool *pool, const struct pool_step *step,
-    const struct pool_worker *worker, struct book_slot *out)
+    const struct pool_worker *worker, struct pool_slot *out)
 {
-	struct book_end *ends = gb_calloc(worker->run_count, sizeof(*ends));
+	struct book_end ends[BOOK_RUNS_MOST];
 	uint32_t limit = step->spec->per_worker == 0 ? step->spec->count
 						      : step->spec->per_worker;
 	gb_res room = pool_fit_free(worker);
@@ -82,7 +86,11 @@
 	const struct pool_run *run;
 
 	gb_res_sub(&room, &worker->booked);
+	if (limit > BOOK_SLOTS_MOST)
+		limit = BOOK_SLOTS_MOST;
 	TAILQ_FOREACH(run, &worker->runs, of_worker) {
+		if (n == BOOK_RUNS_MOST)
+			break;
 		ends[n].run = run;
 		ends[n++].left = pool_book_run_left(pool, run);
 	}
@@ -99,13 +107,12 @@
 		wait = ends[next].left;
 		gb_res_add(&room, &ends[next++].run->res);
 	}
-	free(ends);
 	return count;
 }
 
 static void
 book_take(struct gb_pool *pool, const struct pool_step *step,
-    const struct book_slot *slot, gb_time at)
+    const struct pool_slot *slot, gb_time at)
 {
 	struct pool_worker *worker = pool->workers[slot->worker];
 
@@ -114,35 +121,46 @@
 		worker->booked_at = at;
 }
 
+/** Room for the slots of all workers, were they empty. */
+static struct pool_slot *
+book_scratch(struct gb_pool *pool, size_t wanted)
+{
+	if (pool->slot_size < wanted) {
+		pool->slot_size = wanted;
+		pool->slots = gb_realloc(
+		    pool->slots, wanted * sizeof(*pool->slots));
+	}
+	return pool->slots;
+}
+
 bool
 pool_book(struct gb_pool *pool, struct pool_flow *flow, struct pool_step *step,
     gb_time *wait)
 {
 	uint32_t wanted = step->spec->count;
-	struct book_slot *slots;
+	uint32_t workers = POOL_ADVICE_NEEDED(flow) ? step->approved_count
+						    : pool->worker_count;
+	struct pool_slot *slots;
 	size_t count = 0;
 	uint32_t i;
 
-	slots = gb_calloc(
-	    (size_t)wanted * (pool->worker_count + 1), sizeof(*slots));
-	for (i = 0; i < pool->worker_count; i++) {
-		const struct pool_worker *worker = pool->workers[i];
+	slots = book_scratch(pool, (size_t)workers * BOOK_SLOTS_MOST);
+	for (i = 0; i < workers; i++) {
+		const struct pool_worker *worker = POOL_ADVICE_NEEDED(flow)
+		    ? pool_worker_get(pool, step->approved[i].worker)
+		    : pool->workers[i];
 
 		if (pool_fit_usable(pool, worker) &&
-		    pool_fit_allows(pool, flow, step, worker) &&
-		    pool_fit_approved(pool, flow, step, worker->handle))
+		    pool_fit_allows(pool, flow, step, worker))
 			count +=
 			    worker_slots(pool, step, worker, &slots[count]);
 	}
-	if (count < wanted) {
-		free(slots);
+	if (count < wanted)
 		return false;
-	}
 	qsort(slots, count, sizeof(*slots), slot_compare);
 	*wait = slots[wanted - 1].wait;
 	for (i = 0; i < wanted; i++)
 		book_take(pool, step, &slots[i], pool->now + *wait);
-	free(slots);
 	return true;
 }
 
@@ -152,6 +170,7 @@
 	static const gb_res none;
 	uint32_t i;
 
+	pool->bookings = 0;
 	for (i = 0; i < pool->worker_count; i++) {
 		struct pool_worker *worker = pool->workers[i];
 
--- a/libgooseberry/pool/dispatch.c
+++ b/libgooseberry/pool/dispatch.c
@@ -17,6 +17,9 @@
 /** Room on approved workers, were they empty, over what a step needs: with less
  * a gang waits for nearly all of them to be free at once. */
 #define DISPATCH_CHOICE 3
+/** Gangs that room is booked for in one pass: each costs about 20 us, and what
+ * is booked for the tenth is seconds away. */
+#define DISPATCH_BOOKINGS 10
 /** Workers named beside those that are needed when tickets are renewed. */
 #define DISPATCH_SPARE 2
 
@@ -133,6 +136,9 @@
 {
 	struct pool_step *step = &flow->steps[number];
 
+	if (pool->bookings >= DISPATCH_BOOKINGS)
+		return;
+	pool->bookings++;
 	if (!pool_book(pool, flow, step, &flow->wait))
 		flow->wait = 0;
 }
@@ -233,6 +239,14 @@
 	}
 }
 
+void
+pool_dispatch_step(struct gb_pool *pool, struct pool_flow *flow, uint32_t step)
+{
+	step_dispatch(pool, flow, step);
+	/* A lane has become free for the next. */
+	pool->work_changed = true;
+}
+
 static int
 flow_compare(const void *a, const void *b)
 {
--- a/libgooseberry/pool/pool.c
+++ b/libgooseberry/pool/pool.c
@@ -74,6 +74,7 @@
 	gb_pool_config_unref(pool->config);
 	free(pool->lanes);
 	free(pool->candidates);
+	free(pool->slots);
 	free(pool->name);
 	free(pool->addr);
 	free(pool);
@@ -378,10 +379,13 @@
 gb_pool_advise_done(
     struct gb_pool *pool, gb_time now, uint64_t id, const gb_advice_res *res)
 {
+	struct pool_flow *flow;
+	uint32_t step;
+
 	pool->now = now;
-	pool_advice_done(pool, id, res);
-	if (pool_active(pool))
-		pool_dispatch(pool);
+	flow = pool_advice_done(pool, id, res, &step);
+	if (flow != NULL && pool_active(pool))
+		pool_dispatch_step(pool, flow, step);
 }
 
 void
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -343,6 +343,9 @@
 	bool work_changed;
 	struct pool_candidate *candidates; /**< scratch, one a worker */
 	uint32_t candidate_size;
+	uint32_t bookings;	 /**< of the last dispatch */
+	struct pool_slot *slots; /**< scratch of book.c */
+	size_t slot_size;
 	gb_time dispatch_at;
 	gb_time sweep_at;
 	struct gb_pool_stats stats;
@@ -483,12 +486,16 @@
  * have not been asked about, as many as one call takes. */
 bool pool_advice_ask(struct gb_pool *, struct pool_flow *, uint32_t step,
     const uint32_t *workers, uint32_t count);
-void pool_advice_done(struct gb_pool *, uint64_t call, const gb_advice_res *);
+/** Take an answer in; returns the flow and step that it is for, or null. */
+struct pool_flow *pool_advice_done(struct gb_pool *, uint64_t call,
+    const gb_advice_res *, uint32_t *step);
 void pool_advice_claims_drop(struct gb_pool *, struct pool_step *);
 void pool_advice_reset(struct gb_pool *);
 
 /* dispatch.c */
 void pool_dispatch(struct gb_pool *);
+/** Start what can start of one step whose advice has come. */
+void pool_dispatch_step(struct gb_pool *, struct pool_flow *, uint32_t step);
 
 /* owner.c */
 void pool_owner_take(struct gb_pool *, uint64_t after);
