--- a/libgooseberry/connection/http.c
+++ b/libgooseberry/connection/http.c
@@ -227,9 +227,8 @@
 	    {405, "Method Not Allowed"}, {409, "Conflict"}, {410, "Gone"},
 	    {412, "Precondition Failed"}, {413, "Payload Too Large"},
 	    {422, "Unprocessable Entity"}, {428, "Precondition Required"},
-	    {429, "Too Many Requests"},
-	    {502, "Bad Gateway"}, {503, "Service Unavailable"},
-	    {504, "Gateway Timeout"}};
+	    {429, "Too Many Requests"}, {502, "Bad Gateway"},
+	    {503, "Service Unavailable"}, {504, "Gateway Timeout"}};
 	size_t i;
 
 	for (i = 0; i < sizeof(reasons) / sizeof(reasons[0]); i++) {
--- a/libgooseberry/node/node.c
+++ b/libgooseberry/node/node.c
@@ -445,8 +445,7 @@
 	pool.events = events;
 	ops.data = node;
 	node->pool = gb_pool_new(&pool, &ops, node_now());
-	node->cpu_milli =
-	    (uint32_t)(strtod(settings->cpu_share, NULL) * 1000);
+	node->cpu_milli = (uint32_t)(strtod(settings->cpu_share, NULL) * 1000);
 	watch_init(&node->watch, settings->addr, node->cpu_milli, node_now(),
 	    node->incarnation);
 	uv_timer_init(loop, &node->tick);
--- a/libgooseberry/node/node_state.h
+++ b/libgooseberry/node/node_state.h
@@ -87,7 +87,7 @@
 	uint64_t next_id;
 	struct intakes intakes;
 	bool leaving;
-	bool released;  /**< gave the pool up: the next may take it at once */
+	bool released;	/**< gave the pool up: the next may take it at once */
 	bool deferring; /**< gives it up to a larger node */
 	gb_time leave_at;
 };
--- a/libgooseberry/node/watch.c
+++ b/libgooseberry/node/watch.c
@@ -59,12 +59,13 @@
 {
 	if (w->largest_milli == 0)
 		return w->own_milli >= CORE_MILLI
-		    ? 0
-		    : WATCH_DEFER * (CORE_MILLI - (gb_time)w->own_milli) /
-			CORE_MILLI;
+			   ? 0
+			   : WATCH_DEFER *
+				 (CORE_MILLI - (gb_time)w->own_milli) /
+				 CORE_MILLI;
 	return (uint64_t)w->own_milli * 5 < (uint64_t)w->largest_milli * 4
-	    ? WATCH_DEFER
-	    : 0;
+		   ? WATCH_DEFER
+		   : 0;
 }
 
 static void
--- a/libgooseberry/node/watch.h
+++ b/libgooseberry/node/watch.h
@@ -38,8 +38,8 @@
 	unsigned int deaf;    /**< do not hear the owner either */
 	unsigned int hearing;
 	gb_time polled_at;
-	gb_time cleared_until; /**< others hear the owner: no suspicion */
-	unsigned int members; /**< other members that are known */
+	gb_time cleared_until;	/**< others hear the owner: no suspicion */
+	unsigned int members;	/**< other members that are known */
 	uint32_t own_milli;	/**< processor of this node, in thousandths */
 	uint32_t largest_milli; /**< of the largest live member, 0: unknown */
 	uint64_t seed;
--- a/libgooseberry/pool/advice.c
+++ b/libgooseberry/pool/advice.c
@@ -120,8 +120,7 @@
 
 		if (ask->workers.workers_len >= POOL_ADVICE_MOST)
 			break;
-		if (!worker->listed || worker->over ||
-		    worker->entry.draining ||
+		if (!worker->listed || worker->over || worker->entry.draining ||
 		    step_asked(step, worker->handle) ||
 		    !pool_fit_allows(pool, flow, step, worker))
 			continue;
@@ -256,8 +255,8 @@
 }
 
 struct pool_flow *
-pool_advice_done(struct gb_pool *pool, uint64_t id, const gb_advice_res *res,
-    uint32_t *step)
+pool_advice_done(
+    struct gb_pool *pool, uint64_t id, const gb_advice_res *res, uint32_t *step)
 {
 	struct pool_lane *lane = lane_of_call(pool, id);
 	struct pool_advice_call *call;
--- a/libgooseberry/pool/book.c
+++ b/libgooseberry/pool/book.c
@@ -77,7 +77,7 @@
 {
 	struct book_end ends[BOOK_RUNS_MOST];
 	uint32_t limit = step->spec->per_worker == 0 ? step->spec->count
-						      : step->spec->per_worker;
+						     : step->spec->per_worker;
 	gb_res room = pool_fit_free(worker);
 	gb_time wait = 0;
 	size_t count = 0;
@@ -88,7 +88,8 @@
 	gb_res_sub(&room, &worker->booked);
 	if (limit > BOOK_SLOTS_MOST)
 		limit = BOOK_SLOTS_MOST;
-	TAILQ_FOREACH(run, &worker->runs, of_worker) {
+	TAILQ_FOREACH(run, &worker->runs, of_worker)
+	{
 		if (n == BOOK_RUNS_MOST)
 			break;
 		ends[n].run = run;
@@ -127,8 +128,8 @@
 {
 	if (pool->slot_size < wanted) {
 		pool->slot_size = wanted;
-		pool->slots = gb_realloc(
-		    pool->slots, wanted * sizeof(*pool->slots));
+		pool->slots =
+		    gb_realloc(pool->slots, wanted * sizeof(*pool->slots));
 	}
 	return pool->slots;
 }
@@ -146,9 +147,10 @@
 
 	slots = book_scratch(pool, (size_t)workers * BOOK_SLOTS_MOST);
 	for (i = 0; i < workers; i++) {
-		const struct pool_worker *worker = POOL_ADVICE_NEEDED(flow)
-		    ? pool_worker_get(pool, step->approved[i].worker)
-		    : pool->workers[i];
+		const struct pool_worker *worker =
+		    POOL_ADVICE_NEEDED(flow)
+			? pool_worker_get(pool, step->approved[i].worker)
+			: pool->workers[i];
 
 		if (pool_fit_usable(pool, worker) &&
 		    pool_fit_allows(pool, flow, step, worker))
--- a/libgooseberry/pool/fit.c
+++ b/libgooseberry/pool/fit.c
@@ -176,8 +176,8 @@
 	gb_res room;
 	uint32_t already;
 
-	if (worker == NULL || worker->entry.capacity.cpu - worker->used.cpu <
-		step->spec->res.cpu)
+	if (worker == NULL ||
+	    worker->entry.capacity.cpu - worker->used.cpu < step->spec->res.cpu)
 		return false;
 	if (!pool_fit_usable(pool, worker) ||
 	    !pool_fit_allows(pool, flow, step, worker))
--- a/libgooseberry/pool/flow.c
+++ b/libgooseberry/pool/flow.c
@@ -503,7 +503,9 @@
 		if (!TAILQ_EMPTY(&step->tasks[index].runs))
 			step->active_open--;
 		TAILQ_FOREACH(run, &step->tasks[index].runs, of_task)
-		pool_run_stop(pool, run, "another copy is done");
+		{
+			pool_run_stop(pool, run, "another copy is done");
+		}
 	}
 	flow_changed(pool, flow);
 	step->done_change = flow->change;
--- a/libgooseberry/pool/health.c
+++ b/libgooseberry/pool/health.c
@@ -88,8 +88,8 @@
 run_still(const struct gb_pool *pool, const struct pool_run *run)
 {
 	return run->state == POOL_RUN_RUNNING && run->confirmed != 0 &&
-	    run->percent < HEALTH_WHOLE &&
-	    pool->now - run->moved >= HEALTH_STANDSTILL;
+	       run->percent < HEALTH_WHOLE &&
+	       pool->now - run->moved >= HEALTH_STANDSTILL;
 }
 
 /** Members of a gang work together: none of them moves. */
@@ -100,7 +100,8 @@
 	uint32_t i;
 
 	for (i = 0; i < step->spec->count; i++) {
-		TAILQ_FOREACH(run, &step->tasks[i].runs, of_task) {
+		TAILQ_FOREACH(run, &step->tasks[i].runs, of_task)
+		{
 			if (!run_still(pool, run))
 				return false;
 		}
@@ -113,12 +114,12 @@
 {
 	struct pool_run *run;
 
-	TAILQ_FOREACH(run, &worker->runs, of_worker) {
+	TAILQ_FOREACH(run, &worker->runs, of_worker)
+	{
 		struct pool_step *step = &run->flow->steps[run->step];
 		bool gang = (step->spec->flags & GB_STEP_GANG) != 0;
 
-		if (!run_still(pool, run) ||
-		    (gang && !gang_still(pool, step)))
+		if (!run_still(pool, run) || (gang && !gang_still(pool, step)))
 			continue;
 		if (worker->aside_until <= pool->now && !gang)
 			worker_aside(pool, worker, "a run stands still");
--- a/libgooseberry/pool/owner.c
+++ b/libgooseberry/pool/owner.c
@@ -54,7 +54,9 @@
 	struct pool_flow *next;
 
 	HASH_ITER(hh, pool->flows, flow, next)
-	pool_flow_free(pool, flow);
+	{
+		pool_flow_free(pool, flow);
+	}
 	pool_advice_reset(pool);
 	pool_workers_reset(pool);
 	pool_writer_reset(pool);
@@ -397,7 +399,8 @@
 		if (pool->reads_out == 0 && !pool->claim_failed)
 			owner_claim(pool);
 		else if (pool->reads_out == 0)
-			owner_give_up(pool, "another node was first, or the owner's row is unreadable");
+			owner_give_up(pool, "another node was first, or the "
+					    "owner's row is unreadable");
 		break;
 	case POOL_CALL_LOAD_STATES:
 		for (i = 0; i < res->row_count; i++)
--- a/libgooseberry/pool/pool.c
+++ b/libgooseberry/pool/pool.c
@@ -57,7 +57,9 @@
 	if (pool == NULL || --pool->refs > 0)
 		return;
 	HASH_ITER(hh, pool->flows, flow, next_flow)
-	pool_flow_free(pool, flow);
+	{
+		pool_flow_free(pool, flow);
+	}
 	pool_advice_reset(pool);
 	pool_writer_reset(pool);
 	pool_workers_free(pool);
--- a/libgooseberry/pool/rank.c
+++ b/libgooseberry/pool/rank.c
@@ -93,8 +93,8 @@
 	gb_time target = queue == NULL ? GB_SEC : queue->target_us;
 	gb_time objective;
 
-	objective = target +
-	    (gb_time)(stretch * (double)rank_chain(pool, flow, chains, false));
+	objective = target + (gb_time)(stretch * (double)rank_chain(pool, flow,
+						     chains, false));
 	flow->chain = rank_chain(pool, flow, chains, true);
 	flow->due = flow->submitted + objective;
 	flow->late_due = flow->submitted + RANK_LATE_FACTOR * objective;
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -143,8 +143,8 @@
 	gb_time due;	   /**< to earn in full */
 	gb_time late_due;  /**< to earn anything */
 	gb_time remaining; /**< longest chain that is left */
-	gb_time wait; /**< until room for a gang is expected, as last seen */
-	uint64_t ranked;   /**< change for which the chain was worked out */
+	gb_time wait;	 /**< until room for a gang is expected, as last seen */
+	uint64_t ranked; /**< change for which the chain was worked out */
 	gb_time ranked_at;
 	gb_time chain; /**< longest chain that is left, without the wait */
 	int tier;
@@ -171,15 +171,15 @@
 	uint32_t handle;
 	struct gb_pool_entry entry;
 	char rack[GB_NAME_MAX + 1];
-	gb_res used;	/**< by runs */
-	gb_res claimed; /**< kept for gangs whose tickets are renewed */
+	gb_res used;	   /**< by runs */
+	gb_res claimed;	   /**< kept for gangs whose tickets are renewed */
 	gb_res booked;	   /**< kept for gangs that wait for room */
 	gb_time booked_at; /**< when the first of them wants it, 0: none */
 	bool was_booked;   /**< in the dispatch before this one */
-	bool listed;	/**< by the platform */
-	bool fenced;	/**< has answered this owner */
-	bool over;	/**< its lifetime has ended, or its lease lapsed */
-	bool foreign;	/**< runs something whose size is unknown */
+	bool listed;	   /**< by the platform */
+	bool fenced;	   /**< has answered this owner */
+	bool over;	   /**< its lifetime has ended, or its lease lapsed */
+	bool foreign;	   /**< runs something whose size is unknown */
 	uint64_t hold_call;
 	gb_time hold_sent;
 	gb_time hold_at;       /**< next hold */
@@ -390,8 +390,8 @@
 uint32_t pool_fit_place(struct gb_pool *, const struct pool_flow *,
     const struct pool_step *, uint32_t wanted, bool tickets, uint32_t *out);
 /** Tasks of a step that would fit on its approved workers, were they empty. */
-uint64_t pool_fit_slots(const struct gb_pool *, const struct pool_flow *,
-    const struct pool_step *);
+uint64_t pool_fit_slots(
+    const struct gb_pool *, const struct pool_flow *, const struct pool_step *);
 /** Whether the step could run if all its workers were empty. */
 bool pool_fit_possible(
     const struct gb_pool *, const struct pool_flow *, const struct pool_step *);
@@ -487,8 +487,8 @@
 bool pool_advice_ask(struct gb_pool *, struct pool_flow *, uint32_t step,
     const uint32_t *workers, uint32_t count);
 /** Take an answer in; returns the flow and step that it is for, or null. */
-struct pool_flow *pool_advice_done(struct gb_pool *, uint64_t call,
-    const gb_advice_res *, uint32_t *step);
+struct pool_flow *pool_advice_done(
+    struct gb_pool *, uint64_t call, const gb_advice_res *, uint32_t *step);
 void pool_advice_claims_drop(struct gb_pool *, struct pool_step *);
 void pool_advice_reset(struct gb_pool *);
 
--- a/tests/check.sh
+++ b/tests/check.sh
@@ -28,9 +28,9 @@
 cppcheck --quiet --std=c11 --inline-suppr --error-exitcode=1 \
     --enable=warning,performance,portability \
     --suppress=missingIncludeSystem --suppress=uninitvar --suppress=nullPointerOutOfMemory \
-    -I libgooseberry -I standin -I cli -j "$(nproc)" \
+    -I libgooseberry -I standin -I cli -I platform -j "$(nproc)" \
     libgooseberry/request libgooseberry/connection libgooseberry/version \
-    libgooseberry/process cli standin bench tests
+    libgooseberry/process libgooseberry/pool libgooseberry/node platform cli standin bench tests
 result cppcheck $?
 
 git ls-files '*.c' | grep -v /gen/ |
