--- a/libgooseberry/gen/proto.c
+++ b/libgooseberry/gen/proto.c
@@ -955,7 +955,7 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->cancelled))
 		 return FALSE;
-	 if (!xdr_int64_t (xdrs, &objp->changed_us))
+	 if (!xdr_bool (xdrs, &objp->owned))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->done.done_val, (u_int *) &objp->done.done_len, GB_STEPS_MAX,
 		sizeof (gb_body), (xdrproc_t) xdr_gb_body))
--- a/libgooseberry/gen/proto.h
+++ b/libgooseberry/gen/proto.h
@@ -555,7 +555,7 @@
 struct gb_flow_state {
 	gb_flow_status status;
 	bool_t cancelled;
-	int64_t changed_us;
+	bool_t owned;
 	struct {
 		u_int done_len;
 		gb_body *done_val;
--- a/libgooseberry/gen/proto.x
+++ b/libgooseberry/gen/proto.x
@@ -465,7 +465,7 @@
 struct gb_flow_state {
 	gb_flow_status status;
 	bool cancelled;
-	int64_t changed_us;	/* wall clock of the last change */
+	bool owned;		/* an owner took it in: tasks may have begun */
 	gb_body done<GB_STEPS_MAX>;	/* a bit for each task of a step */
 	gb_task_state tasks<GB_TASKS_MAX>;
 };
--- a/libgooseberry/node/node.c
+++ b/libgooseberry/node/node.c
@@ -315,7 +315,7 @@
 	const struct gb_pool_read read = {
 	    0, GB_POOL_OWNERS, GB_POOL_OWNER_KEY, GB_POOL_OWNER_KEY "0", 1};
 
-	node->watch.read_out = true;
+	watch_reading(&node->watch, node_now());
 	node->platform.read(node->platform.data,
 	    node_call_new(node, NULL, NULL, owner_row_read), &read);
 }
--- a/libgooseberry/node/watch.c
+++ b/libgooseberry/node/watch.c
@@ -23,8 +23,12 @@
 /** Hellos in a row that find nobody listening.  A restarted process listens
  * again after a moment, but has forgotten everything. */
 #define WATCH_REFUSED 2
-/** An owner without the store can't accept work or record ends. */
-#define WATCH_STORE_SILENT (2500 * GB_MSEC)
+/** An owner without the store can't accept work or record ends.  It writes each
+ * 0.6 s at the least. */
+#define WATCH_STORE_SILENT (1300 * GB_MSEC)
+/** A store that answers this node within this is not what is wrong: it takes
+ * 4 ms when all is well, and 240 ms and more when it is slow for everybody. */
+#define WATCH_STORE_QUICK (150 * GB_MSEC)
 /** Pause between reads of the owner's row. */
 #define WATCH_READ_EVERY (150 * GB_MSEC)
 /** Nodes that see the same thing take the pool one after the other. */
@@ -123,7 +127,7 @@
 		return WATCH_NOTHING;
 	if (w->vacant)
 		return w->take_at <= now ? WATCH_TAKE : WATCH_NOTHING;
-	if (w->owner[0] == '\0')
+	if (w->owner[0] == '\0' || w->store_doubted)
 		return w->next_read <= now ? WATCH_READ : WATCH_NOTHING;
 	if (w->cleared_until <= now &&
 	    (now - w->heard > WATCH_SUSPECT || w->refused >= WATCH_REFUSED)) {
@@ -137,6 +141,13 @@
 	return WATCH_NOTHING;
 }
 
+void
+watch_reading(struct watch *w, gb_time now)
+{
+	w->read_out = true;
+	w->read_sent = now;
+}
+
 void
 watch_row(struct watch *w, gb_time now, const char *addr, uint64_t epoch)
 {
@@ -149,6 +160,9 @@
 	}
 	if (epoch == w->epoch && strcmp(addr, w->owner) == 0) {
 		w->suspected = true;
+		if (w->store_doubted && now - w->read_sent < WATCH_STORE_QUICK)
+			watch_vacate(w, now);
+		w->store_doubted = false;
 		return;
 	}
 	snprintf(w->owner, sizeof(w->owner), "%s", addr);
@@ -165,6 +179,7 @@
 watch_row_failed(struct watch *w, gb_time now)
 {
 	w->read_out = false;
+	w->store_doubted = false;
 	w->next_read = now + WATCH_READ_EVERY + watch_spread(w);
 }
 
@@ -179,9 +194,10 @@
 	w->suspected = false;
 	w->polled = 0;
 	w->members = members;
-	if (vacating || store_silent > WATCH_STORE_SILENT)
+	w->store_doubted = !vacating && store_silent > WATCH_STORE_SILENT;
+	if (vacating)
 		watch_vacate(w, now);
-	else
+	else if (!w->store_doubted)
 		w->vacant = false;
 }
 
@@ -246,6 +262,7 @@
 watch_lost(struct watch *w, gb_time now, gb_time pause)
 {
 	w->vacant = false;
+	w->store_doubted = false;
 	w->owner[0] = '\0';
 	w->suspected = false;
 	w->refused = 0;
--- a/libgooseberry/node/watch.h
+++ b/libgooseberry/node/watch.h
@@ -29,6 +29,8 @@
 	bool
 	    suspected; /**< the row was read anew since the owner fell silent */
 	gb_time next_read;
+	gb_time read_sent;
+	bool store_doubted; /**< the owner misses the store: does this node? */
 	gb_time next_hello;
 	gb_time heard;	      /**< the owner's last answer */
 	unsigned int refused; /**< hellos in a row that reached nobody */
@@ -48,6 +50,8 @@
 void watch_init(struct watch *, const char *self, uint32_t own_milli,
     gb_time now, uint64_t seed);
 enum watch_action watch_next(struct watch *, gb_time now);
+/** A read of the owner's row was sent. */
+void watch_reading(struct watch *, gb_time now);
 /** The owner's row was read; without a row the address is null. */
 void watch_row(struct watch *, gb_time now, const char *addr, uint64_t epoch);
 void watch_row_failed(struct watch *, gb_time now);
--- a/libgooseberry/pool/flow.c
+++ b/libgooseberry/pool/flow.c
@@ -191,6 +191,7 @@
 	memset(state, 0, sizeof(*state));
 	state->status = flow->status;
 	state->cancelled = flow->cancelled;
+	state->owned = true;
 	if (flow->status >= GB_FLOW_SUCCEEDED)
 		return;
 	for (i = 0; i < flow->step_count; i++) {
@@ -276,6 +277,8 @@
 	flow->cancelled = state->cancelled;
 	flow->status = state->status;
 	flow->stored = flow->change;
+	/* Stored by a node without an owner: nobody has started any of it. */
+	flow->fresh = !state->owned;
 	if (state->status >= GB_FLOW_SUCCEEDED)
 		return true;
 	if (state->done.done_len != 0 &&
--- a/libgooseberry/pool/owner.c
+++ b/libgooseberry/pool/owner.c
@@ -15,13 +15,14 @@
 /** Rows read at once; the store returns at most 500. */
 #define OWNER_PAGE 500
 /** Every lease that an earlier owner gave is over this much after its longest
- * length on the slowest clock. */
-#define OWNER_SETTLE_MARGIN (300 * GB_MSEC)
+ * length on the slowest clock: it learns of its loss with its next write or
+ * the next answer of a worker, half a second at the most. */
+#define OWNER_SETTLE_MARGIN (900 * GB_MSEC)
 /** The slowest clock of a worker, in thousandths of true time. */
 #define CLOCK_SLOWEST 980
 /** The owner's row is written this often when nothing else is, so that an
- * owner that has lost it learns so: well before a takeover is complete. */
-#define OWNER_RENEW (1500 * GB_MSEC)
+ * owner that has lost it, or the store, learns so. */
+#define OWNER_RENEW (600 * GB_MSEC)
 /** Writes that are pending at a stop are given this long. */
 #define OWNER_RELEASE (1500 * GB_MSEC)
 /** Flows stored without the owner are looked for this often; their nodes also
@@ -279,7 +280,7 @@
 static void
 owner_active(struct gb_pool *pool)
 {
-	gb_time lease = pool->cfg.limits.lease_us;
+	gb_time lease = pool_worker_lease_most(pool);
 
 	load_finish(pool);
 	owner_phase(pool, POOL_OWNER_ACTIVE);
--- a/libgooseberry/pool/runner.c
+++ b/libgooseberry/pool/runner.c
@@ -19,7 +19,7 @@
 /** Lease given with each order and hold; as long as a worker grants, but no
  * longer than this: what a lost worker runs can start anew only after it, and
  * a takeover must come well before it (about 1.5 s). */
-#define LEASE_MOST (4500 * GB_MSEC)
+#define LEASE_MOST (3500 * GB_MSEC)
 /** The slowest clock of a worker, in thousandths of true time. */
 #define CLOCK_SLOWEST 980
 /** Added to the end of a lease: coarse clocks, and a kill that takes time. */
@@ -72,14 +72,19 @@
 	worker->clock_at = pool->now;
 }
 
+gb_time
+pool_worker_lease_most(const struct gb_pool *pool)
+{
+	return pool->cfg.limits.lease_us < LEASE_MOST ? pool->cfg.limits.lease_us
+						      : LEASE_MOST;
+}
+
 /** End of a lease that begins now, on the worker's clock; 0 while the clock is
  * not known.  Remembers when it is surely over. */
 static int64_t
 worker_lease(struct gb_pool *pool, struct pool_worker *worker, gb_time *lapse)
 {
-	gb_time lease = pool->cfg.limits.lease_us < LEASE_MOST
-			    ? pool->cfg.limits.lease_us
-			    : LEASE_MOST;
+	gb_time lease = pool_worker_lease_most(pool);
 	gb_time since = pool->now - worker->clock_at;
 	gb_time over;
 
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -456,6 +456,8 @@
 /* runner.c */
 struct pool_worker *pool_worker_get(const struct gb_pool *, uint32_t handle);
 struct pool_worker *pool_worker_find(struct gb_pool *, const char *id);
+/** Longest lease that owners give. */
+gb_time pool_worker_lease_most(const struct gb_pool *);
 void pool_worker_entry(struct gb_pool *, const struct gb_pool_entry *);
 void pool_worker_tick(struct gb_pool *, struct pool_worker *);
 void pool_workers_reset(struct gb_pool *);
--- a/libgooseberry/pool/writer.c
+++ b/libgooseberry/pool/writer.c
@@ -22,7 +22,7 @@
 #define WRITER_BYTES_MOST (400 * 1024)
 /** Pause between transactions of a part, which gathers changes: calls are
  * paid for, and a submission waits half of it on average. */
-#define WRITER_GAP (20 * GB_MSEC)
+#define WRITER_GAP (35 * GB_MSEC)
 /** First and longest pause after a refusal. */
 #define WRITER_RETRY_BASE (50 * GB_MSEC)
 #define WRITER_RETRY_MOST (400 * GB_MSEC)
--- a/tests/test_watch.c
+++ b/tests/test_watch.c
@@ -15,17 +15,28 @@
 #define STEP (25 * GB_MSEC)
 
 static gb_time now;
+/** Time that a read of the owner's row takes. */
+static gb_time read_takes;
 
 static void
 begin(struct watch *w)
 {
 	now = 100 * GB_SEC;
+	read_takes = 5 * GB_MSEC;
 	watch_init(w, SELF, 250, now, 1);
 	watch_row(w, now, OWNER, 1);
 	watch_heard(w, now, false, 0, 5);
 	w->largest_milli = 250;
 }
 
+static void
+read_row(struct watch *w)
+{
+	watch_reading(w, now);
+	now += read_takes;
+	watch_row(w, now, OWNER, 1);
+}
+
 /** Let time pass until the watch wants something but hellos, which nobody
  * answers; returns what, or nothing after the given time. */
 static enum watch_action
@@ -39,7 +50,7 @@
 		if (action == WATCH_HELLO)
 			watch_unheard(w, now, false);
 		else if (action == WATCH_READ)
-			watch_row(w, now, OWNER, 1);
+			read_row(w);
 		else if (action != WATCH_NOTHING)
 			return action;
 	}
@@ -159,6 +170,20 @@
 	assert_int_equal(wanted(&w, GB_SEC), WATCH_TAKE);
 }
 
+/** A store that is slow for everybody is no reason to take over. */
+static void
+test_slow_store_is_no_reason(void **state)
+{
+	struct watch w;
+
+	(void)state;
+	begin(&w);
+	read_takes = 300 * GB_MSEC;
+	watch_heard(&w, now, false, 3 * GB_SEC, 5);
+	assert_int_equal(wanted(&w, 500 * GB_MSEC), WATCH_NOTHING);
+	assert_false(w.vacant);
+}
+
 static void
 test_own_old_row_is_taken_up(void **state)
 {
@@ -183,6 +208,7 @@
 	    cmocka_unit_test(test_leaving_owner_is_succeeded_at_once),
 	    cmocka_unit_test(test_small_node_defers),
 	    cmocka_unit_test(test_owner_without_store_is_succeeded),
+	    cmocka_unit_test(test_slow_store_is_no_reason),
 	    cmocka_unit_test(test_own_old_row_is_taken_up),
 	};
 
