--- a/libgooseberry/node/watch.c
+++ b/libgooseberry/node/watch.c
@@ -168,6 +168,7 @@
 	snprintf(w->owner, sizeof(w->owner), "%s", addr);
 	w->epoch = epoch;
 	w->vacant = false;
+	w->store_doubted = false;
 	w->suspected = false;
 	w->refused = 0;
 	w->polled = 0;
--- a/tests/test_watch.c
+++ b/tests/test_watch.c
@@ -170,6 +170,25 @@
 	assert_int_equal(wanted(&w, GB_SEC), WATCH_TAKE);
 }
 
+/** The doubt was of an owner that has been succeeded meanwhile: each node took
+ * the pool from the one before it (acdi trouble-1, three takeovers in 0.5 s). */
+static void
+test_successor_is_not_doubted(void **state)
+{
+	struct watch w;
+
+	(void)state;
+	begin(&w);
+	watch_heard(&w, now, false, 3 * GB_SEC, 5);
+	assert_int_equal(watch_next(&w, now + GB_SEC), WATCH_READ);
+	now += GB_SEC;
+	watch_reading(&w, now);
+	watch_row(&w, now, "10.0.0.3:70", 2);
+	assert_int_equal(watch_next(&w, now), WATCH_HELLO);
+	watch_heard(&w, now, false, 0, 5);
+	assert_int_equal(wanted(&w, 150 * GB_MSEC), WATCH_NOTHING);
+}
+
 /** A store that is slow for everybody is no reason to take over. */
 static void
 test_slow_store_is_no_reason(void **state)
@@ -208,6 +227,7 @@
 	    cmocka_unit_test(test_leaving_owner_is_succeeded_at_once),
 	    cmocka_unit_test(test_small_node_defers),
 	    cmocka_unit_test(test_owner_without_store_is_succeeded),
+	    cmocka_unit_test(test_successor_is_not_doubted),
 	    cmocka_unit_test(test_slow_store_is_no_reason),
 	    cmocka_unit_test(test_own_old_row_is_taken_up),
 	};
