--- a/libgooseberry/gen/proto.c
+++ b/libgooseberry/gen/proto.c
@@ -984,6 +984,29 @@
 	return TRUE;
 }
 
+bool_t
+xdr_gb_worker_ref (XDR *xdrs, gb_worker_ref *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_gb_name (xdrs, &objp->id))
+		 return FALSE;
+	 if (!xdr_gb_name (xdrs, &objp->addr))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_gb_worker_set (XDR *xdrs, gb_worker_set *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->list.list_val, (u_int *) &objp->list.list_len, GB_LIST_MAX,
+		sizeof (gb_worker_ref), (xdrproc_t) xdr_gb_worker_ref))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_gb_flow_verdict (XDR *xdrs, gb_flow_verdict *objp)
 {
--- a/libgooseberry/gen/proto.h
+++ b/libgooseberry/gen/proto.h
@@ -576,12 +576,27 @@
 };
 typedef struct gb_owner_row gb_owner_row;
 
+struct gb_worker_ref {
+	gb_name id;
+	gb_name addr;
+};
+typedef struct gb_worker_ref gb_worker_ref;
+
+struct gb_worker_set {
+	struct {
+		u_int list_len;
+		gb_worker_ref *list_val;
+	} list;
+};
+typedef struct gb_worker_set gb_worker_set;
+
 enum gb_flow_verdict {
 	GB_FLOW_ACCEPTED = 0,
 	GB_FLOW_REFUSED = 1,
 	GB_FLOW_MAYBE = 2,
 	GB_FLOW_NOT_OWNER = 3,
 	GB_FLOW_BEHIND = 4,
+	GB_FLOW_UNSURE = 5,
 };
 typedef enum gb_flow_verdict gb_flow_verdict;
 
@@ -730,6 +745,8 @@
 extern  bool_t xdr_gb_task_state (XDR *, gb_task_state*);
 extern  bool_t xdr_gb_flow_state (XDR *, gb_flow_state*);
 extern  bool_t xdr_gb_owner_row (XDR *, gb_owner_row*);
+extern  bool_t xdr_gb_worker_ref (XDR *, gb_worker_ref*);
+extern  bool_t xdr_gb_worker_set (XDR *, gb_worker_set*);
 extern  bool_t xdr_gb_flow_verdict (XDR *, gb_flow_verdict*);
 extern  bool_t xdr_gb_flow_submit (XDR *, gb_flow_submit*);
 extern  bool_t xdr_gb_flow_op (XDR *, gb_flow_op*);
@@ -796,6 +813,8 @@
 extern bool_t xdr_gb_task_state ();
 extern bool_t xdr_gb_flow_state ();
 extern bool_t xdr_gb_owner_row ();
+extern bool_t xdr_gb_worker_ref ();
+extern bool_t xdr_gb_worker_set ();
 extern bool_t xdr_gb_flow_verdict ();
 extern bool_t xdr_gb_flow_submit ();
 extern bool_t xdr_gb_flow_op ();
--- a/libgooseberry/gen/proto.x
+++ b/libgooseberry/gen/proto.x
@@ -480,12 +480,24 @@
 	uint64_t serial;	/* grows with each write of the row */
 };
 
+/* Workers that may run something: a start is sent only to those in the stored
+ * set, so that a successor knows whom to ask. */
+struct gb_worker_ref {
+	gb_name id;
+	gb_name addr;
+};
+
+struct gb_worker_set {
+	gb_worker_ref list<GB_LIST_MAX>;
+};
+
 enum gb_flow_verdict {
 	GB_FLOW_ACCEPTED = 0,
 	GB_FLOW_REFUSED = 1,	/* never runs */
 	GB_FLOW_MAYBE = 2,	/* may have been accepted */
 	GB_FLOW_NOT_OWNER = 3,	/* ask another node; nothing was done */
-	GB_FLOW_BEHIND = 4	/* has an older configuration */
+	GB_FLOW_BEHIND = 4,	/* has an older configuration */
+	GB_FLOW_UNSURE = 5	/* as maybe, and asking again now is no use */
 };
 
 struct gb_flow_submit {
--- a/libgooseberry/node/intake.c
+++ b/libgooseberry/node/intake.c
@@ -16,12 +16,15 @@
 #include "node_state.h"
 
 /** A try at the owner; the owner writes within 20 to 40 ms when all is calm. */
-#define TRY_TIMEOUT (1200 * GB_MSEC)
+#define TRY_TIMEOUT (700 * GB_MSEC)
 /** Pause between tries. */
 #define TRY_PAUSE (40 * GB_MSEC)
 /** A submission waits this long for an owner to appear before this node
  * writes it itself. */
 #define WRITE_AFTER (120 * GB_MSEC)
+/** A node that finds neither owner nor store turns the caller away after this:
+ * long enough for a takeover, early enough to come back. */
+#define WRITE_PATIENCE (400 * GB_MSEC)
 /** A caller's answer goes out this much before its time is up. */
 #define ANSWER_MARGIN (150 * GB_MSEC)
 /** Time to come back after a refusal for want of an owner and the store. */
@@ -118,6 +121,15 @@
 	    node_call_new(node, in, NULL, state_read), &read);
 }
 
+static void
+flow_not_written(struct intake *in)
+{
+	if (node_now() - in->began > WRITE_PATIENCE)
+		intake_give_up(in);
+	else
+		intake_again(in);
+}
+
 static void
 flow_written(struct node_call *call, const struct gb_pool_txn_res *res)
 {
@@ -135,11 +147,11 @@
 		intake_finish(in, &answer);
 		break;
 	case GB_STORE_REFUSED:
-		intake_again(in);
+		flow_not_written(in);
 		break;
 	default:
 		in->maybe = true;
-		intake_again(in);
+		flow_not_written(in);
 		break;
 	}
 }
@@ -186,10 +198,14 @@
 		in->maybe = true;
 		intake_again(in);
 		return;
+	case GB_FLOW_UNSURE:
+		in->maybe = true;
+		intake_give_up(in);
+		return;
 	case GB_FLOW_REFUSED:
 		if (in->maybe) {
 			/* An earlier try may have been accepted. */
-			intake_again(in);
+			intake_give_up(in);
 			return;
 		}
 		break;
--- a/libgooseberry/pool.h
+++ b/libgooseberry/pool.h
@@ -175,6 +175,8 @@
 #define GB_POOL_PARTS 1
 /** Key of the owner's row. */
 #define GB_POOL_OWNER_KEY "owner"
+/** Key of the set of workers in use, in the first part of the same table. */
+#define GB_POOL_WORKERS_KEY "workers"
 
 uint32_t gb_pool_part(const char *flow_id);
 
--- a/libgooseberry/pool/fit.c
+++ b/libgooseberry/pool/fit.c
@@ -33,7 +33,8 @@
 bool
 pool_fit_usable(const struct gb_pool *pool, const struct pool_worker *worker)
 {
-	return worker->listed && worker->fenced && !worker->over &&
+	return worker->listed && worker->fenced && worker->recorded &&
+	    !worker->over &&
 	       !worker->foreign && !worker->entry.draining &&
 	       worker->silent == 0 && worker->aside_until <= pool->now;
 }
--- a/libgooseberry/pool/flow.c
+++ b/libgooseberry/pool/flow.c
@@ -319,6 +319,45 @@
 	STAILQ_INSERT_TAIL(&flow->waiters, waiter, next);
 }
 
+/** Answer all that wait for a flow. */
+static void
+flow_answer_all(
+    struct gb_pool *pool, struct pool_flow *flow, const gb_flow_answer *answer)
+{
+	struct pool_waiter *waiter;
+
+	while ((waiter = STAILQ_FIRST(&flow->waiters)) != NULL) {
+		STAILQ_REMOVE_HEAD(&flow->waiters, next);
+		pool->ops.answer(pool->ops.data, waiter->token, answer);
+		free(waiter);
+	}
+}
+
+void
+pool_flow_turn_away(
+    struct gb_pool *pool, struct pool_flow *flow, gb_time retry)
+{
+	gb_flow_answer answer = {0};
+
+	answer.verdict = GB_FLOW_REFUSED;
+	answer.retry_after_us = retry;
+	pool->stats.refused++;
+	gb_event(pool->cfg.events, GB_EVENT_NORMAL, "flow_refused",
+	    "{s:s, s:s, s:s}", "flow", flow->spec.id, "queue",
+	    flow->spec.queue, "why", "the store does not take writes");
+	flow_answer_all(pool, flow, &answer);
+	pool_flow_free(pool, flow);
+}
+
+void
+pool_flow_unsure(struct gb_pool *pool, struct pool_flow *flow)
+{
+	gb_flow_answer answer = {0};
+
+	answer.verdict = GB_FLOW_UNSURE;
+	flow_answer_all(pool, flow, &answer);
+}
+
 /** Free what was submitted, but for the names. */
 static void
 flow_trim(struct pool_flow *flow)
--- a/libgooseberry/pool/owner.c
+++ b/libgooseberry/pool/owner.c
@@ -198,6 +198,8 @@
 		owner_read(pool, POOL_CALL_LOAD_STATES, i, GB_POOL_STATES, "",
 		    "", OWNER_PAGE);
 	}
+	owner_read(pool, POOL_CALL_LOAD_WORKERS, 0, GB_POOL_OWNERS,
+	    GB_POOL_WORKERS_KEY, GB_POOL_WORKERS_KEY "0", 1);
 }
 
 /* Loading ----------------------------------------------------------------- */
@@ -300,6 +302,25 @@
 	pool->ops.owner(pool->ops.data, true, pool->epoch);
 }
 
+/** Whoever the owner before may have sent runs to is asked, whether the list of
+ * workers names it or not: entries lapse while the store is away. */
+static void
+load_workers(struct gb_pool *pool, const struct gb_pool_read_res *res)
+{
+	gb_worker_set set = {0};
+	u_int i;
+
+	if (res->row_count > 0 &&
+	    gb_xdr_decode((xdrproc_t)xdr_gb_worker_set, &res->rows[0].value,
+		&set)) {
+		for (i = 0; i < set.list.list_len; i++)
+			pool_worker_recorded(pool, &set.list.list_val[i]);
+		xdr_free((xdrproc_t)xdr_gb_worker_set, (char *)&set);
+	}
+	if (pool->reads_out == 0)
+		owner_active(pool);
+}
+
 /** Read the next page, or go on to the next table. */
 static void
 load_next(struct gb_pool *pool, const struct pool_call *call,
@@ -389,7 +410,8 @@
 	if (res->status != GB_STORE_OK) {
 		if (call->kind == POOL_CALL_OWNER_READ ||
 		    call->kind == POOL_CALL_LOAD_STATES ||
-		    call->kind == POOL_CALL_LOAD_FLOWS)
+		    call->kind == POOL_CALL_LOAD_FLOWS ||
+		    call->kind == POOL_CALL_LOAD_WORKERS)
 			owner_give_up(pool, "the store did not answer");
 		return;
 	}
@@ -413,6 +435,9 @@
 			load_flow(pool, &res->rows[i]);
 		load_next(pool, call, res);
 		break;
+	case POOL_CALL_LOAD_WORKERS:
+		load_workers(pool, res);
+		break;
 	case POOL_CALL_INBOX_LIST:
 		inbox_listed(pool, call->part, res);
 		break;
--- a/libgooseberry/pool/pool.c
+++ b/libgooseberry/pool/pool.c
@@ -280,6 +280,11 @@
 		pool_flow_wait(pool, flow, token, 1, pool_flow_shown(flow));
 		return;
 	}
+	if (pool_writer_out(pool, gb_pool_part(submit->flow.id))) {
+		pool->stats.refused++;
+		pool_answer(pool, token, GB_FLOW_REFUSED, GB_SEC);
+		return;
+	}
 	if (!pool_admit(pool, &submit->flow, &retry_after, &why)) {
 		pool->stats.refused++;
 		gb_event(pool->cfg.events, GB_EVENT_NORMAL, "flow_refused",
--- a/libgooseberry/pool/runner.c
+++ b/libgooseberry/pool/runner.c
@@ -36,6 +36,9 @@
 #define HOLD_RETRY_MOST (800 * GB_MSEC)
 /** Holds without answer in a row after which the lease is left to lapse. */
 #define HOLD_RENEW_TRIES 2
+/** A worker that is not listed is asked this often before it is left alone: its
+ * entry may come back for 2 s after an outage of the store. */
+#define HOLD_UNLISTED_TRIES 8
 /** A stop without answer is sent again after this. */
 #define STOP_RETRY (500 * GB_MSEC)
 /** A worker lists this many ends at once; then some may be missing. */
@@ -269,6 +272,7 @@
 	if (worker->over)
 		return;
 	worker->over = true;
+	pool->set_changed = true;
 	worker_runs_drop(pool, worker, why);
 }
 
@@ -723,7 +727,8 @@
 	    worker->lapse_at < pool->now)
 		worker_runs_drop(pool, worker, "its lease has lapsed");
 	if (worker->hold_call == 0 && worker->hold_at <= pool->now &&
-	    (worker->listed || worker->run_count > 0 || worker->silent < 8))
+	    (worker->listed || worker->run_count > 0 ||
+		worker->silent < HOLD_UNLISTED_TRIES || !pool->settled))
 		worker_hold(pool, worker);
 }
 
@@ -803,10 +808,82 @@
 		    (json_int_t)worker->run_count);
 	worker->entry = *entry;
 	worker->listed = true;
+	if (!worker->recorded)
+		pool->set_changed = true;
 	worker_rack(worker);
 	pool->work_changed = true;
 }
 
+/** Whether an owner may have sent runs to a worker that may still have them. */
+static bool
+worker_in_use(const struct gb_pool *pool, const struct pool_worker *worker)
+{
+	if (worker->over)
+		return false;
+	if (worker->listed || worker->run_count > 0)
+		return true;
+	/* Unlisted and silent: until every lease it was given is over. */
+	return worker->recorded &&
+	    (worker->silent == 0 || worker->lapse_at >= pool->now ||
+		!pool->settled);
+}
+
+bool
+pool_worker_set_body(struct gb_pool *pool, gb_body *body)
+{
+	gb_worker_set set = {0};
+	bool ok;
+	uint32_t i;
+
+	set.list.list_val =
+	    gb_calloc(pool->worker_count, sizeof(gb_worker_ref));
+	for (i = 0; i < pool->worker_count; i++) {
+		struct pool_worker *worker = pool->workers[i];
+		gb_worker_ref *ref = &set.list.list_val[set.list.list_len];
+
+		worker->recording = worker_in_use(pool, worker);
+		if (!worker->recording)
+			continue;
+		ref->id = worker->entry.id;
+		ref->addr = worker->entry.addr;
+		set.list.list_len++;
+	}
+	pool->set_changed = false;
+	pool->set_sent = true;
+	ok = gb_xdr_encode((xdrproc_t)xdr_gb_worker_set, &set, body);
+	free(set.list.list_val);
+	return ok;
+}
+
+void
+pool_worker_set_stored(struct gb_pool *pool, bool stored)
+{
+	uint32_t i;
+
+	pool->set_sent = false;
+	if (!stored) {
+		pool->set_changed = true;
+		return;
+	}
+	for (i = 0; i < pool->worker_count; i++)
+		pool->workers[i]->recorded = pool->workers[i]->recording;
+	pool->work_changed = true;
+}
+
+void
+pool_worker_recorded(struct gb_pool *pool, const gb_worker_ref *ref)
+{
+	struct pool_worker *worker = pool_worker_find(pool, ref->id);
+	struct gb_pool_entry entry = {0};
+
+	if (worker == NULL) {
+		snprintf(entry.id, sizeof(entry.id), "%s", ref->id);
+		snprintf(entry.addr, sizeof(entry.addr), "%s", ref->addr);
+		worker = worker_new(pool, &entry);
+	}
+	worker->recorded = true;
+}
+
 /** A new term: nothing is known of what the workers run. */
 void
 pool_workers_reset(struct gb_pool *pool)
@@ -822,6 +899,8 @@
 			free(end);
 		}
 		worker->fenced = false;
+		worker->recorded = false;
+		worker->recording = false;
 		worker->hold_call = 0;
 		worker->hold_at = 0;
 		worker->silent = 0;
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -133,7 +133,7 @@
 	bool fresh;	  /**< taken in by this owner: nobody else started it */
 	uint64_t change;  /**< grows with each change that must be stored */
 	uint64_t stored;  /**< change that the store has */
-	uint64_t sending; /**< change that is being written */
+	uint64_t sending; /**< change that is being written, 0: none ever was */
 	uint32_t runs;
 	gb_time submitted;
 	gb_time first_start;
@@ -179,6 +179,8 @@
 	bool listed;	   /**< by the platform */
 	bool fenced;	   /**< has answered this owner */
 	bool over;	   /**< its lifetime has ended, or its lease lapsed */
+	bool recorded;	   /**< stands in the stored set of workers */
+	bool recording;	   /**< stands in the set that is being written */
 	bool foreign;	   /**< runs something whose size is unknown */
 	uint64_t hold_call;
 	gb_time hold_sent;
@@ -220,7 +222,7 @@
 	uint64_t call;
 	gb_time sent;
 	gb_time retry_at;
-	unsigned int tries;
+	unsigned int tries; /**< writes in a row that were refused or lost */
 	bool seal;  /**< a write was lost */
 	bool renew; /**< write the owner's row */
 	bool renew_sent;
@@ -271,6 +273,7 @@
 	POOL_CALL_OWNER_TXN,
 	POOL_CALL_LOAD_STATES,
 	POOL_CALL_LOAD_FLOWS,
+	POOL_CALL_LOAD_WORKERS,
 	POOL_CALL_INBOX_LIST,
 	POOL_CALL_INBOX_FLOW
 };
@@ -312,6 +315,7 @@
 	uint64_t epoch; /**< of this owner, or the newest that is known */
 	uint64_t term;	/**< grows when ownership is gained or lost */
 	gb_time taken_at;
+	double txn_usual;  /**< time of a transaction, smoothed */
 	gb_time confirmed; /**< last answer of the store to this owner */
 	unsigned int reads_out;
 	bool claim_failed;
@@ -335,6 +339,8 @@
 	uint32_t worker_count;
 	uint32_t worker_size;
 	bool listed; /**< the list of workers has been read */
+	bool set_changed; /**< the stored set of workers must be written */
+	bool set_sent;	  /**< it is being written */
 	/* Advice */
 	struct pool_lane *lanes;
 	size_t lane_count;
@@ -422,6 +428,8 @@
     struct gb_pool *, const struct pool_call *, const struct gb_pool_txn_res *);
 void pool_writer_reset(struct gb_pool *);
 bool pool_writer_idle(const struct gb_pool *);
+/** Whether writes of a part do not come through for now. */
+bool pool_writer_out(const struct gb_pool *, uint32_t part);
 bool pool_writer_owner_body(const struct gb_pool *, uint64_t epoch,
     uint64_t serial, bool vacant, gb_body *);
 
@@ -436,6 +444,10 @@
     struct gb_pool *, struct pool_flow *, const gb_flow_state *);
 /** A change of a flow has been stored. */
 void pool_flow_stored(struct gb_pool *, struct pool_flow *, uint64_t change);
+/** Turn away a flow that was never sent to the store. */
+void pool_flow_turn_away(struct gb_pool *, struct pool_flow *, gb_time retry);
+/** Tell callers that it is not known whether the flow was stored. */
+void pool_flow_unsure(struct gb_pool *, struct pool_flow *);
 void pool_flow_wait(struct gb_pool *, struct pool_flow *, uint64_t token,
     uint64_t change, gb_flow_status);
 bool pool_flow_step_ready(const struct pool_flow *, const struct pool_step *);
@@ -460,6 +472,12 @@
 gb_time pool_worker_lease_most(const struct gb_pool *);
 void pool_worker_entry(struct gb_pool *, const struct gb_pool_entry *);
 void pool_worker_tick(struct gb_pool *, struct pool_worker *);
+/** Set of workers that may run something, as it is stored. */
+bool pool_worker_set_body(struct gb_pool *, gb_body *);
+/** The set that was written last is stored, or not. */
+void pool_worker_set_stored(struct gb_pool *, bool stored);
+/** A worker of the stored set, of whom nothing else may be known. */
+void pool_worker_recorded(struct gb_pool *, const gb_worker_ref *);
 void pool_workers_reset(struct gb_pool *);
 void pool_workers_free(struct gb_pool *);
 /** Start a run of a task. */
--- a/libgooseberry/pool/writer.c
+++ b/libgooseberry/pool/writer.c
@@ -18,11 +18,25 @@
 
 /** Entries in one transaction; the store takes 100. */
 #define WRITER_ENTRIES_MOST 94
+/** Entries that one more flow, the owner's row and the set of workers take. */
+#define WRITER_FLOW_ENTRIES 7
 /** Bytes of values in one transaction; the store takes 1 MB in base64. */
 #define WRITER_BYTES_MOST (400 * 1024)
 /** Pause between transactions of a part, which gathers changes: calls are
  * paid for, and a submission waits half of it on average. */
 #define WRITER_GAP (35 * GB_MSEC)
+/** Writes in a row that do not come through, or a silence that is so many times
+ * as long as the usual, after which the store counts as out.  A caller that is
+ * turned away early can come back within its time, of three seconds; one that
+ * is kept can't. */
+#define WRITER_OUT_TRIES 2
+#define WRITER_OUT_SILENCE (450 * GB_MSEC)
+#define WRITER_OUT_TIMES 3
+/** Weight of the newest transaction in the usual time of one. */
+#define WRITER_WEIGHT 0.3
+/** Time to come back after a refusal for want of the store: outages last some
+ * seconds, and callers have three. */
+#define WRITER_COME_BACK GB_SEC
 /** First and longest pause after a refusal. */
 #define WRITER_RETRY_BASE (50 * GB_MSEC)
 #define WRITER_RETRY_MOST (400 * GB_MSEC)
@@ -153,6 +167,19 @@
 		abort(); /* names were checked with the settings */
 }
 
+/** The set of workers goes with the first part, whose owner's row guards it. */
+static void
+draft_worker_set(struct gb_pool *pool, uint32_t number, struct draft *draft)
+{
+	struct gb_pool_row *row;
+
+	if (number != 0 || !pool->set_changed || pool->set_sent)
+		return;
+	row = draft_put(draft, GB_POOL_OWNERS, GB_POOL_WORKERS_KEY);
+	if (!pool_worker_set_body(pool, &row->value))
+		abort(); /* names were checked when they were taken in */
+}
+
 static void
 part_send(struct gb_pool *pool, uint32_t number, struct draft *draft,
     enum pool_part_phase phase)
@@ -197,8 +224,8 @@
 	    gb_calloc(WRITER_ENTRIES_MOST, sizeof(struct pool_flow *));
 	part->sent_count = 0;
 	while ((flow = TAILQ_FIRST(&part->dirty)) != NULL &&
-	       draft.txn.cond_count + draft.txn.put_count + 5 <=
-		   WRITER_ENTRIES_MOST &&
+	       draft.txn.cond_count + draft.txn.put_count + WRITER_FLOW_ENTRIES <=
+		WRITER_ENTRIES_MOST &&
 	       draft.bytes < WRITER_BYTES_MOST) {
 		TAILQ_REMOVE(&part->dirty, flow, dirty_next);
 		flow->dirty = false;
@@ -209,14 +236,55 @@
 	part->renew_sent = part->renew;
 	if (part->renew)
 		draft_owner(pool, part, &draft);
+	draft_worker_set(pool, number, &draft);
 	part_send(pool, number, &draft, POOL_PART_WRITING);
 }
 
+bool
+pool_writer_out(const struct gb_pool *pool, uint32_t number)
+{
+	const struct pool_part *part = &pool->parts[number];
+	gb_time patience = (gb_time)(pool->txn_usual * WRITER_OUT_TIMES);
+
+	if (patience < WRITER_OUT_SILENCE)
+		patience = WRITER_OUT_SILENCE;
+	return part->tries >= WRITER_OUT_TRIES ||
+	    (part->call != 0 && pool->now - part->sent > patience);
+}
+
+/** The store does not take writes: callers whose flows were never sent are
+ * turned away at once, and those of the others are told that it is not known.
+ * They come back, and the flow is found by its id. */
+static void
+part_out(struct gb_pool *pool, uint32_t number)
+{
+	struct pool_part *part = &pool->parts[number];
+	struct pool_flow *flow;
+	struct pool_flow *next;
+	size_t i;
+
+	for (flow = TAILQ_FIRST(&part->dirty); flow != NULL; flow = next) {
+		next = TAILQ_NEXT(flow, dirty_next);
+		if (flow->stored > 0)
+			continue;
+		if (flow->sending == 0)
+			pool_flow_turn_away(pool, flow, WRITER_COME_BACK);
+		else
+			pool_flow_unsure(pool, flow);
+	}
+	for (i = 0; i < part->sent_count; i++) {
+		if (part->sent_flows[i]->stored == 0)
+			pool_flow_unsure(pool, part->sent_flows[i]);
+	}
+}
+
 static void
 part_tick(struct gb_pool *pool, uint32_t number)
 {
 	struct pool_part *part = &pool->parts[number];
 
+	if (pool_writer_out(pool, number))
+		part_out(pool, number);
 	if (part->phase == POOL_PART_WAITING && part->retry_at <= pool->now)
 		part->phase = POOL_PART_IDLE;
 	if (part->phase != POOL_PART_IDLE ||
@@ -224,7 +292,8 @@
 		return;
 	if (part->seal)
 		part_seal(pool, number);
-	else if (part->renew || !TAILQ_EMPTY(&part->dirty))
+	else if (part->renew || !TAILQ_EMPTY(&part->dirty) ||
+	    (number == 0 && pool->set_changed))
 		part_write(pool, number);
 }
 
@@ -354,9 +423,15 @@
 		return;
 	part->call = 0;
 	gb_histogram_add(&pool->stats.txn_us, pool->now - call->sent);
+	if (call->part == 0 && pool->set_sent && res->status != GB_STORE_OK)
+		pool_worker_set_stored(pool, false);
 	switch (res->status) {
 	case GB_STORE_OK:
 		pool->confirmed = call->sent;
+		pool->txn_usual += WRITER_WEIGHT *
+		    ((double)(pool->now - call->sent) - pool->txn_usual);
+		if (call->part == 0 && pool->set_sent)
+			pool_worker_set_stored(pool, true);
 		part->phase = POOL_PART_IDLE;
 		part->tries = 0;
 		part->seal = false;
--- a/tests/pool_cell.c
+++ b/tests/pool_cell.c
@@ -541,8 +541,11 @@
 	struct gb_pool_entry *entries = gb_calloc(count, sizeof(*entries));
 	unsigned int i;
 
-	for (i = 0; i < count; i++)
+	for (i = 0; i < count; i++) {
 		world_worker_entry(cell->world, i, &entries[i]);
+		if (i < cell->hidden)
+			entries[i].removed = true;
+	}
 	for (i = 0; i < CELL_NODES; i++) {
 		if (gb_pool_owns(cell->nodes[i]))
 			gb_pool_workers(
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -248,6 +248,33 @@
 	pool_cell_free(cell);
 }
 
+/** Entries of workers lapse while the store is away, and a new owner that knew
+ * only the listed ones started again what had ended on the others (TWICE, own
+ * day platform-silent). */
+static void
+test_unlisted_workers_are_asked_too(void **state)
+{
+	struct pool_cell *cell = cell_begin(&plain);
+	size_t flow;
+
+	(void)state;
+	pool_cell_step(cell, 32, 6000, GB_SEC, 0, -1);
+	flow = pool_cell_submit(cell, "import", "ms=1500");
+	pool_cell_run(cell, 200 * GB_MSEC);
+	cell->faults.store_down = true;
+	pool_cell_run(cell, 3 * GB_SEC);
+	cell->faults.store_down = false;
+	cell->hidden = 8;
+	pool_cell_kill(cell, 0);
+	pool_cell_take(cell, 1);
+	pool_cell_run(cell, GB_SEC);
+	cell->hidden = 0;
+	pool_cell_run(cell, 8 * GB_SEC);
+	assert_int_equal(cell->flows[flow].status, GB_FLOW_SUCCEEDED);
+	assert_unharmed(cell);
+	pool_cell_free(cell);
+}
+
 /* Takeovers --------------------------------------------------------------- */
 
 static void
@@ -472,6 +499,7 @@
 	    cmocka_unit_test(test_failed_runs_count_over_owners),
 	    cmocka_unit_test(test_runs_of_lost_worker_start_elsewhere),
 	    cmocka_unit_test(test_more_workers_are_asked_about),
+	    cmocka_unit_test(test_unlisted_workers_are_asked_too),
 	    cmocka_unit_test(test_takeover_keeps_what_runs),
 	    cmocka_unit_test(test_former_owner_does_no_harm),
 	    cmocka_unit_test(test_accepted_survives_loss_of_all),
