--- a/libgooseberry/node/intake.c
+++ b/libgooseberry/node/intake.c
@@ -281,6 +281,10 @@
 		intake_local(in);
 	} else if (owner && !(silent && in->tries > 1)) {
 		intake_remote(in, in->deadline - now);
+	} else if (in->submit != NULL && node_store_out(node)) {
+		/* Neither an owner nor the store: known at once. */
+		in->out = false;
+		intake_give_up(in);
 	} else if (in->submit != NULL && now - in->began >= WRITE_AFTER) {
 		intake_write(in);
 	} else if (in->submit == NULL && in->ask.op == GB_FLOW_OP_STATE &&
--- a/libgooseberry/node/node.c
+++ b/libgooseberry/node/node.c
@@ -21,6 +21,10 @@
 #define DEFER_PAUSE (800 * GB_MSEC)
 /** A member heard within this is alive. */
 #define DEFER_HEARD (600 * GB_MSEC)
+/** Calls in a row without success after which the store counts as out for this
+ * node, and the pause between looks whether it is back. */
+#define STORE_OUT_LOSSES 2
+#define STORE_PROBE (200 * GB_MSEC)
 /** A call of advice by way of a member. */
 #define ADVISE_TIMEOUT (3 * GB_SEC)
 
@@ -177,6 +181,52 @@
 	node->platform.follow_workers(node->platform.data, owns);
 }
 
+/* Store ------------------------------------------------------------------- */
+
+bool
+node_store_out(const struct gb_node *node)
+{
+	return node->store_losses >= STORE_OUT_LOSSES;
+}
+
+static void
+store_heard(struct gb_node *node, gb_store_status status)
+{
+	bool out = node_store_out(node);
+
+	if (status == GB_STORE_OK || status == GB_STORE_CONFLICT)
+		node->store_losses = 0;
+	else
+		node->store_losses++;
+	if (out != node_store_out(node))
+		gb_event(node->events, GB_EVENT_ALWAYS,
+		    out ? "store_regained" : "store_out", "{s:i}", "status",
+		    (int)status);
+}
+
+static void
+probe_done(struct node_call *call, const struct gb_pool_read_res *res)
+{
+	(void)res;
+	call->node->store_probing = false;
+	call->node->store_probe_at = node_now() + STORE_PROBE;
+}
+
+/** A store that is out is asked for a small row, until it answers. */
+static void
+store_probe(struct gb_node *node)
+{
+	const struct gb_pool_read read = {0, GB_POOL_OWNERS,
+	    GB_POOL_OWNER_KEY, GB_POOL_OWNER_KEY "0", 1};
+
+	if (!node_store_out(node) || node->store_probing ||
+	    node->store_probe_at > node_now())
+		return;
+	node->store_probing = true;
+	node->platform.read(node->platform.data,
+	    node_call_new(node, NULL, NULL, probe_done), &read);
+}
+
 /* Ends of calls ----------------------------------------------------------- */
 
 void
@@ -223,6 +273,7 @@
 {
 	struct node_call *call;
 
+	store_heard(node, res->status);
 	if ((id & NODE_CALL) == 0) {
 		gb_pool_txn_done(node->pool, node_now(), id, res);
 		return;
@@ -240,6 +291,7 @@
 {
 	struct node_call *call;
 
+	store_heard(node, res->status);
 	if ((id & NODE_CALL) == 0) {
 		gb_pool_read_done(node->pool, node_now(), id, res);
 		return;
@@ -395,6 +447,7 @@
 
 	gb_pool_tick(node->pool, node_now(), gb_clock_wall());
 	watch_tick(node);
+	store_probe(node);
 	intake_tick(node);
 	busy = gb_pool_owns(node->pool) || gb_pool_taking(node->pool) ||
 	       !TAILQ_EMPTY(&node->intakes) || node->leaving;
--- a/libgooseberry/node/node_state.h
+++ b/libgooseberry/node/node_state.h
@@ -83,6 +83,9 @@
 	char (*known)[GB_NAME_MAX + 1]; /**< others: told by the owner */
 	size_t known_count;
 	struct node_call *calls;
+	unsigned int store_losses; /**< calls in a row that did not come through */
+	gb_time store_probe_at;
+	bool store_probing;
 	struct node_caller *callers;
 	uint64_t next_id;
 	struct intakes intakes;
@@ -97,6 +100,9 @@
     void (*txn_done)(struct node_call *, const struct gb_pool_txn_res *),
     void (*read_done)(struct node_call *, const struct gb_pool_read_res *));
 
+/** Whether the store does not answer this node for now. */
+bool node_store_out(const struct gb_node *);
+
 /* intake.c */
 void intake_tick(struct gb_node *);
 /** The pool core answered. */
