--- a/libgooseberry/pool/owner.c
+++ b/libgooseberry/pool/owner.c
@@ -406,6 +406,10 @@
 {
 	size_t i;
 
+	if (call->kind == POOL_CALL_PROBE) {
+		pool_writer_probed(pool, call, res);
+		return;
+	}
 	pool->reads_out--;
 	if (res->status != GB_STORE_OK) {
 		if (call->kind == POOL_CALL_OWNER_READ ||
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -222,7 +222,11 @@
 	uint64_t call;
 	gb_time sent;
 	gb_time retry_at;
-	unsigned int tries; /**< writes in a row that were refused or lost */
+	unsigned int tries;   /**< writes in a row that were refused or lost */
+	unsigned int refused; /**< of these, writes that were refused */
+	uint64_t probe;	      /**< call that is out, 0: none */
+	gb_time probed;	      /**< when it was sent */
+	bool answers;	      /**< a probe during this write was answered */
 	bool seal;  /**< a write was lost */
 	bool renew; /**< write the owner's row */
 	bool renew_sent;
@@ -269,6 +273,7 @@
 	POOL_CALL_RUN_STOP,
 	POOL_CALL_HOLD,
 	POOL_CALL_PART,	      /**< transaction of the writer */
+	POOL_CALL_PROBE,      /**< a look whether the store answers */
 	POOL_CALL_OWNER_READ, /**< of an owner's row */
 	POOL_CALL_OWNER_TXN,
 	POOL_CALL_LOAD_STATES,
@@ -315,7 +320,6 @@
 	uint64_t epoch; /**< of this owner, or the newest that is known */
 	uint64_t term;	/**< grows when ownership is gained or lost */
 	gb_time taken_at;
-	double txn_usual;  /**< time of a transaction, smoothed */
 	gb_time confirmed; /**< last answer of the store to this owner */
 	unsigned int reads_out;
 	bool claim_failed;
@@ -426,6 +430,8 @@
 void pool_writer_tick(struct gb_pool *);
 void pool_writer_done(
     struct gb_pool *, const struct pool_call *, const struct gb_pool_txn_res *);
+void pool_writer_probed(struct gb_pool *, const struct pool_call *,
+    const struct gb_pool_read_res *);
 void pool_writer_reset(struct gb_pool *);
 bool pool_writer_idle(const struct gb_pool *);
 /** Whether writes of a part do not come through for now. */
--- a/libgooseberry/pool/writer.c
+++ b/libgooseberry/pool/writer.c
@@ -25,15 +25,15 @@
 /** Pause between transactions of a part, which gathers changes: calls are
  * paid for, and a submission waits half of it on average. */
 #define WRITER_GAP (35 * GB_MSEC)
-/** Writes in a row that do not come through, or a silence that is so many times
- * as long as the usual, after which the store counts as out.  A caller that is
- * turned away early can come back within its time, of three seconds; one that
- * is kept can't. */
-#define WRITER_OUT_TRIES 2
-#define WRITER_OUT_SILENCE (450 * GB_MSEC)
-#define WRITER_OUT_TIMES 3
-/** Weight of the newest transaction in the usual time of one. */
-#define WRITER_WEIGHT 0.3
+/** A write that takes longer than this is overdue: the store is asked for a
+ * small row.  A quick answer says that the write's answer was lost, a slow one
+ * that the store is slow, and none that it is out.  Writes take 12 ms, or 0.75 s
+ * when the store is 60 times slower; reads 4 ms, or 0.24 s. */
+#define WRITER_OVERDUE (130 * GB_MSEC)
+#define WRITER_PROBE_QUICK (80 * GB_MSEC)
+#define WRITER_PROBE_SILENT (330 * GB_MSEC)
+/** Writes in a row that the store refuses, after which it counts as out. */
+#define WRITER_OUT_REFUSED 2
 /** Time to come back after a refusal for want of the store: outages last some
  * seconds, and callers have three. */
 #define WRITER_COME_BACK GB_SEC
@@ -191,6 +191,7 @@
 	part->phase = phase;
 	part->call = call->id;
 	part->sent = pool->now;
+	part->answers = false;
 	draft->txn.part = number;
 	draft->txn.conds = draft->conds;
 	draft->txn.puts = draft->puts;
@@ -244,12 +245,30 @@
 pool_writer_out(const struct gb_pool *pool, uint32_t number)
 {
 	const struct pool_part *part = &pool->parts[number];
-	gb_time patience = (gb_time)(pool->txn_usual * WRITER_OUT_TIMES);
 
-	if (patience < WRITER_OUT_SILENCE)
-		patience = WRITER_OUT_SILENCE;
-	return part->tries >= WRITER_OUT_TRIES ||
-	    (part->call != 0 && pool->now - part->sent > patience);
+	return part->refused >= WRITER_OUT_REFUSED ||
+	    (part->probe != 0 && !part->answers &&
+		pool->now - part->probed > WRITER_PROBE_SILENT);
+}
+
+/** Ask whether the store answers at all, once an answer is overdue. */
+static void
+part_probe(struct gb_pool *pool, uint32_t number)
+{
+	struct pool_part *part = &pool->parts[number];
+	const struct gb_pool_read read = {number, GB_POOL_OWNERS,
+	    GB_POOL_OWNER_KEY, GB_POOL_OWNER_KEY "0", 1};
+	struct pool_call *call;
+
+	if (part->call == 0 || part->probe != 0 || part->answers ||
+	    pool->now - part->sent < WRITER_OVERDUE)
+		return;
+	call = pool_call_new(pool, POOL_CALL_PROBE);
+	call->part = number;
+	part->probe = call->id;
+	part->probed = pool->now;
+	pool->stats.reads++;
+	pool->ops.read(pool->ops.data, call->id, &read);
 }
 
 /** The store does not take writes: callers whose flows were never sent are
@@ -283,6 +302,7 @@
 {
 	struct pool_part *part = &pool->parts[number];
 
+	part_probe(pool, number);
 	if (pool_writer_out(pool, number))
 		part_out(pool, number);
 	if (part->phase == POOL_PART_WAITING && part->retry_at <= pool->now)
@@ -413,6 +433,31 @@
 	part_pause(pool, part);
 }
 
+void
+pool_writer_probed(struct gb_pool *pool, const struct pool_call *call,
+    const struct gb_pool_read_res *res)
+{
+	struct pool_part *part = &pool->parts[call->part];
+
+	if (part->probe != call->id)
+		return;
+	part->probe = 0;
+	if (res->status != GB_STORE_OK)
+		return;
+	part->answers = true;
+	part->refused = 0;
+	if (part->call == 0 || part->sent > call->sent ||
+	    pool->now - call->sent > WRITER_PROBE_QUICK)
+		return;
+	/* The store is quick, and this answer has not come. */
+	part->call = 0;
+	if (call->part == 0 && pool->set_sent)
+		pool_worker_set_stored(pool, false);
+	part_lost(pool, part);
+	free(part->sent_flows);
+	part->sent_flows = NULL;
+}
+
 void
 pool_writer_done(struct gb_pool *pool, const struct pool_call *call,
     const struct gb_pool_txn_res *res)
@@ -428,12 +473,11 @@
 	switch (res->status) {
 	case GB_STORE_OK:
 		pool->confirmed = call->sent;
-		pool->txn_usual += WRITER_WEIGHT *
-		    ((double)(pool->now - call->sent) - pool->txn_usual);
 		if (call->part == 0 && pool->set_sent)
 			pool_worker_set_stored(pool, true);
 		part->phase = POOL_PART_IDLE;
 		part->tries = 0;
+		part->refused = 0;
 		part->seal = false;
 		if (part->renew_sent) {
 			part->owner_vers = res->vers;
@@ -447,6 +491,7 @@
 		part_conflict(pool, part, res);
 		break;
 	case GB_STORE_REFUSED:
+		part->refused++;
 		part_requeue(pool, part);
 		part_pause(pool, part);
 		break;
