--- a/cli/ctl.c
+++ b/cli/ctl.c
@@ -70,7 +70,7 @@
     {"json", OPT_JSON, NULL, 0, "Print the answer as JSON", 0},
     {"watch", OPT_WATCH, NULL, 0, "Print again every second", 0},
     {"dcs", OPT_DCS, "A,B", 0, "Data centres that check knows", 0},
-    {"as", OPT_AS, "KIND", 0, "What check reads: document, sched, entry", 0},
+    {"as", OPT_AS, "KIND", 0, "What check reads: document, sched, entry, node", 0},
     {"tasks", OPT_TASKS, "N", 0, "Tasks of a job", 0},
     {"service", OPT_SERVICE, "SERVICE", 0, "Document of a job", 0},
     {"trace-file", OPT_TRACE_FILE, "FILE", 0, "Spans to read", 0},
@@ -124,7 +124,7 @@
 	case ARGP_KEY_ARG:
 		if (ctl->verb == NULL)
 			ctl->verb = arg;
-		else if (ctl->arg_count < 3)
+		else if (ctl->arg_count < CTL_ARGS_MOST)
 			ctl->arg[ctl->arg_count++] = arg;
 		else
 			argp_usage(state);
@@ -497,10 +497,9 @@
 static enum ctl_exit
 run_trace(const struct ctl *ctl)
 {
-	if (ctl->trace_file == NULL) {
-		fprintf(stderr, "gooseberryctl: trace needs --trace-file\n");
-		return CTL_USAGE;
-	}
+	if (ctl->trace_file == NULL)
+		return ctl_trace_flow(
+		    ctl->arg[0], &ctl->arg[1], ctl->arg_count - 1);
 	return ctl_show_trace(ctl->trace_file, ctl->arg[0]);
 }
 
--- a/cli/ctl.h
+++ b/cli/ctl.h
@@ -20,6 +20,9 @@
 	CTL_INVALID = 6
 };
 
+/** Arguments of a command: the log files of all instances at the most. */
+#define CTL_ARGS_MOST 64
+
 struct ctl {
 	const char *server;
 	const char *token;
@@ -35,7 +38,7 @@
 	unsigned int shards;
 	const char *service;
 	const char *verb;
-	const char *arg[3];
+	const char *arg[CTL_ARGS_MOST];
 	unsigned int arg_count;
 };
 
@@ -60,6 +63,9 @@
 void ctl_show_table(const json_t *list, const char *const *columns);
 /** Print one trace as a tree. */
 enum ctl_exit ctl_show_trace(const char *file, const char *id);
+/** Print the life of a flow out of log files, or standard input. */
+enum ctl_exit ctl_trace_flow(
+    const char *flow, const char *const *files, unsigned int count);
 /** Check a settings file or a document without a server. */
 enum ctl_exit ctl_check(const struct ctl *, const char *file);
 /** Lines that differ between two texts. */
--- a/cli/ctl_check.c
+++ b/cli/ctl_check.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "ctl.h"
+#include "node/node.h"
 
 #define FILE_MOST (1024 * 1024)
 
@@ -68,6 +69,8 @@
 {
 	if (ctl->as != NULL)
 		return ctl->as;
+	if (json_object_get(root, "ready") != NULL)
+		return "node";
 	if (json_object_get(root, "store") != NULL)
 		return "sched";
 	if (json_object_get(root, "scheds") != NULL)
@@ -80,6 +83,7 @@
 {
 	static struct gb_sched_settings sched;
 	static struct gb_entry_settings entry;
+	static struct gb_node_settings node;
 	char *text = ctl_file_read(file);
 	struct gb_error err = {0};
 	struct gb_dcs dcs;
@@ -100,6 +104,10 @@
 		ok = gb_settings_parse(gb_entry_settings_table,
 		    gb_entry_settings_count, &entry, file, text, strlen(text),
 		    &err);
+	} else if (strcmp(kind, "node") == 0) {
+		ok = gb_settings_parse(gb_node_settings_table,
+		    gb_node_settings_count, &node, file, text, strlen(text),
+		    &err);
 	} else {
 		dcs_read(ctl, root, &dcs);
 		ok = gb_doc_parse(&doc, &dcs, text, strlen(text), &err);
--- /dev/null
+++ b/libgooseberry/node/metrics.c
@@ -0,0 +1,100 @@
+/**
+ * @file metrics.c
+ * Counters and histograms of a node in the common text form.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "connection/http.h"
+#include "node_state.h"
+
+#define METRICS_BODY_MOST 1024
+
+void
+gb_node_metrics(struct gb_node *node, struct gb_text *out)
+{
+	const struct gb_pool_stats *s = gb_pool_stats(node->pool);
+	const struct gb_counter counters[] = {
+	    {"gooseberry_flows_submitted", "Submissions.", s->submitted},
+	    {"gooseberry_flows_accepted", "Flows taken in.", s->accepted},
+	    {"gooseberry_flows_refused", "Flows turned away.", s->refused},
+	    {"gooseberry_flows_repeated", "Submissions of known flows.",
+		s->repeated},
+	    {"gooseberry_starts", "Orders to start a run.", s->starts},
+	    {"gooseberry_starts_refused", "Of these, refused by the worker.",
+		s->starts_refused},
+	    {"gooseberry_starts_lost", "Of these, without an answer.",
+		s->starts_lost},
+	    {"gooseberry_stops", "Orders to stop a run.", s->stops},
+	    {"gooseberry_holds", "Looks at workers.", s->holds},
+	    {"gooseberry_runs_done", "Runs that ended done.", s->done},
+	    {"gooseberry_runs_failed", "Runs that failed.", s->failed},
+	    {"gooseberry_runs_stopped", "Runs that were stopped.", s->stopped},
+	    {"gooseberry_runs_lapsed", "Runs lost with a lease.", s->lapsed},
+	    {"gooseberry_runs_broken", "Runs whose gang broke.", s->broken},
+	    {"gooseberry_runs_alone", "Runs whose gang never came.", s->alone},
+	    {"gooseberry_advice_calls", "Calls for advice.", s->advice_calls},
+	    {"gooseberry_advice_busy", "Of these, refused.", s->advice_busy},
+	    {"gooseberry_advice_lost", "Of these, without an answer.",
+		s->advice_lost},
+	    {"gooseberry_workers_set_aside", "Workers set aside.",
+		s->sidelined},
+	    {"gooseberry_store_writes", "Transactions.", s->txns},
+	    {"gooseberry_store_rows", "Rows written.", s->rows},
+	    {"gooseberry_store_reads", "Reads.", s->reads},
+	    {"gooseberry_store_conflicts", "Conditions that did not hold.",
+		s->txn_conflicts},
+	    {"gooseberry_store_lost", "Writes without an answer.",
+		s->txn_lost},
+	    {"gooseberry_takeovers", "Times this node gained the pool.",
+		s->takeovers},
+	    {"gooseberry_ownership_losses", "Times it lost it.", s->losses},
+	    {"gooseberry_log_dropped", "Lines left out of the log.",
+		node->events == NULL ? 0 : gb_events_dropped(node->events)},
+	    {"gooseberry_owner", "1 while this node owns the pool.",
+		gb_pool_owns(node->pool)},
+	    {"gooseberry_epoch", "Newest epoch known.",
+		gb_pool_epoch(node->pool)},
+	    {"gooseberry_flows_open", "Flows that are not over.", s->flows},
+	    {"gooseberry_runs_open", "Runs that are not over.", s->running},
+	    {"gooseberry_workers", "Workers known.", s->workers},
+	};
+
+	gb_counter_print(out, counters, sizeof(counters) / sizeof(counters[0]));
+	gb_histogram_print(out, "gooseberry_accept_us",
+	    "Submission to stored.", &s->accept_us);
+	gb_histogram_print(out, "gooseberry_first_start_us",
+	    "Submission to first start.", &s->first_start_us);
+	gb_histogram_print(out, "gooseberry_finish_us",
+	    "Submission to success.", &s->finish_us);
+	gb_histogram_print(
+	    out, "gooseberry_advice_us", "Calls for advice.", &s->advice_us);
+	gb_histogram_print(
+	    out, "gooseberry_store_write_us", "Transactions.", &s->txn_us);
+	gb_histogram_print(
+	    out, "gooseberry_start_us", "Orders to start.", &s->start_us);
+	gb_histogram_print(out, "gooseberry_takeover_us",
+	    "Decision to ownership.", &s->takeover_us);
+}
+
+static void
+on_request(void *data, struct http_call *call)
+{
+	struct gb_text text = {0};
+
+	if (strcmp(call->path, "/metrics") != 0) {
+		http_call_answer(call, 404, "text/plain", "", 0);
+		return;
+	}
+	gb_node_metrics(data, &text);
+	http_call_answer(call, 200, "text/plain; version=0.0.4", text.data,
+	    strlen(text.data));
+	gb_text_free(&text);
+}
+
+bool
+node_metrics_serve(struct gb_node *node, struct gb_error *err)
+{
+	return http_server_new(node->loop, node->settings.metrics,
+		   METRICS_BODY_MOST, on_request, node, err) != NULL;
+}
--- a/libgooseberry/node/node.c
+++ b/libgooseberry/node/node.c
@@ -484,7 +484,7 @@
 	node->peers = gb_rpc_pool_new(loop, env);
 	node->server =
 	    gb_rpc_server_new(loop, env, settings->addr, node_serve, node, err);
-	if (node->server == NULL)
+	if (node->server == NULL || !node_metrics_serve(node, err))
 		return NULL;
 	pool.name = node->settings.name;
 	pool.addr = node->settings.addr;
--- a/libgooseberry/node/node_state.h
+++ b/libgooseberry/node/node_state.h
@@ -108,6 +108,9 @@
 /** The pool core answered. */
 void intake_answered(struct intake *, const gb_flow_answer *);
 
+/* metrics.c */
+bool node_metrics_serve(struct gb_node *, struct gb_error *);
+
 /* peers.c */
 void node_serve(void *, struct gb_rpc_call *, uint32_t proc, void *arg);
 void node_hello(struct gb_node *);
--- a/libgooseberry/pool/event.c
+++ b/libgooseberry/pool/event.c
@@ -105,6 +105,13 @@
 	return true;
 }
 
+/** Time of day, by which lines of several instances are put in order. */
+static gb_time
+events_wall(const struct gb_events *events)
+{
+	return events->clock == NULL ? gb_clock_wall() : *events->clock;
+}
+
 void
 gb_event(struct gb_events *events, enum gb_event_class class, const char *event,
     const char *fmt, ...)
@@ -128,6 +135,8 @@
 	json_object_set_new(line, "event", json_string(event));
 	json_object_set_new(line, "node", json_string(events->node));
 	json_object_set_new(line, "t_ms", json_integer(now / GB_MSEC));
+	json_object_set_new(
+	    line, "at_ms", json_integer(events_wall(events) / GB_MSEC));
 	if (events->dropped > events->told)
 		json_object_set_new(line, "dropped",
 		    json_integer((json_int_t)(events->dropped - events->told)));
--- a/tests/run-docs.sh
+++ b/tests/run-docs.sh
@@ -37,6 +37,7 @@
 	echo
 	"$BUILD/gooseberry-sched" --document-settings
 	"$BUILD/gooseberry-entry" --document-settings
+	"$BUILD/gooseberry-node" --document-settings
 } >"$CELL/settings.md"
 expect "settings page" 0 "" cmp "$CELL/settings.md" docs/SETTINGS.md
 
