--- a/libgooseberry/node/node_settings.c
+++ b/libgooseberry/node/node_settings.c
@@ -45,9 +45,9 @@
     {"log_level", GB_SET_INT, "level", 0, 7, "6",
 	"Most verbose level of plain messages (syslog's numbers).",
 	NODE(log_level)},
-    {"grace_ms", GB_SET_INT, "ms", 100, 600000, "6000",
+    {"grace_s", GB_SET_INT, "s", 1, 600, "6",
 	"Time between the request to stop and the end of the process.",
-	NODE(grace_ms)},
+	NODE(grace_s)},
 };
 
 const size_t gb_node_settings_count =
--- a/libgooseberry/pool/runner.c
+++ b/libgooseberry/pool/runner.c
@@ -717,9 +717,25 @@
 	}
 }
 
+/** Whether an owner may have sent runs to a worker that may still have them. */
+static bool
+worker_in_use(const struct gb_pool *pool, const struct pool_worker *worker)
+{
+	if (worker->over)
+		return false;
+	if (worker->listed || worker->run_count > 0)
+		return true;
+	/* Unlisted and silent: until every lease it was given is over. */
+	return worker->recorded &&
+	    (worker->silent == 0 || worker->lapse_at >= pool->now ||
+		!pool->settled);
+}
+
 void
 pool_worker_tick(struct gb_pool *pool, struct pool_worker *worker)
 {
+	if (worker->recorded && !worker_in_use(pool, worker))
+		pool->set_changed = true;
 	if (worker->over)
 		return;
 	runs_tick(pool, worker);
@@ -814,20 +830,6 @@
 	pool->work_changed = true;
 }
 
-/** Whether an owner may have sent runs to a worker that may still have them. */
-static bool
-worker_in_use(const struct gb_pool *pool, const struct pool_worker *worker)
-{
-	if (worker->over)
-		return false;
-	if (worker->listed || worker->run_count > 0)
-		return true;
-	/* Unlisted and silent: until every lease it was given is over. */
-	return worker->recorded &&
-	    (worker->silent == 0 || worker->lapse_at >= pool->now ||
-		!pool->settled);
-}
-
 bool
 pool_worker_set_body(struct gb_pool *pool, gb_body *body)
 {
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -277,6 +277,30 @@
 
 /* Takeovers --------------------------------------------------------------- */
 
+/** A worker that is gone for good is no longer waited for: each takeover took
+ * 4.5 s to settle for its sake (byggepas incident a7cb). */
+static void
+test_gone_worker_does_not_hold_up_a_successor(void **state)
+{
+	struct pool_cell *cell = cell_begin(&plain);
+	size_t flow;
+
+	(void)state;
+	submit_lookup(cell);
+	world_worker_crash(cell->world, 3);
+	pool_cell_run(cell, 8 * GB_SEC);
+	pool_cell_step(cell, 4, 1000, GB_SEC, 0, -1);
+	pool_cell_step(cell, 1, 1000, GB_SEC, 0, 0);
+	flow = pool_cell_submit(cell, "import", "ms=1000");
+	pool_cell_run(cell, 700 * GB_MSEC);
+	pool_cell_kill(cell, 0);
+	pool_cell_take(cell, 1);
+	pool_cell_run(cell, 3 * GB_SEC);
+	assert_int_equal(cell->flows[flow].status, GB_FLOW_SUCCEEDED);
+	assert_unharmed(cell);
+	pool_cell_free(cell);
+}
+
 static void
 test_takeover_keeps_what_runs(void **state)
 {
@@ -500,6 +524,7 @@
 	    cmocka_unit_test(test_runs_of_lost_worker_start_elsewhere),
 	    cmocka_unit_test(test_more_workers_are_asked_about),
 	    cmocka_unit_test(test_unlisted_workers_are_asked_too),
+	    cmocka_unit_test(test_gone_worker_does_not_hold_up_a_successor),
 	    cmocka_unit_test(test_takeover_keeps_what_runs),
 	    cmocka_unit_test(test_former_owner_does_no_harm),
 	    cmocka_unit_test(test_accepted_survives_loss_of_all),
