--- a/libgooseberry/node/intake.c
+++ b/libgooseberry/node/intake.c
@@ -45,10 +45,28 @@
 static void
 intake_finish(struct intake *in, const gb_flow_answer *answer)
 {
-	in->answer(in->data, answer);
+	if (!in->answered)
+		in->answer(in->data, answer);
 	intake_free(in);
 }
 
+/** The caller's time is up while a try is out: it may have been accepted. */
+static void
+intake_answer_early(struct intake *in)
+{
+	gb_flow_answer answer = {0};
+
+	answer.verdict = GB_FLOW_MAYBE;
+	answer.retry_after_us = RETRY_AFTER;
+	in->maybe = true;
+	in->answered = true;
+	gb_event(in->node->events, GB_EVENT_NORMAL, "request_answered_early",
+	    "{s:s, s:I}", "flow",
+	    in->submit != NULL ? in->submit->flow.id : in->ask.id, "age_ms",
+	    (json_int_t)((node_now() - in->began) / GB_MSEC));
+	in->answer(in->data, &answer);
+}
+
 static void
 intake_give_up(struct intake *in)
 {
@@ -304,9 +322,11 @@
 
 	for (in = TAILQ_FIRST(&node->intakes); in != NULL; in = next) {
 		next = TAILQ_NEXT(in, next);
+		if (in->out && !in->answered && in->deadline <= now)
+			intake_answer_early(in);
 		if (in->out)
 			continue;
-		if (in->deadline <= now)
+		if (in->answered || in->deadline <= now)
 			intake_give_up(in);
 		else if (in->next_try <= now)
 			intake_try(in, now);
@@ -319,7 +339,11 @@
 {
 	struct intake *in = gb_calloc(1, sizeof(*in));
 	gb_time now = node_now();
+	gb_time most = node->leave_by - now;
 
+	/* A process that stops answers all before its end. */
+	if (node->leaving && timeout > most)
+		timeout = most > 0 ? most : 1;
 	in->node = node;
 	in->began = now;
 	in->deadline =
--- a/libgooseberry/node/node.c
+++ b/libgooseberry/node/node.c
@@ -25,6 +25,8 @@
  * node, and the pause between looks whether it is back. */
 #define STORE_OUT_LOSSES 2
 #define STORE_PROBE (200 * GB_MSEC)
+/** Callers are answered this much before a stopping process would be killed. */
+#define LEAVE_ANSWERED (1200 * GB_MSEC)
 /** A call of advice by way of a member. */
 #define ADVISE_TIMEOUT (3 * GB_SEC)
 
@@ -510,7 +512,15 @@
 void
 gb_node_leave(struct gb_node *node)
 {
+	struct intake *in;
+
 	node->leaving = true;
+	node->leave_by =
+	    node_now() + node->settings.grace_s * GB_SEC - LEAVE_ANSWERED;
+	TAILQ_FOREACH(in, &node->intakes, next) {
+		if (in->deadline > node->leave_by)
+			in->deadline = node->leave_by;
+	}
 	gb_pool_release(node->pool, node_now());
 }
 
--- a/libgooseberry/node/node_state.h
+++ b/libgooseberry/node/node_state.h
@@ -21,6 +21,7 @@
 	char addr[GB_NAME_MAX + 1];
 	gb_time heard;
 	uint64_t config;
+	gb_time behind; /**< since then it has an older configuration, 0 */
 	bool leaving;
 	uint32_t cpu_milli;
 };
@@ -45,6 +46,7 @@
 	gb_time deadline;
 	gb_time next_try;
 	bool out;   /**< a try is out */
+	bool answered; /**< its caller has its answer; waits for the try's end */
 	bool maybe; /**< an earlier try may have been carried out */
 	unsigned int tries;
 	gb_node_answer answer;
@@ -79,6 +81,7 @@
 	struct gb_pool_config *config;
 	char *config_text;
 	size_t config_len;
+	gb_time push_at; /**< no configuration is sent to a member before */
 	struct node_member *members; /**< the owner's: those that say hello */
 	char (*known)[GB_NAME_MAX + 1]; /**< others: told by the owner */
 	size_t known_count;
@@ -92,7 +95,7 @@
 	bool leaving;
 	bool released;	/**< gave the pool up: the next may take it at once */
 	bool deferring; /**< gives it up to a larger node */
-	gb_time leave_at;
+	gb_time leave_by; /**< all callers are answered by then */
 };
 
 gb_time node_now(void);
--- a/libgooseberry/node/peers.c
+++ b/libgooseberry/node/peers.c
@@ -13,6 +13,11 @@
 #define HELLO_TIMEOUT (600 * GB_MSEC)
 /** Members that are asked whether they hear the owner. */
 #define POLL_MEMBERS 3
+/** A member that is behind with its configuration for this long is sent it; the
+ * bound for all of them is 2 s. */
+#define PUSH_AFTER (500 * GB_MSEC)
+/** What a node spends on that: a third of the smallest link (10 Mbit/s). */
+#define PUSH_BYTES_PER_S 400000
 /** Members that have not said hello for this long are not told of. */
 #define MEMBER_KEEP (5 * GB_SEC)
 
@@ -163,6 +168,8 @@
 	}
 	member->heard = now;
 	member->config = hello->config;
+	if (node->config != NULL && hello->config >= node->config->version)
+		member->behind = 0;
 	member->leaving = hello->leaving;
 	member->cpu_milli = hello->cpu_milli;
 	gb_pool_member(node->pool, now, hello->addr, !hello->leaving);
@@ -191,6 +198,27 @@
 	}
 }
 
+/** Whether to send a member the configuration: it reads it from the store
+ * itself, and is helped only when it does not come to it. */
+static bool
+config_push(struct gb_node *node, const struct gb_hello *hello)
+{
+	struct node_member *member;
+	gb_time now = node_now();
+
+	if (node->config == NULL || hello->config >= node->config->version)
+		return false;
+	HASH_FIND_STR(node->members, hello->addr, member);
+	if (member != NULL && member->behind == 0)
+		member->behind = now;
+	if ((member != NULL && now - member->behind < PUSH_AFTER) ||
+	    node->push_at > now)
+		return false;
+	node->push_at =
+	    now + (gb_time)node->config_len * GB_SEC / PUSH_BYTES_PER_S;
+	return true;
+}
+
 static void
 serve_hello(
     struct gb_node *node, struct gb_rpc_call *call, const gb_hello *hello)
@@ -213,7 +241,7 @@
 		res.store_silent_us = gb_pool_store_silent(node->pool, now);
 	}
 	res.config = node->config == NULL ? 0 : node->config->version;
-	if (hello->config < res.config) {
+	if (config_push(node, hello)) {
 		res.config_text.gb_body_val = node->config_text;
 		res.config_text.gb_body_len = (u_int)node->config_len;
 	}
--- a/libgooseberry/pool.h
+++ b/libgooseberry/pool.h
@@ -46,13 +46,15 @@
 struct gb_pool_config {
 	unsigned int refs;
 	uint64_t version;
-	struct gb_pool_queue *queues;
+	struct gb_pool_queue *queues; /**< sorted by name once it is sealed */
 	size_t queue_count;
 	struct gb_pool_service *services;
 	size_t service_count;
 };
 
 struct gb_pool_config *gb_pool_config_new(size_t queues, size_t services);
+/** All queues are filled in: make them ready to be found. */
+void gb_pool_config_seal(struct gb_pool_config *);
 struct gb_pool_config *gb_pool_config_ref(struct gb_pool_config *);
 void gb_pool_config_unref(struct gb_pool_config *);
 const struct gb_pool_queue *gb_pool_config_queue(
--- a/libgooseberry/pool/config.c
+++ b/libgooseberry/pool/config.c
@@ -1,7 +1,9 @@
 /**
  * @file config.c
- * The operator's configuration: queues and services.
+ * The operator's configuration: queues and services.  It may have thousands of
+ * queues, and each change looks up that of every open flow.
  */
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -21,6 +23,23 @@
 	return config;
 }
 
+static int
+queue_compare(const void *a, const void *b)
+{
+	const struct gb_pool_queue *x = a;
+	const struct gb_pool_queue *y = b;
+
+	return strcmp(x->name, y->name);
+}
+
+void
+gb_pool_config_seal(struct gb_pool_config *config)
+{
+	if (config->queue_count > 1)
+		qsort(config->queues, config->queue_count,
+		    sizeof(*config->queues), queue_compare);
+}
+
 struct gb_pool_config *
 gb_pool_config_ref(struct gb_pool_config *config)
 {
@@ -41,15 +60,13 @@
 const struct gb_pool_queue *
 gb_pool_config_queue(const struct gb_pool_config *config, const char *name)
 {
-	size_t i;
+	struct gb_pool_queue wanted;
 
 	if (config == NULL)
 		return NULL;
-	for (i = 0; i < config->queue_count; i++) {
-		if (strcmp(config->queues[i].name, name) == 0)
-			return &config->queues[i];
-	}
-	return NULL;
+	snprintf(wanted.name, sizeof(wanted.name), "%s", name);
+	return bsearch(&wanted, config->queues, config->queue_count,
+	    sizeof(wanted), queue_compare);
 }
 
 const struct gb_pool_queue *
--- a/libgooseberry/pool/flow.c
+++ b/libgooseberry/pool/flow.c
@@ -381,6 +381,7 @@
 	pool->open_count--;
 	flow_steps_free(flow);
 	flow_trim(flow);
+	flow->queue = NULL;
 	flow_changed(pool, flow);
 }
 
--- a/libgooseberry/pool/owner.c
+++ b/libgooseberry/pool/owner.c
@@ -274,6 +274,7 @@
 		free(flow->loading);
 		flow->loading = NULL;
 		flow->closed = true;
+		flow->queue = NULL;
 		TAILQ_REMOVE(&pool->open, flow, open_next);
 		pool->open_count--;
 	}
--- a/tests/pool_cell.c
+++ b/tests/pool_cell.c
@@ -476,6 +476,7 @@
 		queue->advice.decide_us = cell->setup.decide_us;
 		queue->advice.valid_us = cell->setup.valid_us;
 	}
+	gb_pool_config_seal(config);
 	cell->config = config;
 }
 
