--- a/libgooseberry/pool/flow.c
+++ b/libgooseberry/pool/flow.c
@@ -265,6 +265,27 @@
 		task_checkpoint(task, state->checkpoint);
 }
 
+/** A step begins only when the ends of those before it are stored, so that one
+ * that is not ready by what is stored has not been begun by anybody. */
+static void
+flow_steps_fresh(struct pool_flow *flow)
+{
+	uint32_t i;
+	uint32_t j;
+
+	for (i = 0; i < flow->step_count; i++) {
+		const gb_step *spec = flow->steps[i].spec;
+
+		for (j = 0; j < spec->after.after_len; j++) {
+			const struct pool_step *before =
+			    &flow->steps[spec->after.after_val[j]];
+
+			if (before->done < before->spec->count)
+				flow->steps[i].fresh = true;
+		}
+	}
+}
+
 bool
 pool_flow_load(
     struct gb_pool *pool, struct pool_flow *flow, const gb_flow_state *state)
@@ -289,6 +310,7 @@
 			return false;
 		flow->begun = flow->begun || flow->steps[i].done > 0;
 	}
+	flow_steps_fresh(flow);
 	for (i = 0; i < state->tasks.tasks_len; i++) {
 		task = &state->tasks.tasks_val[i];
 		if (task->step >= flow->step_count ||
@@ -450,7 +472,7 @@
 
 	if (left == 0 || !pool_flow_step_ready(flow, step))
 		return 0;
-	if (!pool->settled && !flow->fresh)
+	if (!pool->settled && !flow->fresh && !step->fresh)
 		return 0;
 	if ((step->spec->flags & GB_STEP_GANG) != 0)
 		return step->active > 0 ? 0 : left;
--- a/libgooseberry/pool/health.c
+++ b/libgooseberry/pool/health.c
@@ -16,11 +16,12 @@
 
 #include "state.h"
 
-/** Failures in a row that set a worker aside.  Of healthy workers' runs about
- * 8% fail, so that three in a row come once in 2,000 runs. */
-#define HEALTH_FAILURES 3
+/** Failures in a row that set a worker aside.  A task's first failure alone
+ * counts, so that of healthy workers' runs about 5% do, and two in a row come
+ * once in 400 runs. */
+#define HEALTH_FAILURES 2
 /** First and longest time aside. */
-#define HEALTH_ASIDE (4 * GB_SEC)
+#define HEALTH_ASIDE (3 * GB_SEC)
 #define HEALTH_ASIDE_MOST (20 * GB_SEC)
 /** A run that makes no progress for this long stands still: the percent of the
  * longest tasks (12 s) moves each 0.12 s, seen each 0.9 s. */
@@ -63,6 +64,17 @@
 		stat->ratio += HEALTH_WEIGHT * (took / declared - stat->ratio);
 }
 
+/** A task that has failed elsewhere fails by its own fault. */
+static bool
+task_failed_before(const struct pool_run *run)
+{
+	const struct pool_step *step = &run->flow->steps[run->step];
+	bool gang = (step->spec->flags & GB_STEP_GANG) != 0;
+
+	/* A gang may have met another failing worker. */
+	return !gang && step->tasks[run->index].failures > 0;
+}
+
 void
 pool_health_ended(struct gb_pool *pool, struct pool_worker *worker,
     const struct pool_run *run, enum gb_pool_how how)
@@ -78,6 +90,8 @@
 	}
 	if (how != GB_POOL_FAILED || flow == worker->failed_flow)
 		return;
+	if (task_failed_before(run))
+		return;
 	worker->failed_flow = flow;
 	if (++worker->failures >= HEALTH_FAILURES)
 		worker_aside(pool, worker, "its runs fail one after the other");
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -82,6 +82,7 @@
 	const gb_step *spec;
 	struct pool_task *tasks;
 	uint32_t done;	      /**< tasks whose end has been seen */
+	bool fresh; /**< not ready when this owner read it: nobody began it */
 	uint64_t done_change; /**< change of the flow that made it whole */
 	uint32_t active;      /**< tasks that have a run */
 	uint32_t active_open; /**< of these, tasks that are not done */
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -275,6 +275,31 @@
 	pool_cell_free(cell);
 }
 
+/** A worker fails whatever it starts while others do well: it is set aside, and
+ * flows with few attempts come through. */
+static void
+test_failing_worker_is_set_aside(void **state)
+{
+	struct pool_cell *cell = cell_begin(&plain);
+	unsigned int failed = 0;
+	size_t i;
+
+	(void)state;
+	world_worker_sick(cell->world, 0, true, false);
+	world_worker_sick(cell->world, 1, true, false);
+	for (i = 0; i < 60; i++) {
+		pool_cell_step(cell, 8, 3000, GB_SEC, GB_STEP_GANG, -1);
+		pool_cell_submit(cell, "rebuild", "ms=1000");
+		pool_cell_run(cell, 300 * GB_MSEC);
+	}
+	pool_cell_run(cell, 20 * GB_SEC);
+	for (i = 0; i < cell->flow_count; i++)
+		failed += cell->flows[i].status == GB_FLOW_FAILED;
+	assert_int_equal(failed, 0);
+	assert_unharmed(cell);
+	pool_cell_free(cell);
+}
+
 /* Takeovers --------------------------------------------------------------- */
 
 /** A worker that is gone for good is no longer waited for: each takeover took
@@ -523,6 +548,7 @@
 	    cmocka_unit_test(test_failed_runs_count_over_owners),
 	    cmocka_unit_test(test_runs_of_lost_worker_start_elsewhere),
 	    cmocka_unit_test(test_more_workers_are_asked_about),
+	    cmocka_unit_test(test_failing_worker_is_set_aside),
 	    cmocka_unit_test(test_unlisted_workers_are_asked_too),
 	    cmocka_unit_test(test_gone_worker_does_not_hold_up_a_successor),
 	    cmocka_unit_test(test_takeover_keeps_what_runs),
