--- a/cli/ctl_trace.c
+++ b/cli/ctl_trace.c
@@ -53,9 +53,8 @@
 	const char *event = json_string_value(json_object_get(line, "event"));
 	struct trace_line *out;
 
-	if (event == NULL ||
-	    (flow == NULL ? !trace_context(event)
-			  : strcmp(flow, trace->flow) != 0)) {
+	if (event == NULL || (flow == NULL ? !trace_context(event)
+					   : strcmp(flow, trace->flow) != 0)) {
 		json_decref(line);
 		return;
 	}
@@ -147,8 +146,8 @@
 static const struct trace_line *
 trace_cause(const struct trace *trace)
 {
-	static const char *const ends[] = {"flow_over", "flow_refused",
-	    "flow_not_served", "request_given_up"};
+	static const char *const ends[] = {
+	    "flow_over", "flow_refused", "flow_not_served", "request_given_up"};
 	size_t i;
 	size_t j;
 
--- a/libgooseberry/node/metrics.c
+++ b/libgooseberry/node/metrics.c
@@ -44,8 +44,7 @@
 	    {"gooseberry_store_reads", "Reads.", s->reads},
 	    {"gooseberry_store_conflicts", "Conditions that did not hold.",
 		s->txn_conflicts},
-	    {"gooseberry_store_lost", "Writes without an answer.",
-		s->txn_lost},
+	    {"gooseberry_store_lost", "Writes without an answer.", s->txn_lost},
 	    {"gooseberry_takeovers", "Times this node gained the pool.",
 		s->takeovers},
 	    {"gooseberry_ownership_losses", "Times it lost it.", s->losses},
@@ -61,8 +60,8 @@
 	};
 
 	gb_counter_print(out, counters, sizeof(counters) / sizeof(counters[0]));
-	gb_histogram_print(out, "gooseberry_accept_us",
-	    "Submission to stored.", &s->accept_us);
+	gb_histogram_print(out, "gooseberry_accept_us", "Submission to stored.",
+	    &s->accept_us);
 	gb_histogram_print(out, "gooseberry_first_start_us",
 	    "Submission to first start.", &s->first_start_us);
 	gb_histogram_print(out, "gooseberry_finish_us",
--- a/libgooseberry/node/node.c
+++ b/libgooseberry/node/node.c
@@ -218,8 +218,8 @@
 static void
 store_probe(struct gb_node *node)
 {
-	const struct gb_pool_read read = {0, GB_POOL_OWNERS,
-	    GB_POOL_OWNER_KEY, GB_POOL_OWNER_KEY "0", 1};
+	const struct gb_pool_read read = {
+	    0, GB_POOL_OWNERS, GB_POOL_OWNER_KEY, GB_POOL_OWNER_KEY "0", 1};
 
 	if (!node_store_out(node) || node->store_probing ||
 	    node->store_probe_at > node_now())
@@ -517,7 +517,8 @@
 	node->leaving = true;
 	node->leave_by =
 	    node_now() + node->settings.grace_s * GB_SEC - LEAVE_ANSWERED;
-	TAILQ_FOREACH(in, &node->intakes, next) {
+	TAILQ_FOREACH(in, &node->intakes, next)
+	{
 		if (in->deadline > node->leave_by)
 			in->deadline = node->leave_by;
 	}
--- a/libgooseberry/node/node_state.h
+++ b/libgooseberry/node/node_state.h
@@ -45,9 +45,10 @@
 	gb_time began;
 	gb_time deadline;
 	gb_time next_try;
-	bool out;   /**< a try is out */
-	bool answered; /**< its caller has its answer; waits for the try's end */
-	bool maybe; /**< an earlier try may have been carried out */
+	bool out; /**< a try is out */
+	bool
+	    answered; /**< its caller has its answer; waits for the try's end */
+	bool maybe;   /**< an earlier try may have been carried out */
 	unsigned int tries;
 	gb_node_answer answer;
 	void *data;
@@ -86,15 +87,16 @@
 	char (*known)[GB_NAME_MAX + 1]; /**< others: told by the owner */
 	size_t known_count;
 	struct node_call *calls;
-	unsigned int store_losses; /**< calls in a row that did not come through */
+	unsigned int
+	    store_losses; /**< calls in a row that did not come through */
 	gb_time store_probe_at;
 	bool store_probing;
 	struct node_caller *callers;
 	uint64_t next_id;
 	struct intakes intakes;
 	bool leaving;
-	bool released;	/**< gave the pool up: the next may take it at once */
-	bool deferring; /**< gives it up to a larger node */
+	bool released;	  /**< gave the pool up: the next may take it at once */
+	bool deferring;	  /**< gives it up to a larger node */
 	gb_time leave_by; /**< all callers are answered by then */
 };
 
--- a/libgooseberry/pool/book.c
+++ b/libgooseberry/pool/book.c
@@ -136,17 +136,17 @@
 
 bool
 pool_book(struct gb_pool *pool, struct pool_flow *flow, struct pool_step *step,
-    gb_time *wait)
+    gb_time *wait, uint32_t *workers)
 {
 	uint32_t wanted = step->spec->count;
-	uint32_t workers = POOL_ADVICE_NEEDED(flow) ? step->approved_count
-						    : pool->worker_count;
+	uint32_t choice = POOL_ADVICE_NEEDED(flow) ? step->approved_count
+						   : pool->worker_count;
 	struct pool_slot *slots;
 	size_t count = 0;
 	uint32_t i;
 
-	slots = book_scratch(pool, (size_t)workers * BOOK_SLOTS_MOST);
-	for (i = 0; i < workers; i++) {
+	slots = book_scratch(pool, (size_t)choice * BOOK_SLOTS_MOST);
+	for (i = 0; i < choice; i++) {
 		const struct pool_worker *worker =
 		    POOL_ADVICE_NEEDED(flow)
 			? pool_worker_get(pool, step->approved[i].worker)
@@ -161,8 +161,10 @@
 		return false;
 	qsort(slots, count, sizeof(*slots), slot_compare);
 	*wait = slots[wanted - 1].wait;
-	for (i = 0; i < wanted; i++)
+	for (i = 0; i < wanted; i++) {
 		book_take(pool, step, &slots[i], pool->now + *wait);
+		workers[i] = slots[i].worker;
+	}
 	return true;
 }
 
--- a/libgooseberry/pool/dispatch.c
+++ b/libgooseberry/pool/dispatch.c
@@ -20,6 +20,8 @@
 /** Gangs that room is booked for in one pass: each costs about 20 us, and what
  * is booked for the tenth is seconds away. */
 #define DISPATCH_BOOKINGS 10
+/** On the way to the advice service and back, by way of a member. */
+#define DISPATCH_ADVICE_TRAVEL (60 * GB_MSEC)
 /** Workers named beside those that are needed when tickets are renewed. */
 #define DISPATCH_SPARE 2
 
@@ -96,7 +98,7 @@
 /** Renew tickets for the workers that a placement uses and a few more. */
 static void
 step_renew(struct gb_pool *pool, struct pool_flow *flow, uint32_t number,
-    uint32_t *workers, uint32_t count)
+    uint32_t *workers, uint32_t count, bool claim)
 {
 	struct pool_step *step = &flow->steps[number];
 	uint32_t *names =
@@ -124,23 +126,58 @@
 		names[distinct++] = worker->handle;
 		spare++;
 	}
-	if (pool_advice_ask(pool, flow, number, names, distinct) &&
+	if (pool_advice_ask(pool, flow, number, names, distinct) && claim &&
 	    (step->spec->flags & GB_STEP_GANG) != 0)
 		step_claim(pool, step, workers, count);
 	free(names);
 }
 
-/** The gang found no room: keep it for later. */
+/** Time that renewing the tickets of a gang takes. */
+static gb_time
+step_advice_time(const struct pool_flow *flow, const struct pool_step *step)
+{
+	const struct gb_pool_advice *advice = &flow->queue->advice;
+
+	return advice->decide_us +
+	       advice->per_item_us * (gb_time)step->spec->count / 2 +
+	       DISPATCH_ADVICE_TRAVEL;
+}
+
+/** Whether all tickets will hold when the booked room is there. */
+static bool
+step_tickets_hold(const struct gb_pool *pool, const struct pool_step *step,
+    const uint32_t *workers)
+{
+	uint32_t i;
+
+	for (i = 0; i < step->spec->count; i++) {
+		if (pool_fit_ticket(pool, step, workers[i]) == NULL)
+			return false;
+	}
+	return true;
+}
+
+/** The gang found no room: keep it for later, and renew the tickets just before
+ * it is there, so that the room does not wait for them. */
 static void
 step_book(struct gb_pool *pool, struct pool_flow *flow, uint32_t number)
 {
 	struct pool_step *step = &flow->steps[number];
 
+	uint32_t *workers;
+
 	if (pool->bookings >= DISPATCH_BOOKINGS)
 		return;
 	pool->bookings++;
-	if (!pool_book(pool, flow, step, &flow->wait))
+	workers = gb_calloc(step->spec->count, sizeof(*workers));
+	if (!pool_book(pool, flow, step, &flow->wait, workers))
 		flow->wait = 0;
+	else if (POOL_ADVICE_NEEDED(flow) && step->advice_call == 0 &&
+		 flow->wait < step_advice_time(flow, step) &&
+		 !step_tickets_hold(pool, step, workers))
+		step_renew(
+		    pool, flow, number, workers, step->spec->count, false);
+	free(workers);
 }
 
 /** Too few workers are approved for the step to find room soon: ask about
@@ -183,7 +220,7 @@
 		placed = pool_fit_place(
 		    pool, flow, step, wanted - started, false, workers);
 	if (placed > 0 && advice && pool_advice_lane_free(pool))
-		step_renew(pool, flow, number, workers, placed);
+		step_renew(pool, flow, number, workers, placed, true);
 	if (advice && started + placed == 0)
 		step_ask_more(pool, flow, number);
 	if (gang && started > 0)
--- a/libgooseberry/pool/fit.c
+++ b/libgooseberry/pool/fit.c
@@ -34,8 +34,7 @@
 pool_fit_usable(const struct gb_pool *pool, const struct pool_worker *worker)
 {
 	return worker->listed && worker->fenced && worker->recorded &&
-	    !worker->over &&
-	       !worker->foreign && !worker->entry.draining &&
+	       !worker->over && !worker->foreign && !worker->entry.draining &&
 	       worker->silent == 0 && worker->aside_until <= pool->now;
 }
 
@@ -180,8 +179,7 @@
 	if ((step->spec->flags & GB_STEP_GANG) != 0)
 		return step->tasks[0].failures + 1 >= most;
 	for (i = 0; i < step->spec->count; i++) {
-		if (!step->tasks[i].done &&
-		    step->tasks[i].failures + 1 >= most)
+		if (!step->tasks[i].done && step->tasks[i].failures + 1 >= most)
 			return true;
 	}
 	return false;
--- a/libgooseberry/pool/flow.c
+++ b/libgooseberry/pool/flow.c
@@ -356,8 +356,7 @@
 }
 
 void
-pool_flow_turn_away(
-    struct gb_pool *pool, struct pool_flow *flow, gb_time retry)
+pool_flow_turn_away(struct gb_pool *pool, struct pool_flow *flow, gb_time retry)
 {
 	gb_flow_answer answer = {0};
 
@@ -365,8 +364,8 @@
 	answer.retry_after_us = retry;
 	pool->stats.refused++;
 	gb_event(pool->cfg.events, GB_EVENT_NORMAL, "flow_refused",
-	    "{s:s, s:s, s:s}", "flow", flow->spec.id, "queue",
-	    flow->spec.queue, "why", "the store does not take writes");
+	    "{s:s, s:s, s:s}", "flow", flow->spec.id, "queue", flow->spec.queue,
+	    "why", "the store does not take writes");
 	flow_answer_all(pool, flow, &answer);
 	pool_flow_free(pool, flow);
 }
--- a/libgooseberry/pool/owner.c
+++ b/libgooseberry/pool/owner.c
@@ -311,9 +311,8 @@
 	gb_worker_set set = {0};
 	u_int i;
 
-	if (res->row_count > 0 &&
-	    gb_xdr_decode((xdrproc_t)xdr_gb_worker_set, &res->rows[0].value,
-		&set)) {
+	if (res->row_count > 0 && gb_xdr_decode((xdrproc_t)xdr_gb_worker_set,
+				      &res->rows[0].value, &set)) {
 		for (i = 0; i < set.list.list_len; i++)
 			pool_worker_recorded(pool, &set.list.list_val[i]);
 		xdr_free((xdrproc_t)xdr_gb_worker_set, (char *)&set);
--- a/libgooseberry/pool/pool.c
+++ b/libgooseberry/pool/pool.c
@@ -187,7 +187,8 @@
 		return;
 	gb_pool_config_unref(pool->config);
 	pool->config = gb_pool_config_ref(config);
-	TAILQ_FOREACH(flow, &pool->open, open_next) {
+	TAILQ_FOREACH(flow, &pool->open, open_next)
+	{
 		flow->queue = gb_pool_config_queue(config, flow->spec.queue);
 	}
 	pool->work_changed = true;
--- a/libgooseberry/pool/runner.c
+++ b/libgooseberry/pool/runner.c
@@ -78,8 +78,9 @@
 gb_time
 pool_worker_lease_most(const struct gb_pool *pool)
 {
-	return pool->cfg.limits.lease_us < LEASE_MOST ? pool->cfg.limits.lease_us
-						      : LEASE_MOST;
+	return pool->cfg.limits.lease_us < LEASE_MOST
+		   ? pool->cfg.limits.lease_us
+		   : LEASE_MOST;
 }
 
 /** End of a lease that begins now, on the worker's clock; 0 while the clock is
@@ -727,8 +728,8 @@
 		return true;
 	/* Unlisted and silent: until every lease it was given is over. */
 	return worker->recorded &&
-	    (worker->silent == 0 || worker->lapse_at >= pool->now ||
-		!pool->settled);
+	       (worker->silent == 0 || worker->lapse_at >= pool->now ||
+		   !pool->settled);
 }
 
 void
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -81,7 +81,7 @@
 struct pool_step {
 	const gb_step *spec;
 	struct pool_task *tasks;
-	uint32_t done;	      /**< tasks whose end has been seen */
+	uint32_t done; /**< tasks whose end has been seen */
 	bool fresh; /**< not ready when this owner read it: nobody began it */
 	uint64_t done_change; /**< change of the flow that made it whole */
 	uint32_t active;      /**< tasks that have a run */
@@ -228,8 +228,8 @@
 	uint64_t probe;	      /**< call that is out, 0: none */
 	gb_time probed;	      /**< when it was sent */
 	bool answers;	      /**< a probe during this write was answered */
-	bool seal;  /**< a write was lost */
-	bool renew; /**< write the owner's row */
+	bool seal;	      /**< a write was lost */
+	bool renew;	      /**< write the owner's row */
 	bool renew_sent;
 	struct pool_flows dirty;
 	struct pool_flow **sent_flows;
@@ -343,7 +343,7 @@
 	struct pool_worker **workers;
 	uint32_t worker_count;
 	uint32_t worker_size;
-	bool listed; /**< the list of workers has been read */
+	bool listed;	  /**< the list of workers has been read */
 	bool set_changed; /**< the stored set of workers must be written */
 	bool set_sent;	  /**< it is being written */
 	/* Advice */
@@ -414,10 +414,11 @@
 /* book.c */
 /** Time until a run is expected to end. */
 gb_time pool_book_run_left(const struct gb_pool *, const struct pool_run *);
-/** Keep room for a gang; tells how long it will have to wait.  False when it
- * would not fit even if all that runs ended. */
-bool pool_book(
-    struct gb_pool *, struct pool_flow *, struct pool_step *, gb_time *wait);
+/** Keep room for a gang; tells how long it will have to wait, and for each task
+ * the worker it is kept on.  False when it would not fit even if all that runs
+ * ended. */
+bool pool_book(struct gb_pool *, struct pool_flow *, struct pool_step *,
+    gb_time *wait, uint32_t *workers);
 /** Begin anew: bookings are worked out in each dispatch. */
 void pool_book_clear(struct gb_pool *);
 
--- a/libgooseberry/pool/writer.c
+++ b/libgooseberry/pool/writer.c
@@ -27,8 +27,8 @@
 #define WRITER_GAP (35 * GB_MSEC)
 /** A write that takes longer than this is overdue: the store is asked for a
  * small row.  A quick answer says that the write's answer was lost, a slow one
- * that the store is slow, and none that it is out.  Writes take 12 ms, or 0.75 s
- * when the store is 60 times slower; reads 4 ms, or 0.24 s. */
+ * that the store is slow, and none that it is out.  Writes take 12 ms, or 0.75
+ * s when the store is 60 times slower; reads 4 ms, or 0.24 s. */
 #define WRITER_OVERDUE (130 * GB_MSEC)
 #define WRITER_PROBE_QUICK (80 * GB_MSEC)
 #define WRITER_PROBE_SILENT (330 * GB_MSEC)
@@ -224,10 +224,11 @@
 	part->sent_flows =
 	    gb_calloc(WRITER_ENTRIES_MOST, sizeof(struct pool_flow *));
 	part->sent_count = 0;
-	while ((flow = TAILQ_FIRST(&part->dirty)) != NULL &&
-	       draft.txn.cond_count + draft.txn.put_count + WRITER_FLOW_ENTRIES <=
+	while (
+	    (flow = TAILQ_FIRST(&part->dirty)) != NULL &&
+	    draft.txn.cond_count + draft.txn.put_count + WRITER_FLOW_ENTRIES <=
 		WRITER_ENTRIES_MOST &&
-	       draft.bytes < WRITER_BYTES_MOST) {
+	    draft.bytes < WRITER_BYTES_MOST) {
 		TAILQ_REMOVE(&part->dirty, flow, dirty_next);
 		flow->dirty = false;
 		flow->sending = flow->change;
@@ -247,8 +248,8 @@
 	const struct pool_part *part = &pool->parts[number];
 
 	return part->refused >= WRITER_OUT_REFUSED ||
-	    (part->probe != 0 && !part->answers &&
-		pool->now - part->probed > WRITER_PROBE_SILENT);
+	       (part->probe != 0 && !part->answers &&
+		   pool->now - part->probed > WRITER_PROBE_SILENT);
 }
 
 /** Ask whether the store answers at all, once an answer is overdue. */
@@ -313,7 +314,7 @@
 	if (part->seal)
 		part_seal(pool, number);
 	else if (part->renew || !TAILQ_EMPTY(&part->dirty) ||
-	    (number == 0 && pool->set_changed))
+		 (number == 0 && pool->set_changed))
 		part_write(pool, number);
 }
 
--- a/tests/pool_cell.h
+++ b/tests/pool_cell.h
@@ -61,7 +61,7 @@
 	unsigned int starts;
 	unsigned int advice_calls;
 	gb_time listed_at;
-	unsigned int hidden; /**< first workers that are not listed */
+	unsigned int hidden;	      /**< first workers that are not listed */
 	struct gb_events *events_log; /**< with GB_POOL_LOG set, else null */
 };
 
--- a/tests/test_watch.c
+++ b/tests/test_watch.c
@@ -171,7 +171,8 @@
 }
 
 /** The doubt was of an owner that has been succeeded meanwhile: each node took
- * the pool from the one before it (acdi trouble-1, three takeovers in 0.5 s). */
+ * the pool from the one before it (acdi trouble-1, three takeovers in 0.5 s).
+ */
 static void
 test_successor_is_not_doubted(void **state)
 {
