--- a/libgooseberry/node/intake.c
+++ b/libgooseberry/node/intake.c
@@ -25,6 +25,9 @@
 /** A node that finds neither owner nor store turns the caller away after this:
  * long enough for a takeover, early enough to come back. */
 #define WRITE_PATIENCE (400 * GB_MSEC)
+/** An owner that was not heard for this long is not asked: it answers a hello
+ * each 0.2 s. */
+#define OWNER_SILENCE (600 * GB_MSEC)
 /** A caller's answer goes out this much before its time is up. */
 #define ANSWER_MARGIN (150 * GB_MSEC)
 /** Time to come back after a refusal for want of an owner and the store. */
@@ -290,23 +293,24 @@
 {
 	struct gb_node *node = in->node;
 	bool silent =
-	    now - node->watch.heard > 600 * GB_MSEC || node->watch.refused > 0;
+	    now - node->watch.heard > OWNER_SILENCE || node->watch.refused > 0;
 	bool owner = node->watch.owner[0] != '\0' && !node->watch.vacant;
 
 	in->tries++;
 	in->out = true;
 	if (gb_pool_owns(node->pool)) {
 		intake_local(in);
-	} else if (owner && !(silent && in->tries > 1)) {
+	} else if (owner && !silent) {
 		intake_remote(in, in->deadline - now);
 	} else if (in->submit != NULL && node_store_out(node)) {
 		/* Neither an owner nor the store: known at once. */
 		in->out = false;
 		intake_give_up(in);
-	} else if (in->submit != NULL && now - in->began >= WRITE_AFTER) {
+	} else if (in->submit != NULL &&
+		   (silent || now - in->began >= WRITE_AFTER)) {
 		intake_write(in);
 	} else if (in->submit == NULL && in->ask.op == GB_FLOW_OP_STATE &&
-		   in->tries > 2) {
+		   (silent || in->tries > 2)) {
 		intake_read(in);
 	} else {
 		intake_again(in);
--- a/libgooseberry/node/node.c
+++ b/libgooseberry/node/node.c
@@ -25,6 +25,8 @@
  * node, and the pause between looks whether it is back. */
 #define STORE_OUT_LOSSES 2
 #define STORE_PROBE (200 * GB_MSEC)
+/** Silence of the owner after which a node without the store isn't ready. */
+#define READY_SILENCE (1500 * GB_MSEC)
 /** Callers are answered this much before a stopping process would be killed. */
 #define LEAVE_ANSWERED (1200 * GB_MSEC)
 /** A call of advice by way of a member. */
@@ -534,7 +536,12 @@
 bool
 gb_node_ready(const struct gb_node *node)
 {
-	return node->config != NULL && !node->leaving;
+	bool owner = gb_pool_owns(node->pool) ||
+		     node_now() - node->watch.heard < READY_SILENCE;
+
+	/* A node that reaches neither an owner nor the store serves nobody. */
+	return node->config != NULL && !node->leaving &&
+	       (owner || !node_store_out(node));
 }
 
 const struct gb_pool_config *
--- a/libgooseberry/pool/dispatch.c
+++ b/libgooseberry/pool/dispatch.c
@@ -231,6 +231,53 @@
 	return started + placed == 0;
 }
 
+/** Time until the steps before a step are expected to be done, or a negative
+ * number when some of their tasks have not begun. */
+static gb_time
+step_ready_in(const struct gb_pool *pool, const struct pool_flow *flow,
+    const struct pool_step *step)
+{
+	gb_time longest = 0;
+	uint32_t i;
+	uint32_t j;
+
+	for (i = 0; i < step->spec->after.after_len; i++) {
+		const struct pool_step *before =
+		    &flow->steps[step->spec->after.after_val[i]];
+
+		if (before->done + before->active_open < before->spec->count)
+			return -1;
+		for (j = 0; j < before->spec->count; j++) {
+			const struct pool_run *run =
+			    TAILQ_FIRST(&before->tasks[j].runs);
+			gb_time left = before->tasks[j].done || run == NULL
+					   ? 0
+					   : pool_book_run_left(pool, run);
+
+			if (left > longest)
+				longest = left;
+		}
+	}
+	return longest;
+}
+
+/** Ask for advice before the step can begin: while its flow is being stored, or
+ * while the last tasks before it run. */
+static void
+step_foresee(struct gb_pool *pool, struct pool_flow *flow, uint32_t number)
+{
+	struct pool_step *step = &flow->steps[number];
+	gb_time in;
+
+	if (step->advice != POOL_ADVICE_NONE || step->advice_call != 0 ||
+	    !POOL_ADVICE_NEEDED(flow) || step->done > 0 ||
+	    step->advice_retry_at > pool->now || !pool_advice_lane_free(pool))
+		return;
+	in = step_ready_in(pool, flow, step);
+	if (in >= 0 && in < step_advice_time(flow, step))
+		pool_advice_ask(pool, flow, number, NULL, 0);
+}
+
 /** A gang of which an earlier owner left only a part can't go on. */
 static void
 step_mend(struct gb_pool *pool, struct pool_flow *flow, uint32_t number)
@@ -313,6 +360,7 @@
 	for (i = 0; i < count; i++) {
 		for (j = 0; j < flows[i]->step_count; j++) {
 			step_mend(pool, flows[i], j);
+			step_foresee(pool, flows[i], j);
 			if (misses < DISPATCH_MISSES &&
 			    step_dispatch(pool, flows[i], j))
 				misses++;
--- a/libgooseberry/pool/fit.c
+++ b/libgooseberry/pool/fit.c
@@ -17,6 +17,12 @@
 #define FIT_TICKET_MARGIN (60 * GB_MSEC)
 /** Work away from its data counts as if the worker were this much fuller. */
 #define FIT_REMOTE_PENALTY 4.0
+/** Speeds of workers differ by half.  A flow with more to spare than this share
+ * of its work is put on the slow ones first, others on the fast ones; the
+ * weights are against the share of a worker that stays free. */
+#define FIT_SPARE 1.0
+#define FIT_SLOW_FIRST 0.5
+#define FIT_FAST_FIRST 2.0
 /** So does room that a gang waits for: others are used first. */
 #define FIT_BOOKED_PENALTY 0.5
 
@@ -148,8 +154,19 @@
 	return x->worker < y->worker ? -1 : x->worker > y->worker;
 }
 
+/** Time that a flow has to spare, over the work that it has left. */
 static double
-fit_score(const struct pool_step *step, const struct pool_worker *worker,
+fit_spare(const struct gb_pool *pool, const struct pool_flow *flow)
+{
+	gb_time spare = flow->due - flow->remaining - pool->now;
+
+	return flow->remaining <= 0 ? 0
+				    : (double)spare / (double)flow->remaining;
+}
+
+static double
+fit_score(const struct gb_pool *pool, const struct pool_flow *flow,
+    const struct pool_step *step, const struct pool_worker *worker,
     const gb_res *room)
 {
 	double left = (double)(room->cpu - step->spec->res.cpu) /
@@ -163,8 +180,11 @@
 		score += FIT_BOOKED_PENALTY;
 	if (worker->failures > 0)
 		score += 1.0;
-	if (worker->pace < 1.0)
-		score += 1.0 - worker->pace;
+	/* Whoever has time to spare leaves the fast workers to the others. */
+	if (fit_spare(pool, flow) > FIT_SPARE)
+		score -= FIT_SLOW_FIRST * (worker->slowness - 1.0);
+	else
+		score += FIT_FAST_FIRST * (worker->slowness - 1.0);
 	return score;
 }
 
@@ -220,7 +240,7 @@
 		if (out->times > step->spec->per_worker - already)
 			out->times = step->spec->per_worker - already;
 	}
-	out->score = fit_score(step, worker, &room);
+	out->score = fit_score(pool, flow, step, worker, &room);
 	return out->times > 0;
 }
 
--- a/libgooseberry/pool/health.c
+++ b/libgooseberry/pool/health.c
@@ -28,6 +28,8 @@
 #define HEALTH_STANDSTILL (2200 * GB_MSEC)
 /** Percent from which a run only waits for others. */
 #define HEALTH_WHOLE 99
+/** Weight of the newest run in a worker's slowness: about ten runs count. */
+#define HEALTH_SLOW_WEIGHT 0.1
 /** Weight of the newest run in a queue's averages. */
 #define HEALTH_WEIGHT 0.05
 
@@ -46,6 +48,24 @@
 	    (json_int_t)(worker->aside_for / GB_MSEC));
 }
 
+/** How long a run took against the runs of the same step before it: tasks of a
+ * step are more alike (15% to 30%) than declared run times are true. */
+static void
+worker_learn(
+    struct pool_worker *worker, const struct pool_run *run, gb_time took)
+{
+	struct pool_step *step = &run->flow->steps[run->step];
+	double like;
+
+	if (step->took_runs > 0) {
+		like = (double)step->took / step->took_runs;
+		worker->slowness += HEALTH_SLOW_WEIGHT *
+				    ((double)took / like - worker->slowness);
+	}
+	step->took += took;
+	step->took_runs++;
+}
+
 static void
 queue_learn(struct gb_pool *pool, const struct pool_run *run)
 {
@@ -56,6 +76,9 @@
 
 	if (run->state != POOL_RUN_RUNNING || run->confirmed == 0)
 		return;
+	if ((run->flow->steps[run->step].spec->flags &
+		(GB_STEP_GANG | GB_STEP_CHECKPOINT)) == 0)
+		worker_learn(run->worker, run, pool->now - run->started);
 	stat->run_us =
 	    stat->run_us <= 0
 		? took
--- a/libgooseberry/pool/owner.c
+++ b/libgooseberry/pool/owner.c
@@ -25,9 +25,10 @@
 #define OWNER_RENEW (600 * GB_MSEC)
 /** Writes that are pending at a stop are given this long. */
 #define OWNER_RELEASE (1500 * GB_MSEC)
-/** Flows stored without the owner are looked for this often; their nodes also
- * tell of them. */
-#define OWNER_INBOX (3 * GB_SEC)
+/** Flows stored without the owner are looked for this often, and sooner after
+ * some were found: the most urgent have three quarters of a second to spare. */
+#define OWNER_INBOX (GB_SEC)
+#define OWNER_INBOX_SOON (250 * GB_MSEC)
 
 static void
 owner_phase(struct gb_pool *pool, enum pool_owner_phase phase)
@@ -362,6 +363,8 @@
 	struct pool_flow *flow;
 	size_t i;
 
+	if (res->row_count > 0)
+		pool->inbox_at = pool->now + OWNER_INBOX_SOON;
 	for (i = 0; i < res->row_count; i++) {
 		flow = pool_flow_find(pool, res->rows[i].key);
 		if (flow != NULL) {
--- a/libgooseberry/pool/runner.c
+++ b/libgooseberry/pool/runner.c
@@ -768,7 +768,7 @@
 	struct pool_worker *worker = gb_calloc(1, sizeof(*worker));
 
 	worker->entry = *entry;
-	worker->pace = 1.0;
+	worker->slowness = 1.0;
 	TAILQ_INIT(&worker->runs);
 	STAILQ_INIT(&worker->ends);
 	if (pool->worker_count == pool->worker_size) {
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -81,7 +81,9 @@
 struct pool_step {
 	const gb_step *spec;
 	struct pool_task *tasks;
-	uint32_t done; /**< tasks whose end has been seen */
+	uint32_t done;	    /**< tasks whose end has been seen */
+	gb_time took;	    /**< time of the runs that were done, in all */
+	uint32_t took_runs; /**< number of these */
 	bool fresh; /**< not ready when this owner read it: nobody began it */
 	uint64_t done_change; /**< change of the flow that made it whole */
 	uint32_t active;      /**< tasks that have a run */
@@ -203,7 +205,7 @@
 	uint64_t failed_flow;
 	gb_time aside_until;
 	gb_time aside_for; /**< length of the last time set aside */
-	double pace;	   /**< of its work against the average, 1: like it */
+	double slowness;   /**< of its runs against their like, 1: as long */
 };
 
 /* Writer ------------------------------------------------------------------ */
