A stale entry of the list does not end a worker

Ruled out: a stuck call, a lost set of workers, a flow that was not read. Change: only the worker's own answer ends a lifetime. Test first: test_stale_entry_does_not_end_a_worker.

--- a/libgooseberry/pool/runner.c
+++ b/libgooseberry/pool/runner.c
@@ -642,6 +642,8 @@
 	if (worker == NULL || worker->hold_call != call->id)
 		return;
 	worker->hold_call = 0;
+	if (worker->over)
+		return;
 	if (report == NULL || report->status == GB_POOL_ORDER_LOST ||
 	    report->status == GB_POOL_ORDER_REFUSED) {
 		worker_silent(pool, worker);
@@ -782,22 +784,6 @@
 	return worker;
 }
 
-/** A new lifetime at an address proves that the one before is over. */
-static void
-worker_replaced(struct gb_pool *pool, const struct pool_worker *fresh)
-{
-	uint32_t i;
-
-	for (i = 0; i < pool->worker_count; i++) {
-		struct pool_worker *old = pool->workers[i];
-
-		if (old != fresh && !old->over &&
-		    strcmp(old->entry.addr, fresh->entry.addr) == 0)
-			worker_over(
-			    pool, old, "its address has a new lifetime");
-	}
-}
-
 void
 pool_worker_entry(struct gb_pool *pool, const struct gb_pool_entry *entry)
 {
@@ -806,8 +792,9 @@
 	if (worker == NULL && entry->removed)
 		return;
 	if (worker == NULL) {
+		/* An older lifetime at this address may be listed later than a
+		 * newer one: only the worker's own answer proves it over. */
 		worker = worker_new(pool, entry);
-		worker_replaced(pool, worker);
 		gb_event(pool->cfg.events, GB_EVENT_NORMAL, "worker_listed",
 		    "{s:s, s:s, s:s, s:I}", "worker", entry->id, "addr",
 		    entry->addr, "dc", entry->dc, "cpu",
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -302,6 +302,29 @@
 
 /* Takeovers --------------------------------------------------------------- */
 
+/** The list names an older lifetime of an address after the newer one: what the
+ * newer one ran was taken for lost (TWICE and LOST, own day srv-cut-some). */
+static void
+test_stale_entry_does_not_end_a_worker(void **state)
+{
+	struct pool_cell *cell = cell_begin(&plain);
+	struct gb_pool_entry stale;
+	size_t flow;
+
+	(void)state;
+	pool_cell_step(cell, 32, 6000, 3 * GB_SEC, 0, -1);
+	flow = pool_cell_submit(cell, "import", "ms=3000");
+	pool_cell_run(cell, 500 * GB_MSEC);
+	world_worker_entry(cell->world, 0, &stale);
+	snprintf(stale.id, sizeof(stale.id), "w-0-before");
+	gb_pool_workers(cell->nodes[0], cell->now, &stale, 1, false);
+	pool_cell_run(cell, 8 * GB_SEC);
+	assert_int_equal(cell->flows[flow].status, GB_FLOW_SUCCEEDED);
+	assert_int_equal(cell->starts, 32);
+	assert_unharmed(cell);
+	pool_cell_free(cell);
+}
+
 /** A worker that is gone for good is no longer waited for: each takeover took
  * 4.5 s to settle for its sake (byggepas incident a7cb). */
 static void
@@ -550,6 +573,7 @@
 	    cmocka_unit_test(test_more_workers_are_asked_about),
 	    cmocka_unit_test(test_failing_worker_is_set_aside),
 	    cmocka_unit_test(test_unlisted_workers_are_asked_too),
+	    cmocka_unit_test(test_stale_entry_does_not_end_a_worker),
 	    cmocka_unit_test(test_gone_worker_does_not_hold_up_a_successor),
 	    cmocka_unit_test(test_takeover_keeps_what_runs),
 	    cmocka_unit_test(test_former_owner_does_no_harm),
