An order to start that has no answer is sent again

Ruled out: shorter leases. A later answer that refuses the second order says nothing of the first, so that the run is then stopped as before. Test first: test_gang_comes_together_over_lost_orders fails with one try.

--- a/libgooseberry/pool/runner.c
+++ b/libgooseberry/pool/runner.c
@@ -39,6 +39,9 @@
 /** A worker that is not listed is asked this often before it is left alone: its
  * entry may come back for 2 s after an outage of the store. */
 #define HOLD_UNLISTED_TRIES 8
+/** Orders to start that are sent before a run is given up: each is waited for
+ * 0.3 s, and a gang for 3 s. */
+#define START_TRIES 4
 /** A stop without answer is sent again after this. */
 #define STOP_RETRY (500 * GB_MSEC)
 /** A worker lists this many ends at once; then some may be missing. */
@@ -172,34 +175,43 @@
 	order->token = pool->epoch;
 }
 
-void
-pool_run_start(struct gb_pool *pool, struct pool_flow *flow, uint32_t step,
-    uint32_t index, uint64_t number, struct pool_worker *worker,
-    const char *ticket)
+/** Send the order to start a run; the worker takes the same order twice as
+ * one. */
+static void
+run_start_send(struct gb_pool *pool, struct pool_run *run, const char *ticket)
 {
-	struct pool_run *run = run_new(pool, flow, step, index, number, worker);
 	struct pool_call *call = pool_call_new(pool, POOL_CALL_RUN_START);
-	const struct pool_step *s = &flow->steps[step];
-	const struct pool_task *carrier =
-	    &s->tasks[(s->spec->flags & GB_STEP_GANG) != 0 ? 0 : index];
+	const struct pool_step *step = &run->flow->steps[run->step];
+	bool gang = (step->spec->flags & GB_STEP_GANG) != 0;
 	struct gb_pool_order order;
 
 	call->run = run;
-	call->worker = worker->handle;
+	call->worker = run->worker->handle;
 	run->start_call = call->id;
 	run->state = POOL_RUN_STARTING;
+	run->tries++;
 	run_order(pool, run, &order);
-	order.spec = flow->spec.spec;
-	order.lease_end_ms = worker_lease(pool, worker, &run->lapse_at);
-	order.checkpoint = carrier->checkpoint;
+	order.spec = run->flow->spec.spec;
+	order.lease_end_ms = worker_lease(pool, run->worker, &run->lapse_at);
+	order.checkpoint = step->tasks[gang ? 0 : run->index].checkpoint;
 	order.ticket = ticket;
+	pool->stats.starts++;
+	pool->ops.start(pool->ops.data, call->id, &order);
+}
+
+void
+pool_run_start(struct gb_pool *pool, struct pool_flow *flow, uint32_t step,
+    uint32_t index, uint64_t number, struct pool_worker *worker,
+    const char *ticket)
+{
+	struct pool_run *run = run_new(pool, flow, step, index, number, worker);
+
 	if (!flow->begun) {
 		flow->begun = true;
 		flow->first_start = pool->now;
 		gb_histogram_add(
 		    &pool->stats.first_start_us, pool->now - flow->submitted);
 	}
-	pool->stats.starts++;
 	gb_event(pool->cfg.events, GB_EVENT_NORMAL, "run_start",
 	    "{s:s, s:I, s:I, s:I, s:s, s:I, s:I, s:i}", "flow", flow->spec.id,
 	    "step", (json_int_t)step, "index", (json_int_t)index, "run",
@@ -207,7 +219,7 @@
 	    (json_int_t)pool_fit_free(worker).cpu, "slack_ms",
 	    (json_int_t)((flow->due - flow->remaining - pool->now) / GB_MSEC),
 	    "tier", flow->tier);
-	pool->ops.start(pool->ops.data, call->id, &order);
+	run_start_send(pool, run, ticket);
 }
 
 static void
@@ -318,6 +330,40 @@
 		    pool, flow, number, NULL, "a member was refused");
 }
 
+/** It is not known whether the run began or will: it must be stopped, which
+ * also refuses a start that comes later. */
+static void
+run_unsure(struct gb_pool *pool, struct pool_run *run)
+{
+	gb_event(pool->cfg.events, GB_EVENT_NORMAL, "run_unsure",
+	    "{s:s, s:I, s:I, s:I, s:s, s:I}", "flow", run->flow->spec.id,
+	    "step", (json_int_t)run->step, "index", (json_int_t)run->index,
+	    "run", (json_int_t)run->number, "worker", run->worker->entry.id,
+	    "tries", (json_int_t)run->tries);
+	if (run->state == POOL_RUN_STARTING)
+		run->state = POOL_RUN_UNSURE;
+	run_stop_send(pool, run);
+}
+
+/** An order without answer is sent again: what the worker did with the first
+ * shows in the answer, and a gang waits for its members only so long. */
+static void
+run_start_lost(struct gb_pool *pool, struct pool_run *run)
+{
+	const struct pool_step *step = &run->flow->steps[run->step];
+	const struct pool_approval *a =
+	    pool_fit_ticket(pool, step, run->worker->handle);
+
+	pool->stats.starts_lost++;
+	if (run->confirmed != 0)
+		return;
+	if (run->state == POOL_RUN_STARTING && run->tries < START_TRIES &&
+	    (a != NULL || !POOL_ADVICE_NEEDED(run->flow)))
+		run_start_send(pool, run, a == NULL ? NULL : a->ticket);
+	else
+		run_unsure(pool, run);
+}
+
 void
 pool_run_start_done(struct gb_pool *pool, const struct pool_call *call,
     const struct gb_pool_order_res *res)
@@ -330,31 +376,24 @@
 	if (worker_fenced_off(pool, res->status))
 		return;
 	gb_histogram_add(&pool->stats.start_us, pool->now - call->sent);
-	if (res->status == GB_POOL_ORDER_REBORN && worker != NULL)
+	if (res->status == GB_POOL_ORDER_REBORN && worker != NULL) {
 		worker_over(pool, worker, "another lifetime answered");
-	else if (run == NULL)
 		return;
-	else if (res->status == GB_POOL_ORDER_DONE) {
-		run->start_call = 0;
+	}
+	if (run == NULL)
+		return;
+	run->start_call = 0;
+	if (res->status == GB_POOL_ORDER_DONE) {
 		run->confirmed = pool->now;
 		run->moved = pool->now;
 		if (run->state == POOL_RUN_STARTING)
 			run->state = POOL_RUN_RUNNING;
 	} else if (res->status == GB_POOL_ORDER_LOST) {
-		run->start_call = 0;
-		pool->stats.starts_lost++;
-		gb_event(pool->cfg.events, GB_EVENT_NORMAL, "run_unsure",
-		    "{s:s, s:I, s:I, s:I, s:s}", "flow", run->flow->spec.id,
-		    "step", (json_int_t)run->step, "index",
-		    (json_int_t)run->index, "run", (json_int_t)run->number,
-		    "worker", run->worker->entry.id);
-		if (run->confirmed != 0)
-			return;
-		if (run->state == POOL_RUN_STARTING)
-			run->state = POOL_RUN_UNSURE;
-		run_stop_send(pool, run);
+		run_start_lost(pool, run);
+	} else if (run->tries > 1) {
+		/* The first order may have been carried out, or may yet be. */
+		run_unsure(pool, run);
 	} else {
-		run->start_call = 0;
 		run_refused(pool, run, res);
 	}
 }
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -42,6 +42,7 @@
 	enum pool_run_state state;
 	gb_res res;
 	uint64_t start_call; /**< that is out, 0: none */
+	unsigned int tries;  /**< orders to start that were sent */
 	uint64_t stop_call;
 	gb_time started;
 	gb_time confirmed; /**< when the worker first said that it runs, 0 */
--- a/tests/pool_cell.c
+++ b/tests/pool_cell.c
@@ -12,7 +12,7 @@
 /** One way between a node and a worker, and between a node and the store. */
 #define CELL_WIRE GB_MSEC
 #define CELL_TXN (10 * GB_MSEC)
-#define CELL_TIMEOUT (600 * GB_MSEC)
+#define CELL_TIMEOUT (300 * GB_MSEC)
 #define CELL_LATE (2 * GB_SEC)
 #define CELL_LIST (500 * GB_MSEC)
 
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -300,6 +300,29 @@
 	pool_cell_free(cell);
 }
 
+/** Orders get no answer: a gang is still complete within the time that its
+ * members wait (own day applied-late). */
+static void
+test_gang_comes_together_over_lost_orders(void **state)
+{
+	struct pool_cell *cell = cell_begin(&plain);
+	size_t flow;
+	size_t i;
+
+	(void)state;
+	cell->faults.order_lost = 15;
+	cell->faults.order_late = 5;
+	for (i = 0; i < 10; i++) {
+		pool_cell_step(cell, 16, 1000, GB_SEC, GB_STEP_GANG, -1);
+		flow = pool_cell_submit(cell, "rebuild", "ms=1000");
+		pool_cell_run(cell, 4 * GB_SEC);
+		assert_int_equal(cell->flows[flow].status, GB_FLOW_SUCCEEDED);
+	}
+	assert_int_equal(world_faults(cell->world)->alone, 0);
+	assert_unharmed(cell);
+	pool_cell_free(cell);
+}
+
 /* Takeovers --------------------------------------------------------------- */
 
 /** The list names an older lifetime of an address after the newer one: what the
@@ -572,6 +595,7 @@
 	    cmocka_unit_test(test_runs_of_lost_worker_start_elsewhere),
 	    cmocka_unit_test(test_more_workers_are_asked_about),
 	    cmocka_unit_test(test_failing_worker_is_set_aside),
+	    cmocka_unit_test(test_gang_comes_together_over_lost_orders),
 	    cmocka_unit_test(test_unlisted_workers_are_asked_too),
 	    cmocka_unit_test(test_stale_entry_does_not_end_a_worker),
 	    cmocka_unit_test(test_gone_worker_does_not_hold_up_a_successor),
