--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -231,6 +231,7 @@
 	uint64_t probe;	      /**< call that is out, 0: none */
 	gb_time probed;	      /**< when it was sent */
 	bool answers;	      /**< a probe during this write was answered */
+	bool silent; /**< probes are not answered, until something is */
 	bool seal;	      /**< a write was lost */
 	bool renew;	      /**< write the owner's row */
 	bool renew_sent;
--- a/libgooseberry/pool/writer.c
+++ b/libgooseberry/pool/writer.c
@@ -247,9 +247,7 @@
 {
 	const struct pool_part *part = &pool->parts[number];
 
-	return part->refused >= WRITER_OUT_REFUSED ||
-	       (part->probe != 0 && !part->answers &&
-		   pool->now - part->probed > WRITER_PROBE_SILENT);
+	return part->refused >= WRITER_OUT_REFUSED || part->silent;
 }
 
 /** Ask whether the store answers at all, once an answer is overdue. */
@@ -261,6 +259,9 @@
 	    GB_POOL_OWNER_KEY, GB_POOL_OWNER_KEY "0", 1};
 	struct pool_call *call;
 
+	if (part->probe != 0 &&
+	    pool->now - part->probed > WRITER_PROBE_SILENT)
+		part->silent = true;
 	if (part->call == 0 || part->probe != 0 || part->answers ||
 	    pool->now - part->sent < WRITER_OVERDUE)
 		return;
@@ -443,8 +444,11 @@
 	if (part->probe != call->id)
 		return;
 	part->probe = 0;
-	if (res->status != GB_STORE_OK)
+	if (res->status != GB_STORE_OK) {
+		part->silent = true;
 		return;
+	}
+	part->silent = false;
 	part->answers = true;
 	part->refused = 0;
 	if (part->call == 0 || part->sent > call->sent ||
@@ -479,6 +483,7 @@
 		part->phase = POOL_PART_IDLE;
 		part->tries = 0;
 		part->refused = 0;
+		part->silent = false;
 		part->seal = false;
 		if (part->renew_sent) {
 			part->owner_vers = res->vers;
@@ -489,6 +494,7 @@
 		break;
 	case GB_STORE_CONFLICT:
 		pool->confirmed = call->sent;
+		part->silent = false;
 		part_conflict(pool, part, res);
 		break;
 	case GB_STORE_REFUSED:
