--- a/libgooseberry/pool.h
+++ b/libgooseberry/pool.h
@@ -178,7 +178,7 @@
 /** Key of the owner's row. */
 #define GB_POOL_OWNER_KEY "owner"
 /** Key of the set of workers in use, in the first part of the same table. */
-#define GB_POOL_WORKERS_KEY "workers"
+#define GB_POOL_WORKERS_KEY "workers-"
 
 uint32_t gb_pool_part(const char *flow_id);
 
--- a/libgooseberry/pool/owner.c
+++ b/libgooseberry/pool/owner.c
@@ -63,6 +63,8 @@
 	pool_workers_reset(pool);
 	pool_writer_reset(pool);
 	pool->reads_out = 0;
+	pool->set_changed = 0;
+	pool->set_sent = 0;
 	pool->settled = false;
 }
 
@@ -200,7 +202,7 @@
 		    "", OWNER_PAGE);
 	}
 	owner_read(pool, POOL_CALL_LOAD_WORKERS, 0, GB_POOL_OWNERS,
-	    GB_POOL_WORKERS_KEY, GB_POOL_WORKERS_KEY "0", 1);
+	    GB_POOL_WORKERS_KEY, GB_POOL_WORKERS_KEY "~", POOL_SET_ROWS);
 }
 
 /* Loading ----------------------------------------------------------------- */
@@ -307,17 +309,29 @@
 /** Whoever the owner before may have sent runs to is asked, whether the list of
  * workers names it or not: entries lapse while the store is away. */
 static void
-load_workers(struct gb_pool *pool, const struct gb_pool_read_res *res)
+load_worker_row(struct gb_pool *pool, const struct gb_pool_row *row)
 {
 	gb_worker_set set = {0};
 	u_int i;
 
-	if (res->row_count > 0 && gb_xdr_decode((xdrproc_t)xdr_gb_worker_set,
-				      &res->rows[0].value, &set)) {
-		for (i = 0; i < set.list.list_len; i++)
-			pool_worker_recorded(pool, &set.list.list_val[i]);
-		xdr_free((xdrproc_t)xdr_gb_worker_set, (char *)&set);
+	if (!gb_xdr_decode((xdrproc_t)xdr_gb_worker_set, &row->value, &set)) {
+		gb_event(pool->cfg.events, GB_EVENT_ALWAYS, "row_unreadable",
+		    "{s:s, s:s}", "table", "owners", "key", row->key);
+		return;
 	}
+	for (i = 0; i < set.list.list_len; i++)
+		pool_worker_recorded(pool, &set.list.list_val[i]);
+	xdr_free((xdrproc_t)xdr_gb_worker_set, (char *)&set);
+	pool_worker_set_read(pool, row->key);
+}
+
+static void
+load_workers(struct gb_pool *pool, const struct gb_pool_read_res *res)
+{
+	size_t i;
+
+	for (i = 0; i < res->row_count; i++)
+		load_worker_row(pool, &res->rows[i]);
 	if (pool->reads_out == 0)
 		owner_active(pool);
 }
--- a/libgooseberry/pool/runner.c
+++ b/libgooseberry/pool/runner.c
@@ -70,6 +70,20 @@
 	return worker;
 }
 
+/** Row of the stored set that a worker stands in, as a bit. */
+static uint64_t
+set_row(const struct pool_worker *worker)
+{
+	return UINT64_C(1) << (worker->handle / POOL_SET_WORKERS %
+			       POOL_SET_ROWS);
+}
+
+static void
+set_mark(struct gb_pool *pool, const struct pool_worker *worker)
+{
+	pool->set_changed |= set_row(worker);
+}
+
 /* Clock and lease --------------------------------------------------------- */
 
 static void
@@ -288,7 +302,7 @@
 	if (worker->over)
 		return;
 	worker->over = true;
-	pool->set_changed = true;
+	set_mark(pool, worker);
 	worker_runs_drop(pool, worker, why);
 }
 
@@ -681,18 +695,18 @@
 holds_are_short(const struct gb_pool *pool)
 {
 	return pool->cfg.limits.connections > 0 &&
-	    pool->worker_count * 2 > pool->cfg.limits.connections;
+	       pool->worker_count * 2 > pool->cfg.limits.connections;
 }
 
 /** Pause after a hold that was answered. */
 static gb_time
-hold_pause(const struct gb_pool *pool, const struct pool_worker *worker,
-    bool ended)
+hold_pause(
+    const struct gb_pool *pool, const struct pool_worker *worker, bool ended)
 {
 	if (holds_are_short(pool))
 		return worker->run_count > 0
-		    ? HOLD_TURN * (gb_time)pool->worker_count
-		    : HOLD_WAIT_IDLE;
+			   ? HOLD_TURN * (gb_time)pool->worker_count
+			   : HOLD_WAIT_IDLE;
 	return ended ? HOLD_GAP : GB_MSEC;
 }
 
@@ -801,7 +815,7 @@
 pool_worker_tick(struct gb_pool *pool, struct pool_worker *worker)
 {
 	if (worker->recorded && !worker_in_use(pool, worker))
-		pool->set_changed = true;
+		set_mark(pool, worker);
 	if (worker->over)
 		return;
 	runs_tick(pool, worker);
@@ -876,7 +890,7 @@
 	worker->entry = *entry;
 	worker->listed = true;
 	if (!worker->recorded)
-		pool->set_changed = true;
+		set_mark(pool, worker);
 	worker_rack(worker);
 	pool->work_changed = true;
 }
@@ -884,13 +898,15 @@
 bool
 pool_worker_set_body(struct gb_pool *pool, gb_body *body)
 {
+	unsigned int number = (unsigned int)__builtin_ctzll(pool->set_changed);
+	uint32_t first = number * POOL_SET_WORKERS;
+	uint32_t last = first + POOL_SET_WORKERS;
 	gb_worker_set set = {0};
 	bool ok;
 	uint32_t i;
 
-	set.list.list_val =
-	    gb_calloc(pool->worker_count, sizeof(gb_worker_ref));
-	for (i = 0; i < pool->worker_count; i++) {
+	set.list.list_val = gb_calloc(POOL_SET_WORKERS, sizeof(gb_worker_ref));
+	for (i = first; i < last && i < pool->worker_count; i++) {
 		struct pool_worker *worker = pool->workers[i];
 		gb_worker_ref *ref = &set.list.list_val[set.list.list_len];
 
@@ -901,25 +917,40 @@
 		ref->addr = worker->entry.addr;
 		set.list.list_len++;
 	}
-	pool->set_changed = false;
-	pool->set_sent = true;
+	pool->set_sent = UINT64_C(1) << number;
+	pool->set_changed &= ~pool->set_sent;
+	snprintf(pool->set_key, sizeof(pool->set_key),
+	    GB_POOL_WORKERS_KEY "%02u", number % POOL_SET_ROWS);
 	ok = gb_xdr_encode((xdrproc_t)xdr_gb_worker_set, &set, body);
 	free(set.list.list_val);
 	return ok;
 }
 
+void
+pool_worker_set_read(struct gb_pool *pool, const char *key)
+{
+	unsigned long number =
+	    strtoul(key + strlen(GB_POOL_WORKERS_KEY), NULL, 10);
+
+	pool->set_changed |= UINT64_C(1) << (number % POOL_SET_ROWS);
+}
+
 void
 pool_worker_set_stored(struct gb_pool *pool, bool stored)
 {
+	uint64_t sent = pool->set_sent;
 	uint32_t i;
 
-	pool->set_sent = false;
+	pool->set_sent = 0;
 	if (!stored) {
-		pool->set_changed = true;
+		pool->set_changed |= sent;
 		return;
 	}
-	for (i = 0; i < pool->worker_count; i++)
-		pool->workers[i]->recorded = pool->workers[i]->recording;
+	for (i = 0; i < pool->worker_count; i++) {
+		if (set_row(pool->workers[i]) == sent)
+			pool->workers[i]->recorded =
+			    pool->workers[i]->recording;
+	}
 	pool->work_changed = true;
 }
 
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -19,6 +19,11 @@
 struct pool_flow;
 struct pool_worker;
 
+/** Workers in one row of the stored set: 40 bytes each, of the 64 KB that a row
+ * may have; and rows, enough for 32,000. */
+#define POOL_SET_WORKERS 500
+#define POOL_SET_ROWS 64
+
 /** How many workers the advice service takes in one call. */
 #define POOL_ADVICE_MOST 100
 
@@ -232,8 +237,8 @@
 	gb_time probed;	      /**< when it was sent */
 	bool answers;	      /**< a probe during this write was answered */
 	bool silent; /**< probes are not answered, until something is */
-	bool seal;	      /**< a write was lost */
-	bool renew;	      /**< write the owner's row */
+	bool seal;   /**< a write was lost */
+	bool renew;  /**< write the owner's row */
 	bool renew_sent;
 	struct pool_flows dirty;
 	struct pool_flow **sent_flows;
@@ -347,9 +352,10 @@
 	struct pool_worker **workers;
 	uint32_t worker_count;
 	uint32_t worker_size;
-	bool listed;	  /**< the list of workers has been read */
-	bool set_changed; /**< the stored set of workers must be written */
-	bool set_sent;	  /**< it is being written */
+	bool listed;	      /**< the list of workers has been read */
+	uint64_t set_changed; /**< rows of the set of workers to be written */
+	uint64_t set_sent;    /**< the one that is being written, 0: none */
+	char set_key[sizeof(GB_POOL_WORKERS_KEY) + 2]; /**< its key */
 	/* Advice */
 	struct pool_lane *lanes;
 	size_t lane_count;
@@ -484,8 +490,11 @@
 gb_time pool_worker_lease_most(const struct gb_pool *);
 void pool_worker_entry(struct gb_pool *, const struct gb_pool_entry *);
 void pool_worker_tick(struct gb_pool *, struct pool_worker *);
-/** Set of workers that may run something, as it is stored. */
+/** The next row of the set of workers that may run something; its key stands in
+ * set_key. */
 bool pool_worker_set_body(struct gb_pool *, gb_body *);
+/** A row of the set was read under this key: it will be written anew. */
+void pool_worker_set_read(struct gb_pool *, const char *key);
 /** The set that was written last is stored, or not. */
 void pool_worker_set_stored(struct gb_pool *, bool stored);
 /** A worker of the stored set, of whom nothing else may be known. */
--- a/libgooseberry/pool/writer.c
+++ b/libgooseberry/pool/writer.c
@@ -173,9 +173,9 @@
 {
 	struct gb_pool_row *row;
 
-	if (number != 0 || !pool->set_changed || pool->set_sent)
+	if (number != 0 || pool->set_changed == 0 || pool->set_sent != 0)
 		return;
-	row = draft_put(draft, GB_POOL_OWNERS, GB_POOL_WORKERS_KEY);
+	row = draft_put(draft, GB_POOL_OWNERS, pool->set_key);
 	if (!pool_worker_set_body(pool, &row->value))
 		abort(); /* names were checked when they were taken in */
 }
@@ -259,8 +259,7 @@
 	    GB_POOL_OWNER_KEY, GB_POOL_OWNER_KEY "0", 1};
 	struct pool_call *call;
 
-	if (part->probe != 0 &&
-	    pool->now - part->probed > WRITER_PROBE_SILENT)
+	if (part->probe != 0 && pool->now - part->probed > WRITER_PROBE_SILENT)
 		part->silent = true;
 	if (part->call == 0 || part->probe != 0 || part->answers ||
 	    pool->now - part->sent < WRITER_OVERDUE)
@@ -315,7 +314,7 @@
 	if (part->seal)
 		part_seal(pool, number);
 	else if (part->renew || !TAILQ_EMPTY(&part->dirty) ||
-		 (number == 0 && pool->set_changed))
+		 (number == 0 && pool->set_changed != 0))
 		part_write(pool, number);
 }
 
