--- a/standin/world.c
+++ b/standin/world.c
@@ -2,6 +2,7 @@
  * @file world.c
  * Model of the users' platform: workers, their runs, the advice service.
  */
+#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -779,8 +780,7 @@
 
 		if (gb_hash_pair(ask->step, worker) % 100 >= percent)
 			continue;
-		snprintf(text, sizeof(text), "%lld",
-		    (long long)(world->now + valid));
+		snprintf(text, sizeof(text), "%" PRId64, world->now + valid);
 		res->approved.approved_val[res->approved.approved_len].worker =
 		    gb_strdup(worker);
 		res->approved.approved_val[res->approved.approved_len++]
--- a/tests/pool_cell.c
+++ b/tests/pool_cell.c
@@ -101,8 +101,10 @@
 	free((char *)event->hold.addr);
 	free((char *)event->read.from);
 	free((char *)event->read.to);
-	for (i = 0; i < event->txn.cond_count; i++)
+	for (i = 0; i < event->txn.cond_count; i++) {
 		free((char *)event->txn.conds[i].key);
+		free(event->txn.conds[i].value.gb_body_val);
+	}
 	for (i = 0; i < event->txn.put_count; i++) {
 		free((char *)event->txn.puts[i].key);
 		free(event->txn.puts[i].value.gb_body_val);
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -442,7 +442,7 @@
 	uint32_t flags = 0;
 
 	snprintf(spec, sizeof(spec), "ms=%u fails=%u",
-	    (unsigned int)(200 + n % 2000), n % 11 == 0 ? 1 : 0);
+	    (unsigned int)(200 + n % 2000), n % 11 == 0 ? 1U : 0U);
 	if (n % 3 == 0)
 		flags |= GB_STEP_GANG;
 	if (n % 5 == 0)
