--- a/libgooseberry/pool.h
+++ b/libgooseberry/pool.h
@@ -295,8 +295,6 @@
 /** A member that may ask the advice service. */
 void gb_pool_member(
     struct gb_pool *, gb_time now, const char *addr, bool usable);
-/** A row was added to the inbox of a part. */
-void gb_pool_inbox(struct gb_pool *, gb_time now, const char *flow_id);
 
 /** Take a flow in; answered through ops.answer. */
 void gb_pool_submit(
--- a/libgooseberry/pool/fit.c
+++ b/libgooseberry/pool/fit.c
@@ -85,15 +85,6 @@
 	return NULL;
 }
 
-bool
-pool_fit_approved(const struct gb_pool *pool, const struct pool_flow *flow,
-    const struct pool_step *step, uint32_t worker)
-{
-
-	(void)pool;
-	return !POOL_ADVICE_NEEDED(flow) || fit_approval(step, worker) != NULL;
-}
-
 const struct pool_approval *
 pool_fit_ticket(
     const struct gb_pool *pool, const struct pool_step *step, uint32_t worker)
@@ -385,27 +376,3 @@
 	}
 	return slots;
 }
-
-bool
-pool_fit_possible(const struct gb_pool *pool, const struct pool_flow *flow,
-    const struct pool_step *step)
-{
-	uint64_t times = 0;
-	uint32_t here;
-	uint32_t i;
-
-	for (i = 0; i < pool->worker_count; i++) {
-		const struct pool_worker *worker = pool->workers[i];
-
-		if (worker == NULL ||
-		    !pool_fit_allows(pool, flow, step, worker))
-			continue;
-		here = fit_times(&step->spec->res, &worker->entry.capacity);
-		if (step->spec->per_worker > 0 && here > step->spec->per_worker)
-			here = step->spec->per_worker;
-		times += here;
-	}
-	if ((step->spec->flags & GB_STEP_GANG) != 0)
-		return times >= step->spec->count;
-	return times > 0;
-}
--- a/libgooseberry/pool/pool.c
+++ b/libgooseberry/pool/pool.c
@@ -217,13 +217,6 @@
 	pool_advice_lane(pool, addr, usable);
 }
 
-void
-gb_pool_inbox(struct gb_pool *pool, gb_time now, const char *flow_id)
-{
-	pool->now = now;
-	pool_owner_inbox(pool, gb_pool_part(flow_id));
-}
-
 /* Callers ----------------------------------------------------------------- */
 
 static void
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -80,7 +80,6 @@
 
 enum pool_advice_state {
 	POOL_ADVICE_NONE, /**< nothing known yet */
-	POOL_ADVICE_ASKED,
 	POOL_ADVICE_KNOWN
 };
 
@@ -193,16 +192,15 @@
 	bool foreign;	   /**< runs something whose size is unknown */
 	uint64_t hold_call;
 	gb_time hold_sent;
-	gb_time hold_at;       /**< next hold */
-	gb_time answered;      /**< last hold that was answered */
-	gb_time answered_sent; /**< when that one was sent */
-	unsigned int silent;   /**< holds without answer in a row */
-	int64_t clock_ms;      /**< its clock in the last answer */
-	gb_time clock_at;      /**< when that answer came */
-	int64_t lease_end_ms;  /**< latest end of a lease that was sent */
-	gb_time lapse_at;      /**< surely over by then */
-	uint64_t seen;	       /**< number of the last end taken in */
-	uint64_t acked;	       /**< ends up to it are stored */
+	gb_time hold_at;      /**< next hold */
+	gb_time answered;     /**< last hold that was answered */
+	unsigned int silent;  /**< holds without answer in a row */
+	int64_t clock_ms;     /**< its clock in the last answer */
+	gb_time clock_at;     /**< when that answer came */
+	int64_t lease_end_ms; /**< latest end of a lease that was sent */
+	gb_time lapse_at;     /**< surely over by then */
+	uint64_t seen;	      /**< number of the last end taken in */
+	uint64_t acked;	      /**< ends up to it are stored */
 	struct pool_ends ends;
 	struct pool_runs runs;
 	uint32_t run_count;
@@ -310,8 +308,7 @@
 	char name[GB_NAME_MAX + 1];
 	double ratio; /**< run time over declared run time, smoothed */
 	double run_us;
-	double approved_share; /**< of the workers that are asked about */
-	uint32_t waiting;      /**< flows that have not begun */
+	uint32_t waiting; /**< flows that have not begun */
 };
 
 struct gb_pool {
@@ -413,13 +410,6 @@
 /** Tasks of a step that would fit on its approved workers, were they empty. */
 uint64_t pool_fit_slots(
     const struct gb_pool *, const struct pool_flow *, const struct pool_step *);
-/** Whether the step could run if all its workers were empty. */
-bool pool_fit_possible(
-    const struct gb_pool *, const struct pool_flow *, const struct pool_step *);
-
-/** Whether advice, where it is needed, has approved a worker. */
-bool pool_fit_approved(const struct gb_pool *, const struct pool_flow *,
-    const struct pool_step *, uint32_t worker);
 
 /* book.c */
 /** Time until a run is expected to end. */
@@ -490,6 +480,15 @@
 gb_time pool_worker_lease_most(const struct gb_pool *);
 void pool_worker_entry(struct gb_pool *, const struct gb_pool_entry *);
 void pool_worker_tick(struct gb_pool *, struct pool_worker *);
+/** Add a worker of whom nothing is known but its entry. */
+struct pool_worker *pool_worker_new(
+    struct gb_pool *, const struct gb_pool_entry *);
+
+/* worker_set.c */
+/** A worker comes into the set or leaves it: its row must be written. */
+void pool_worker_set_mark(struct gb_pool *, const struct pool_worker *);
+/** Whether an owner may have sent runs to a worker that may still have them. */
+bool pool_worker_in_use(const struct gb_pool *, const struct pool_worker *);
 /** The next row of the set of workers that may run something; its key stands in
  * set_key. */
 bool pool_worker_set_body(struct gb_pool *, gb_body *);
