--- a/cli/node.c
+++ b/cli/node.c
@@ -3,6 +3,7 @@
  * gooseberry-node: the process of an instance on the users' platform.
  */
 #include <stdlib.h>
+#include <string.h>
 
 #include "daemon.h"
 #include "platform.h"
@@ -16,6 +17,11 @@
 	struct plat_settings p = {0};
 
 	(void)env;
+	if (strcmp(settings.orders, "invocation") != 0) {
+		gb_error_set(err, GB_E_INVALID,
+		    "orders: %s is not served, invocation is", settings.orders);
+		return -1;
+	}
 	snprintf(p.store, sizeof(p.store), "%s", settings.store);
 	snprintf(p.advice, sizeof(p.advice), "%s", settings.advice);
 	snprintf(p.front, sizeof(p.front), "%s", settings.front);
--- a/libgooseberry/node/node.c
+++ b/libgooseberry/node/node.c
@@ -498,9 +498,7 @@
 	pool.seed = node->incarnation;
 	pool.limits.lease_us = settings->lease_ms * GB_MSEC;
 	pool.limits.stop_us = settings->stop_ms * GB_MSEC;
-	pool.limits.gang_us = settings->gang_ms * GB_MSEC;
 	pool.limits.keep_us = settings->keep_s * GB_SEC;
-	pool.limits.remote_factor = (double)settings->remote_percent / 100;
 	if (settings->files > FILES_RESERVED)
 		pool.limits.connections =
 		    (uint32_t)(settings->files - FILES_RESERVED);
--- a/libgooseberry/node/node.h
+++ b/libgooseberry/node/node.h
@@ -40,7 +40,7 @@
 	char advice[GB_NAME_MAX + 1];
 	char cpu_share[GB_NAME_MAX + 1];
 	char orders[GB_NAME_MAX + 1];
-	int64_t lease_ms, stop_ms, gang_ms, keep_s, remote_percent;
+	int64_t lease_ms, stop_ms, keep_s;
 	int64_t log_lines, log_level, grace_s, files;
 };
 
--- a/libgooseberry/pool.h
+++ b/libgooseberry/pool.h
@@ -245,9 +245,7 @@
 struct gb_pool_limits {
 	gb_time lease_us;     /**< longest lease that a worker grants */
 	gb_time stop_us;      /**< a stop takes at most this long */
-	gb_time gang_us;      /**< members of a gang wait this long */
 	gb_time keep_us;      /**< states are answered this long */
-	double remote_factor; /**< slowdown away from the data */
 	uint32_t connections; /**< this node may have open, 0: no limit */
 };
 
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -3,9 +3,9 @@
  * State of a pool core, shared by the files that make it up.
  *
  * Calls go one way, from the top of this list to its end: pool.c, owner.c,
- * dispatch.c, advice.c, flow.c and runner.c (which meet over the ends of
- * runs), writer.c, then the decisions without side effects: rank.c, fit.c,
- * book.c, admit.c.
+ * dispatch.c, advice.c, flow.c and runner.c (which meet over the ends of runs),
+ * health.c, worker_set.c, writer.c, call.c; then the decisions without side
+ * effects: rank.c, fit.c, book.c, admit.c.
  */
 #ifndef GB_POOL_STATE_H
 #define GB_POOL_STATE_H
--- a/tests/pool_cell.c
+++ b/tests/pool_cell.c
@@ -448,9 +448,7 @@
 	settings.events = cell->events_log;
 	settings.limits.lease_us = 6 * GB_SEC;
 	settings.limits.stop_us = 200 * GB_MSEC;
-	settings.limits.gang_us = 3 * GB_SEC;
 	settings.limits.keep_us = 120 * GB_SEC;
-	settings.limits.remote_factor = 3;
 	ops.data = &cell_nodes[node];
 	cell->nodes[node] = gb_pool_new(&settings, &ops, cell->now);
 	gb_pool_configure(cell->nodes[node], cell->now, cell->config);
