--- a/libgooseberry/node/node.c
+++ b/libgooseberry/node/node.c
@@ -482,6 +482,9 @@
 	node->loop = loop;
 	node->env = env;
 	node->settings = *settings;
+	if (node->settings.addr[0] == '\0')
+		snprintf(node->settings.addr, sizeof(node->settings.addr), "%s",
+		    settings->listen);
 	node->platform = *platform;
 	node->events = events;
 	node->incarnation = gb_hash(settings->name, strlen(settings->name)) ^
@@ -489,7 +492,7 @@
 	TAILQ_INIT(&node->intakes);
 	node->peers = gb_rpc_pool_new(loop, env);
 	node->server =
-	    gb_rpc_server_new(loop, env, settings->addr, node_serve, node, err);
+	    gb_rpc_server_new(loop, env, settings->listen, node_serve, node, err);
 	if (node->server == NULL || !node_metrics_serve(node, err))
 		return NULL;
 	pool.name = node->settings.name;
@@ -506,8 +509,8 @@
 	ops.data = node;
 	node->pool = gb_pool_new(&pool, &ops, node_now());
 	node->cpu_milli = (uint32_t)(strtod(settings->cpu_share, NULL) * 1000);
-	watch_init(&node->watch, settings->addr, node->cpu_milli, node_now(),
-	    node->incarnation);
+	watch_init(&node->watch, node->settings.addr, node->cpu_milli,
+	    node_now(), node->incarnation);
 	uv_timer_init(loop, &node->tick);
 	node->tick.data = node;
 	uv_timer_start(&node->tick, on_tick, TICK_BUSY_MS, TICK_IDLE_MS);
--- a/libgooseberry/node/node.h
+++ b/libgooseberry/node/node.h
@@ -32,7 +32,8 @@
 struct gb_node_settings {
 	char name[GB_NAME_MAX + 1];
 	char dc[GB_NAME_MAX + 1];
-	char addr[GB_NAME_MAX + 1]; /**< of the peer port */
+	char listen[GB_NAME_MAX + 1]; /**< of the peer port */
+	char addr[GB_NAME_MAX + 1];   /**< where other nodes reach it */
 	char front[GB_NAME_MAX + 1];
 	char ready[GB_NAME_MAX + 1];
 	char metrics[GB_NAME_MAX + 1];
--- a/standin/world.c
+++ b/standin/world.c
@@ -140,6 +140,14 @@
 	return world->worker_count++;
 }
 
+void
+world_worker_place(struct world *world, unsigned int number, const char *addr)
+{
+	struct world_worker *worker = world->workers[number];
+
+	snprintf(worker->addr, sizeof(worker->addr), "%s", addr);
+}
+
 unsigned int
 world_worker_count(const struct world *world)
 {
@@ -277,6 +285,28 @@
 	    hh, world->flows, flow->spec.id, strlen(flow->spec.id), flow);
 }
 
+bool
+world_flow_view(
+    const struct world *world, const char *id, struct world_flow_view *view)
+{
+	const struct world_flow *flow;
+	uint32_t i;
+
+	memset(view, 0, sizeof(*view));
+	HASH_FIND_STR(world->flows, id, flow);
+	if (flow == NULL)
+		return false;
+	view->starts = flow->starts;
+	view->done = true;
+	for (i = 0; i < flow->task_count; i++) {
+		view->running += (unsigned int)flow->tasks[i].running;
+		view->done = view->done && flow->tasks[i].ever_done;
+		if (flow->tasks[i].failures >= flow->max_attempts)
+			view->failed = true;
+	}
+	return true;
+}
+
 static struct world_task *
 task_of(struct world *world, const char *id, uint32_t step, uint32_t index,
     struct world_flow **out)
@@ -334,6 +364,7 @@
 		fault(world, &world->faults.limit, "over its capacity",
 		    run->flow);
 	task->running++;
+	flow->starts++;
 }
 
 static void
--- a/standin/world.h
+++ b/standin/world.h
@@ -35,6 +35,8 @@
 unsigned int world_worker_add(struct world *, const char *service,
     const char *dc, unsigned int rack, const gb_res *capacity, double speed);
 unsigned int world_worker_count(const struct world *);
+/** Give a worker the address under which orders name it. */
+void world_worker_place(struct world *, unsigned int number, const char *addr);
 /** Entry of the list of workers. */
 void world_worker_entry(
     const struct world *, unsigned int number, struct gb_pool_entry *);
@@ -61,6 +63,16 @@
 /** Tell the oracle what was submitted: what runs is compared with it. */
 void world_submitted(
     struct world *, const gb_flow *, unsigned int max_attempts);
+/** What the workers have seen of a flow. */
+struct world_flow_view {
+	unsigned int starts;
+	unsigned int running;
+	bool done;   /**< every task has ended done at some time */
+	bool failed; /**< a task has used up its attempts */
+};
+/** False when no such flow was submitted. */
+bool world_flow_view(
+    const struct world *, const char *id, struct world_flow_view *);
 /** A task's work, told by its specification: "ms=500" and "fails=2" in it say
  * how long it takes on a worker of speed 1, and how often the first task of
  * each step fails. */
@@ -82,5 +94,8 @@
     struct world *, const struct gb_pool_read *, struct gb_pool_read_res *);
 void world_read_free(struct gb_pool_read_res *);
 unsigned int world_row_count(const struct world *, enum gb_pool_table);
+/** The newest version of all tables, and a new one for rows kept elsewhere. */
+uint64_t world_vers(const struct world *);
+uint64_t world_vers_next(struct world *);
 
 #endif
--- a/standin/world_rows.c
+++ b/standin/world_rows.c
@@ -180,6 +180,18 @@
 	rows_free(res->rows, res->row_count);
 }
 
+uint64_t
+world_vers(const struct world *world)
+{
+	return world->vers;
+}
+
+uint64_t
+world_vers_next(struct world *world)
+{
+	return ++world->vers;
+}
+
 unsigned int
 world_row_count(const struct world *world, enum gb_pool_table table)
 {
--- a/standin/world_state.h
+++ b/standin/world_state.h
@@ -82,6 +82,7 @@
 	unsigned int max_attempts;
 	uint32_t first[GB_STEPS_MAX]; /**< first task of a step */
 	uint32_t task_count;
+	unsigned int starts;
 	struct world_task *tasks;
 };
 
