--- a/libgooseberry/node/node.c
+++ b/libgooseberry/node/node.c
@@ -222,8 +222,8 @@
 static void
 store_probe(struct gb_node *node)
 {
-	const struct gb_pool_read read = {
-	    0, GB_POOL_OWNERS, GB_POOL_OWNER_KEY, GB_POOL_OWNER_KEY "0", 1};
+	const struct gb_pool_read read = {node->part_asked++ % GB_POOL_PARTS,
+	    GB_POOL_OWNERS, GB_POOL_OWNER_KEY, GB_POOL_OWNER_KEY "0", 1};
 
 	if (!node_store_out(node) || node->store_probing ||
 	    node->store_probe_at > node_now())
@@ -357,9 +357,15 @@
 		watch_row_failed(&node->watch, node_now());
 		return;
 	}
-	if (res->row_count == 0 || !gb_xdr_decode((xdrproc_t)xdr_gb_owner_row,
-				       &res->rows[0].value, &row)) {
-		watch_row(&node->watch, node_now(), NULL, 0);
+	if (res->row_count > 0 && !gb_xdr_decode((xdrproc_t)xdr_gb_owner_row,
+				      &res->rows[0].value, &row)) {
+		watch_row_failed(&node->watch, node_now());
+		return;
+	}
+	/* A part that the owner could not attach names an earlier one. */
+	if (row.epoch < gb_pool_epoch(node->pool)) {
+		xdr_free((xdrproc_t)xdr_gb_owner_row, (char *)&row);
+		watch_row_failed(&node->watch, node_now());
 		return;
 	}
 	watch_row(&node->watch, node_now(), row.addr, row.epoch);
@@ -367,11 +373,12 @@
 	xdr_free((xdrproc_t)xdr_gb_owner_row, (char *)&row);
 }
 
+/** Parts are asked in turn: some may be out while others answer. */
 static void
 owner_row_ask(struct gb_node *node)
 {
-	const struct gb_pool_read read = {
-	    0, GB_POOL_OWNERS, GB_POOL_OWNER_KEY, GB_POOL_OWNER_KEY "0", 1};
+	const struct gb_pool_read read = {node->part_asked++ % GB_POOL_PARTS,
+	    GB_POOL_OWNERS, GB_POOL_OWNER_KEY, GB_POOL_OWNER_KEY "0", 1};
 
 	watch_reading(&node->watch, node_now());
 	node->platform.read(node->platform.data,
--- a/libgooseberry/node/node_state.h
+++ b/libgooseberry/node/node_state.h
@@ -67,7 +67,8 @@
 struct gb_node {
 	uv_loop_t *loop;
 	uv_timer_t tick;
-	bool busy_tick; /**< ticks as often as an owner does */
+	uint32_t part_asked; /**< part of the tables that is asked next */
+	bool busy_tick;	     /**< ticks as often as an owner does */
 	const struct gb_env *env;
 	struct gb_events *events;
 	struct gb_node_settings settings;
--- a/libgooseberry/pool.h
+++ b/libgooseberry/pool.h
@@ -171,13 +171,15 @@
 	GB_POOL_TABLES
 };
 
-/** Rows of one part are written one transaction after the other.  One part
- * carries about 3,000 rows a second (95 rows each 30 ms), which is more than
- * the largest deployment that is played needs; more parts for more. */
-#define GB_POOL_PARTS 1
+/** Rows of one part are written one transaction after the other, and the store
+ * may lose some of its partitions while the others serve.  Each part stands for
+ * itself: its own owner's row, set of workers, flows and states.  With five, the
+ * pool can be taken over while two of them are out; each more costs a write of
+ * its own for what one would gather. */
+#define GB_POOL_PARTS 5
 /** Key of the owner's row. */
 #define GB_POOL_OWNER_KEY "owner"
-/** Key of the set of workers in use, in the first part of the same table. */
+/** Key of the set of workers that may run flows of the part, same table. */
 #define GB_POOL_WORKERS_KEY "workers-"
 
 uint32_t gb_pool_part(const char *flow_id);
--- a/libgooseberry/pool/book.c
+++ b/libgooseberry/pool/book.c
@@ -152,7 +152,7 @@
 			? pool_worker_get(pool, step->approved[i].worker)
 			: pool->workers[i];
 
-		if (pool_fit_usable(pool, worker) &&
+		if (pool_fit_usable(pool, worker, flow->part) &&
 		    pool_fit_allows(pool, flow, step, worker))
 			count +=
 			    worker_slots(pool, step, worker, &slots[count]);
--- a/libgooseberry/pool/dispatch.c
+++ b/libgooseberry/pool/dispatch.c
@@ -28,7 +28,7 @@
 static uint64_t
 run_number_next(const struct gb_pool *pool, const struct pool_step *step)
 {
-	uint64_t base = (pool->epoch - 1) * 100000;
+	uint64_t base = (pool->epoch - 1) * POOL_RUNS_PER_EPOCH;
 
 	return (step->run_number > base ? step->run_number : base) + 1;
 }
@@ -121,7 +121,7 @@
 			if (names[j] == worker->handle)
 				break;
 		}
-		if (j < distinct || !pool_fit_usable(pool, worker))
+		if (j < distinct || !pool_fit_usable(pool, worker, flow->part))
 			continue;
 		names[distinct++] = worker->handle;
 		spare++;
@@ -284,9 +284,9 @@
 {
 	struct pool_step *step = &flow->steps[number];
 
-	if ((step->spec->flags & GB_STEP_GANG) == 0 || !pool->settled ||
-	    step->active == 0 || step->done > 0 ||
-	    step->active == step->spec->count)
+	if ((step->spec->flags & GB_STEP_GANG) == 0 ||
+	    !pool->parts[flow->part].settled || step->active == 0 ||
+	    step->done > 0 || step->active == step->spec->count)
 		return;
 	pool_flow_stop_step(
 	    pool, flow, number, NULL, "the gang is not complete");
@@ -350,7 +350,8 @@
 
 	TAILQ_FOREACH(flow, &pool->open, open_next)
 	{
-		if (flow->status >= GB_FLOW_SUCCEEDED || flow->cancelled)
+		if (flow->status >= GB_FLOW_SUCCEEDED || flow->cancelled ||
+		    !pool_part_attached(pool, flow->part))
 			continue;
 		pool_rank_flow(pool, flow);
 		flows[count++] = flow;
--- a/libgooseberry/pool/fit.c
+++ b/libgooseberry/pool/fit.c
@@ -37,9 +37,11 @@
 }
 
 bool
-pool_fit_usable(const struct gb_pool *pool, const struct pool_worker *worker)
+pool_fit_usable(
+    const struct gb_pool *pool, const struct pool_worker *worker, uint32_t part)
 {
-	return worker->listed && worker->fenced && worker->recorded &&
+	return worker->listed && worker->fenced &&
+	       (worker->recorded & (UINT32_C(1) << part)) != 0 &&
 	       !worker->over && !worker->foreign && !worker->entry.draining &&
 	       worker->silent == 0 && worker->aside_until <= pool->now;
 }
@@ -207,7 +209,7 @@
 	if (worker == NULL ||
 	    worker->entry.capacity.cpu - worker->used.cpu < step->spec->res.cpu)
 		return false;
-	if (!pool_fit_usable(pool, worker) ||
+	if (!pool_fit_usable(pool, worker, flow->part) ||
 	    !pool_fit_allows(pool, flow, step, worker))
 		return false;
 	if (rack != NULL && strcmp(rack, worker->rack) != 0)
--- a/libgooseberry/pool/flow.c
+++ b/libgooseberry/pool/flow.c
@@ -75,6 +75,7 @@
 
 	flow->spec = *spec;
 	memset(spec, 0, sizeof(*spec));
+	flow->part = gb_pool_part(flow->spec.id);
 	STAILQ_INIT(&flow->waiters);
 	flow_steps_new(flow);
 	/* Clocks of nodes differ and jump: an age that cannot be is none. */
@@ -128,19 +129,19 @@
 		pool->open_count--;
 	}
 	if (flow->dirty)
-		TAILQ_REMOVE(&pool->parts[gb_pool_part(flow->spec.id)].dirty,
-		    flow, dirty_next);
+		TAILQ_REMOVE(&pool->parts[flow->part].dirty, flow, dirty_next);
 	HASH_DEL(pool->flows, flow);
 	flow_steps_free(flow);
 	xdr_free((xdrproc_t)xdr_gb_flow, (char *)&flow->spec);
 	free(flow);
 }
 
+/** A change must be stored; soon, if something waits for it. */
 static void
-flow_changed(struct gb_pool *pool, struct pool_flow *flow)
+flow_changed(struct gb_pool *pool, struct pool_flow *flow, bool urgent)
 {
 	flow->change++;
-	pool_writer_dirty(pool, flow);
+	pool_writer_dirty(pool, flow, urgent);
 }
 
 /* Stored form ------------------------------------------------------------- */
@@ -403,7 +404,7 @@
 	flow_steps_free(flow);
 	flow_trim(flow);
 	flow->queue = NULL;
-	flow_changed(pool, flow);
+	flow_changed(pool, flow, false);
 }
 
 void
@@ -471,7 +472,7 @@
 
 	if (left == 0 || !pool_flow_step_ready(flow, step))
 		return 0;
-	if (!pool->settled && !flow->fresh && !step->fresh)
+	if (!pool->parts[flow->part].settled && !flow->fresh && !step->fresh)
 		return 0;
 	if ((step->spec->flags & GB_STEP_GANG) != 0)
 		return step->active > 0 ? 0 : left;
@@ -503,7 +504,7 @@
 
 	flow->status = status;
 	flow->ended = pool->now;
-	flow_changed(pool, flow);
+	flow_changed(pool, flow, true);
 	for (i = 0; i < flow->step_count; i++) {
 		pool_advice_claims_drop(pool, &flow->steps[i]);
 		/* The members of a gang end with the one that is done. */
@@ -571,7 +572,7 @@
 			pool_run_stop(pool, run, "another copy is done");
 		}
 	}
-	flow_changed(pool, flow);
+	flow_changed(pool, flow, step->done == step->spec->count);
 	step->done_change = flow->change;
 	for (i = 0; i < flow->step_count; i++) {
 		if (flow->steps[i].done < flow->steps[i].spec->count)
@@ -595,7 +596,7 @@
 {
 	if (!task_failed_once(task, run))
 		return; /* counted before, or another member of the gang */
-	flow_changed(pool, flow);
+	flow_changed(pool, flow, false);
 	if (task->failures >= flow_attempts(flow))
 		flow_over(pool, flow, GB_FLOW_FAILED,
 		    "a task failed as often as it may");
@@ -623,7 +624,7 @@
 	    (step->spec->flags & GB_STEP_CHECKPOINT) != 0 &&
 	    seen->how != GB_POOL_DONE) {
 		task_checkpoint(carrier, seen->checkpoint);
-		flow_changed(pool, flow);
+		flow_changed(pool, flow, false);
 	}
 	if (seen->how == GB_POOL_DONE) {
 		step_task_done(pool, flow, seen->step, seen->index);
@@ -647,7 +648,8 @@
 	HASH_ITER(hh, pool->flows, flow, next)
 	{
 		if (flow->status < GB_FLOW_SUCCEEDED ||
-		    flow->stored < flow->change)
+		    flow->stored < flow->change ||
+		    !pool_part_attached(pool, flow->part))
 			continue;
 		if (!flow->closed && flow->runs == 0 &&
 		    STAILQ_EMPTY(&flow->waiters))
@@ -658,7 +660,7 @@
 		else if (flow->closed && !flow->dirty &&
 			 pool->now - flow->ended > keep) {
 			flow->forgotten = true;
-			flow_changed(pool, flow);
+			flow_changed(pool, flow, false);
 		}
 	}
 }
--- /dev/null
+++ b/libgooseberry/pool/load.c
@@ -0,0 +1,289 @@
+/**
+ * @file load.c
+ * Reading what is stored of a part: its states, its flows, the workers that may
+ * run something of them, and flows that were stored without an owner.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "state.h"
+
+/** Rows read at once; the store returns at most 500. */
+#define LOAD_PAGE 500
+/** More were found in the inbox: look again after this. */
+#define INBOX_SOON (250 * GB_MSEC)
+
+static void
+load_read(struct gb_pool *pool, enum pool_call_kind kind, uint32_t part,
+    enum gb_pool_table table, const char *from, const char *to, uint32_t limit)
+{
+	struct pool_call *call = pool_call_new(pool, kind);
+	const struct gb_pool_read read = {part, table, from, to, limit};
+
+	call->part = part;
+	call->round = pool->parts[part].round;
+	pool->stats.reads++;
+	pool->ops.read(pool->ops.data, call->id, &read);
+}
+
+static void
+row_unreadable(
+    struct gb_pool *pool, const char *table, const struct gb_pool_row *row)
+{
+	gb_event(pool->cfg.events, GB_EVENT_ALWAYS, "row_unreadable",
+	    "{s:s, s:s}", "table", table, "key", row->key);
+}
+
+/* Flows ------------------------------------------------------------------- */
+
+/** A flow whose state is read before what was submitted: holds the state. */
+static void
+load_state(struct gb_pool *pool, const struct gb_pool_row *row)
+{
+	gb_flow_state state = {0};
+	struct pool_flow *flow;
+	gb_flow spec = {0};
+
+	if (!gb_xdr_decode((xdrproc_t)xdr_gb_flow_state, &row->value, &state)) {
+		row_unreadable(pool, "states", row);
+		return;
+	}
+	spec.id = gb_strdup(row->key);
+	spec.queue = gb_strdup("");
+	spec.service = gb_strdup("");
+	spec.spec = gb_strdup("");
+	spec.submitted_us = pool->wall;
+	flow = pool_flow_new(pool, &spec);
+	flow->created = true;
+	flow->status = state.status;
+	flow->cancelled = state.cancelled;
+	flow->stored = flow->change;
+	flow->ended = pool->now;
+	flow->loading = gb_calloc(1, sizeof(*flow->loading));
+	*flow->loading = state;
+}
+
+static void
+load_flow(struct gb_pool *pool, const struct gb_pool_row *row)
+{
+	struct pool_flow *stub = pool_flow_find(pool, row->key);
+	gb_flow_state *state;
+	struct pool_flow *flow;
+	gb_flow spec = {0};
+
+	if (stub == NULL || stub->loading == NULL)
+		return;
+	if (!gb_xdr_decode((xdrproc_t)xdr_gb_flow, &row->value, &spec)) {
+		row_unreadable(pool, "flows", row);
+		return;
+	}
+	state = stub->loading;
+	stub->loading = NULL;
+	pool_flow_free(pool, stub);
+	flow = pool_flow_new(pool, &spec);
+	if (!pool_flow_load(pool, flow, state))
+		row_unreadable(pool, "states", row);
+	flow->ended = pool->now;
+	pool_flow_state_clear(state);
+	free(state);
+}
+
+static void
+loading_free(struct pool_flow *flow)
+{
+	pool_flow_state_clear(flow->loading);
+	free(flow->loading);
+	flow->loading = NULL;
+}
+
+/** Flows whose submission was not read are over: only their state is kept. */
+static void
+load_finish(struct gb_pool *pool, uint32_t part)
+{
+	struct pool_flow *flow;
+	struct pool_flow *next;
+
+	HASH_ITER(hh, pool->flows, flow, next)
+	{
+		if (flow->loading == NULL || flow->part != part)
+			continue;
+		loading_free(flow);
+		flow->closed = true;
+		flow->queue = NULL;
+		TAILQ_REMOVE(&pool->open, flow, open_next);
+		pool->open_count--;
+	}
+}
+
+void
+pool_load_drop(struct gb_pool *pool, uint32_t part)
+{
+	struct pool_flow *flow;
+	struct pool_flow *next;
+
+	HASH_ITER(hh, pool->flows, flow, next)
+	{
+		if (flow->part != part)
+			continue;
+		if (flow->loading != NULL)
+			loading_free(flow);
+		pool_flow_free(pool, flow);
+	}
+}
+
+/* Workers ----------------------------------------------------------------- */
+
+/** Whoever the owner before may have sent runs to is asked, whether the list of
+ * workers names it or not: entries lapse while the store is away. */
+static void
+load_workers(struct gb_pool *pool, uint32_t part, const struct gb_pool_row *row)
+{
+	gb_worker_set set = {0};
+	u_int i;
+
+	if (!gb_xdr_decode((xdrproc_t)xdr_gb_worker_set, &row->value, &set)) {
+		row_unreadable(pool, "owners", row);
+		return;
+	}
+	for (i = 0; i < set.list.list_len; i++)
+		pool_worker_recorded(pool, part, &set.list.list_val[i]);
+	xdr_free((xdrproc_t)xdr_gb_worker_set, (char *)&set);
+	pool_worker_set_read(pool, part, row->key);
+}
+
+/* Course ------------------------------------------------------------------ */
+
+void
+pool_load_begin(struct gb_pool *pool, uint32_t number)
+{
+	struct pool_part *part = &pool->parts[number];
+
+	part->round++;
+	part->loads_out = 2;
+	load_read(pool, POOL_CALL_LOAD_STATES, number, GB_POOL_STATES, "", "",
+	    LOAD_PAGE);
+	load_read(pool, POOL_CALL_LOAD_WORKERS, number, GB_POOL_OWNERS,
+	    GB_POOL_WORKERS_KEY, GB_POOL_WORKERS_KEY "~", POOL_SET_ROWS);
+}
+
+/** Read the next page, or go on to the next table. */
+static void
+load_next(struct gb_pool *pool, const struct pool_call *call,
+    const struct gb_pool_read_res *res)
+{
+	enum gb_pool_table table = call->kind == POOL_CALL_LOAD_STATES
+				       ? GB_POOL_STATES
+				       : GB_POOL_FLOWS;
+	char from[GB_KEY_MAX + 1];
+
+	if (res->more && res->row_count > 0) {
+		snprintf(from, sizeof(from), "%.200s0",
+		    res->rows[res->row_count - 1].key);
+		load_read(
+		    pool, call->kind, call->part, table, from, "", LOAD_PAGE);
+		pool->parts[call->part].loads_out++;
+	} else if (call->kind == POOL_CALL_LOAD_STATES) {
+		load_read(pool, POOL_CALL_LOAD_FLOWS, call->part, GB_POOL_FLOWS,
+		    "", "", LOAD_PAGE);
+		pool->parts[call->part].loads_out++;
+	}
+}
+
+enum pool_load
+pool_load_done(struct gb_pool *pool, const struct pool_call *call,
+    const struct gb_pool_read_res *res)
+{
+	struct pool_part *part = &pool->parts[call->part];
+	size_t i;
+
+	if (call->round != part->round || part->attach != POOL_PART_LOAD)
+		return POOL_LOAD_GOES_ON;
+	if (res->status != GB_STORE_OK)
+		return POOL_LOAD_FAILED;
+	for (i = 0; i < res->row_count; i++) {
+		if (call->kind == POOL_CALL_LOAD_STATES)
+			load_state(pool, &res->rows[i]);
+		else if (call->kind == POOL_CALL_LOAD_FLOWS)
+			load_flow(pool, &res->rows[i]);
+		else
+			load_workers(pool, call->part, &res->rows[i]);
+	}
+	if (call->kind != POOL_CALL_LOAD_WORKERS)
+		load_next(pool, call, res);
+	if (--part->loads_out > 0)
+		return POOL_LOAD_GOES_ON;
+	load_finish(pool, call->part);
+	return POOL_LOAD_DONE;
+}
+
+/* Inbox ------------------------------------------------------------------- */
+
+void
+pool_load_inbox(struct gb_pool *pool, uint32_t part)
+{
+	if (pool_part_attached(pool, part))
+		load_read(pool, POOL_CALL_INBOX_LIST, part, GB_POOL_INBOX, "",
+		    "", LOAD_PAGE);
+}
+
+static void
+inbox_listed(
+    struct gb_pool *pool, uint32_t part, const struct gb_pool_read_res *res)
+{
+	char to[GB_KEY_MAX + 1];
+	struct pool_flow *flow;
+	size_t i;
+
+	if (res->row_count > 0)
+		pool->inbox_at = pool->now + INBOX_SOON;
+	for (i = 0; i < res->row_count; i++) {
+		flow = pool_flow_find(pool, res->rows[i].key);
+		if (flow != NULL) {
+			flow->in_inbox = true;
+			pool_writer_dirty(pool, flow, false);
+			continue;
+		}
+		snprintf(to, sizeof(to), "%.200s0", res->rows[i].key);
+		load_read(pool, POOL_CALL_INBOX_FLOW, part, GB_POOL_FLOWS,
+		    res->rows[i].key, to, 1);
+	}
+}
+
+static void
+inbox_flow(struct gb_pool *pool, const struct gb_pool_read_res *res)
+{
+	gb_flow spec = {0};
+	struct pool_flow *flow;
+
+	if (res->row_count == 0 || pool_flow_find(pool, res->rows[0].key))
+		return;
+	if (!gb_xdr_decode(
+		(xdrproc_t)xdr_gb_flow, &res->rows[0].value, &spec)) {
+		row_unreadable(pool, "flows", &res->rows[0]);
+		return;
+	}
+	flow = pool_flow_new(pool, &spec);
+	flow->created = true;
+	flow->fresh = true;
+	flow->stored = flow->change;
+	flow->in_inbox = true;
+	pool_writer_dirty(pool, flow, false);
+	pool->work_changed = true;
+	gb_event(pool->cfg.events, GB_EVENT_NORMAL, "flow_adopted", "{s:s}",
+	    "flow", flow->spec.id);
+}
+
+void
+pool_load_inbox_done(struct gb_pool *pool, const struct pool_call *call,
+    const struct gb_pool_read_res *res)
+{
+	if (res->status != GB_STORE_OK || !pool_part_attached(pool, call->part))
+		return;
+	if (call->kind == POOL_CALL_INBOX_LIST)
+		inbox_listed(pool, call->part, res);
+	else
+		inbox_flow(pool, res);
+}
--- a/libgooseberry/pool/owner.c
+++ b/libgooseberry/pool/owner.c
@@ -1,9 +1,15 @@
 /**
  * @file owner.c
- * Ownership of the pool: taking it, loading what is stored, losing it.
+ * Ownership of the pool: taking it, attaching its parts, losing it.
  *
- * The owner's row names its epoch; taking it is a compare-and-set.  The epoch
- * is the fencing token of the workers and every write is bound to the row.
+ * Each part of the tables has an owner's row that names an epoch; taking a part
+ * is a compare-and-set of that row, and every write to the part is bound to it.
+ * A node owns the pool once it holds the rows of most parts under one epoch,
+ * which is also the fencing token of the workers: any two majorities share a
+ * part, so that no two nodes own the pool under the same epoch, and a claim
+ * that has read most rows knows of every epoch that was ever in force.  Parts
+ * that the store does not serve are attached when it serves them again;
+ * meanwhile nothing is said or done about their flows.
  */
 #include <stdlib.h>
 #include <string.h>
@@ -12,14 +18,10 @@
 
 #include "state.h"
 
-/** Rows read at once; the store returns at most 500. */
-#define OWNER_PAGE 500
 /** Every lease that an earlier owner gave is over this much after its longest
  * length on the slowest clock: it learns of its loss with its next write or
  * the next answer of a worker, half a second at the most. */
 #define OWNER_SETTLE_MARGIN (900 * GB_MSEC)
-/** The slowest clock of a worker, in thousandths of true time. */
-#define CLOCK_SLOWEST 980
 /** The owner's row is written this often when nothing else is, so that an
  * owner that has lost it, or the store, learns so. */
 #define OWNER_RENEW (600 * GB_MSEC)
@@ -28,25 +30,53 @@
 /** Flows stored without the owner are looked for this often, and sooner after
  * some were found: the most urgent have three quarters of a second to spare. */
 #define OWNER_INBOX (GB_SEC)
-#define OWNER_INBOX_SOON (250 * GB_MSEC)
+/** Parts that make an owner. */
+#define OWNER_MAJORITY (GB_POOL_PARTS / 2 + 1)
+/** A claim that has not come to most parts by then is given up: reads and a
+ * write take 1.2 s when the store is a hundred times slower. */
+#define OWNER_CLAIM_MOST (4 * GB_SEC)
+/** An owner of most parts waits this long for the others before it begins; a
+ * part is read within 15 ms when all is calm. */
+#define OWNER_ATTACH_WAIT (200 * GB_MSEC)
+/** Pause before a part is tried again: after a rival was seen, who gives up
+ * within milliseconds, and after a failure, doubled with each. */
+#define ATTACH_RIVAL (25 * GB_MSEC)
+#define ATTACH_RETRY (100 * GB_MSEC)
+#define ATTACH_RETRY_DOUBLINGS 2
+
+bool
+pool_part_attached(const struct gb_pool *pool, uint32_t part)
+{
+	return pool->parts[part].attach == POOL_ATTACHED;
+}
 
-static void
-owner_phase(struct gb_pool *pool, enum pool_owner_phase phase)
+bool
+pool_part_coming(const struct gb_pool *pool, uint32_t part)
 {
-	pool->phase = phase;
+	return pool->parts[part].attach_failures == 0;
 }
 
-static void
-owner_read(struct gb_pool *pool, enum pool_call_kind kind, uint32_t part,
-    enum gb_pool_table table, const char *from, const char *to, uint32_t limit)
+bool
+pool_owner_settled(const struct gb_pool *pool)
 {
-	struct pool_call *call = pool_call_new(pool, kind);
-	const struct gb_pool_read read = {part, table, from, to, limit};
+	uint32_t i;
 
-	call->part = part;
-	pool->reads_out++;
-	pool->stats.reads++;
-	pool->ops.read(pool->ops.data, call->id, &read);
+	for (i = 0; i < GB_POOL_PARTS; i++) {
+		if (!pool_part_attached(pool, i) || !pool->parts[i].settled)
+			return false;
+	}
+	return true;
+}
+
+static unsigned int
+parts_at_least(const struct gb_pool *pool, enum pool_attach attach)
+{
+	unsigned int count = 0;
+	uint32_t i;
+
+	for (i = 0; i < GB_POOL_PARTS; i++)
+		count += pool->parts[i].attach >= attach;
+	return count;
 }
 
 static void
@@ -62,18 +92,46 @@
 	pool_advice_reset(pool);
 	pool_workers_reset(pool);
 	pool_writer_reset(pool);
-	pool->reads_out = 0;
-	pool->set_changed = 0;
-	pool->set_sent = 0;
-	pool->settled = false;
+}
+
+/** Rows that were claimed in vain are left vacant, so that the next claim need
+ * not find out who wrote them. */
+static void
+owner_vacate(struct gb_pool *pool)
+{
+	struct gb_pool_row cond = {0};
+	struct gb_pool_row put = {0};
+	struct gb_pool_txn txn = {0};
+	uint32_t i;
+
+	cond.table = put.table = GB_POOL_OWNERS;
+	cond.key = put.key = GB_POOL_OWNER_KEY;
+	for (i = 0; i < GB_POOL_PARTS; i++) {
+		if (pool->parts[i].attach < POOL_PART_LOAD)
+			continue;
+		cond.vers = pool->parts[i].owner_vers;
+		if (!pool_writer_owner_body(
+			pool, pool->claim_epoch, 2, true, &put.value))
+			abort(); /* names were checked with the settings */
+		txn.part = i;
+		txn.conds = &cond;
+		txn.cond_count = 1;
+		txn.puts = &put;
+		txn.put_count = 1;
+		pool->ops.txn(pool->ops.data,
+		    pool_call_new(pool, POOL_CALL_OWNER_TXN)->id, &txn);
+		free(put.value.gb_body_val);
+	}
 }
 
 static void
 owner_give_up(struct gb_pool *pool, const char *why)
 {
 	gb_event(pool->cfg.events, GB_EVENT_ALWAYS, "takeover_failed",
-	    "{s:s, s:I}", "why", why, "epoch", (json_int_t)pool->epoch);
-	owner_phase(pool, POOL_OWNER_NONE);
+	    "{s:s, s:I, s:I}", "why", why, "epoch", (json_int_t)pool->epoch,
+	    "claimed", (json_int_t)parts_at_least(pool, POOL_PART_LOAD));
+	owner_vacate(pool);
+	pool->phase = POOL_OWNER_NONE;
 	pool->term++;
 	owner_forget(pool);
 }
@@ -89,7 +147,7 @@
 	gb_event(pool->cfg.events, GB_EVENT_ALWAYS, "ownership_lost",
 	    "{s:s, s:I, s:I}", "why", why, "epoch", (json_int_t)pool->epoch,
 	    "newer", (json_int_t)epoch);
-	owner_phase(pool, POOL_OWNER_NONE);
+	pool->phase = POOL_OWNER_NONE;
 	pool->term++;
 	if (epoch > pool->epoch)
 		pool->epoch = epoch;
@@ -100,414 +158,402 @@
 	}
 }
 
-void
-pool_owner_take(struct gb_pool *pool, uint64_t after)
+/* Attaching a part -------------------------------------------------------- */
+
+static void
+part_read(struct gb_pool *pool, uint32_t number)
 {
-	uint32_t i;
+	struct pool_call *call = pool_call_new(pool, POOL_CALL_OWNER_READ);
+	const struct gb_pool_read read = {number, GB_POOL_OWNERS,
+	    GB_POOL_OWNER_KEY, GB_POOL_OWNER_KEY "0", 1};
 
-	if (pool->phase != POOL_OWNER_NONE)
-		return;
-	pool->term++;
-	owner_forget(pool);
-	owner_phase(pool, POOL_OWNER_READING);
-	pool->taken_at = pool->now;
-	pool->claim_failed = false;
-	pool->claim_after = after;
-	pool->claim_epoch = pool->epoch + 1;
-	gb_event(pool->cfg.events, GB_EVENT_ALWAYS, "takeover_begun", "{s:I}",
-	    "known_epoch", (json_int_t)pool->epoch);
-	for (i = 0; i < GB_POOL_PARTS; i++)
-		owner_read(pool, POOL_CALL_OWNER_READ, i, GB_POOL_OWNERS,
-		    GB_POOL_OWNER_KEY, GB_POOL_OWNER_KEY "0", 1);
+	pool->parts[number].attach = POOL_READING;
+	call->part = number;
+	pool->stats.reads++;
+	pool->ops.read(pool->ops.data, call->id, &read);
 }
 
 static void
-owner_claim(struct gb_pool *pool)
+part_again(struct gb_pool *pool, struct pool_part *part, gb_time pause)
 {
-	struct gb_pool_row cond = {0};
-	struct gb_pool_row put = {0};
-	struct gb_pool_txn txn = {0};
-	struct pool_call *call;
+	part->attach = POOL_DETACHED;
+	part->attach_at = pool->now + pause;
+}
+
+/** The store did not answer for a part, or not surely. */
+static void
+part_failed(struct gb_pool *pool, uint32_t number)
+{
+	struct pool_part *part = &pool->parts[number];
+	unsigned int failing = 0;
 	uint32_t i;
 
-	owner_phase(pool, POOL_OWNER_CLAIMING);
-	for (i = 0; i < GB_POOL_PARTS; i++) {
-		cond.table = put.table = GB_POOL_OWNERS;
-		cond.key = put.key = GB_POOL_OWNER_KEY;
-		cond.vers = pool->claim_vers[i];
-		if (!pool_writer_owner_body(
-			pool, pool->claim_epoch, 1, false, &put.value))
-			abort(); /* names were checked with the settings */
-		txn.part = i;
-		txn.conds = &cond;
-		txn.cond_count = 1;
-		txn.puts = &put;
-		txn.put_count = 1;
-		call = pool_call_new(pool, POOL_CALL_OWNER_TXN);
-		call->part = i;
-		pool->reads_out++;
-		pool->ops.txn(pool->ops.data, call->id, &txn);
-		free(put.value.gb_body_val);
+	part_again(pool, part,
+	    ATTACH_RETRY << (part->attach_failures < ATTACH_RETRY_DOUBLINGS
+				 ? part->attach_failures
+				 : ATTACH_RETRY_DOUBLINGS));
+	part->attach_failures++;
+	if (part->attach_failures == 1)
+		gb_event(pool->cfg.events, GB_EVENT_ALWAYS, "part_out",
+		    "{s:I, s:I}", "part", (json_int_t)number, "epoch",
+		    (json_int_t)pool->claim_epoch);
+	for (i = 0; i < GB_POOL_PARTS; i++)
+		failing += pool->parts[i].attach_failures > 0;
+	if (pool->phase < POOL_OWNER_LOADING &&
+	    failing > GB_POOL_PARTS - OWNER_MAJORITY)
+		owner_give_up(pool, "the store did not answer");
+}
+
+static void
+part_claimed(struct gb_pool *pool, uint32_t number)
+{
+	pool->parts[number].attach = POOL_PART_LOAD;
+	if (pool->phase == POOL_OWNER_CLAIMING &&
+	    parts_at_least(pool, POOL_PART_LOAD) >= OWNER_MAJORITY) {
+		pool->phase = POOL_OWNER_LOADING;
+		pool->epoch = pool->claim_epoch;
+		pool->claimed_at = pool->now;
+		gb_event(pool->cfg.events, GB_EVENT_ALWAYS, "ownership_claimed",
+		    "{s:I}", "epoch", (json_int_t)pool->epoch);
 	}
+	pool_load_begin(pool, number);
 }
 
 static void
-owner_row_read(
-    struct gb_pool *pool, uint32_t part, const struct gb_pool_read_res *res)
+part_claim_send(struct gb_pool *pool, uint32_t number)
 {
-	gb_owner_row row = {0};
+	struct pool_call *call = pool_call_new(pool, POOL_CALL_OWNER_TXN);
+	struct gb_pool_row cond = {0};
+	struct gb_pool_row put = {0};
+	const struct gb_pool_txn txn = {number, &cond, 1, &put, 1};
+
+	pool->parts[number].attach = POOL_CLAIMING;
+	call->part = number;
+	cond.table = put.table = GB_POOL_OWNERS;
+	cond.key = put.key = GB_POOL_OWNER_KEY;
+	cond.vers = pool->parts[number].owner_vers;
+	if (!pool_writer_owner_body(
+		pool, pool->claim_epoch, 1, false, &put.value))
+		abort(); /* names were checked with the settings */
+	pool->ops.txn(pool->ops.data, call->id, &txn);
+	free(put.value.gb_body_val);
+}
 
-	pool->claim_vers[part] = 0;
-	if (res->row_count == 0)
-		return;
-	pool->claim_vers[part] = res->rows[0].vers;
-	if (!gb_xdr_decode(
-		(xdrproc_t)xdr_gb_owner_row, &res->rows[0].value, &row)) {
-		pool->claim_failed = true;
-		return;
+/** Claim a part whose row has been read.  A row of the same epoch belongs to a
+ * rival in the same race, who may yet win: only who already holds most parts
+ * knows that he did not. */
+static void
+part_claim(struct gb_pool *pool, uint32_t number)
+{
+	struct pool_part *part = &pool->parts[number];
+	bool rival = part->row_epoch == pool->claim_epoch && !part->row_vacant;
+
+	if (part->row_epoch > pool->claim_epoch) {
+		if (pool->phase >= POOL_OWNER_LOADING)
+			pool_owner_lose(pool, "another node owns the pool",
+			    part->row_epoch);
+		else
+			owner_give_up(pool, "another node was first");
+	} else if (part->row_own) {
+		part_claimed(pool, number);
+	} else if (!rival || pool->phase >= POOL_OWNER_LOADING) {
+		part_claim_send(pool, number);
+	} else if (number == pool->claim_first) {
+		owner_give_up(pool, "another node was first");
+	} else {
+		part_again(pool, part, ATTACH_RIVAL);
 	}
-	if (row.epoch >= pool->claim_epoch)
-		pool->claim_epoch = row.epoch + 1;
-	if (row.epoch > pool->claim_after && row.addr[0] != '\0')
-		pool->claim_failed = true;
-	xdr_free((xdrproc_t)xdr_gb_owner_row, (char *)&row);
 }
 
-void
-pool_owner_txn_done(struct gb_pool *pool, const struct pool_call *call,
-    const struct gb_pool_txn_res *res)
+/** Most rows are known: the new epoch is above all that were in force. */
+static void
+owner_choose_epoch(struct gb_pool *pool)
 {
 	uint32_t i;
 
-	pool->reads_out--;
-	if (res->status != GB_STORE_OK)
-		pool->claim_failed = true;
-	else
-		pool->parts[call->part].owner_vers = res->vers;
-	if (pool->reads_out > 0)
-		return;
-	if (pool->claim_failed) {
-		owner_give_up(
-		    pool, "another node was first, or no answer came");
-		return;
-	}
-	pool->epoch = pool->claim_epoch;
-	pool->confirmed = call->sent;
-	owner_phase(pool, POOL_OWNER_LOADING);
-	gb_event(pool->cfg.events, GB_EVENT_ALWAYS, "ownership_claimed",
-	    "{s:I}", "epoch", (json_int_t)pool->epoch);
+	pool->claim_epoch = pool->epoch + 1;
+	pool->claim_first = GB_POOL_PARTS;
+	pool->phase = POOL_OWNER_CLAIMING;
 	for (i = 0; i < GB_POOL_PARTS; i++) {
-		pool->parts[i].serial = 1;
-		owner_read(pool, POOL_CALL_LOAD_STATES, i, GB_POOL_STATES, "",
-		    "", OWNER_PAGE);
+		const struct pool_part *part = &pool->parts[i];
+
+		if (part->attach != POOL_READ)
+			continue;
+		if (pool->claim_first == GB_POOL_PARTS)
+			pool->claim_first = i;
+		if (part->row_epoch >= pool->claim_epoch)
+			pool->claim_epoch = part->row_epoch + 1;
+	}
+	for (i = 0; i < GB_POOL_PARTS && pool->phase != POOL_OWNER_NONE; i++) {
+		if (pool->parts[i].attach == POOL_READ)
+			part_claim(pool, i);
 	}
-	owner_read(pool, POOL_CALL_LOAD_WORKERS, 0, GB_POOL_OWNERS,
-	    GB_POOL_WORKERS_KEY, GB_POOL_WORKERS_KEY "~", POOL_SET_ROWS);
 }
 
-/* Loading ----------------------------------------------------------------- */
-
-/** A flow whose state is read before what was submitted: holds the state. */
-static void
-load_state(struct gb_pool *pool, const struct gb_pool_row *row)
+/** Take in the owner's row of a part; false when it is unreadable. */
+static bool
+part_row(const struct gb_pool *pool, struct pool_part *part,
+    const struct gb_pool_read_res *res)
 {
-	gb_flow_state state = {0};
-	struct pool_flow *flow;
-	gb_flow spec = {0};
+	gb_owner_row row = {0};
 
-	if (!gb_xdr_decode((xdrproc_t)xdr_gb_flow_state, &row->value, &state)) {
-		gb_event(pool->cfg.events, GB_EVENT_ALWAYS, "row_unreadable",
-		    "{s:s, s:s}", "table", "states", "key", row->key);
-		return;
-	}
-	spec.id = gb_strdup(row->key);
-	spec.queue = gb_strdup("");
-	spec.service = gb_strdup("");
-	spec.spec = gb_strdup("");
-	spec.submitted_us = pool->wall;
-	flow = pool_flow_new(pool, &spec);
-	flow->created = true;
-	flow->status = state.status;
-	flow->cancelled = state.cancelled;
-	flow->stored = flow->change;
-	flow->ended = pool->now;
-	flow->loading = gb_calloc(1, sizeof(*flow->loading));
-	*flow->loading = state;
+	part->owner_vers = 0;
+	part->row_epoch = 0;
+	part->row_vacant = true;
+	part->row_own = false;
+	if (res->row_count == 0)
+		return true;
+	if (!gb_xdr_decode(
+		(xdrproc_t)xdr_gb_owner_row, &res->rows[0].value, &row))
+		return false;
+	part->owner_vers = res->rows[0].vers;
+	part->row_epoch = row.epoch;
+	part->row_vacant = row.addr[0] == '\0';
+	part->row_own = pool->claim_epoch != 0 &&
+			row.epoch == pool->claim_epoch && !part->row_vacant &&
+			row.incarnation == pool->cfg.incarnation;
+	part->serial = row.serial;
+	xdr_free((xdrproc_t)xdr_gb_owner_row, (char *)&row);
+	return true;
 }
 
 static void
-load_flow(struct gb_pool *pool, const struct gb_pool_row *row)
+part_row_read(
+    struct gb_pool *pool, uint32_t number, const struct gb_pool_read_res *res)
 {
-	struct pool_flow *stub = pool_flow_find(pool, row->key);
-	gb_flow_state *state;
-	struct pool_flow *flow;
-	gb_flow spec = {0};
+	struct pool_part *part = &pool->parts[number];
 
-	if (stub == NULL || stub->loading == NULL)
+	if (part->attach != POOL_READING)
+		return;
+	if (res->status != GB_STORE_OK) {
+		part_failed(pool, number);
 		return;
-	if (!gb_xdr_decode((xdrproc_t)xdr_gb_flow, &row->value, &spec)) {
-		gb_event(pool->cfg.events, GB_EVENT_ALWAYS, "row_unreadable",
-		    "{s:s, s:s}", "table", "flows", "key", row->key);
+	}
+	part->attach_failures = 0;
+	if (!part_row(pool, part, res)) {
+		owner_give_up(pool, "the owner's row is unreadable");
+		return;
+	}
+	if (pool->phase != POOL_OWNER_READING) {
+		part_claim(pool, number);
+		return;
+	}
+	if (part->row_epoch > pool->claim_after && !part->row_vacant) {
+		owner_give_up(pool, "another node was first");
 		return;
 	}
-	state = stub->loading;
-	stub->loading = NULL;
-	pool_flow_free(pool, stub);
-	flow = pool_flow_new(pool, &spec);
-	if (!pool_flow_load(pool, flow, state))
-		gb_event(pool->cfg.events, GB_EVENT_ALWAYS, "row_unreadable",
-		    "{s:s, s:s}", "table", "states", "key", row->key);
-	flow->ended = pool->now;
-	pool_flow_state_clear(state);
-	free(state);
+	part->attach = POOL_READ;
+	if (parts_at_least(pool, POOL_READ) >= OWNER_MAJORITY)
+		owner_choose_epoch(pool);
 }
 
-/** Flows whose submission was not read are over: only their state is kept. */
-static void
-load_finish(struct gb_pool *pool)
+void
+pool_owner_txn_done(struct gb_pool *pool, const struct pool_call *call,
+    const struct gb_pool_txn_res *res)
 {
-	struct pool_flow *flow;
-	struct pool_flow *next;
+	struct pool_part *part = &pool->parts[call->part];
 
-	HASH_ITER(hh, pool->flows, flow, next)
-	{
-		if (flow->loading == NULL)
-			continue;
-		pool_flow_state_clear(flow->loading);
-		free(flow->loading);
-		flow->loading = NULL;
-		flow->closed = true;
-		flow->queue = NULL;
-		TAILQ_REMOVE(&pool->open, flow, open_next);
-		pool->open_count--;
+	if (part->attach != POOL_CLAIMING)
+		return;
+	if (res->status == GB_STORE_OK) {
+		pool->confirmed = call->sent;
+		part->owner_vers = res->vers;
+		part->serial = 1;
+		part_claimed(pool, call->part);
+	} else if (res->status != GB_STORE_CONFLICT) {
+		part_failed(pool, call->part);
+	} else if (pool->phase == POOL_OWNER_CLAIMING &&
+		   call->part == pool->claim_first) {
+		owner_give_up(pool, "another node was first");
+	} else {
+		part_again(pool, part, ATTACH_RIVAL);
 	}
 }
 
+/* Becoming the owner ------------------------------------------------------ */
+
 static void
-owner_active(struct gb_pool *pool)
+part_attached(struct gb_pool *pool, uint32_t number)
 {
+	struct pool_part *part = &pool->parts[number];
 	gb_time lease = pool_worker_lease_most(pool);
 
-	load_finish(pool);
-	owner_phase(pool, POOL_OWNER_ACTIVE);
-	pool->settle_at =
-	    pool->now + lease * 1000 / CLOCK_SLOWEST + OWNER_SETTLE_MARGIN;
+	part->attach = POOL_ATTACHED;
+	part->attach_failures = 0;
+	part->attached_at = pool->now;
+	part->settle_at =
+	    pool->now + lease * 1000 / GB_CLOCK_SLOWEST + OWNER_SETTLE_MARGIN;
 	/* The first owner of all has nobody before it. */
-	pool->settled = pool->epoch == 1;
+	part->settled = part->row_epoch == 0;
 	pool->inbox_at = pool->now;
 	pool->work_changed = true;
-	pool->stats.takeovers++;
-	gb_histogram_add(&pool->stats.takeover_us, pool->now - pool->taken_at);
-	gb_event(pool->cfg.events, GB_EVENT_ALWAYS, "ownership_gained",
-	    "{s:I, s:I, s:I, s:I}", "epoch", (json_int_t)pool->epoch,
-	    "open_flows", (json_int_t)pool->open_count, "workers",
-	    (json_int_t)pool->worker_count, "took_ms",
-	    (json_int_t)((pool->now - pool->taken_at) / GB_MSEC));
-	pool->ops.owner(pool->ops.data, true, pool->epoch);
+	pool_worker_part_attached(pool, number);
+	if (pool->phase == POOL_OWNER_ACTIVE)
+		gb_event(pool->cfg.events, GB_EVENT_ALWAYS, "part_attached",
+		    "{s:I, s:I, s:I}", "part", (json_int_t)number, "epoch",
+		    (json_int_t)pool->epoch, "after_ms",
+		    (json_int_t)((pool->now - pool->taken_at) / GB_MSEC));
 }
 
-/** Whoever the owner before may have sent runs to is asked, whether the list of
- * workers names it or not: entries lapse while the store is away. */
-static void
-load_worker_row(struct gb_pool *pool, const struct gb_pool_row *row)
+static bool
+parts_under_way(const struct gb_pool *pool)
 {
-	gb_worker_set set = {0};
-	u_int i;
+	uint32_t i;
 
-	if (!gb_xdr_decode((xdrproc_t)xdr_gb_worker_set, &row->value, &set)) {
-		gb_event(pool->cfg.events, GB_EVENT_ALWAYS, "row_unreadable",
-		    "{s:s, s:s}", "table", "owners", "key", row->key);
-		return;
+	for (i = 0; i < GB_POOL_PARTS; i++) {
+		if (!pool_part_attached(pool, i) && pool_part_coming(pool, i))
+			return true;
 	}
-	for (i = 0; i < set.list.list_len; i++)
-		pool_worker_recorded(pool, &set.list.list_val[i]);
-	xdr_free((xdrproc_t)xdr_gb_worker_set, (char *)&set);
-	pool_worker_set_read(pool, row->key);
+	return false;
 }
 
+/** Begin once most parts have been read, and the others too if they come soon.
+ */
 static void
-load_workers(struct gb_pool *pool, const struct gb_pool_read_res *res)
+owner_begin(struct gb_pool *pool)
 {
-	size_t i;
-
-	for (i = 0; i < res->row_count; i++)
-		load_worker_row(pool, &res->rows[i]);
-	if (pool->reads_out == 0)
-		owner_active(pool);
+	if (pool->phase != POOL_OWNER_LOADING ||
+	    parts_at_least(pool, POOL_ATTACHED) < OWNER_MAJORITY ||
+	    (parts_under_way(pool) &&
+		pool->now - pool->claimed_at < OWNER_ATTACH_WAIT))
+		return;
+	pool->phase = POOL_OWNER_ACTIVE;
+	pool->confirmed = pool->now;
+	pool->stats.takeovers++;
+	gb_histogram_add(&pool->stats.takeover_us, pool->now - pool->taken_at);
+	gb_event(pool->cfg.events, GB_EVENT_ALWAYS, "ownership_gained",
+	    "{s:I, s:I, s:I, s:I, s:I}", "epoch", (json_int_t)pool->epoch,
+	    "parts", (json_int_t)parts_at_least(pool, POOL_ATTACHED),
+	    "open_flows", (json_int_t)pool->open_count, "workers",
+	    (json_int_t)pool->worker_count, "took_ms",
+	    (json_int_t)((pool->now - pool->taken_at) / GB_MSEC));
+	pool->ops.owner(pool->ops.data, true, pool->epoch);
 }
 
-/** Read the next page, or go on to the next table. */
 static void
-load_next(struct gb_pool *pool, const struct pool_call *call,
+part_loaded(struct gb_pool *pool, const struct pool_call *call,
     const struct gb_pool_read_res *res)
 {
-	enum gb_pool_table table = call->kind == POOL_CALL_LOAD_STATES
-				       ? GB_POOL_STATES
-				       : GB_POOL_FLOWS;
-	char from[GB_KEY_MAX + 1];
-
-	if (res->more && res->row_count > 0) {
-		snprintf(from, sizeof(from), "%.200s0",
-		    res->rows[res->row_count - 1].key);
-		owner_read(
-		    pool, call->kind, call->part, table, from, "", OWNER_PAGE);
-	} else if (call->kind == POOL_CALL_LOAD_STATES) {
-		owner_read(pool, POOL_CALL_LOAD_FLOWS, call->part,
-		    GB_POOL_FLOWS, "", "", OWNER_PAGE);
-	} else if (pool->reads_out == 0) {
-		owner_active(pool);
-	}
-}
-
-/* Inbox ------------------------------------------------------------------- */
-
-void
-pool_owner_inbox(struct gb_pool *pool, uint32_t part)
-{
-	if (pool->phase == POOL_OWNER_ACTIVE)
-		owner_read(pool, POOL_CALL_INBOX_LIST, part, GB_POOL_INBOX, "",
-		    "", OWNER_PAGE);
-}
-
-static void
-inbox_listed(
-    struct gb_pool *pool, uint32_t part, const struct gb_pool_read_res *res)
-{
-	char to[GB_KEY_MAX + 1];
-	struct pool_flow *flow;
-	size_t i;
-
-	if (res->row_count > 0)
-		pool->inbox_at = pool->now + OWNER_INBOX_SOON;
-	for (i = 0; i < res->row_count; i++) {
-		flow = pool_flow_find(pool, res->rows[i].key);
-		if (flow != NULL) {
-			flow->in_inbox = true;
-			pool_writer_dirty(pool, flow);
-			continue;
-		}
-		snprintf(to, sizeof(to), "%.200s0", res->rows[i].key);
-		owner_read(pool, POOL_CALL_INBOX_FLOW, part, GB_POOL_FLOWS,
-		    res->rows[i].key, to, 1);
-	}
-}
-
-static void
-inbox_flow(struct gb_pool *pool, const struct gb_pool_read_res *res)
-{
-	gb_flow spec = {0};
-	struct pool_flow *flow;
-
-	if (res->row_count == 0 || pool_flow_find(pool, res->rows[0].key))
-		return;
-	if (!gb_xdr_decode(
-		(xdrproc_t)xdr_gb_flow, &res->rows[0].value, &spec)) {
-		gb_event(pool->cfg.events, GB_EVENT_ALWAYS, "row_unreadable",
-		    "{s:s, s:s}", "table", "flows", "key", res->rows[0].key);
-		return;
+	switch (pool_load_done(pool, call, res)) {
+	case POOL_LOAD_GOES_ON:
+		break;
+	case POOL_LOAD_DONE:
+		part_attached(pool, call->part);
+		owner_begin(pool);
+		break;
+	case POOL_LOAD_FAILED:
+		pool_load_drop(pool, call->part);
+		part_failed(pool, call->part);
+		break;
 	}
-	flow = pool_flow_new(pool, &spec);
-	flow->created = true;
-	flow->fresh = true;
-	flow->stored = flow->change;
-	flow->in_inbox = true;
-	pool_writer_dirty(pool, flow);
-	pool->work_changed = true;
-	gb_event(pool->cfg.events, GB_EVENT_NORMAL, "flow_adopted", "{s:s}",
-	    "flow", flow->spec.id);
 }
 
 void
 pool_owner_read_done(struct gb_pool *pool, const struct pool_call *call,
     const struct gb_pool_read_res *res)
 {
-	size_t i;
-
-	if (call->kind == POOL_CALL_PROBE) {
-		pool_writer_probed(pool, call, res);
-		return;
-	}
-	pool->reads_out--;
-	if (res->status != GB_STORE_OK) {
-		if (call->kind == POOL_CALL_OWNER_READ ||
-		    call->kind == POOL_CALL_LOAD_STATES ||
-		    call->kind == POOL_CALL_LOAD_FLOWS ||
-		    call->kind == POOL_CALL_LOAD_WORKERS)
-			owner_give_up(pool, "the store did not answer");
-		return;
-	}
-	pool->confirmed = call->sent;
+	if (res->status == GB_STORE_OK && call->kind != POOL_CALL_PROBE)
+		pool->confirmed = call->sent;
 	switch (call->kind) {
-	case POOL_CALL_OWNER_READ:
-		owner_row_read(pool, call->part, res);
-		if (pool->reads_out == 0 && !pool->claim_failed)
-			owner_claim(pool);
-		else if (pool->reads_out == 0)
-			owner_give_up(pool, "another node was first, or the "
-					    "owner's row is unreadable");
-		break;
-	case POOL_CALL_LOAD_STATES:
-		for (i = 0; i < res->row_count; i++)
-			load_state(pool, &res->rows[i]);
-		load_next(pool, call, res);
-		break;
-	case POOL_CALL_LOAD_FLOWS:
-		for (i = 0; i < res->row_count; i++)
-			load_flow(pool, &res->rows[i]);
-		load_next(pool, call, res);
+	case POOL_CALL_PROBE:
+		pool_writer_probed(pool, call, res);
 		break;
-	case POOL_CALL_LOAD_WORKERS:
-		load_workers(pool, res);
+	case POOL_CALL_OWNER_READ:
+		part_row_read(pool, call->part, res);
 		break;
 	case POOL_CALL_INBOX_LIST:
-		inbox_listed(pool, call->part, res);
+	case POOL_CALL_INBOX_FLOW:
+		pool_load_inbox_done(pool, call, res);
 		break;
 	default:
-		inbox_flow(pool, res);
+		part_loaded(pool, call, res);
 		break;
 	}
 }
 
+void
+pool_owner_take(struct gb_pool *pool, uint64_t after)
+{
+	uint32_t i;
+
+	if (pool->phase != POOL_OWNER_NONE)
+		return;
+	pool->term++;
+	owner_forget(pool);
+	pool->phase = POOL_OWNER_READING;
+	pool->taken_at = pool->now;
+	pool->claim_after = after;
+	pool->claim_epoch = 0;
+	gb_event(pool->cfg.events, GB_EVENT_ALWAYS, "takeover_begun", "{s:I}",
+	    "known_epoch", (json_int_t)pool->epoch);
+	for (i = 0; i < GB_POOL_PARTS; i++)
+		part_read(pool, i);
+}
+
 /* Going on ---------------------------------------------------------------- */
 
-/** Whether every worker that may run something has answered this owner. */
+/** Whether every worker that may run something of a part has told this owner
+ * what it runs, since the part was attached. */
 static bool
-owner_all_fenced(const struct gb_pool *pool)
+part_all_told(const struct gb_pool *pool, const struct pool_part *part)
 {
 	uint32_t i;
 
 	if (!pool->listed || pool->worker_count == 0)
 		return false;
 	for (i = 0; i < pool->worker_count; i++) {
-		if (!pool->workers[i]->over && !pool->workers[i]->fenced)
+		const struct pool_worker *worker = pool->workers[i];
+
+		if (!worker->over &&
+		    (!worker->fenced || worker->reported < part->attached_at))
 			return false;
 	}
 	return true;
 }
 
 static void
-owner_settle(struct gb_pool *pool)
+part_settle(struct gb_pool *pool, uint32_t number)
 {
-	if (pool->settled ||
-	    (!owner_all_fenced(pool) && pool->now < pool->settle_at))
+	struct pool_part *part = &pool->parts[number];
+	bool told;
+
+	if (part->attach != POOL_ATTACHED || part->settled)
+		return;
+	told = part_all_told(pool, part);
+	if (!told && pool->now < part->settle_at)
 		return;
-	pool->settled = true;
+	part->settled = true;
 	pool->work_changed = true;
 	gb_event(pool->cfg.events, GB_EVENT_ALWAYS, "takeover_settled",
-	    "{s:I, s:I, s:b}", "epoch", (json_int_t)pool->epoch, "took_ms",
+	    "{s:I, s:I, s:I, s:b}", "epoch", (json_int_t)pool->epoch, "part",
+	    (json_int_t)number, "took_ms",
 	    (json_int_t)((pool->now - pool->taken_at) / GB_MSEC), "all_workers",
-	    owner_all_fenced(pool));
+	    told);
+}
+
+static void
+part_tick(struct gb_pool *pool, uint32_t number)
+{
+	struct pool_part *part = &pool->parts[number];
+
+	if (part->attach == POOL_DETACHED && part->attach_at <= pool->now)
+		part_read(pool, number);
+	part_settle(pool, number);
+	if (part->attach == POOL_ATTACHED &&
+	    pool->now - part->sent > OWNER_RENEW)
+		part->renew = true;
 }
 
 static void
-owner_renew(struct gb_pool *pool)
+owner_inbox(struct gb_pool *pool)
 {
 	uint32_t i;
 
-	for (i = 0; i < GB_POOL_PARTS; i++) {
-		if (pool->now - pool->parts[i].sent > OWNER_RENEW)
-			pool->parts[i].renew = true;
-	}
+	if (pool->inbox_at > pool->now)
+		return;
+	pool->inbox_at = pool->now + OWNER_INBOX;
+	for (i = 0; i < GB_POOL_PARTS; i++)
+		pool_load_inbox(pool, i);
 }
 
 void
@@ -515,20 +561,23 @@
 {
 	uint32_t i;
 
-	if (pool->phase == POOL_OWNER_RELEASING &&
-	    (pool_writer_idle(pool) || pool->now > pool->release_by)) {
-		pool_owner_lose(pool, "released", 0);
+	if (pool->phase == POOL_OWNER_NONE)
 		return;
-	}
-	if (pool->phase != POOL_OWNER_ACTIVE)
+	if (pool->phase == POOL_OWNER_RELEASING) {
+		if (pool_writer_idle(pool) || pool->now > pool->release_by)
+			pool_owner_lose(pool, "released", 0);
 		return;
-	owner_settle(pool);
-	owner_renew(pool);
-	if (pool->inbox_at > pool->now)
+	}
+	if (pool->phase < POOL_OWNER_LOADING &&
+	    pool->now - pool->taken_at > OWNER_CLAIM_MOST) {
+		owner_give_up(pool, "most parts could not be claimed in time");
 		return;
-	pool->inbox_at = pool->now + OWNER_INBOX;
+	}
 	for (i = 0; i < GB_POOL_PARTS; i++)
-		pool_owner_inbox(pool, i);
+		part_tick(pool, i);
+	owner_begin(pool);
+	if (pool->phase == POOL_OWNER_ACTIVE)
+		owner_inbox(pool);
 }
 
 void
@@ -541,8 +590,8 @@
 			pool_owner_lose(pool, "stopping", 0);
 		return;
 	}
-	owner_phase(pool, POOL_OWNER_RELEASING);
+	pool->phase = POOL_OWNER_RELEASING;
 	pool->release_by = pool->now + OWNER_RELEASE;
 	for (i = 0; i < GB_POOL_PARTS; i++)
-		pool->parts[i].renew = true;
+		pool->parts[i].renew = pool_part_attached(pool, i);
 }
--- a/libgooseberry/pool/pool.c
+++ b/libgooseberry/pool/pool.c
@@ -230,6 +230,27 @@
 	pool->ops.answer(pool->ops.data, token, &answer);
 }
 
+/** Whether the part that a flow belongs to has been read, so that this owner
+ * knows whether there is such a flow; else its caller is told to come back. */
+static bool
+pool_part_answers(struct gb_pool *pool, uint64_t token, const char *id)
+{
+	uint32_t part = gb_pool_part(id);
+
+	if (pool_part_attached(pool, part))
+		return true;
+	if (pool_part_coming(pool, part)) {
+		pool_answer(pool, token, GB_FLOW_NOT_OWNER, 0);
+		return false;
+	}
+	pool->stats.refused++;
+	gb_event(pool->cfg.events, GB_EVENT_NORMAL, "flow_refused",
+	    "{s:s, s:s, s:I}", "flow", id, "why",
+	    "its part of the store is out", "part", (json_int_t)part);
+	pool_answer(pool, token, GB_FLOW_REFUSED, GB_SEC);
+	return false;
+}
+
 static void
 pool_accept(struct gb_pool *pool, uint64_t token, const gb_flow *spec)
 {
@@ -243,7 +264,7 @@
 	flow = pool_flow_new(pool, &copy);
 	flow->fresh = true;
 	pool->stats.accepted++;
-	pool_writer_dirty(pool, flow);
+	pool_writer_dirty(pool, flow, true);
 	pool_flow_wait(pool, flow, token, flow->change, GB_FLOW_QUEUED);
 	gb_event(pool->cfg.events, GB_EVENT_NORMAL, "flow_accepted",
 	    "{s:s, s:s, s:I, s:I}", "flow", flow->spec.id, "queue",
@@ -275,6 +296,8 @@
 		pool_flow_wait(pool, flow, token, 1, pool_flow_shown(flow));
 		return;
 	}
+	if (!pool_part_answers(pool, token, submit->flow.id))
+		return;
 	if (pool_writer_out(pool, gb_pool_part(submit->flow.id))) {
 		pool->stats.refused++;
 		pool_answer(pool, token, GB_FLOW_REFUSED, GB_SEC);
@@ -320,6 +343,9 @@
 		pool_answer(pool, token, GB_FLOW_NOT_OWNER, 0);
 		return;
 	}
+	if (ask->op != GB_FLOW_OP_PENDING &&
+	    !pool_part_answers(pool, token, ask->id))
+		return;
 	flow = pool_flow_find(pool, ask->id);
 	answer.verdict = GB_FLOW_ACCEPTED;
 	if (ask->op == GB_FLOW_OP_PENDING) {
--- a/libgooseberry/pool/runner.c
+++ b/libgooseberry/pool/runner.c
@@ -20,8 +20,6 @@
  * longer than this: what a lost worker runs can start anew only after it, and
  * a takeover must come well before it (about 1.5 s). */
 #define LEASE_MOST (3500 * GB_MSEC)
-/** The slowest clock of a worker, in thousandths of true time. */
-#define CLOCK_SLOWEST 980
 /** Added to the end of a lease: coarse clocks, and a kill that takes time. */
 #define LEASE_MARGIN (300 * GB_MSEC)
 /** Longest wait of a hold for an end: of a worker with work, so that progress
@@ -31,6 +29,9 @@
 /** Pause after a hold that told of ends: gathers the next ones, because each
  * look at a worker is paid for, and lets the store confirm these. */
 #define HOLD_GAP (25 * GB_MSEC)
+/** The same when all ends had been told of before, as while the store is out:
+ * the worker answers at once as long as one is not acknowledged. */
+#define HOLD_GAP_OLD (60 * GB_MSEC)
 /** Where workers are asked in turn, a busy one waits this much for each worker
  * there is: at 3,000 it is asked each 0.75 s, 4,000 calls a second in all. */
 #define HOLD_TURN 250
@@ -49,9 +50,6 @@
 #define STOP_RETRY (500 * GB_MSEC)
 /** A worker lists this many ends at once; then some may be missing. */
 #define ENDS_LISTED_MOST 500
-/** Runs of one owner are numbered from epoch * this, so that numbers rise
- * over owners without being stored. */
-#define RUNS_PER_EPOCH 100000
 /** A worker that refuses orders is given none for this long. */
 #define REFUSED_ASIDE (700 * GB_MSEC)
 
@@ -100,7 +98,7 @@
 
 	if (worker->clock_ms == 0)
 		return 0;
-	over = worker->clock_at + (since + lease) * 1000 / CLOCK_SLOWEST +
+	over = worker->clock_at + (since + lease) * 1000 / GB_CLOCK_SLOWEST +
 	       LEASE_MARGIN;
 	if (over > worker->lapse_at)
 		worker->lapse_at = over;
@@ -430,18 +428,31 @@
 
 /* Ends and reports -------------------------------------------------------- */
 
-static void
-end_add(
-    struct pool_worker *worker, uint64_t number, const struct pool_flow *flow)
+static struct pool_end *
+end_add(struct pool_worker *worker, uint64_t number)
 {
 	struct pool_end *end = gb_calloc(1, sizeof(*end));
 
 	end->number = number;
-	if (flow != NULL) {
-		snprintf(end->flow, sizeof(end->flow), "%s", flow->spec.id);
-		end->change = flow->change;
-	}
 	STAILQ_INSERT_TAIL(&worker->ends, end, next);
+	return end;
+}
+
+/** The end may be forgotten once what the flow is now has been stored. */
+static void
+end_of_flow(struct pool_end *end, const struct pool_flow *flow)
+{
+	if (flow == NULL)
+		return;
+	snprintf(end->flow, sizeof(end->flow), "%s", flow->spec.id);
+	end->change = flow->change;
+}
+
+static void
+end_free(struct pool_end *end)
+{
+	free(end->held);
+	free(end);
 }
 
 /** Number up to which all ends are stored. */
@@ -453,11 +464,12 @@
 
 	while ((end = STAILQ_FIRST(&worker->ends)) != NULL) {
 		flow = pool_flow_find(pool, end->flow);
-		if (flow != NULL && flow->stored < end->change)
+		if (end->held != NULL ||
+		    (flow != NULL && flow->stored < end->change))
 			break;
 		worker->acked = end->number;
 		STAILQ_REMOVE_HEAD(&worker->ends, next);
-		free(end);
+		end_free(end);
 	}
 }
 
@@ -489,11 +501,37 @@
 	return names[how];
 }
 
+/** Take an end in; one of a flow whose part is not attached is kept, so that it
+ * is not acknowledged before the flow is known. */
 static void
+end_take(struct gb_pool *pool, struct pool_worker *worker, struct pool_end *end,
+    const struct gb_pool_seen *seen)
+{
+	struct pool_flow *flow;
+
+	if (!pool_part_attached(pool, gb_pool_part(seen->flow))) {
+		end->held = gb_calloc(1, sizeof(*end->held));
+		*end->held = *seen;
+		return;
+	}
+	flow = pool_flow_find(pool, seen->flow);
+	stats_end(pool, seen->how);
+	gb_event(pool->cfg.events, GB_EVENT_NORMAL, "run_end",
+	    "{s:s, s:I, s:I, s:I, s:s, s:s, s:b}", "flow", seen->flow, "step",
+	    (json_int_t)seen->step, "index", (json_int_t)seen->index, "run",
+	    (json_int_t)seen->run, "worker", worker->entry.id, "how",
+	    how_name(seen->how), "known", flow != NULL);
+	if (seen_known(flow, seen))
+		pool_flow_ended(pool, flow, seen, worker);
+	end_of_flow(end, flow);
+}
+
+/** Returns whether an end was listed that had not been seen. */
+static bool
 worker_ends(struct gb_pool *pool, struct pool_worker *worker,
     const struct gb_pool_report *report)
 {
-	struct pool_flow *flow;
+	bool news = false;
 	size_t i;
 
 	for (i = 0; i < report->ended_count; i++) {
@@ -502,17 +540,29 @@
 		if (seen->number <= worker->seen)
 			continue;
 		worker->seen = seen->number;
-		flow = pool_flow_find(pool, seen->flow);
-		stats_end(pool, seen->how);
-		gb_event(pool->cfg.events, GB_EVENT_NORMAL, "run_end",
-		    "{s:s, s:I, s:I, s:I, s:s, s:s, s:b}", "flow", seen->flow,
-		    "step", (json_int_t)seen->step, "index",
-		    (json_int_t)seen->index, "run", (json_int_t)seen->run,
-		    "worker", worker->entry.id, "how", how_name(seen->how),
-		    "known", flow != NULL);
-		if (seen_known(flow, seen))
-			pool_flow_ended(pool, flow, seen, worker);
-		end_add(worker, seen->number, flow);
+		news = true;
+		end_take(pool, worker, end_add(worker, seen->number), seen);
+	}
+	return news;
+}
+
+void
+pool_worker_part_attached(struct gb_pool *pool, uint32_t part)
+{
+	struct gb_pool_seen *seen;
+	struct pool_end *end;
+	uint32_t i;
+
+	for (i = 0; i < pool->worker_count; i++) {
+		STAILQ_FOREACH(end, &pool->workers[i]->ends, next)
+		{
+			seen = end->held;
+			if (seen == NULL || gb_pool_part(seen->flow) != part)
+				continue;
+			end->held = NULL;
+			end_take(pool, pool->workers[i], end, seen);
+			free(seen);
+		}
 	}
 }
 
@@ -655,7 +705,8 @@
 			continue;
 		}
 		worker->foreign = true;
-		stray_stop(pool, worker, seen);
+		if (pool_part_attached(pool, gb_pool_part(seen->flow)))
+			stray_stop(pool, worker, seen);
 	}
 }
 
@@ -686,14 +737,16 @@
 
 /** Pause after a hold that was answered. */
 static gb_time
-hold_pause(
-    const struct gb_pool *pool, const struct pool_worker *worker, bool ended)
+hold_pause(const struct gb_pool *pool, const struct pool_worker *worker,
+    size_t ended, bool news)
 {
 	if (holds_are_short(pool))
 		return worker->run_count > 0
 			   ? HOLD_TURN * (gb_time)pool->worker_count
 			   : HOLD_WAIT_IDLE;
-	return ended ? HOLD_GAP : GB_MSEC;
+	if (ended == 0)
+		return GB_MSEC;
+	return news ? HOLD_GAP : HOLD_GAP_OLD;
 }
 
 void
@@ -701,6 +754,7 @@
     const struct gb_pool_report *report)
 {
 	struct pool_worker *worker = pool_worker_get(pool, call->worker);
+	bool news;
 
 	if (worker == NULL || worker->hold_call != call->id)
 		return;
@@ -729,7 +783,7 @@
 	worker_clock(pool, worker, report->clock_ms);
 	worker->answered = pool->now;
 	worker->silent = 0;
-	worker_ends(pool, worker, report);
+	news = worker_ends(pool, worker, report);
 	worker_running(pool, worker, report);
 	if (report->ended_count < ENDS_LISTED_MOST)
 		worker_missing(pool, worker, call->sent, report);
@@ -737,8 +791,9 @@
 	if (!worker->fenced)
 		pool->work_changed = true;
 	worker->fenced = true;
+	worker->reported = call->sent;
 	worker->hold_at =
-	    pool->now + hold_pause(pool, worker, report->ended_count > 0);
+	    pool->now + hold_pause(pool, worker, report->ended_count, news);
 }
 
 static void
@@ -785,7 +840,7 @@
 void
 pool_worker_tick(struct gb_pool *pool, struct pool_worker *worker)
 {
-	if (worker->recorded && !pool_worker_in_use(pool, worker))
+	if (worker->recorded != 0 && !pool_worker_in_use(pool, worker))
 		pool_worker_set_mark(pool, worker);
 	if (worker->over)
 		return;
@@ -795,7 +850,8 @@
 		worker_runs_drop(pool, worker, "its lease has lapsed");
 	if (worker->hold_call == 0 && worker->hold_at <= pool->now &&
 	    (worker->listed || worker->run_count > 0 ||
-		worker->silent < HOLD_UNLISTED_TRIES || !pool->settled))
+		worker->silent < HOLD_UNLISTED_TRIES ||
+		!pool_owner_settled(pool)))
 		worker_hold(pool, worker);
 }
 
@@ -860,8 +916,7 @@
 		    (json_int_t)worker->run_count);
 	worker->entry = *entry;
 	worker->listed = true;
-	if (!worker->recorded)
-		pool_worker_set_mark(pool, worker);
+	pool_worker_set_want(pool, worker);
 	worker_rack(worker);
 	pool->work_changed = true;
 }
@@ -878,11 +933,12 @@
 
 		while ((end = STAILQ_FIRST(&worker->ends)) != NULL) {
 			STAILQ_REMOVE_HEAD(&worker->ends, next);
-			free(end);
+			end_free(end);
 		}
 		worker->fenced = false;
-		worker->recorded = false;
-		worker->recording = false;
+		worker->recorded = 0;
+		worker->recording = 0;
+		worker->reported = 0;
 		worker->hold_call = 0;
 		worker->hold_at = 0;
 		worker->silent = 0;
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -3,9 +3,9 @@
  * State of a pool core, shared by the files that make it up.
  *
  * Calls go one way, from the top of this list to its end: pool.c, owner.c,
- * dispatch.c, advice.c, flow.c and runner.c (which meet over the ends of runs),
- * health.c, worker_set.c, writer.c, call.c; then the decisions without side
- * effects: rank.c, fit.c, book.c, admit.c.
+ * load.c, dispatch.c, advice.c, flow.c and runner.c (which meet over the ends
+ * of runs), health.c, worker_set.c, writer.c, call.c; then the decisions
+ * without side effects: rank.c, fit.c, book.c, admit.c.
  */
 #ifndef GB_POOL_STATE_H
 #define GB_POOL_STATE_H
@@ -24,6 +24,12 @@
 #define POOL_SET_WORKERS 500
 #define POOL_SET_ROWS 64
 
+/** The slowest clock of a worker, in thousandths of true time. */
+#define GB_CLOCK_SLOWEST 980
+/** Runs of one owner are numbered from its epoch times this, so that numbers
+ * rise over owners without being stored. */
+#define POOL_RUNS_PER_EPOCH 100000
+
 /** How many workers the advice service takes in one call. */
 #define POOL_ADVICE_MOST 100
 
@@ -126,7 +132,8 @@
 	UT_hash_handle hh;
 	TAILQ_ENTRY(pool_flow) dirty_next;
 	TAILQ_ENTRY(pool_flow) open_next;
-	gb_flow spec; /**< emptied once the flow is over and stored */
+	gb_flow spec;  /**< emptied once the flow is over and stored */
+	uint32_t part; /**< of the tables that its rows stand in */
 	/** Its queue in the configuration in force, or null. */
 	const struct gb_pool_queue *queue;
 	struct pool_step *steps;
@@ -170,6 +177,8 @@
 	uint64_t number;
 	char flow[GB_NAME_MAX + 1];
 	uint64_t change;
+	/** An end of a flow whose part is not attached yet, else null. */
+	struct gb_pool_seen *held;
 };
 
 STAILQ_HEAD(pool_ends, pool_end);
@@ -179,17 +188,18 @@
 	uint32_t handle;
 	struct gb_pool_entry entry;
 	char rack[GB_NAME_MAX + 1];
-	gb_res used;	   /**< by runs */
-	gb_res claimed;	   /**< kept for gangs whose tickets are renewed */
-	gb_res booked;	   /**< kept for gangs that wait for room */
-	gb_time booked_at; /**< when the first of them wants it, 0: none */
-	bool was_booked;   /**< in the dispatch before this one */
-	bool listed;	   /**< by the platform */
-	bool fenced;	   /**< has answered this owner */
-	bool over;	   /**< its lifetime has ended, or its lease lapsed */
-	bool recorded;	   /**< stands in the stored set of workers */
-	bool recording;	   /**< stands in the set that is being written */
-	bool foreign;	   /**< runs something whose size is unknown */
+	gb_res used;	    /**< by runs */
+	gb_res claimed;	    /**< kept for gangs whose tickets are renewed */
+	gb_res booked;	    /**< kept for gangs that wait for room */
+	gb_time booked_at;  /**< when the first of them wants it, 0: none */
+	bool was_booked;    /**< in the dispatch before this one */
+	bool listed;	    /**< by the platform */
+	bool fenced;	    /**< has answered this owner */
+	bool over;	    /**< its lifetime has ended, or its lease lapsed */
+	uint32_t recorded;  /**< parts in whose stored set it stands, as bits */
+	uint32_t recording; /**< the same of the sets that are being written */
+	bool foreign;	    /**< runs something whose size is unknown */
+	gb_time reported;   /**< when the newest hold with an answer was sent */
 	uint64_t hold_call;
 	gb_time hold_sent;
 	gb_time hold_at;      /**< next hold */
@@ -221,8 +231,33 @@
 	POOL_PART_WAITING  /**< refused; tries again */
 };
 
+/** How far this owner has come with a part. */
+enum pool_attach {
+	POOL_DETACHED,	/**< tries again at attach_at */
+	POOL_READING,	/**< the owner's row */
+	POOL_READ,	/**< its row is known, the new epoch is not */
+	POOL_CLAIMING,	/**< writing the owner's row */
+	POOL_PART_LOAD, /**< reading its flows, states and workers */
+	POOL_ATTACHED	/**< this owner works on its flows */
+};
+
 /** Rows of one part, written one transaction at a time. */
 struct pool_part {
+	enum pool_attach attach;
+	gb_time attach_at;
+	unsigned int attach_failures; /**< tries in a row without success */
+	uint32_t round;	    /**< of reading; answers of earlier ones are old */
+	uint32_t loads_out; /**< reads that are out */
+	uint64_t row_epoch; /**< in the owner's row as it was read, 0: none */
+	bool row_vacant;
+	bool row_own; /**< this process wrote it for this claim */
+	gb_time attached_at;
+	gb_time settle_at;    /**< no run of an earlier owner lasts longer */
+	bool settled;	      /**< every run of earlier owners is known */
+	uint64_t set_changed; /**< rows of the set of workers to be written */
+	uint64_t set_sent;    /**< the one that is being written, 0: none */
+	char set_key[sizeof(GB_POOL_WORKERS_KEY) + 2]; /**< its key */
+	bool urgent; /**< somebody waits for what is to be written */
 	enum pool_part_phase phase;
 	uint64_t owner_vers; /**< version of the owner's row */
 	uint64_t serial;     /**< of the owner's row */
@@ -268,9 +303,9 @@
 
 enum pool_owner_phase {
 	POOL_OWNER_NONE,
-	POOL_OWNER_READING, /**< the owner's rows */
-	POOL_OWNER_CLAIMING,
-	POOL_OWNER_LOADING,
+	POOL_OWNER_READING,  /**< the owner's rows, until most are known */
+	POOL_OWNER_CLAIMING, /**< the epoch is chosen; most rows are wanted */
+	POOL_OWNER_LOADING,  /**< most parts are claimed, not yet read */
 	POOL_OWNER_ACTIVE,
 	POOL_OWNER_RELEASING
 };
@@ -298,6 +333,7 @@
 	uint64_t epoch; /**< term in which it was made */
 	gb_time sent;
 	uint32_t part;
+	uint32_t round; /**< of reading the part */
 	uint32_t worker;
 	struct pool_run *run; /**< null once the run has gone */
 };
@@ -327,15 +363,12 @@
 	uint64_t epoch; /**< of this owner, or the newest that is known */
 	uint64_t term;	/**< grows when ownership is gained or lost */
 	gb_time taken_at;
-	gb_time confirmed; /**< last answer of the store to this owner */
-	unsigned int reads_out;
-	bool claim_failed;
-	uint64_t claim_epoch;
+	gb_time confirmed;    /**< last answer of the store to this owner */
+	uint64_t claim_epoch; /**< 0 until it is chosen */
 	uint64_t claim_after; /**< epoch of the owner that is succeeded */
-	uint64_t claim_vers[GB_POOL_PARTS];
-	gb_time settle_at;  /**< no run of an earlier owner lasts longer */
-	bool settled;	    /**< every run of earlier owners is known */
-	gb_time release_by; /**< give up what is not written by then */
+	uint32_t claim_first; /**< part that decides between rivals */
+	gb_time claimed_at;   /**< when most parts were claimed */
+	gb_time release_by;   /**< give up what is not written by then */
 	gb_time inbox_at;
 	/* Flows */
 	struct pool_flow *flows;
@@ -349,10 +382,7 @@
 	struct pool_worker **workers;
 	uint32_t worker_count;
 	uint32_t worker_size;
-	bool listed;	      /**< the list of workers has been read */
-	uint64_t set_changed; /**< rows of the set of workers to be written */
-	uint64_t set_sent;    /**< the one that is being written, 0: none */
-	char set_key[sizeof(GB_POOL_WORKERS_KEY) + 2]; /**< its key */
+	bool listed; /**< the list of workers has been read */
 	/* Advice */
 	struct pool_lane *lanes;
 	size_t lane_count;
@@ -394,8 +424,9 @@
 /* fit.c */
 /** Room of a worker that nothing uses or keeps. */
 gb_res pool_fit_free(const struct pool_worker *);
-/** Whether a worker may be given new work now. */
-bool pool_fit_usable(const struct gb_pool *, const struct pool_worker *);
+/** Whether a worker may be given new work of a part now. */
+bool pool_fit_usable(
+    const struct gb_pool *, const struct pool_worker *, uint32_t part);
 /** Whether a worker may run a step, by its service, labels and rack. */
 bool pool_fit_allows(const struct gb_pool *, const struct pool_flow *,
     const struct pool_step *, const struct pool_worker *);
@@ -428,7 +459,8 @@
     struct gb_pool *, const gb_flow *, gb_time *retry_after, const char **why);
 
 /* writer.c */
-void pool_writer_dirty(struct gb_pool *, struct pool_flow *);
+/** A flow is to be written; soon, if somebody waits for it. */
+void pool_writer_dirty(struct gb_pool *, struct pool_flow *, bool urgent);
 void pool_writer_tick(struct gb_pool *);
 void pool_writer_done(
     struct gb_pool *, const struct pool_call *, const struct gb_pool_txn_res *);
@@ -485,19 +517,21 @@
     struct gb_pool *, const struct gb_pool_entry *);
 
 /* worker_set.c */
-/** A worker comes into the set or leaves it: its row must be written. */
+/** A worker leaves the set: its rows must be written. */
 void pool_worker_set_mark(struct gb_pool *, const struct pool_worker *);
+/** A worker is listed: it must come into the sets that it is not in. */
+void pool_worker_set_want(struct gb_pool *, const struct pool_worker *);
 /** Whether an owner may have sent runs to a worker that may still have them. */
 bool pool_worker_in_use(const struct gb_pool *, const struct pool_worker *);
-/** The next row of the set of workers that may run something; its key stands in
- * set_key. */
-bool pool_worker_set_body(struct gb_pool *, gb_body *);
+/** The next row of a part's set of workers; its key stands in set_key. */
+bool pool_worker_set_body(struct gb_pool *, uint32_t part, gb_body *);
 /** A row of the set was read under this key: it will be written anew. */
-void pool_worker_set_read(struct gb_pool *, const char *key);
-/** The set that was written last is stored, or not. */
-void pool_worker_set_stored(struct gb_pool *, bool stored);
+void pool_worker_set_read(struct gb_pool *, uint32_t part, const char *key);
+/** The row that was written last is stored, or not. */
+void pool_worker_set_stored(struct gb_pool *, uint32_t part, bool stored);
 /** A worker of the stored set, of whom nothing else may be known. */
-void pool_worker_recorded(struct gb_pool *, const gb_worker_ref *);
+void pool_worker_recorded(
+    struct gb_pool *, uint32_t part, const gb_worker_ref *);
 void pool_workers_reset(struct gb_pool *);
 void pool_workers_free(struct gb_pool *);
 /** Start a run of a task. */
@@ -509,6 +543,8 @@
     const struct gb_pool_order_res *);
 void pool_run_stop_done(struct gb_pool *, const struct pool_call *,
     const struct gb_pool_order_res *);
+/** A part has been attached: take in what workers told of its flows. */
+void pool_worker_part_attached(struct gb_pool *, uint32_t part);
 void pool_worker_hold_done(
     struct gb_pool *, const struct pool_call *, const struct gb_pool_report *);
 
@@ -546,6 +582,25 @@
     const struct gb_pool_read_res *);
 void pool_owner_txn_done(
     struct gb_pool *, const struct pool_call *, const struct gb_pool_txn_res *);
-void pool_owner_inbox(struct gb_pool *, uint32_t part);
+/** Whether this owner works on the flows of a part. */
+bool pool_part_attached(const struct gb_pool *, uint32_t part);
+/** Whether a part is about to be attached, so that waiting is worth it. */
+bool pool_part_coming(const struct gb_pool *, uint32_t part);
+/** Whether every run of earlier owners is known, of all parts. */
+bool pool_owner_settled(const struct gb_pool *);
+
+/* load.c */
+enum pool_load { POOL_LOAD_GOES_ON, POOL_LOAD_DONE, POOL_LOAD_FAILED };
+
+/** Read what is stored of a part. */
+void pool_load_begin(struct gb_pool *, uint32_t part);
+enum pool_load pool_load_done(struct gb_pool *, const struct pool_call *,
+    const struct gb_pool_read_res *);
+/** Forget the flows of a part that was not read to its end. */
+void pool_load_drop(struct gb_pool *, uint32_t part);
+/** Look for flows that were stored without the owner. */
+void pool_load_inbox(struct gb_pool *, uint32_t part);
+void pool_load_inbox_done(struct gb_pool *, const struct pool_call *,
+    const struct gb_pool_read_res *);
 
 #endif
--- a/libgooseberry/pool/worker_set.c
+++ b/libgooseberry/pool/worker_set.c
@@ -1,9 +1,9 @@
 /**
  * @file worker_set.c
- * The stored set of workers that may run something.  A start goes only to a
- * worker that stands in it, so that a successor knows whom to ask, also when
- * the platform's list does not name them: entries lapse while the store is
- * away.
+ * The stored sets of workers, one in each part, that may run something of the
+ * part's flows.  A start goes only to a worker that stands in it, so that a
+ * successor knows whom to ask, also when the platform's list does not name
+ * them: entries lapse while the store is away.
  */
 #include <stdlib.h>
 #include <string.h>
@@ -21,7 +21,21 @@
 void
 pool_worker_set_mark(struct gb_pool *pool, const struct pool_worker *worker)
 {
-	pool->set_changed |= set_row(worker);
+	uint32_t i;
+
+	for (i = 0; i < GB_POOL_PARTS; i++)
+		pool->parts[i].set_changed |= set_row(worker);
+}
+
+void
+pool_worker_set_want(struct gb_pool *pool, const struct pool_worker *worker)
+{
+	uint32_t i;
+
+	for (i = 0; i < GB_POOL_PARTS; i++) {
+		if ((worker->recorded & (UINT32_C(1) << i)) == 0)
+			pool->parts[i].set_changed |= set_row(worker);
+	}
 }
 
 /** Whether an owner may have sent runs to a worker that may still have them. */
@@ -33,16 +47,18 @@
 	if (worker->listed || worker->run_count > 0)
 		return true;
 	/* Unlisted and silent: until every lease it was given is over. */
-	return worker->recorded &&
+	return worker->recorded != 0 &&
 	       (worker->silent == 0 || worker->lapse_at >= pool->now ||
-		   !pool->settled);
+		   !pool_owner_settled(pool));
 }
 
 bool
-pool_worker_set_body(struct gb_pool *pool, gb_body *body)
+pool_worker_set_body(struct gb_pool *pool, uint32_t number, gb_body *body)
 {
-	unsigned int number = (unsigned int)__builtin_ctzll(pool->set_changed);
-	uint32_t first = number * POOL_SET_WORKERS;
+	struct pool_part *part = &pool->parts[number];
+	unsigned int row = (unsigned int)__builtin_ctzll(part->set_changed);
+	uint32_t bit = UINT32_C(1) << number;
+	uint32_t first = row * POOL_SET_WORKERS;
 	uint32_t last = first + POOL_SET_WORKERS;
 	gb_worker_set set = {0};
 	bool ok;
@@ -53,52 +69,58 @@
 		struct pool_worker *worker = pool->workers[i];
 		gb_worker_ref *ref = &set.list.list_val[set.list.list_len];
 
-		worker->recording = pool_worker_in_use(pool, worker);
-		if (!worker->recording)
+		worker->recording &= ~bit;
+		if (!pool_worker_in_use(pool, worker))
 			continue;
+		worker->recording |= bit;
 		ref->id = worker->entry.id;
 		ref->addr = worker->entry.addr;
 		set.list.list_len++;
 	}
-	pool->set_sent = UINT64_C(1) << number;
-	pool->set_changed &= ~pool->set_sent;
-	snprintf(pool->set_key, sizeof(pool->set_key),
-	    GB_POOL_WORKERS_KEY "%02u", number % POOL_SET_ROWS);
+	part->set_sent = UINT64_C(1) << row;
+	part->set_changed &= ~part->set_sent;
+	snprintf(part->set_key, sizeof(part->set_key),
+	    GB_POOL_WORKERS_KEY "%02u", row % POOL_SET_ROWS);
 	ok = gb_xdr_encode((xdrproc_t)xdr_gb_worker_set, &set, body);
 	free(set.list.list_val);
 	return ok;
 }
 
 void
-pool_worker_set_read(struct gb_pool *pool, const char *key)
+pool_worker_set_read(struct gb_pool *pool, uint32_t part, const char *key)
 {
-	unsigned long number =
+	unsigned long row =
 	    strtoul(key + strlen(GB_POOL_WORKERS_KEY), NULL, 10);
 
-	pool->set_changed |= UINT64_C(1) << (number % POOL_SET_ROWS);
+	pool->parts[part].set_changed |= UINT64_C(1) << (row % POOL_SET_ROWS);
 }
 
 void
-pool_worker_set_stored(struct gb_pool *pool, bool stored)
+pool_worker_set_stored(struct gb_pool *pool, uint32_t number, bool stored)
 {
-	uint64_t sent = pool->set_sent;
+	struct pool_part *part = &pool->parts[number];
+	uint32_t bit = UINT32_C(1) << number;
+	uint64_t sent = part->set_sent;
 	uint32_t i;
 
-	pool->set_sent = 0;
+	part->set_sent = 0;
 	if (!stored) {
-		pool->set_changed |= sent;
+		part->set_changed |= sent;
 		return;
 	}
 	for (i = 0; i < pool->worker_count; i++) {
-		if (set_row(pool->workers[i]) == sent)
-			pool->workers[i]->recorded =
-			    pool->workers[i]->recording;
+		struct pool_worker *worker = pool->workers[i];
+
+		if (set_row(worker) == sent)
+			worker->recorded = (worker->recorded & ~bit) |
+					   (worker->recording & bit);
 	}
 	pool->work_changed = true;
 }
 
 void
-pool_worker_recorded(struct gb_pool *pool, const gb_worker_ref *ref)
+pool_worker_recorded(
+    struct gb_pool *pool, uint32_t part, const gb_worker_ref *ref)
 {
 	struct pool_worker *worker = pool_worker_find(pool, ref->id);
 	struct gb_pool_entry entry = {0};
@@ -108,5 +130,5 @@
 		snprintf(entry.addr, sizeof(entry.addr), "%s", ref->addr);
 		worker = pool_worker_new(pool, &entry);
 	}
-	worker->recorded = true;
+	worker->recorded |= UINT32_C(1) << part;
 }
--- a/libgooseberry/pool/writer.c
+++ b/libgooseberry/pool/writer.c
@@ -23,8 +23,10 @@
 /** Bytes of values in one transaction; the store takes 1 MB in base64. */
 #define WRITER_BYTES_MOST (400 * 1024)
 /** Pause between transactions of a part, which gathers changes: calls are
- * paid for, and a submission waits half of it on average. */
+ * paid for, and a submission waits half of it on average.  What nobody waits
+ * for, such as the end of one task of several, is gathered for longer. */
 #define WRITER_GAP (35 * GB_MSEC)
+#define WRITER_GAP_LONG (120 * GB_MSEC)
 /** A write that takes longer than this is overdue: the store is asked for a
  * small row.  A quick answer says that the write's answer was lost, a slow one
  * that the store is slow, and none that it is out.  Writes take 12 ms, or 0.75
@@ -48,10 +50,11 @@
 }
 
 void
-pool_writer_dirty(struct gb_pool *pool, struct pool_flow *flow)
+pool_writer_dirty(struct gb_pool *pool, struct pool_flow *flow, bool urgent)
 {
-	struct pool_part *part = &pool->parts[gb_pool_part(flow->spec.id)];
+	struct pool_part *part = &pool->parts[flow->part];
 
+	part->urgent = part->urgent || urgent;
 	if (flow->dirty)
 		return;
 	flow->dirty = true;
@@ -167,16 +170,16 @@
 		abort(); /* names were checked with the settings */
 }
 
-/** The set of workers goes with the first part, whose owner's row guards it. */
 static void
 draft_worker_set(struct gb_pool *pool, uint32_t number, struct draft *draft)
 {
+	struct pool_part *part = &pool->parts[number];
 	struct gb_pool_row *row;
 
-	if (number != 0 || pool->set_changed == 0 || pool->set_sent != 0)
+	if (part->set_changed == 0 || part->set_sent != 0)
 		return;
-	row = draft_put(draft, GB_POOL_OWNERS, pool->set_key);
-	if (!pool_worker_set_body(pool, &row->value))
+	row = draft_put(draft, GB_POOL_OWNERS, part->set_key);
+	if (!pool_worker_set_body(pool, number, &row->value))
 		abort(); /* names were checked when they were taken in */
 }
 
@@ -224,6 +227,7 @@
 	part->sent_flows =
 	    gb_calloc(WRITER_ENTRIES_MOST, sizeof(struct pool_flow *));
 	part->sent_count = 0;
+	part->urgent = false;
 	while (
 	    (flow = TAILQ_FIRST(&part->dirty)) != NULL &&
 	    draft.txn.cond_count + draft.txn.put_count + WRITER_FLOW_ENTRIES <=
@@ -247,7 +251,8 @@
 {
 	const struct pool_part *part = &pool->parts[number];
 
-	return part->refused >= WRITER_OUT_REFUSED || part->silent;
+	return part->refused >= WRITER_OUT_REFUSED || part->silent ||
+	       part->attach != POOL_ATTACHED;
 }
 
 /** Ask whether the store answers at all, once an answer is overdue. */
@@ -302,19 +307,23 @@
 part_tick(struct gb_pool *pool, uint32_t number)
 {
 	struct pool_part *part = &pool->parts[number];
+	bool urgent = part->urgent || part->set_changed != 0 ||
+		      pool->phase == POOL_OWNER_RELEASING;
 
+	if (part->attach != POOL_ATTACHED)
+		return;
 	part_probe(pool, number);
 	if (pool_writer_out(pool, number))
 		part_out(pool, number);
 	if (part->phase == POOL_PART_WAITING && part->retry_at <= pool->now)
 		part->phase = POOL_PART_IDLE;
 	if (part->phase != POOL_PART_IDLE ||
-	    pool->now - part->sent < WRITER_GAP)
+	    pool->now - part->sent < (urgent ? WRITER_GAP : WRITER_GAP_LONG))
 		return;
 	if (part->seal)
 		part_seal(pool, number);
 	else if (part->renew || !TAILQ_EMPTY(&part->dirty) ||
-		 (number == 0 && pool->set_changed != 0))
+		 part->set_changed != 0)
 		part_write(pool, number);
 }
 
@@ -334,7 +343,7 @@
 	size_t i;
 
 	for (i = 0; i < part->sent_count; i++)
-		pool_writer_dirty(pool, part->sent_flows[i]);
+		pool_writer_dirty(pool, part->sent_flows[i], true);
 	part->sent_count = 0;
 }
 
@@ -455,8 +464,8 @@
 		return;
 	/* The store is quick, and this answer has not come. */
 	part->call = 0;
-	if (call->part == 0 && pool->set_sent)
-		pool_worker_set_stored(pool, false);
+	if (part->set_sent)
+		pool_worker_set_stored(pool, call->part, false);
 	part_lost(pool, part);
 	free(part->sent_flows);
 	part->sent_flows = NULL;
@@ -472,13 +481,13 @@
 		return;
 	part->call = 0;
 	gb_histogram_add(&pool->stats.txn_us, pool->now - call->sent);
-	if (call->part == 0 && pool->set_sent && res->status != GB_STORE_OK)
-		pool_worker_set_stored(pool, false);
+	if (part->set_sent && res->status != GB_STORE_OK)
+		pool_worker_set_stored(pool, call->part, false);
 	switch (res->status) {
 	case GB_STORE_OK:
 		pool->confirmed = call->sent;
-		if (call->part == 0 && pool->set_sent)
-			pool_worker_set_stored(pool, true);
+		if (part->set_sent)
+			pool_worker_set_stored(pool, call->part, true);
 		part->phase = POOL_PART_IDLE;
 		part->tries = 0;
 		part->refused = 0;
@@ -515,6 +524,8 @@
 	uint32_t i;
 
 	for (i = 0; i < GB_POOL_PARTS; i++) {
+		if (pool->parts[i].attach != POOL_ATTACHED)
+			continue;
 		if (pool->parts[i].phase != POOL_PART_IDLE ||
 		    pool->parts[i].renew || pool->parts[i].seal ||
 		    !TAILQ_EMPTY(&pool->parts[i].dirty))
--- a/standin/world.c
+++ b/standin/world.c
@@ -301,7 +301,7 @@
 	for (i = 0; i < flow->task_count; i++) {
 		view->running += (unsigned int)flow->tasks[i].running;
 		view->done = view->done && flow->tasks[i].ever_done;
-		if (flow->tasks[i].failures >= flow->max_attempts)
+		if (flow->tasks[i].ever_failures >= flow->max_attempts)
 			view->failed = true;
 	}
 	return true;
@@ -384,8 +384,10 @@
 		task->done = true;
 		task->ever_done = true;
 	}
-	if (how == GB_POOL_FAILED)
+	if (how == GB_POOL_FAILED) {
 		task->failures++;
+		task->ever_failures++;
+	}
 	if (how == GB_POOL_ALONE)
 		fault(world, &world->faults.alone, "waited alone", run->flow);
 }
--- a/standin/world_state.h
+++ b/standin/world_state.h
@@ -74,6 +74,7 @@
 	bool ever_done; /**< also when that end was lost with its worker */
 	bool noted;	/**< the owner has taken note of an end that is done */
 	unsigned int failures;
+	unsigned int ever_failures; /**< also ends lost with their worker */
 };
 
 struct world_flow {
--- a/tests/pool_cell.c
+++ b/tests/pool_cell.c
@@ -322,13 +322,20 @@
 	world_advice_free(&res);
 }
 
+static bool
+part_is_out(const struct pool_cell *cell, uint32_t part)
+{
+	return cell->faults.store_down ||
+	       (cell->faults.parts_down >> part & 1) != 0;
+}
+
 static void
 event_txn(struct pool_cell *cell, const struct pool_event *event)
 {
 	struct gb_pool *pool = event_pool(cell, event);
 	struct gb_pool_txn_res res = {0};
 
-	if (cell->faults.store_down)
+	if (part_is_out(cell, event->txn.part))
 		res.status = GB_STORE_REFUSED;
 	else
 		world_txn(cell->world, &event->txn, &res);
@@ -345,7 +352,7 @@
 
 	if (pool == NULL)
 		return;
-	if (cell->faults.store_down)
+	if (part_is_out(cell, event->read.part))
 		res.status = GB_STORE_REFUSED;
 	else
 		world_read(cell->world, &event->read, &res);
@@ -736,6 +743,12 @@
 	cell_ask(cell, flow, GB_FLOW_OP_CANCEL);
 }
 
+gb_flow_verdict
+pool_cell_verdict(struct pool_cell *cell, size_t flow)
+{
+	return cell_ask(cell, flow, GB_FLOW_OP_STATE).verdict;
+}
+
 gb_flow_status
 pool_cell_state(struct pool_cell *cell, size_t flow)
 {
--- a/tests/pool_cell.h
+++ b/tests/pool_cell.h
@@ -19,6 +19,7 @@
 	unsigned int txn_late; /**< no answer, done 2 s later */
 	unsigned int advice_lost;
 	bool store_down;
+	uint32_t parts_down; /**< parts of the tables that are out, as bits */
 };
 
 struct pool_cell_setup {
@@ -84,6 +85,8 @@
 /** Submit it once more, as a caller without an answer does. */
 void pool_cell_submit_again(struct pool_cell *, size_t flow);
 void pool_cell_cancel(struct pool_cell *, size_t flow);
+/** Whether the owner answers at all when it is asked for a state. */
+gb_flow_verdict pool_cell_verdict(struct pool_cell *, size_t flow);
 /** State as the owner shows it. */
 gb_flow_status pool_cell_state(struct pool_cell *, size_t flow);
 
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -432,6 +432,136 @@
 	pool_cell_free(cell);
 }
 
+/** Load: the store loses some of its partitions; what belongs to the others is
+ * served as before, the rest is refused at once and taken in afterwards. */
+static void
+test_partial_outage_serves_the_rest(void **state)
+{
+	struct pool_cell *cell = cell_begin(&plain);
+	unsigned int out = 0;
+	size_t i;
+
+	(void)state;
+	cell->faults.parts_down = 3;
+	submit_lookup(cell);
+	pool_cell_run(cell, GB_SEC);
+	for (i = 0; i < 30; i++)
+		submit_lookup(cell);
+	pool_cell_run(cell, 300 * GB_MSEC);
+	for (i = 1; i < 31; i++) {
+		const struct pool_cell_flow *flow = &cell->flows[i];
+		bool down = gb_pool_part(flow->spec.id) < 2;
+
+		out += down;
+		assert_true(flow->answered);
+		assert_int_equal(flow->answer.verdict,
+		    down ? GB_FLOW_REFUSED : GB_FLOW_ACCEPTED);
+	}
+	assert_in_range(out, 1, 29);
+	cell->faults.parts_down = 0;
+	pool_cell_run(cell, GB_SEC);
+	for (i = 1; i < 31; i++)
+		pool_cell_submit_again(cell, i);
+	pool_cell_run(cell, 10 * GB_SEC);
+	for (i = 1; i < 31; i++)
+		assert_int_equal(cell->flows[i].status, GB_FLOW_SUCCEEDED);
+	assert_unharmed(cell);
+	pool_cell_free(cell);
+}
+
+/** Load: the owner dies while two of five partitions are out.  Its successor
+ * works on the others at once; what runs for the missing ones goes on, and its
+ * ends are kept until the part is there. */
+static void
+test_takeover_while_parts_are_out(void **state)
+{
+	struct pool_cell *cell = cell_begin(&plain);
+	size_t flow[30];
+	size_t again;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < 30; i++) {
+		pool_cell_step(cell, 2, 700, GB_SEC, 0, -1);
+		flow[i] = pool_cell_submit(cell, "lookup", "ms=1500");
+	}
+	pool_cell_run(cell, 500 * GB_MSEC);
+	cell->faults.parts_down = 3;
+	pool_cell_kill(cell, 0);
+	pool_cell_take(cell, 1);
+	pool_cell_run(cell, GB_SEC);
+	assert_int_equal(pool_cell_owner(cell), 1);
+	again = submit_lookup(cell);
+	while (gb_pool_part(cell->flows[again].spec.id) < 2)
+		again = submit_lookup(cell);
+	pool_cell_run(cell, 3 * GB_SEC);
+	assert_int_equal(cell->flows[again].answer.verdict, GB_FLOW_ACCEPTED);
+	for (i = 0; i < 30; i++) {
+		bool down = gb_pool_part(cell->flows[flow[i]].spec.id) < 2;
+
+		/* Nothing is said of a flow that can't be read. */
+		assert_int_equal(pool_cell_verdict(cell, flow[i]),
+		    down ? GB_FLOW_REFUSED : GB_FLOW_ACCEPTED);
+		if (!down)
+			assert_int_equal(
+			    pool_cell_state(cell, flow[i]), GB_FLOW_SUCCEEDED);
+	}
+	cell->faults.parts_down = 0;
+	pool_cell_run(cell, 5 * GB_SEC);
+	for (i = 0; i < 30; i++)
+		assert_int_equal(
+		    pool_cell_state(cell, flow[i]), GB_FLOW_SUCCEEDED);
+	/* Nothing had to run again. */
+	assert_true(cell->starts <= 60 + 2 * (cell->flow_count - 30));
+	assert_unharmed(cell);
+	pool_cell_free(cell);
+}
+
+/** Most parts are out: nobody can own the pool, and who tries does no harm. */
+static void
+test_no_takeover_without_most_parts(void **state)
+{
+	struct pool_cell *cell = cell_begin(&plain);
+	size_t flow = submit_lookup(cell);
+
+	(void)state;
+	pool_cell_run(cell, 200 * GB_MSEC);
+	cell->faults.parts_down = 7;
+	pool_cell_kill(cell, 0);
+	pool_cell_take(cell, 1);
+	pool_cell_run(cell, GB_SEC);
+	assert_int_equal(pool_cell_owner(cell), CELL_NODES);
+	cell->faults.parts_down = 0;
+	pool_cell_take(cell, 1);
+	pool_cell_run(cell, 8 * GB_SEC);
+	assert_int_equal(pool_cell_owner(cell), 1);
+	assert_int_equal(pool_cell_state(cell, flow), GB_FLOW_SUCCEEDED);
+	assert_unharmed(cell);
+	pool_cell_free(cell);
+}
+
+/** Rivals claim at once: one of them has most parts and keeps them. */
+static void
+test_rivals_leave_one_owner(void **state)
+{
+	struct pool_cell *cell = cell_begin(&plain);
+	unsigned int i;
+
+	(void)state;
+	for (i = 0; i < 20; i++) {
+		pool_cell_kill(cell, pool_cell_owner(cell));
+		pool_cell_take(cell, 0);
+		if (i % 2 == 0)
+			pool_cell_run(cell, 5 * GB_MSEC);
+		pool_cell_take(cell, 1);
+		pool_cell_take(cell, 2);
+		pool_cell_run(cell, GB_SEC);
+		assert_true(pool_cell_owner(cell) < CELL_NODES);
+	}
+	assert_unharmed(cell);
+	pool_cell_free(cell);
+}
+
 /* Random faults ----------------------------------------------------------- */
 
 static void
@@ -461,7 +591,7 @@
 	unsigned int worker =
 	    (unsigned int)(n / 64 % world_worker_count(cell->world));
 
-	switch (n % 12) {
+	switch (n % 13) {
 	case 0:
 		cell->faults.order_lost = n % 7 * 5;
 		break;
@@ -496,6 +626,10 @@
 	case 10:
 		cell->faults.hold_lost = n % 5 * 5;
 		break;
+	case 11:
+		cell->faults.parts_down =
+		    (uint32_t)(n / 64 % (1U << GB_POOL_PARTS));
+		break;
 	default:
 		if (cell->flow_count > 0)
 			pool_cell_cancel(cell, n / 64 % cell->flow_count);
@@ -602,6 +736,10 @@
 	    cmocka_unit_test(test_takeover_keeps_what_runs),
 	    cmocka_unit_test(test_former_owner_does_no_harm),
 	    cmocka_unit_test(test_accepted_survives_loss_of_all),
+	    cmocka_unit_test(test_partial_outage_serves_the_rest),
+	    cmocka_unit_test(test_takeover_while_parts_are_out),
+	    cmocka_unit_test(test_no_takeover_without_most_parts),
+	    cmocka_unit_test(test_rivals_leave_one_owner),
 	    cmocka_unit_test(test_random_faults),
 	};
 
