An epoch is never in force twice; a lost race is given up

A claim that had lost the race for epoch 2 held some parts and went on trying for four seconds; when the winner stopped and left its rows vacant, the loser took them under the same epoch. Workers could not tell the two apart, and the set of workers it waited for was older than what the winner had started. Change: a vacant row that bears the epoch of the claim ends the claim, unless most parts are held; rivals are waited for 0.3 s, not 4. test_epoch_is_never_in_force_twice fails without it and passes with it.

--- a/libgooseberry/pool/owner.c
+++ b/libgooseberry/pool/owner.c
@@ -35,6 +35,9 @@
 /** A claim that has not come to most parts by then is given up: reads and a
  * write take 1.2 s when the store is a hundred times slower. */
 #define OWNER_CLAIM_MOST (4 * GB_SEC)
+/** A rival in the same race who has not given up by then has won: a claim takes
+ * 15 ms when all is calm. */
+#define OWNER_RIVAL_MOST (300 * GB_MSEC)
 /** An owner of most parts waits this long for the others before it begins; a
  * part is read within 15 ms when all is calm. */
 #define OWNER_ATTACH_WAIT (200 * GB_MSEC)
@@ -239,30 +242,42 @@
 	free(put.value.gb_body_val);
 }
 
-/** Claim a part whose row has been read.  A row of the same epoch belongs to a
- * rival in the same race, who may yet win: only who already holds most parts
- * knows that he did not. */
+/** What to do about a row that bears the epoch of this claim and is not its
+ * own, while this node does not hold most parts.  A vacant one may have been
+ * left by an owner, whose epoch must not be in force again; any other belongs
+ * to a rival in the same race, who gives up soon or has won. */
+static void
+part_contested(struct gb_pool *pool, uint32_t number)
+{
+	struct pool_part *part = &pool->parts[number];
+
+	if (part->row_vacant || number == pool->claim_first ||
+	    pool->now - pool->taken_at > OWNER_RIVAL_MOST)
+		owner_give_up(pool, "another node was first");
+	else
+		part_again(pool, part, ATTACH_RIVAL);
+}
+
+/** Claim a part whose row has been read.  Who holds most parts knows that
+ * nobody else was or will be the owner under this epoch. */
 static void
 part_claim(struct gb_pool *pool, uint32_t number)
 {
 	struct pool_part *part = &pool->parts[number];
-	bool rival = part->row_epoch == pool->claim_epoch && !part->row_vacant;
-
-	if (part->row_epoch > pool->claim_epoch) {
-		if (pool->phase >= POOL_OWNER_LOADING)
-			pool_owner_lose(pool, "another node owns the pool",
-			    part->row_epoch);
-		else
-			owner_give_up(pool, "another node was first");
-	} else if (part->row_own) {
+
+	if (part->row_epoch > pool->claim_epoch &&
+	    pool->phase >= POOL_OWNER_LOADING)
+		pool_owner_lose(
+		    pool, "another node owns the pool", part->row_epoch);
+	else if (part->row_epoch > pool->claim_epoch)
+		owner_give_up(pool, "another node was first");
+	else if (part->row_own)
 		part_claimed(pool, number);
-	} else if (!rival || pool->phase >= POOL_OWNER_LOADING) {
+	else if (part->row_epoch == pool->claim_epoch &&
+		 pool->phase < POOL_OWNER_LOADING)
+		part_contested(pool, number);
+	else
 		part_claim_send(pool, number);
-	} else if (number == pool->claim_first) {
-		owner_give_up(pool, "another node was first");
-	} else {
-		part_again(pool, part, ATTACH_RIVAL);
-	}
 }
 
 /** Most rows are known: the new epoch is above all that were in force. */
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -562,6 +562,37 @@
 	pool_cell_free(cell);
 }
 
+/** A claim that lost holds two parts and goes on; the winner owns the pool and
+ * then releases it.  Its epoch must not be in force again under the loser, whom
+ * no worker could tell from it (bench: TWICE, byggepas trouble-2 seed 11). */
+static void
+test_epoch_is_never_in_force_twice(void **state)
+{
+	struct pool_cell *cell = cell_begin(&plain);
+	uint64_t epoch;
+	int i;
+
+	(void)state;
+	pool_cell_kill(cell, 0);
+	cell->faults.parts_down = 3;
+	pool_cell_take(cell, 2);
+	pool_cell_run(cell, 5 * GB_MSEC);
+	pool_cell_take(cell, 1);
+	/* The reads of the first come to nothing for two parts. */
+	pool_cell_run(cell, 5 * GB_MSEC);
+	cell->faults.parts_down = 0;
+	pool_cell_run(cell, GB_SEC);
+	assert_int_equal(pool_cell_owner(cell), 2);
+	epoch = gb_pool_epoch(cell->nodes[2]);
+	gb_pool_release(cell->nodes[2], cell->now);
+	for (i = 0; i < 200; i++) {
+		pool_cell_run(cell, 5 * GB_MSEC);
+		if (gb_pool_owns(cell->nodes[1]))
+			assert_true(gb_pool_epoch(cell->nodes[1]) > epoch);
+	}
+	pool_cell_free(cell);
+}
+
 /* Random faults ----------------------------------------------------------- */
 
 static void
@@ -740,6 +771,7 @@
 	    cmocka_unit_test(test_takeover_while_parts_are_out),
 	    cmocka_unit_test(test_no_takeover_without_most_parts),
 	    cmocka_unit_test(test_rivals_leave_one_owner),
+	    cmocka_unit_test(test_epoch_is_never_in_force_twice),
 	    cmocka_unit_test(test_random_faults),
 	};
 
