--- a/libgooseberry/pool.h
+++ b/libgooseberry/pool.h
@@ -173,9 +173,9 @@
 
 /** Rows of one part are written one transaction after the other, and the store
  * may lose some of its partitions while the others serve.  Each part stands for
- * itself: its own owner's row, set of workers, flows and states.  With five, the
- * pool can be taken over while two of them are out; each more costs a write of
- * its own for what one would gather. */
+ * itself: its own owner's row, set of workers, flows and states.  With five,
+ * the pool can be taken over while two of them are out; each more costs a write
+ * of its own for what one would gather. */
 #define GB_POOL_PARTS 5
 /** Key of the owner's row. */
 #define GB_POOL_OWNER_KEY "owner"
--- /dev/null
+++ b/soak/bites.sh
@@ -0,0 +1,57 @@
+#!/bin/sh
+# Shows that the soak bites: breaks the code in one way after the other, in a
+# copy, and plays seeds until one of them finds it.
+#   soak/bites.sh [SEEDS]
+cd "$(dirname "$0")/.." || exit 1
+SEEDS=${1:-12}
+COPY=$(mktemp -d)
+trap 'rm -rf "$COPY"' EXIT
+P=libgooseberry/pool
+
+breakage() { # name, file, sed expression
+	rm -rf "$COPY/src"
+	git clone -q . "$COPY/src" || exit 1
+	sed -i "$3" "$COPY/src/$2"
+	if git -C "$COPY/src" diff --quiet; then
+		echo "bites: $1: the code to be broken was not found"
+		return
+	fi
+	if ! { cmake -S "$COPY/src" -B "$COPY/build" -G Ninja &&
+	    ninja -C "$COPY/build" gooseberry-node-shifted \
+		gooseberry-emulator gooseberry-soak; } >"$COPY/log" 2>&1; then
+		echo "bites: $1: does not build"
+		return
+	fi
+	seed=1
+	while [ "$seed" -le "$SEEDS" ]; do
+		if ! BUILD=$COPY/build PARALLEL=4 soak/run.sh "$seed" \
+		    $((seed + 3)) --seconds 15 >"$COPY/out" 2>&1; then
+			echo "bites: $1: found, seeds $seed to $((seed + 3)):" \
+			    "$(grep -m 1 BROKEN "$COPY/out" | sed 's/.*BROKEN: //')"
+			return
+		fi
+		seed=$((seed + 4))
+	done
+	echo "bites: $1: NOT found in $SEEDS seeds"
+}
+
+breakage "ends are acknowledged before they are stored" $P/runner.c \
+    's/(flow != NULL \&\& flow->stored < end->change)/false/'
+breakage "a takeover waits for nobody" $P/owner.c \
+    's/part->settled = part->row_epoch == 0/part->settled = true/'
+breakage "steps do not wait for those before them" $P/flow.c \
+    's/return step->done == step->spec->count \&\&/return true ||/'
+breakage "room that is used counts as free" $P/fit.c \
+    's/gb_res_sub(&room, &worker->used);//'
+breakage "a part that is not attached answers" $P/pool.c \
+    's/if (pool_part_attached(pool, part))/if (true)/'
+breakage "a cancelled flow is not stopped" $P/flow.c \
+    's/if (status != GB_FLOW_SUCCEEDED)$/if (status == GB_FLOW_FAILED)/'
+breakage "attempts are not limited" $P/flow.c \
+    's/return most == 0 ? 1 : most;/return 99 + most;/'
+breakage "an older configuration is taken" libgooseberry/node/node.c \
+    's/config->version <= node->config->version/config->version == node->config->version/'
+breakage "done is shown before all is done" $P/flow.c \
+    's/return flow->begun ? GB_FLOW_RUNNING/return flow->begun ? GB_FLOW_SUCCEEDED/'
+breakage "runs are numbered anew by each owner" $P/dispatch.c \
+    's/(pool->epoch - 1) \* POOL_RUNS_PER_EPOCH/0/'
--- a/soak/fault.c
+++ b/soak/fault.c
@@ -177,6 +177,8 @@
 STORE_FAULT(lost, "lost=30")
 STORE_FAULT(late, "late=30")
 STORE_FAULT(compact, "compact=1")
+STORE_FAULT(two_parts, "parts=3")
+STORE_FAULT(most_parts, "parts=22")
 STORE_FAULT(well, "")
 
 static void
@@ -301,7 +303,9 @@
     {"worker_rack", false, rack_crash, rack_reborn},
     {"worker_failing", false, host_failing, host_well},
     {"worker_still", false, host_still, host_well},
-    {"worker_drain", false, host_drain, host_reborn}};
+    {"worker_drain", false, host_drain, host_reborn},
+    {"tables_two_parts", false, tables_two_parts, tables_well},
+    {"tables_most_parts", false, tables_most_parts, tables_well}};
 
 #define KIND_COUNT (sizeof(kinds) / sizeof(kinds[0]))
 
@@ -313,6 +317,8 @@
 fault_plan(void)
 {
 	gb_time at = FAULT_FIRST;
+	unsigned int kind_count =
+	    soak.kinds > 0 && soak.kinds < KIND_COUNT ? soak.kinds : KIND_COUNT;
 
 	while (at < soak.seconds * GB_SEC && fault_count < FAULTS_MOST) {
 		struct fault *fault = &faults[fault_count++];
@@ -322,7 +328,7 @@
 					soak_random(FAULT_LENGTH_SPREAD_MS)) *
 					GB_MSEC;
 		do {
-			fault->kind = &kinds[soak_random(KIND_COUNT)];
+			fault->kind = &kinds[soak_random(kind_count)];
 		} while (soak.planned_only && !fault->kind->planned);
 		fault->node = soak_random(soak.node_count);
 		fault->worker = soak_random(soak.worker_count);
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -207,6 +207,8 @@
     {"rate", 'r', "N", 0, "Jobs a second (8)", 0},
     {"port", 'p', "PORT", 0, "First of the 2,000 ports used (21000)", 0},
     {"build", 'b', "DIR", 0, "Where the programs are (build)", 0},
+    {"kinds", 'k', "N", 0,
+	"Draw the first N kinds of faults only, as older seeds did", 0},
     {"planned", 'P', NULL, 0, "Planned work only", 0},
     {0},
 };
@@ -249,6 +251,9 @@
 	case 'b':
 		soak.build = arg;
 		return 0;
+	case 'k':
+		soak.kinds = number(arg, 1, 1000);
+		return 0;
 	case 'P':
 		soak.planned_only = true;
 		return 0;
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -66,8 +66,9 @@
 	unsigned int seconds;
 	unsigned int node_count;
 	unsigned int worker_count;
-	unsigned int rate; /**< jobs a second */
-	unsigned int port; /**< first of the ports used */
+	unsigned int rate;  /**< jobs a second */
+	unsigned int port;  /**< first of the ports used */
+	unsigned int kinds; /**< first kinds of faults that are drawn, 0: all */
 	bool planned_only;
 	const char *build; /**< folder of the programs */
 	char dir[256];	   /**< of settings and logs */
--- a/standin/emulator_store.c
+++ b/standin/emulator_store.c
@@ -188,6 +188,12 @@
 	return part[0] == 'p' ? (uint32_t)strtoul(part + 1, NULL, 10) : 0;
 }
 
+static bool
+part_is_out(const struct emulator *emu, uint32_t part)
+{
+	return (emu->faults.store_parts >> part & 1) != 0;
+}
+
 static void
 serve_get(struct emulator *emu, struct http_call *call)
 {
@@ -214,6 +220,10 @@
 	emu_query(call, "To", to, sizeof(to));
 	emu_query(call, "Limit", limit, sizeof(limit));
 	read.part = part_number(part);
+	if (part_is_out(emu, read.part)) {
+		emu_answer(call, 503, json_object());
+		return;
+	}
 	read.from = from;
 	read.to = to;
 	read.limit = (uint32_t)strtoul(limit, NULL, 10);
@@ -307,6 +317,18 @@
 	json_decref(root);
 }
 
+/** The part that a transaction is about: all its rows stand in it. */
+static uint32_t
+txn_part(const json_t *root)
+{
+	const json_t *conds = json_object_get(root, "ExpectedRev");
+	const json_t *first = json_array_get(conds, 0);
+
+	if (first == NULL)
+		first = json_array_get(json_object_get(root, "Put"), 0);
+	return part_number(plat_json_string(first, "part"));
+}
+
 static void
 serve_txn(struct emulator *emu, struct http_call *call)
 {
@@ -318,6 +340,11 @@
 		emu_answer(call, 400, json_object());
 		return;
 	}
+	if (part_is_out(emu, txn_part(root))) {
+		json_decref(root);
+		emu_answer(call, 503, json_object());
+		return;
+	}
 	if (emu_chance(emu, emu->faults.store_late)) {
 		/* No answer; the call stays open until its sender gives up. */
 		emu_later(emu,
