A store that takes a hundred times its time does not count as silent

A read takes 0.39 s then, and a probe counted as silent after 0.33 s. Change: 0.7 s. Test: test_slow_store_still_takes_work_in, failed before.

--- a/libgooseberry/pool/writer.c
+++ b/libgooseberry/pool/writer.c
@@ -30,11 +30,11 @@
 #define WRITER_GAP_LONG (120 * GB_MSEC)
 /** A write that takes longer than this is overdue: the store is asked for a
  * small row.  A quick answer says that the write's answer was lost, a slow one
- * that the store is slow, and none that it is out.  Writes take 12 ms, or 0.75
- * s when the store is 60 times slower; reads 4 ms, or 0.24 s. */
+ * that the store is slow, and none that it is out.  Writes take 12 ms, or 0.8
+ * s when the store is a hundred times slower; reads 4 ms, or 0.4 s. */
 #define WRITER_OVERDUE (130 * GB_MSEC)
 #define WRITER_PROBE_QUICK (80 * GB_MSEC)
-#define WRITER_PROBE_SILENT (330 * GB_MSEC)
+#define WRITER_PROBE_SILENT (700 * GB_MSEC)
 /** Writes in a row that the store refuses, after which it counts as out. */
 #define WRITER_OUT_REFUSED 2
 /** Time to come back after a refusal for want of the store: outages last some
--- a/tests/pool_cell.c
+++ b/tests/pool_cell.c
@@ -210,8 +210,8 @@
 	struct pool_cell *cell = from->cell;
 	bool late = chance(cell, cell->faults.txn_late);
 	bool lost = late || chance(cell, cell->faults.txn_lost);
-	struct pool_event *event = event_add(
-	    from, EVENT_TXN, lost ? 0 : call, late ? CELL_LATE : CELL_TXN);
+	struct pool_event *event = event_add(from, EVENT_TXN, lost ? 0 : call,
+	    late ? CELL_LATE : CELL_TXN + 2 * cell->faults.store_slow);
 
 	event->txn = *txn;
 	event->txn.conds = rows_copy(txn->conds, txn->cond_count);
@@ -226,8 +226,8 @@
 	const struct cell_node *from = data;
 	bool fails = read->table == GB_POOL_OWNERS && read->limit > 1 &&
 		     (from->cell->faults.set_reads_fail >> read->part & 1) != 0;
-	struct pool_event *event = event_add(
-	    from, EVENT_READ, call, fails ? CELL_READ_FAILS : CELL_TXN);
+	struct pool_event *event = event_add(from, EVENT_READ, call,
+	    fails ? CELL_READ_FAILS : CELL_TXN + from->cell->faults.store_slow);
 
 	event->fails = fails;
 	event->read = *read;
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -720,6 +720,29 @@
 	pool_cell_free(cell);
 }
 
+/** Load: the store takes a hundred times its usual time, 0.4 s for a read and
+ * 0.8 s for a write.  Callers have three seconds: what they send is still taken
+ * in, and nobody is told that the store does not answer. */
+static void
+test_slow_store_still_takes_work_in(void **state)
+{
+	struct pool_cell *cell = cell_begin(&plain);
+	size_t i;
+
+	(void)state;
+	cell->faults.store_slow = 390 * GB_MSEC;
+	for (i = 0; i < 30; i++) {
+		submit_lookup(cell);
+		pool_cell_run(cell, 50 * GB_MSEC);
+	}
+	pool_cell_run(cell, 2500 * GB_MSEC);
+	for (i = 0; i < 30; i++)
+		assert_int_equal(
+		    cell->flows[i].answer.verdict, GB_FLOW_ACCEPTED);
+	assert_unharmed(cell);
+	pool_cell_free(cell);
+}
+
 /* Random faults ----------------------------------------------------------- */
 
 static void
@@ -903,6 +926,7 @@
 	    cmocka_unit_test(test_gang_takes_room_from_work_that_can_wait),
 	    cmocka_unit_test(test_gang_asks_several_lanes),
 	    cmocka_unit_test(test_room_of_a_part_that_is_not_read_counts),
+	    cmocka_unit_test(test_slow_store_still_takes_work_in),
 	    cmocka_unit_test(test_epoch_is_never_in_force_twice),
 	    cmocka_unit_test(test_release_does_not_wait_for_parts_that_are_out),
 	    cmocka_unit_test(test_random_faults),
