--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,15 @@
 faults: build
 	@sh tests/faults.sh full
 
+SEED ?= 1
+SEEDS ?= 8
+SECONDS ?= 20
+INSTANCES ?= 4
+WORKERS ?= 16
+soak: build
+	@BUILD=$(BUILD) soak/run.sh $(SEED) $$(($(SEED) + $(SEEDS) - 1)) \
+	    --seconds $(SECONDS) --nodes $(INSTANCES) --workers $(WORKERS)
+
 bench: build
 	@sh bench/bench.sh
 
@@ -43,4 +52,4 @@
 	rm -rf build build-*
 
 .PHONY: all deps build build-asan build-fuzz check demo fuzz faults bench \
-    format clean
+    soak format clean
--- a/soak/bites.sh
+++ b/soak/bites.sh
@@ -1,15 +1,17 @@
 #!/bin/sh
 # Shows that the soak bites: breaks the code in one way after the other, in a
 # copy, and plays seeds until one of them finds it.
-#   soak/bites.sh [SEEDS]
+#   soak/bites.sh [SEEDS [PATTERN]]  # only breakages whose names match
 cd "$(dirname "$0")/.." || exit 1
 SEEDS=${1:-12}
+PATTERN=${2:-.}
 COPY=$(mktemp -d)
 trap 'rm -rf "$COPY"' EXIT
 P=libgooseberry/pool
 UNUSED="-Wno-unused-variable -Wno-unused-but-set-variable -Wno-unused-parameter -Wno-unused-function"
 
-breakage() { # name, file, sed expression
+breakage() { # name, file, sed expression, options of the soak
+	echo "$1" | grep -q "$PATTERN" || return
 	rm -rf "$COPY/src"
 	git clone -q . "$COPY/src" || exit 1
 	sed -i "$3" "$COPY/src/$2"
@@ -26,8 +28,10 @@
 	fi
 	seed=1
 	while [ "$seed" -le "$SEEDS" ]; do
-		if ! BUILD=$COPY/build PARALLEL=4 soak/run.sh "$seed" \
-		    $((seed + 3)) --seconds 15 >"$COPY/out" 2>&1; then
+		# shellcheck disable=SC2086
+		BUILD=$COPY/build PARALLEL=4 soak/run.sh "$seed" \
+		    $((seed + 3)) --seconds 15 $4 >"$COPY/out" 2>&1
+		if grep -q BROKEN "$COPY/out"; then
 			echo "bites: $1: found, seeds $seed to $((seed + 3)):" \
 			    "$(grep -m 1 BROKEN "$COPY/out" | sed 's/.*BROKEN: //')"
 			return
@@ -48,11 +52,13 @@
 breakage "a part that is not attached answers" $P/pool.c \
     's/if (pool_part_attached(pool, part))/if (true)/'
 breakage "a cancelled flow is not stopped" $P/flow.c \
-    's/if (status != GB_FLOW_SUCCEEDED)$/if (status == GB_FLOW_FAILED)/'
+    's/if (status != GB_FLOW_SUCCEEDED)$/if (status == GB_FLOW_FAILED)/' \
+    --planned
 breakage "attempts are not limited" $P/flow.c \
     's/return most == 0 ? 1 : most;/return 99 + most;/'
 breakage "an older configuration is taken" libgooseberry/node/node.c \
-    's/config->version <= node->config->version/config->version == node->config->version/'
+    's/config->version <= node->config->version/config->version == node->config->version/' \
+    --planned
 breakage "done is shown before all is done" $P/flow.c \
     's/return flow->begun ? GB_FLOW_RUNNING/return flow->begun ? GB_FLOW_SUCCEEDED/'
 breakage "runs are numbered anew by each owner" $P/dispatch.c \
--- a/soak/caller.c
+++ b/soak/caller.c
@@ -19,10 +19,13 @@
 /** A cancelled task is gone after this: a cancel is carried out within 3 s, a
  * stop takes 0.2 s. */
 #define CANCEL_BOUND (4 * GB_SEC)
+/** One job in so many runs for longer than that, and is cancelled. */
+#define LONG_JOBS 15
+#define LONG_MS 9000
 /** An answer that is cut off sooner than this after its request may have been
  * cut before it was read. */
 #define CUT_SLACK (200 * GB_MSEC)
-/** Spreads the tries over time for callers of all kinds. */
+/** Jobs that must all be done when everything is calm again. */
 #define FINAL_JOBS 5
 
 enum job_phase {
@@ -46,8 +49,10 @@
 	bool unanswered;
 	bool cancel; /**< its caller wants it cancelled */
 	gb_time cancelled;
-	bool last;  /**< of the jobs that must succeed */
-	gb_time at; /**< next step */
+	bool
+	    gone_asked; /**< whether its tasks have been asked for after that */
+	bool last;	/**< of the jobs that must succeed */
+	gb_time at;	/**< next step */
 	gb_time sent;
 	struct soak_node *node; /**< that the call went to */
 	gb_time life;
@@ -73,6 +78,7 @@
 job_shape(struct job *job)
 {
 	unsigned int kind = soak_random(10);
+	bool longer = !job->last && soak_random(LONG_JOBS) == 0;
 	json_t *steps = json_array();
 	json_t *s;
 	char spec[64];
@@ -84,7 +90,8 @@
 		json_array_append_new(steps, step(2, 1400, ms));
 	} else if (kind < 9) {
 		job->queue = "import";
-		ms = 400 + soak_random(1500);
+		ms = longer ? LONG_MS : 400 + soak_random(1500);
+		job->cancel = longer;
 		s = step(2 + soak_random(5), 1000, ms);
 		if (soak_random(2) == 0)
 			json_object_set_new(s, "Checkpoint", json_true());
@@ -173,7 +180,8 @@
 		counts.accepted++;
 		job->phase = JOB_OPEN;
 		job->cancel =
-		    soak_random(100) < soak.cancel_percent && !job->last;
+		    !job->last &&
+		    (job->cancel || soak_random(100) < soak.cancel_percent);
 		job->at = soak_now() + 300 * GB_MSEC;
 		return;
 	}
@@ -302,9 +310,38 @@
 	counts.cancelled++;
 }
 
+static void
+gone_checked(void *data, const struct plat_http_res *res)
+{
+	const struct job *job = data;
+	json_t *root = json_loadb(res->body, res->body_len, 0, NULL);
+
+	/* The bound holds where nothing unplanned happened meanwhile. */
+	if (plat_json_int(root, "running") > 0 &&
+	    soak.unplanned < job->cancelled - CANCEL_BOUND)
+		soak_broken("%s was cancelled and runs on", job->id);
+	json_decref(root);
+}
+
+/** Ask what the workers have seen whether a cancelled job still runs. */
+static void
+job_gone(struct job *job)
+{
+	char path[64];
+
+	if (job->cancelled == 0 || job->gone_asked ||
+	    soak_now() - job->cancelled < CANCEL_BOUND)
+		return;
+	job->gone_asked = true;
+	snprintf(path, sizeof(path), "/flow/%s", job->id);
+	plat_http_call(soak.http, soak.control, "GET", path, "", NULL, 0,
+	    CONTROL_TIMEOUT, gone_checked, job);
+}
+
 static void
 job_step(struct job *job)
 {
+	job_gone(job);
 	if (job->out || job->at > soak_now())
 		return;
 	if (job->phase == JOB_SUBMITTING)
