--- a/libgooseberry/node/peers.c
+++ b/libgooseberry/node/peers.c
@@ -109,7 +109,8 @@
 		return;
 	}
 	config_learn(node, res);
-	if (res->owner || res->taking || res->owner_heard_us < NODE_OWNER_SILENCE)
+	if (res->owner || res->taking ||
+	    res->owner_heard_us < NODE_OWNER_SILENCE)
 		watch_polled(&node->watch, WATCH_HEARS);
 	else
 		watch_polled(&node->watch, WATCH_HEARS_NOT);
--- a/libgooseberry/pool/flow.c
+++ b/libgooseberry/pool/flow.c
@@ -102,6 +102,16 @@
 	pool->ops.answer(pool->ops.data, waiter->token, &answer);
 }
 
+void
+pool_flow_loading_free(struct pool_flow *flow)
+{
+	if (flow->loading == NULL)
+		return;
+	pool_flow_state_clear(flow->loading);
+	free(flow->loading);
+	flow->loading = NULL;
+}
+
 void
 pool_flow_free(struct gb_pool *pool, struct pool_flow *flow)
 {
@@ -131,6 +141,7 @@
 	if (flow->dirty)
 		TAILQ_REMOVE(&pool->parts[flow->part].dirty, flow, dirty_next);
 	HASH_DEL(pool->flows, flow);
+	pool_flow_loading_free(flow);
 	flow_steps_free(flow);
 	xdr_free((xdrproc_t)xdr_gb_flow, (char *)&flow->spec);
 	free(flow);
--- a/libgooseberry/pool/load.c
+++ b/libgooseberry/pool/load.c
@@ -81,7 +81,7 @@
 		return;
 	}
 	state = stub->loading;
-	stub->loading = NULL;
+	stub->loading = NULL; /* outlives its stub */
 	pool_flow_free(pool, stub);
 	flow = pool_flow_new(pool, &spec);
 	if (!pool_flow_load(pool, flow, state))
@@ -91,14 +91,6 @@
 	free(state);
 }
 
-static void
-loading_free(struct pool_flow *flow)
-{
-	pool_flow_state_clear(flow->loading);
-	free(flow->loading);
-	flow->loading = NULL;
-}
-
 /** Flows whose submission was not read are over: only their state is kept. */
 static void
 load_finish(struct gb_pool *pool, uint32_t part)
@@ -110,7 +102,7 @@
 	{
 		if (flow->loading == NULL || flow->part != part)
 			continue;
-		loading_free(flow);
+		pool_flow_loading_free(flow);
 		flow->closed = true;
 		flow->removed = true;
 		flow->queue = NULL;
@@ -127,11 +119,8 @@
 
 	HASH_ITER(hh, pool->flows, flow, next)
 	{
-		if (flow->part != part)
-			continue;
-		if (flow->loading != NULL)
-			loading_free(flow);
-		pool_flow_free(pool, flow);
+		if (flow->part == part)
+			pool_flow_free(pool, flow);
 	}
 }
 
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -500,6 +500,8 @@
 /** Takes over the specification. */
 struct pool_flow *pool_flow_new(struct gb_pool *, gb_flow *);
 void pool_flow_free(struct gb_pool *, struct pool_flow *);
+/** Forget the state of a flow that was being read. */
+void pool_flow_loading_free(struct pool_flow *);
 void pool_flow_state_fill(const struct pool_flow *, gb_flow_state *);
 void pool_flow_state_clear(gb_flow_state *);
 bool pool_flow_load(
--- a/soak/caller.c
+++ b/soak/caller.c
@@ -59,7 +59,9 @@
 	char state[16];
 };
 
-static TAILQ_HEAD(, job) jobs = TAILQ_HEAD_INITIALIZER(jobs);
+TAILQ_HEAD(job_list, job);
+
+static struct job_list jobs = TAILQ_HEAD_INITIALIZER(jobs);
 static struct {
 	unsigned int sent, accepted, refused, unsure, succeeded, failed;
 	unsigned int cancelled, last;
--- a/soak/proxy.c
+++ b/soak/proxy.c
@@ -18,13 +18,17 @@
 	uv_buf_t buf;
 };
 
+STAILQ_HEAD(chunk_list, chunk);
+
 struct link;
 
+LIST_HEAD(link_list, link);
+
 /** One direction of a connection. */
 struct pipe_way {
 	struct link *link;
 	uv_tcp_t from; /**< side that is read */
-	STAILQ_HEAD(, chunk) chunks;
+	struct chunk_list chunks;
 	bool ended; /**< its sender has closed */
 };
 
@@ -46,10 +50,12 @@
 	struct sockaddr_in target;
 	enum proxy_mode mode;
 	unsigned int delay_ms;
-	LIST_HEAD(, link) links;
+	struct link_list links;
 };
 
-static LIST_HEAD(, proxy) proxies = LIST_HEAD_INITIALIZER(proxies);
+LIST_HEAD(proxy_list, proxy);
+
+static struct proxy_list proxies = LIST_HEAD_INITIALIZER(proxies);
 
 static void
 on_closed(uv_handle_t *handle)
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -183,15 +183,16 @@
 static void
 processes_start(void)
 {
+	struct proxy **proxies;
 	unsigned int i;
 
 	emulator_start();
-	soak.worker_proxies =
-	    gb_calloc(soak.worker_count, sizeof(*soak.worker_proxies));
+	proxies = gb_calloc(soak.worker_count, sizeof(struct proxy *));
 	for (i = 0; i < soak.worker_count; i++)
-		soak.worker_proxies[i] =
+		proxies[i] =
 		    proxy_new(soak.loop, soak.port + PORT_WORKER_PROXY + i,
 			soak.port + PORT_WORKER + i);
+	soak.worker_proxies = proxies;
 	soak.nodes = gb_calloc(soak.node_count, sizeof(*soak.nodes));
 	for (i = 0; i < soak.node_count; i++) {
 		soak.nodes[i].number = i;
--- a/standin/emulator_store.c
+++ b/standin/emulator_store.c
@@ -32,8 +32,11 @@
 	gb_time deadline;
 };
 
-static TAILQ_HEAD(, given_row) given = TAILQ_HEAD_INITIALIZER(given);
-static TAILQ_HEAD(, follower) followers = TAILQ_HEAD_INITIALIZER(followers);
+TAILQ_HEAD(given_rows, given_row);
+TAILQ_HEAD(follower_list, follower);
+
+static struct given_rows given = TAILQ_HEAD_INITIALIZER(given);
+static struct follower_list followers = TAILQ_HEAD_INITIALIZER(followers);
 /** History before this version is gone. */
 static uint64_t history_from;
 
--- a/standin/emulator_worker.c
+++ b/standin/emulator_worker.c
@@ -27,7 +27,9 @@
 	gb_time deadline;
 };
 
-static TAILQ_HEAD(, waiting_hold) holds = TAILQ_HEAD_INITIALIZER(holds);
+TAILQ_HEAD(hold_list, waiting_hold);
+
+static struct hold_list holds = TAILQ_HEAD_INITIALIZER(holds);
 
 /* Orders ------------------------------------------------------------------ */
 
--- a/tests/check.sh
+++ b/tests/check.sh
@@ -30,7 +30,7 @@
     --suppress=missingIncludeSystem --suppress=uninitvar --suppress=nullPointerOutOfMemory \
     -I libgooseberry -I standin -I cli -I platform -j "$(nproc)" \
     libgooseberry/request libgooseberry/connection libgooseberry/version \
-    libgooseberry/process libgooseberry/pool libgooseberry/node platform cli standin bench tests
+    libgooseberry/process libgooseberry/pool libgooseberry/node platform cli standin soak bench tests
 result cppcheck $?
 
 git ls-files '*.c' | grep -v /gen/ |
