--- a/libgooseberry/pool/load.c
+++ b/libgooseberry/pool/load.c
@@ -189,7 +189,7 @@
 	struct pool_part *part = &pool->parts[call->part];
 	size_t i;
 
-	if (call->round != part->round || part->attach != POOL_PART_LOAD)
+	if (call->round != part->round || part->attach != POOL_ATTACH_LOADING)
 		return POOL_LOAD_GOES_ON;
 	if (res->status != GB_STORE_OK)
 		return POOL_LOAD_FAILED;
--- a/libgooseberry/pool/owner.c
+++ b/libgooseberry/pool/owner.c
@@ -50,7 +50,7 @@
 bool
 pool_part_attached(const struct gb_pool *pool, uint32_t part)
 {
-	return pool->parts[part].attach == POOL_ATTACHED;
+	return pool->parts[part].attach == POOL_ATTACH_DONE;
 }
 
 bool
@@ -110,7 +110,7 @@
 	cond.table = put.table = GB_POOL_OWNERS;
 	cond.key = put.key = GB_POOL_OWNER_KEY;
 	for (i = 0; i < GB_POOL_PARTS; i++) {
-		if (pool->parts[i].attach < POOL_PART_LOAD)
+		if (pool->parts[i].attach < POOL_ATTACH_LOADING)
 			continue;
 		cond.vers = pool->parts[i].owner_vers;
 		if (!pool_writer_owner_body(
@@ -132,7 +132,7 @@
 {
 	gb_event(pool->cfg.events, GB_EVENT_ALWAYS, "takeover_failed",
 	    "{s:s, s:I, s:I}", "why", why, "epoch", (json_int_t)pool->epoch,
-	    "claimed", (json_int_t)parts_at_least(pool, POOL_PART_LOAD));
+	    "claimed", (json_int_t)parts_at_least(pool, POOL_ATTACH_LOADING));
 	owner_vacate(pool);
 	pool->phase = POOL_OWNER_NONE;
 	pool->term++;
@@ -170,7 +170,7 @@
 	const struct gb_pool_read read = {number, GB_POOL_OWNERS,
 	    GB_POOL_OWNER_KEY, GB_POOL_OWNER_KEY "0", 1};
 
-	pool->parts[number].attach = POOL_READING;
+	pool->parts[number].attach = POOL_ATTACH_READING;
 	call->part = number;
 	pool->stats.reads++;
 	pool->ops.read(pool->ops.data, call->id, &read);
@@ -179,7 +179,7 @@
 static void
 part_again(struct gb_pool *pool, struct pool_part *part, gb_time pause)
 {
-	part->attach = POOL_DETACHED;
+	part->attach = POOL_ATTACH_NONE;
 	part->attach_at = pool->now + pause;
 }
 
@@ -210,9 +210,9 @@
 static void
 part_claimed(struct gb_pool *pool, uint32_t number)
 {
-	pool->parts[number].attach = POOL_PART_LOAD;
+	pool->parts[number].attach = POOL_ATTACH_LOADING;
 	if (pool->phase == POOL_OWNER_CLAIMING &&
-	    parts_at_least(pool, POOL_PART_LOAD) >= OWNER_MAJORITY) {
+	    parts_at_least(pool, POOL_ATTACH_LOADING) >= OWNER_MAJORITY) {
 		pool->phase = POOL_OWNER_LOADING;
 		pool->epoch = pool->claim_epoch;
 		pool->claimed_at = pool->now;
@@ -230,7 +230,7 @@
 	struct gb_pool_row put = {0};
 	const struct gb_pool_txn txn = {number, &cond, 1, &put, 1};
 
-	pool->parts[number].attach = POOL_CLAIMING;
+	pool->parts[number].attach = POOL_ATTACH_CLAIMING;
 	call->part = number;
 	cond.table = put.table = GB_POOL_OWNERS;
 	cond.key = put.key = GB_POOL_OWNER_KEY;
@@ -292,7 +292,7 @@
 	for (i = 0; i < GB_POOL_PARTS; i++) {
 		const struct pool_part *part = &pool->parts[i];
 
-		if (part->attach != POOL_READ)
+		if (part->attach != POOL_ATTACH_READ)
 			continue;
 		if (pool->claim_first == GB_POOL_PARTS)
 			pool->claim_first = i;
@@ -300,7 +300,7 @@
 			pool->claim_epoch = part->row_epoch + 1;
 	}
 	for (i = 0; i < GB_POOL_PARTS && pool->phase != POOL_OWNER_NONE; i++) {
-		if (pool->parts[i].attach == POOL_READ)
+		if (pool->parts[i].attach == POOL_ATTACH_READ)
 			part_claim(pool, i);
 	}
 }
@@ -338,7 +338,7 @@
 {
 	struct pool_part *part = &pool->parts[number];
 
-	if (part->attach != POOL_READING)
+	if (part->attach != POOL_ATTACH_READING)
 		return;
 	if (res->status != GB_STORE_OK) {
 		part_failed(pool, number);
@@ -357,8 +357,8 @@
 		owner_give_up(pool, "another node was first");
 		return;
 	}
-	part->attach = POOL_READ;
-	if (parts_at_least(pool, POOL_READ) >= OWNER_MAJORITY)
+	part->attach = POOL_ATTACH_READ;
+	if (parts_at_least(pool, POOL_ATTACH_READ) >= OWNER_MAJORITY)
 		owner_choose_epoch(pool);
 }
 
@@ -368,7 +368,7 @@
 {
 	struct pool_part *part = &pool->parts[call->part];
 
-	if (part->attach != POOL_CLAIMING)
+	if (part->attach != POOL_ATTACH_CLAIMING)
 		return;
 	if (res->status == GB_STORE_OK) {
 		pool->confirmed = call->sent;
@@ -393,11 +393,11 @@
 	struct pool_part *part = &pool->parts[number];
 	gb_time lease = pool_worker_lease_most(pool);
 
-	part->attach = POOL_ATTACHED;
+	part->attach = POOL_ATTACH_DONE;
 	part->attach_failures = 0;
 	part->attached_at = pool->now;
 	part->settle_at =
-	    pool->now + lease * 1000 / GB_CLOCK_SLOWEST + OWNER_SETTLE_MARGIN;
+	    pool->now + lease * 1000 / POOL_CLOCK_SLOWEST + OWNER_SETTLE_MARGIN;
 	/* The first owner of all has nobody before it. */
 	part->settled = part->row_epoch == 0;
 	pool->inbox_at = pool->now;
@@ -428,7 +428,7 @@
 owner_begin(struct gb_pool *pool)
 {
 	if (pool->phase != POOL_OWNER_LOADING ||
-	    parts_at_least(pool, POOL_ATTACHED) < OWNER_MAJORITY ||
+	    parts_at_least(pool, POOL_ATTACH_DONE) < OWNER_MAJORITY ||
 	    (parts_under_way(pool) &&
 		pool->now - pool->claimed_at < OWNER_ATTACH_WAIT))
 		return;
@@ -438,7 +438,7 @@
 	gb_histogram_add(&pool->stats.takeover_us, pool->now - pool->taken_at);
 	gb_event(pool->cfg.events, GB_EVENT_ALWAYS, "ownership_gained",
 	    "{s:I, s:I, s:I, s:I, s:I}", "epoch", (json_int_t)pool->epoch,
-	    "parts", (json_int_t)parts_at_least(pool, POOL_ATTACHED),
+	    "parts", (json_int_t)parts_at_least(pool, POOL_ATTACH_DONE),
 	    "open_flows", (json_int_t)pool->open_count, "workers",
 	    (json_int_t)pool->worker_count, "took_ms",
 	    (json_int_t)((pool->now - pool->taken_at) / GB_MSEC));
@@ -532,7 +532,7 @@
 	struct pool_part *part = &pool->parts[number];
 	bool told;
 
-	if (part->attach != POOL_ATTACHED || part->settled)
+	if (part->attach != POOL_ATTACH_DONE || part->settled)
 		return;
 	told = part_all_told(pool, part);
 	if (!told && pool->now < part->settle_at)
@@ -551,10 +551,10 @@
 {
 	struct pool_part *part = &pool->parts[number];
 
-	if (part->attach == POOL_DETACHED && part->attach_at <= pool->now)
+	if (part->attach == POOL_ATTACH_NONE && part->attach_at <= pool->now)
 		part_read(pool, number);
 	part_settle(pool, number);
-	if (part->attach == POOL_ATTACHED &&
+	if (part->attach == POOL_ATTACH_DONE &&
 	    pool->now - part->sent > OWNER_RENEW)
 		part->renew = true;
 }
--- a/libgooseberry/pool/pool.c
+++ b/libgooseberry/pool/pool.c
@@ -163,7 +163,8 @@
 	 * which takes a second when the store is slow. */
 	return pool->phase == POOL_OWNER_LOADING ||
 	       (pool->phase == POOL_OWNER_CLAIMING &&
-		   pool->parts[pool->claim_first].attach >= POOL_PART_LOAD);
+		   pool->parts[pool->claim_first].attach >=
+		       POOL_ATTACH_LOADING);
 }
 
 uint64_t
--- a/libgooseberry/pool/run.c
+++ b/libgooseberry/pool/run.c
@@ -232,22 +232,32 @@
 		run_unsure(pool, run);
 }
 
-void
-pool_run_start_done(struct gb_pool *pool, const struct pool_call *call,
+/** What the answer to any order tells; returns the run that it is about, or
+ * null when nothing is left to be done. */
+static struct pool_run *
+order_answered(struct gb_pool *pool, const struct pool_call *call,
     const struct gb_pool_order_res *res)
 {
 	struct pool_worker *worker = pool_worker_get(pool, call->worker);
-	struct pool_run *run = call->run;
 
 	if (worker != NULL)
 		pool_worker_clock(pool, worker, res->clock_ms);
 	if (pool_worker_fenced_off(pool, res->status))
-		return;
-	gb_histogram_add(&pool->stats.start_us, pool->now - call->sent);
+		return NULL;
 	if (res->status == GB_POOL_ORDER_REBORN && worker != NULL) {
 		pool_worker_over(pool, worker, "another lifetime answered");
-		return;
+		return NULL;
 	}
+	return call->run;
+}
+
+void
+pool_run_start_done(struct gb_pool *pool, const struct pool_call *call,
+    const struct gb_pool_order_res *res)
+{
+	struct pool_run *run = order_answered(pool, call, res);
+
+	gb_histogram_add(&pool->stats.start_us, pool->now - call->sent);
 	if (run == NULL)
 		return;
 	run->start_call = 0;
@@ -270,17 +280,8 @@
 pool_run_stop_done(struct gb_pool *pool, const struct pool_call *call,
     const struct gb_pool_order_res *res)
 {
-	struct pool_worker *worker = pool_worker_get(pool, call->worker);
-	struct pool_run *run = call->run;
+	struct pool_run *run = order_answered(pool, call, res);
 
-	if (worker != NULL)
-		pool_worker_clock(pool, worker, res->clock_ms);
-	if (pool_worker_fenced_off(pool, res->status))
-		return;
-	if (res->status == GB_POOL_ORDER_REBORN && worker != NULL) {
-		pool_worker_over(pool, worker, "another lifetime answered");
-		return;
-	}
 	if (run == NULL)
 		return;
 	run->stop_call = 0;
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -26,7 +26,7 @@
 #define POOL_SET_ROWS 64
 
 /** The slowest clock of a worker, in thousandths of true time. */
-#define GB_CLOCK_SLOWEST 980
+#define POOL_CLOCK_SLOWEST 980
 /** Runs of one owner are numbered from its epoch times this, so that numbers
  * rise over owners without being stored. */
 #define POOL_RUNS_PER_EPOCH 100000
@@ -243,12 +243,12 @@
 
 /** How far this owner has come with a part. */
 enum pool_attach {
-	POOL_DETACHED,	/**< tries again at attach_at */
-	POOL_READING,	/**< the owner's row */
-	POOL_READ,	/**< its row is known, the new epoch is not */
-	POOL_CLAIMING,	/**< writing the owner's row */
-	POOL_PART_LOAD, /**< reading its flows, states and workers */
-	POOL_ATTACHED	/**< this owner works on its flows */
+	POOL_ATTACH_NONE,     /**< tries again at attach_at */
+	POOL_ATTACH_READING,  /**< the owner's row */
+	POOL_ATTACH_READ,     /**< its row is known, the new epoch is not */
+	POOL_ATTACH_CLAIMING, /**< writing the owner's row */
+	POOL_ATTACH_LOADING,  /**< reading its flows, states and workers */
+	POOL_ATTACH_DONE      /**< this owner works on its flows */
 };
 
 /** Rows of one part, written one transaction at a time. */
--- a/libgooseberry/pool/worker.c
+++ b/libgooseberry/pool/worker.c
@@ -86,7 +86,7 @@
 
 	if (worker->clock_ms == 0)
 		return 0;
-	over = worker->clock_at + (since + lease) * 1000 / GB_CLOCK_SLOWEST +
+	over = worker->clock_at + (since + lease) * 1000 / POOL_CLOCK_SLOWEST +
 	       LEASE_MARGIN;
 	if (over > worker->lapse_at)
 		worker->lapse_at = over;
--- a/libgooseberry/pool/writer.c
+++ b/libgooseberry/pool/writer.c
@@ -259,7 +259,7 @@
 	const struct pool_part *part = &pool->parts[number];
 
 	return part->refused >= WRITER_OUT_REFUSED || part->silent ||
-	       part->attach != POOL_ATTACHED;
+	       part->attach != POOL_ATTACH_DONE;
 }
 
 /** Ask whether the store answers at all, once an answer is overdue. */
@@ -317,7 +317,7 @@
 	bool urgent = part->urgent || part->set_changed != 0 ||
 		      pool->phase == POOL_OWNER_RELEASING;
 
-	if (part->attach != POOL_ATTACHED)
+	if (part->attach != POOL_ATTACH_DONE)
 		return;
 	part_probe(pool, number);
 	if (pool_writer_out(pool, number))
--- a/soak/fault.c
+++ b/soak/fault.c
@@ -177,6 +177,7 @@
 STORE_FAULT(lost, "lost=30")
 STORE_FAULT(late, "late=30")
 STORE_FAULT(compact, "compact=1")
+/* Parts as bits: the first two, and three of five. */
 STORE_FAULT(two_parts, "parts=3")
 STORE_FAULT(most_parts, "parts=22")
 STORE_FAULT(well, "")
--- a/standin/emulator_worker.c
+++ b/standin/emulator_worker.c
@@ -170,6 +170,15 @@
 
 /* Holds ------------------------------------------------------------------- */
 
+static void
+seen_name(const struct gb_pool_seen *seen, char *out, size_t size)
+{
+	const struct gb_pool_run_id id = {
+	    seen->flow, seen->step, seen->index, seen->run};
+
+	plat_task_name(&id, out, size);
+}
+
 static void
 hold_answer(struct http_call *call, const struct gb_pool_report *report)
 {
@@ -186,22 +195,18 @@
 	ended = json_array();
 	for (i = 0; i < report->running_count; i++) {
 		const struct gb_pool_seen *seen = &report->running[i];
-		struct gb_pool_run_id id = {
-		    seen->flow, seen->step, seen->index, seen->run};
 		char name[GB_NAME_MAX + 1];
 
-		plat_task_name(&id, name, sizeof(name));
+		seen_name(seen, name, sizeof(name));
 		json_array_append_new(running,
 		    json_pack("[s, I, s, i, i]", name, (json_int_t)seen->run,
 			seen->checkpoint, (int)seen->percent, 0));
 	}
 	for (i = 0; i < report->ended_count; i++) {
 		const struct gb_pool_seen *seen = &report->ended[i];
-		struct gb_pool_run_id id = {
-		    seen->flow, seen->step, seen->index, seen->run};
 		char name[GB_NAME_MAX + 1];
 
-		plat_task_name(&id, name, sizeof(name));
+		seen_name(seen, name, sizeof(name));
 		json_array_append_new(ended,
 		    json_pack("[I, s, I, s, s]", (json_int_t)seen->number, name,
 			(json_int_t)seen->run, plat_how_name(seen->how),
