A store that resets its connections counts as out; what was refused is as good as never sent

Cause (log): a store that resets connections ends each write at once without an answer; only refused writes and silent probes counted as an outage, so that flows waited for their callers' whole time, 2.85 s, and got no answer that lets them come back. Flows of a write that the store had refused counted as possibly stored, though nothing was done. Ruled out: the callers' patience; relays (they wait for the owner's answer). Change: two writes in a row without an answer are an outage; a refused or conflicting write leaves its flows as if never sent; what was in a lost write waits for the store as long as its caller does, instead of a 504 at once. Tests test_store_that_resets_turns_away_at_once and test_refused_writes_are_turned_away failed before.

--- a/libgooseberry/pool/flow.c
+++ b/libgooseberry/pool/flow.c
@@ -382,15 +382,6 @@
 	pool_flow_free(pool, flow);
 }
 
-void
-pool_flow_unsure(struct gb_pool *pool, struct pool_flow *flow)
-{
-	gb_flow_answer answer = {0};
-
-	answer.verdict = GB_FLOW_UNSURE;
-	flow_answer_all(pool, flow, &answer);
-}
-
 /** Free what was submitted, but for the names. */
 static void
 flow_trim(struct pool_flow *flow)
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -159,6 +159,7 @@
 	uint64_t change;  /**< grows with each change that must be stored */
 	uint64_t stored;  /**< change that the store has */
 	uint64_t sending; /**< change that is being written, 0: none ever was */
+	bool write_lost; /**< a write of it got no answer and may have landed */
 	uint32_t runs;
 	gb_time submitted;
 	gb_time first_start;
@@ -276,12 +277,13 @@
 	gb_time retry_at;
 	unsigned int tries;   /**< writes in a row that were refused or lost */
 	unsigned int refused; /**< of these, writes that were refused */
-	uint64_t probe;	      /**< call that is out, 0: none */
-	gb_time probed;	      /**< when it was sent */
-	bool answers;	      /**< a probe during this write was answered */
-	bool silent; /**< probes are not answered, until something is */
-	bool seal;   /**< a write was lost */
-	bool renew;  /**< write the owner's row */
+	unsigned int lost; /**< writes in a row that ended without an answer */
+	uint64_t probe;	   /**< call that is out, 0: none */
+	gb_time probed;	   /**< when it was sent */
+	bool answers;	   /**< a probe during this write was answered */
+	bool silent;	   /**< probes are not answered, until something is */
+	bool seal;	   /**< a write was lost */
+	bool renew;	   /**< write the owner's row */
 	bool renew_sent;
 	struct pool_flows dirty;
 	struct pool_flow **sent_flows;
@@ -510,8 +512,6 @@
 void pool_flow_stored(struct gb_pool *, struct pool_flow *, uint64_t change);
 /** Turn away a flow that was never sent to the store. */
 void pool_flow_turn_away(struct gb_pool *, struct pool_flow *, gb_time retry);
-/** Tell callers that it is not known whether the flow was stored. */
-void pool_flow_unsure(struct gb_pool *, struct pool_flow *);
 void pool_flow_wait(struct gb_pool *, struct pool_flow *, uint64_t token,
     uint64_t change, gb_flow_status);
 bool pool_flow_step_ready(const struct pool_flow *, const struct pool_step *);
--- a/libgooseberry/pool/writer.c
+++ b/libgooseberry/pool/writer.c
@@ -37,6 +37,9 @@
 #define WRITER_PROBE_SILENT (700 * GB_MSEC)
 /** Writes in a row that the store refuses, after which it counts as out. */
 #define WRITER_OUT_REFUSED 2
+/** Writes in a row that end without an answer, after which it counts as out; a
+ * single one may be a connection that was reset. */
+#define WRITER_OUT_LOST 2
 /** Time to come back after a refusal for want of the store: outages last some
  * seconds, and callers have three. */
 #define WRITER_COME_BACK GB_SEC
@@ -258,7 +261,8 @@
 {
 	const struct pool_part *part = &pool->parts[number];
 
-	return part->refused >= WRITER_OUT_REFUSED || part->silent ||
+	return part->refused >= WRITER_OUT_REFUSED ||
+	       part->lost >= WRITER_OUT_LOST || part->silent ||
 	       part->attach != POOL_ATTACH_DONE;
 }
 
@@ -284,29 +288,21 @@
 	pool->ops.read(pool->ops.data, call->id, &read);
 }
 
-/** The store does not take writes: callers whose flows were never sent are
- * turned away at once, and those of the others are told that it is not known.
- * They come back, and the flow is found by its id. */
+/** The store does not take writes: callers whose flows surely are not stored
+ * are turned away at once.  The others wait for as long as they have: a write
+ * that was lost may have landed, so that they can't be told to come back, and
+ * outages are often shorter than their patience. */
 static void
 part_out(struct gb_pool *pool, uint32_t number)
 {
 	struct pool_part *part = &pool->parts[number];
 	struct pool_flow *flow;
 	struct pool_flow *next;
-	size_t i;
 
 	for (flow = TAILQ_FIRST(&part->dirty); flow != NULL; flow = next) {
 		next = TAILQ_NEXT(flow, dirty_next);
-		if (flow->stored > 0)
-			continue;
-		if (flow->sending == 0)
+		if (flow->stored == 0 && flow->sending == 0)
 			pool_flow_turn_away(pool, flow, WRITER_COME_BACK);
-		else
-			pool_flow_unsure(pool, flow);
-	}
-	for (i = 0; i < part->sent_count; i++) {
-		if (part->sent_flows[i]->stored == 0)
-			pool_flow_unsure(pool, part->sent_flows[i]);
 	}
 }
 
@@ -343,14 +339,22 @@
 		part_tick(pool, i);
 }
 
-/** The flows of a write go back among those that wait for the next. */
+/** The flows of a write go back among those that wait for the next.  A flow
+ * whose first write surely was not carried out is as good as never sent. */
 static void
-part_requeue(struct gb_pool *pool, struct pool_part *part)
+part_requeue(struct gb_pool *pool, struct pool_part *part, bool not_done)
 {
+	struct pool_flow *flow;
 	size_t i;
 
-	for (i = 0; i < part->sent_count; i++)
-		pool_writer_dirty(pool, part->sent_flows[i], true);
+	for (i = 0; i < part->sent_count; i++) {
+		flow = part->sent_flows[i];
+		if (!not_done)
+			flow->write_lost = true;
+		else if (flow->stored == 0 && !flow->write_lost)
+			flow->sending = 0;
+		pool_writer_dirty(pool, flow, true);
+	}
 	part->sent_count = 0;
 }
 
@@ -424,7 +428,7 @@
 		if (!part_owner_row(pool, part, &res->rows[i]))
 			return;
 	}
-	part_requeue(pool, part);
+	part_requeue(pool, part, true);
 	part->phase = POOL_PART_IDLE;
 }
 
@@ -436,7 +440,7 @@
 	    "{s:I, s:I}", "flows", (json_int_t)part->sent_count, "age_ms",
 	    (json_int_t)((pool->now - part->sent) / GB_MSEC));
 	part->seal = true;
-	part_requeue(pool, part);
+	part_requeue(pool, part, false);
 	part_pause(pool, part);
 }
 
@@ -456,6 +460,7 @@
 	part->silent = false;
 	part->answers = true;
 	part->refused = 0;
+	part->lost = 0;
 	if (part->call == 0 || part->sent > call->sent ||
 	    pool->now - call->sent > WRITER_PROBE_QUICK)
 		return;
@@ -488,6 +493,7 @@
 		part->phase = POOL_PART_IDLE;
 		part->tries = 0;
 		part->refused = 0;
+		part->lost = 0;
 		part->silent = false;
 		part->seal = false;
 		if (part->renew_sent) {
@@ -499,15 +505,18 @@
 		break;
 	case GB_STORE_CONFLICT:
 		pool->confirmed = call->sent;
+		part->lost = 0;
 		part->silent = false;
 		part_conflict(pool, part, res);
 		break;
 	case GB_STORE_REFUSED:
 		part->refused++;
-		part_requeue(pool, part);
+		part->lost = 0;
+		part_requeue(pool, part, true);
 		part_pause(pool, part);
 		break;
 	default:
+		part->lost++;
 		part_lost(pool, part);
 		break;
 	}
--- a/tests/pool_cell.c
+++ b/tests/pool_cell.c
@@ -343,7 +343,9 @@
 	struct gb_pool *pool = event_pool(cell, event);
 	struct gb_pool_txn_res res = {0};
 
-	if (part_is_out(cell, event->txn.part))
+	if (cell->faults.store_resets)
+		res.status = GB_STORE_UNKNOWN;
+	else if (part_is_out(cell, event->txn.part))
 		res.status = GB_STORE_REFUSED;
 	else
 		world_txn(cell->world, &event->txn, &res);
@@ -360,7 +362,9 @@
 
 	if (pool == NULL)
 		return;
-	if (event->fails || part_is_out(cell, event->read.part))
+	if (cell->faults.store_resets)
+		res.status = GB_STORE_UNKNOWN;
+	else if (event->fails || part_is_out(cell, event->read.part))
 		res.status = GB_STORE_REFUSED;
 	else
 		world_read(cell->world, &event->read, &res);
--- a/tests/pool_cell.h
+++ b/tests/pool_cell.h
@@ -19,7 +19,8 @@
 	unsigned int txn_late; /**< no answer, done 2 s later */
 	unsigned int advice_lost;
 	bool store_down;
-	gb_time store_slow;  /**< added to each read, and twice to each write */
+	bool store_resets;  /**< calls are not carried out, without an answer */
+	gb_time store_slow; /**< added to each read, and twice to each write */
 	uint32_t parts_down; /**< parts of the tables that are out, as bits */
 	/** Parts whose set of workers is read for 0.4 s, and then not. */
 	uint32_t set_reads_fail;
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -743,6 +743,64 @@
 	pool_cell_free(cell);
 }
 
+/** Load: the store resets every connection for 4 s while 20 flows a second are
+ * submitted.  Whoever comes meanwhile is told at once to come back; only those
+ * whose write was lost as it began wait, and are taken in when it is over. */
+static void
+test_store_that_resets_turns_away_at_once(void **state)
+{
+	struct pool_cell *cell = cell_begin(&plain);
+	unsigned int refused = 0;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < 20; i++) {
+		submit_lookup(cell);
+		pool_cell_run(cell, 20 * GB_MSEC);
+	}
+	cell->faults.store_resets = true;
+	for (i = 20; i < 100; i++) {
+		submit_lookup(cell);
+		pool_cell_run(cell, 50 * GB_MSEC);
+		if (cell->flows[i].answered &&
+		    cell->flows[i].answer.verdict == GB_FLOW_REFUSED)
+			refused++;
+	}
+	assert_true(refused >= 70);
+	cell->faults.store_resets = false;
+	pool_cell_run(cell, 2 * GB_SEC);
+	for (i = 0; i < 100; i++) {
+		assert_true(cell->flows[i].answered);
+		assert_true(cell->flows[i].answer.verdict == GB_FLOW_ACCEPTED ||
+			    cell->flows[i].answer.verdict == GB_FLOW_REFUSED);
+	}
+	assert_unharmed(cell);
+	pool_cell_free(cell);
+}
+
+/** A write that the store has refused was not carried out: its flows are turned
+ * away like those that were never sent. */
+static void
+test_refused_writes_are_turned_away(void **state)
+{
+	struct pool_cell *cell = cell_begin(&plain);
+	size_t i;
+
+	(void)state;
+	cell->faults.store_down = true;
+	for (i = 0; i < 20; i++) {
+		submit_lookup(cell);
+		pool_cell_run(cell, 50 * GB_MSEC);
+	}
+	for (i = 0; i < 20; i++) {
+		assert_true(cell->flows[i].answered);
+		assert_int_equal(
+		    cell->flows[i].answer.verdict, GB_FLOW_REFUSED);
+	}
+	assert_unharmed(cell);
+	pool_cell_free(cell);
+}
+
 /* Random faults ----------------------------------------------------------- */
 
 static void
@@ -927,6 +985,8 @@
 	    cmocka_unit_test(test_gang_asks_several_lanes),
 	    cmocka_unit_test(test_room_of_a_part_that_is_not_read_counts),
 	    cmocka_unit_test(test_slow_store_still_takes_work_in),
+	    cmocka_unit_test(test_store_that_resets_turns_away_at_once),
+	    cmocka_unit_test(test_refused_writes_are_turned_away),
 	    cmocka_unit_test(test_epoch_is_never_in_force_twice),
 	    cmocka_unit_test(test_release_does_not_wait_for_parts_that_are_out),
 	    cmocka_unit_test(test_random_faults),
