An adopted flow is stored as owned before it is begun

Ruled out: lost fences (the older run was stopped by the successor's order), and the settling of the takeover (all workers had told). Change: a flow's first start waits until its state says that an owner works on it; that write is urgent. Test test_adopted_flow_is_marked_before_it_starts failed before.

--- a/libgooseberry/pool/flow.c
+++ b/libgooseberry/pool/flow.c
@@ -312,6 +312,7 @@
 	flow->stored = flow->change;
 	/* Stored by a node without an owner: nobody has started any of it. */
 	flow->fresh = !state->owned;
+	flow->owned = state->owned;
 	if (state->status >= GB_FLOW_SUCCEEDED)
 		return true;
 	if (state->done.done_len != 0 &&
@@ -457,7 +458,7 @@
 	uint32_t i;
 
 	if (flow->status >= GB_FLOW_SUCCEEDED || flow->cancelled ||
-	    !flow->created || flow->stored == 0)
+	    !flow->created || flow->stored == 0 || !flow->owned)
 		return false;
 	for (i = 0; i < step->spec->after.after_len; i++) {
 		if (!step_whole(
--- a/libgooseberry/pool/load.c
+++ b/libgooseberry/pool/load.c
@@ -86,6 +86,8 @@
 	flow = pool_flow_new(pool, &spec);
 	if (!pool_flow_load(pool, flow, state))
 		row_unreadable(pool, "states", row);
+	else if (!flow->owned && flow->status < GB_FLOW_SUCCEEDED)
+		pool_writer_dirty(pool, flow, true);
 	flow->ended = pool->now;
 	pool_flow_state_clear(state);
 	free(state);
@@ -260,7 +262,7 @@
 	flow->fresh = true;
 	flow->stored = flow->change;
 	flow->in_inbox = true;
-	pool_writer_dirty(pool, flow, false);
+	pool_writer_dirty(pool, flow, true);
 	pool->work_changed = true;
 	gb_event(pool->cfg.events, GB_EVENT_NORMAL, "flow_adopted", "{s:s}",
 	    "flow", flow->spec.id);
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -148,6 +148,9 @@
 	gb_flow_status status;
 	bool cancelled;
 	bool created; /**< its rows stand in the store */
+	/** The stored state says that an owner works on it.  Until then it is
+	 * not begun: a successor starts at once what nobody has begun. */
+	bool owned;
 	bool
 	    removing; /**< what was submitted goes with the write that is out */
 	bool removed; /**< what was submitted is no longer stored */
--- a/libgooseberry/pool/writer.c
+++ b/libgooseberry/pool/writer.c
@@ -382,6 +382,7 @@
 	part->sent_count = 0;
 	for (i = 0; i < count; i++) {
 		flows[i]->created = true;
+		flows[i]->owned = true;
 		flows[i]->in_inbox = false;
 		flows[i]->removed = flows[i]->removed || flows[i]->removing;
 		pool_flow_stored(pool, flows[i], flows[i]->sending);
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -801,6 +801,69 @@
 	pool_cell_free(cell);
 }
 
+/** Store a flow as a node does that finds no owner. */
+static void
+store_without_owner(struct pool_cell *cell, const gb_flow *spec)
+{
+	gb_flow_state state = {0};
+	struct gb_pool_row cond = {0};
+	struct gb_pool_row puts[3] = {0};
+	struct gb_pool_txn txn = {gb_pool_part(spec->id), &cond, 1, puts, 3};
+	struct gb_pool_txn_res res;
+
+	cond.table = puts[0].table = GB_POOL_STATES;
+	puts[1].table = GB_POOL_FLOWS;
+	puts[2].table = GB_POOL_INBOX;
+	cond.key = puts[0].key = puts[1].key = puts[2].key = spec->id;
+	assert_true(gb_xdr_encode(
+	    (xdrproc_t)xdr_gb_flow_state, &state, &puts[0].value));
+	assert_true(
+	    gb_xdr_encode((xdrproc_t)xdr_gb_flow, spec, &puts[1].value));
+	world_txn(cell->world, &txn, &res);
+	assert_int_equal(res.status, GB_STORE_OK);
+	world_txn_free(&res);
+	free(puts[0].value.gb_body_val);
+	free(puts[1].value.gb_body_val);
+}
+
+/** Load: callers' flows were stored while there was no owner; the owner that
+ * finds them is succeeded at any moment after.  The successor must not take
+ * them for flows that nobody has begun (hibikiya grown trouble-3, seed 1). */
+static void
+test_adopted_flow_is_marked_before_it_starts(void **state)
+{
+	gb_time after;
+
+	(void)state;
+	for (after = 0; after < 400 * GB_MSEC; after += 5 * GB_MSEC) {
+		struct pool_cell *cell = cell_begin(&plain);
+		gb_flow spec = {0};
+		gb_step step = {0};
+		char label[] = "";
+
+		spec.id = (char *)"00000000000000aa";
+		spec.queue = (char *)"lookup";
+		spec.service = (char *)"svc";
+		spec.spec = (char *)"ms=1000";
+		spec.max_attempts = 3;
+		spec.steps.steps_len = 1;
+		spec.steps.steps_val = &step;
+		step.count = 2;
+		step.res.cpu = 1400;
+		step.estimate_us = GB_SEC;
+		step.label = label;
+		step.rack = label;
+		world_submitted(cell->world, &spec, 3);
+		store_without_owner(cell, &spec);
+		pool_cell_run(cell, after);
+		cell->faults.hold_lost = 60;
+		pool_cell_take(cell, 1);
+		pool_cell_run(cell, 6 * GB_SEC);
+		assert_unharmed(cell);
+		pool_cell_free(cell);
+	}
+}
+
 /* Random faults ----------------------------------------------------------- */
 
 static void
@@ -987,6 +1050,7 @@
 	    cmocka_unit_test(test_slow_store_still_takes_work_in),
 	    cmocka_unit_test(test_store_that_resets_turns_away_at_once),
 	    cmocka_unit_test(test_refused_writes_are_turned_away),
+	    cmocka_unit_test(test_adopted_flow_is_marked_before_it_starts),
 	    cmocka_unit_test(test_epoch_is_never_in_force_twice),
 	    cmocka_unit_test(test_release_does_not_wait_for_parts_that_are_out),
 	    cmocka_unit_test(test_random_faults),
