The owner names its successor and serves until the claim stands; claims are bounded

An owner that stopped wrote all it had, then let go, and all nodes claimed at once; on the grown site 35 claims of five rows queue in parts that carry out one write after another. Ruled out: the processor (0.05 of a core); advice. Change: handover.c asks the best member to claim the pool and serves on until the claim stands; succession.c orders members by size, then by how lately they started, and the owner tells all members that order; the others wait for those before them by the store's measured answer time, and look at the row meanwhile. An owner that the store turns away says so, and the first three successors look whether they are served: 0.5 s instead of 1.3 s.

--- a/libgooseberry/connection/rpc_method.c
+++ b/libgooseberry/connection/rpc_method.c
@@ -24,4 +24,5 @@
     METHOD(GB_PROC_FLOW_ASK, "flow_ask", gb_flow_ask, gb_flow_answer),
     METHOD(GB_PROC_HELLO, "hello", gb_hello, gb_hello_res),
     METHOD(GB_PROC_ADVISE, "advise", gb_advice_ask, gb_advice_res),
+    METHOD(GB_PROC_SUCCEED, "succeed", gb_succeed, gb_succeed_res),
 };
--- a/libgooseberry/gen/proto.c
+++ b/libgooseberry/gen/proto.c
@@ -1086,6 +1086,8 @@
 		 return FALSE;
 	 if (!xdr_uint32_t (xdrs, &objp->cpu_milli))
 		 return FALSE;
+	 if (!xdr_int64_t (xdrs, &objp->up_us))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->leaving))
 		 return FALSE;
 	return TRUE;
@@ -1120,11 +1122,16 @@
 			 return FALSE;
 		 if (!xdr_int64_t (xdrs, &objp->store_silent_us))
 			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->store_out))
+			 return FALSE;
 		 if (!xdr_uint32_t (xdrs, &objp->largest_milli))
 			 return FALSE;
 		 if (!xdr_array (xdrs, (char **)&objp->members.members_val, (u_int *) &objp->members.members_len, 4096,
 			sizeof (gb_name), (xdrproc_t) xdr_gb_name))
 			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->successors.successors_val, (u_int *) &objp->successors.successors_len, 16,
+			sizeof (gb_name), (xdrproc_t) xdr_gb_name))
+			 return FALSE;
 		 if (!xdr_uint64_t (xdrs, &objp->config))
 			 return FALSE;
 		 if (!xdr_gb_body (xdrs, &objp->config_text))
@@ -1153,11 +1160,16 @@
 			 return FALSE;
 		 if (!xdr_int64_t (xdrs, &objp->store_silent_us))
 			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->store_out))
+			 return FALSE;
 		 if (!xdr_uint32_t (xdrs, &objp->largest_milli))
 			 return FALSE;
 		 if (!xdr_array (xdrs, (char **)&objp->members.members_val, (u_int *) &objp->members.members_len, 4096,
 			sizeof (gb_name), (xdrproc_t) xdr_gb_name))
 			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->successors.successors_val, (u_int *) &objp->successors.successors_len, 16,
+			sizeof (gb_name), (xdrproc_t) xdr_gb_name))
+			 return FALSE;
 		 if (!xdr_uint64_t (xdrs, &objp->config))
 			 return FALSE;
 		 if (!xdr_gb_body (xdrs, &objp->config_text))
@@ -1179,11 +1191,16 @@
 		 return FALSE;
 	 if (!xdr_int64_t (xdrs, &objp->store_silent_us))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->store_out))
+		 return FALSE;
 	 if (!xdr_uint32_t (xdrs, &objp->largest_milli))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->members.members_val, (u_int *) &objp->members.members_len, 4096,
 		sizeof (gb_name), (xdrproc_t) xdr_gb_name))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->successors.successors_val, (u_int *) &objp->successors.successors_len, 16,
+		sizeof (gb_name), (xdrproc_t) xdr_gb_name))
+		 return FALSE;
 	 if (!xdr_uint64_t (xdrs, &objp->config))
 		 return FALSE;
 	 if (!xdr_gb_body (xdrs, &objp->config_text))
@@ -1191,6 +1208,28 @@
 	return TRUE;
 }
 
+bool_t
+xdr_gb_succeed (XDR *xdrs, gb_succeed *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_gb_name (xdrs, &objp->owner))
+		 return FALSE;
+	 if (!xdr_uint64_t (xdrs, &objp->epoch))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_gb_succeed_res (XDR *xdrs, gb_succeed_res *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bool (xdrs, &objp->begun))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_gb_advice_ask (XDR *xdrs, gb_advice_ask *objp)
 {
--- a/libgooseberry/gen/proto.h
+++ b/libgooseberry/gen/proto.h
@@ -596,7 +596,6 @@
 	GB_FLOW_MAYBE = 2,
 	GB_FLOW_NOT_OWNER = 3,
 	GB_FLOW_BEHIND = 4,
-	GB_FLOW_UNSURE = 5,
 };
 typedef enum gb_flow_verdict gb_flow_verdict;
 
@@ -635,6 +634,7 @@
 	uint64_t epoch;
 	uint64_t config;
 	uint32_t cpu_milli;
+	int64_t up_us;
 	bool_t leaving;
 };
 typedef struct gb_hello gb_hello;
@@ -647,16 +647,32 @@
 	gb_name owner_addr;
 	int64_t owner_heard_us;
 	int64_t store_silent_us;
+	bool_t store_out;
 	uint32_t largest_milli;
 	struct {
 		u_int members_len;
 		gb_name *members_val;
 	} members;
+	struct {
+		u_int successors_len;
+		gb_name *successors_val;
+	} successors;
 	uint64_t config;
 	gb_body config_text;
 };
 typedef struct gb_hello_res gb_hello_res;
 
+struct gb_succeed {
+	gb_name owner;
+	uint64_t epoch;
+};
+typedef struct gb_succeed gb_succeed;
+
+struct gb_succeed_res {
+	bool_t begun;
+};
+typedef struct gb_succeed_res gb_succeed_res;
+
 struct gb_advice_ask {
 	gb_name step;
 	struct {
@@ -754,6 +770,8 @@
 extern  bool_t xdr_gb_flow_answer (XDR *, gb_flow_answer*);
 extern  bool_t xdr_gb_hello (XDR *, gb_hello*);
 extern  bool_t xdr_gb_hello_res (XDR *, gb_hello_res*);
+extern  bool_t xdr_gb_succeed (XDR *, gb_succeed*);
+extern  bool_t xdr_gb_succeed_res (XDR *, gb_succeed_res*);
 extern  bool_t xdr_gb_advice_ask (XDR *, gb_advice_ask*);
 extern  bool_t xdr_gb_ticket (XDR *, gb_ticket*);
 extern  bool_t xdr_gb_advice_status (XDR *, gb_advice_status*);
@@ -822,6 +840,8 @@
 extern bool_t xdr_gb_flow_answer ();
 extern bool_t xdr_gb_hello ();
 extern bool_t xdr_gb_hello_res ();
+extern bool_t xdr_gb_succeed ();
+extern bool_t xdr_gb_succeed_res ();
 extern bool_t xdr_gb_advice_ask ();
 extern bool_t xdr_gb_ticket ();
 extern bool_t xdr_gb_advice_status ();
--- a/libgooseberry/gen/proto.x
+++ b/libgooseberry/gen/proto.x
@@ -496,8 +496,7 @@
 	GB_FLOW_REFUSED = 1,	/* never runs */
 	GB_FLOW_MAYBE = 2,	/* may have been accepted */
 	GB_FLOW_NOT_OWNER = 3,	/* ask another node; nothing was done */
-	GB_FLOW_BEHIND = 4,	/* has an older configuration */
-	GB_FLOW_UNSURE = 5	/* as maybe, and asking again now is no use */
+	GB_FLOW_BEHIND = 4	/* has an older configuration */
 };
 
 struct gb_flow_submit {
@@ -533,6 +532,7 @@
 	uint64_t epoch;		/* newest that it has seen */
 	uint64_t config;
 	uint32_t cpu_milli;
+	int64_t up_us;		/* age of its process */
 	bool leaving;
 };
 
@@ -544,12 +544,24 @@
 	gb_name owner_addr;	/* as far as known */
 	int64_t owner_heard_us;	/* since the owner last answered this node */
 	int64_t store_silent_us;	/* since the owner's last store answer */
+	bool store_out;		/* most parts do not take the owner's writes */
 	uint32_t largest_milli;	/* processor of the largest live member */
 	gb_name members<4096>;	/* addresses of peer ports */
+	gb_name successors<16>;	/* who is to take the pool over, best first */
 	uint64_t config;
 	gb_body config_text;	/* empty unless the caller's is older */
 };
 
+/* The owner asks a member to take the pool over from it. */
+struct gb_succeed {
+	gb_name owner;		/* address of the owner that asks */
+	uint64_t epoch;		/* of that owner */
+};
+
+struct gb_succeed_res {
+	bool begun;		/* it has begun to take the pool over */
+};
+
 struct gb_advice_ask {
 	gb_name step;
 	gb_name workers<100>;
--- a/libgooseberry/gooseberry.h
+++ b/libgooseberry/gooseberry.h
@@ -508,6 +508,7 @@
 	GB_PROC_FLOW_ASK,
 	GB_PROC_HELLO,
 	GB_PROC_ADVISE,
+	GB_PROC_SUCCEED,
 	GB_PROCS
 };
 
--- a/libgooseberry/node/intake.c
+++ b/libgooseberry/node/intake.c
@@ -209,6 +209,9 @@
 {
 	switch (answer->verdict) {
 	case GB_FLOW_NOT_OWNER:
+		watch_recheck(&in->node->watch, node_now());
+		intake_again(in);
+		return;
 	case GB_FLOW_BEHIND:
 		intake_again(in);
 		return;
@@ -216,10 +219,6 @@
 		in->maybe = true;
 		intake_again(in);
 		return;
-	case GB_FLOW_UNSURE:
-		in->maybe = true;
-		intake_give_up(in);
-		return;
 	case GB_FLOW_REFUSED:
 		if (in->maybe) {
 			/* An earlier try may have been accepted. */
--- a/libgooseberry/node/node.c
+++ b/libgooseberry/node/node.c
@@ -14,13 +14,6 @@
 #define TICK_BUSY_MS 5
 /** Tick of a node that has little to do. */
 #define TICK_IDLE_MS 25
-/** An owner stays for this long before it makes way for a larger node, so that
- * the pool does not go to and fro. */
-#define DEFER_AFTER (1500 * GB_MSEC)
-/** It looks who has taken the pool only after the others had time to. */
-#define DEFER_PAUSE (800 * GB_MSEC)
-/** A member heard within this is alive. */
-#define DEFER_HEARD (600 * GB_MSEC)
 /** Calls in a row without success after which the store counts as out for this
  * node, and the pause between looks whether it is back. */
 #define STORE_OUT_LOSSES 2
@@ -176,12 +169,11 @@
 {
 	struct gb_node *node = data;
 
-	(void)epoch;
-	if (!owns)
-		watch_lost(&node->watch, node_now(),
-		    node->deferring ? DEFER_PAUSE : 0);
-	node->released = !owns && (node->leaving || node->deferring);
-	node->deferring = false;
+	bool handed = !owns && node_handover_done(node, epoch);
+
+	if (!owns && !handed)
+		watch_lost(&node->watch, node_now(), 0);
+	node->released = !owns && !handed && node->leaving;
 	if (owns)
 		node->owned_at = node_now();
 	node->platform.follow_workers(node->platform.data, owns);
@@ -385,30 +377,6 @@
 	    node_call_new(node, NULL, NULL, owner_row_read), &read);
 }
 
-/** A member that is much larger should own the pool. */
-static void
-defer_to_larger(struct gb_node *node)
-{
-	const struct node_member *member;
-
-	if (node_now() - node->owned_at < DEFER_AFTER)
-		return;
-	for (member = node->members; member != NULL; member = member->hh.next) {
-		if (member->leaving ||
-		    node_now() - member->heard > DEFER_HEARD ||
-		    member->cpu_milli * 2 < node->cpu_milli * 3)
-			continue;
-		gb_event(node->events, GB_EVENT_ALWAYS, "pool_left_to_larger",
-		    "{s:s, s:I, s:I}", "member", member->addr, "cpu_milli",
-		    (json_int_t)member->cpu_milli, "own_milli",
-		    (json_int_t)node->cpu_milli);
-		node->deferring = true;
-		node->watch.largest_milli = member->cpu_milli;
-		gb_pool_release(node->pool, node_now());
-		return;
-	}
-}
-
 static void
 watch_tick(struct gb_node *node)
 {
@@ -419,7 +387,8 @@
 			return;
 		gb_pool_member(node->pool, node_now(), node->settings.addr,
 		    !node->leaving);
-		defer_to_larger(node);
+		node_handover_to_larger(node);
+		node_handover_tick(node);
 		return;
 	}
 	switch (watch_next(&node->watch, node_now())) {
@@ -494,6 +463,7 @@
 		    settings->listen);
 	node->platform = *platform;
 	node->events = events;
+	node->started = node_now();
 	node->incarnation = gb_hash(settings->name, strlen(settings->name)) ^
 			    (uint64_t)gb_clock_wall();
 	TAILQ_INIT(&node->intakes);
@@ -537,7 +507,8 @@
 		if (in->deadline > node->leave_by)
 			in->deadline = node->leave_by;
 	}
-	gb_pool_release(node->pool, node_now());
+	if (!gb_pool_owns(node->pool) || !node_handover_begin(node))
+		gb_pool_release(node->pool, node_now());
 }
 
 bool
--- a/libgooseberry/node/node_state.h
+++ b/libgooseberry/node/node_state.h
@@ -24,6 +24,7 @@
 	UT_hash_handle hh;
 	char addr[GB_NAME_MAX + 1];
 	gb_time heard;
+	gb_time up; /**< age of its process when it was heard */
 	uint64_t config;
 	gb_time behind; /**< since then it has an older configuration, 0 */
 	bool leaving;
@@ -68,6 +69,16 @@
 	struct intake *intake;
 };
 
+/** The owner hands the pool to a member. */
+struct node_handover {
+	bool under_way;
+	bool begun; /**< the member has said that it claims the pool */
+	char to[GB_NAME_MAX + 1];
+	unsigned int tries; /**< members asked */
+	uint64_t epoch;	    /**< of this owner */
+	gb_time until;
+};
+
 struct gb_node {
 	uv_loop_t *loop;
 	uv_timer_t tick;
@@ -99,9 +110,10 @@
 	struct node_caller *callers;
 	uint64_t next_id;
 	struct intakes intakes;
+	gb_time started;
+	struct node_handover handover;
 	bool leaving;
 	bool released;	  /**< gave the pool up: the next may take it at once */
-	bool deferring;	  /**< gives it up to a larger node */
 	gb_time leave_by; /**< all callers are answered by then */
 };
 
@@ -118,6 +130,20 @@
 /** The pool core answered. */
 void intake_answered(struct intake *, const gb_flow_answer *);
 
+/* handover.c */
+/** Ask a member to take the pool over; false when none can. */
+bool node_handover_begin(struct gb_node *);
+void node_handover_tick(struct gb_node *);
+/** A member that is much larger should own the pool. */
+void node_handover_to_larger(struct gb_node *);
+/** The pool was lost; tells whether to a member that was asked to take it.  The
+ * epoch is the newest that is known. */
+bool node_handover_done(struct gb_node *, uint64_t epoch);
+/** Tell a member who is to take the pool over. */
+void node_successors_fill(struct gb_node *, gb_hello_res *);
+void node_serve_succeed(
+    struct gb_node *, struct gb_rpc_call *, const gb_succeed *);
+
 /* metrics.c */
 bool node_metrics_serve(struct gb_node *, struct gb_error *);
 
--- a/libgooseberry/node/peers.c
+++ b/libgooseberry/node/peers.c
@@ -32,6 +32,7 @@
 	hello->epoch = gb_pool_epoch(node->pool);
 	hello->config = node->config == NULL ? 0 : node->config->version;
 	hello->cpu_milli = node->cpu_milli;
+	hello->up_us = node_now() - node->started;
 	hello->leaving = node->leaving;
 }
 
@@ -60,11 +61,29 @@
 		    res->config_text.gb_body_len);
 }
 
+/** Place of this node in the order of succession. */
+static struct succession
+place_learn(const struct gb_node *node, const gb_hello_res *res)
+{
+	struct succession place = {SUCCESSION_UNRANKED, 0, 0};
+	u_int i;
+
+	place.ranked = res->successors.successors_len;
+	place.members = (unsigned int)node->known_count;
+	for (i = 0; i < place.ranked; i++) {
+		if (strcmp(res->successors.successors_val[i],
+			node->settings.addr) == 0)
+			place.rank = i;
+	}
+	return place;
+}
+
 static void
 hello_done(void *data, gb_verdict verdict, void *arg)
 {
 	struct gb_node *node = data;
 	const gb_hello_res *res = arg;
+	struct watch_news news = {0};
 	gb_time now = node_now();
 
 	if (verdict != GB_RUN) {
@@ -82,9 +101,12 @@
 	}
 	gb_pool_epoch_seen(node->pool, now, res->epoch);
 	members_learn(node, res);
-	node->watch.largest_milli = res->largest_milli;
-	watch_heard(&node->watch, now, res->vacating && !node->leaving,
-	    res->store_silent_us, (unsigned int)node->known_count);
+	news.vacating = res->vacating && !node->leaving;
+	news.store_out = res->store_out;
+	news.store_silent = res->store_silent_us;
+	news.largest_milli = res->largest_milli;
+	news.place = place_learn(node, res);
+	watch_heard(&node->watch, now, &news);
 }
 
 void
@@ -173,6 +195,7 @@
 		member->behind = 0;
 	member->leaving = hello->leaving;
 	member->cpu_milli = hello->cpu_milli;
+	member->up = hello->up_us;
 	gb_pool_member(node->pool, now, hello->addr, !hello->leaving);
 }
 
@@ -230,8 +253,12 @@
 	gb_pool_epoch_seen(node->pool, now, hello->epoch);
 	res.owner = gb_pool_owns(node->pool) || node->released;
 	res.taking = gb_pool_loading(node->pool);
-	res.vacating = node->leaving || node->released;
+	res.vacating =
+	    node->released || (node->leaving && !node->handover.under_way);
 	res.epoch = gb_pool_epoch(node->pool);
+	/* Of the member that the pool was handed to. */
+	if (node->watch.epoch > res.epoch)
+		res.epoch = node->watch.epoch;
 	res.owner_addr = node->watch.owner;
 	res.owner_heard_us = now - node->watch.heard;
 	if (gb_pool_owns(node->pool)) {
@@ -240,6 +267,8 @@
 		res.owner_addr = node->settings.addr;
 		res.owner_heard_us = 0;
 		res.store_silent_us = gb_pool_store_silent(node->pool, now);
+		res.store_out = gb_pool_store_out(node->pool);
+		node_successors_fill(node, &res);
 	}
 	res.config = node->config == NULL ? 0 : node->config->version;
 	if (config_push(node, hello)) {
@@ -248,6 +277,7 @@
 	}
 	gb_rpc_call_reply(call, &res);
 	free(res.members.members_val);
+	free(res.successors.successors_val);
 }
 
 static struct node_caller *
@@ -282,6 +312,9 @@
 		node->platform.advise(node->platform.data,
 		    caller_new(node, call)->token | NODE_CALL, arg);
 		break;
+	case GB_PROC_SUCCEED:
+		node_serve_succeed(node, call, arg);
+		break;
 	default:
 		gb_rpc_call_refuse(call);
 		break;
--- a/libgooseberry/node/watch.c
+++ b/libgooseberry/node/watch.c
@@ -31,8 +31,15 @@
 #define WATCH_STORE_QUICK (150 * GB_MSEC)
 /** Pause between reads of the owner's row. */
 #define WATCH_READ_EVERY (150 * GB_MSEC)
-/** Nodes that see the same thing take the pool one after the other. */
+/** Nodes that see the same thing read the owner's row one after the other. */
 #define WATCH_SPREAD (60 * GB_MSEC)
+/** An owner that can't write is succeeded by a node that has the store for so
+ * long meanwhile: the owner tries again each 0.4 s at the least, so that a
+ * store that has just come back is not taken for one that turns the owner away.
+ */
+#define WATCH_SERVED (500 * GB_MSEC)
+/** Successors that look whether they have the store when the owner has not. */
+#define WATCH_DOUBTERS 3
 /** Head start of larger nodes: a claim takes about 30 ms. */
 #define WATCH_DEFER (300 * GB_MSEC)
 #define CORE_MILLI 1000
@@ -48,6 +55,7 @@
 	w->own_milli = own_milli;
 	w->heard = now;
 	w->seed = seed;
+	w->place.rank = SUCCESSION_UNRANKED;
 }
 
 static gb_time
@@ -78,7 +86,8 @@
 	if (w->vacant)
 		return;
 	w->vacant = true;
-	w->take_at = now + watch_spread(w) + watch_deference(w);
+	w->take_at = now + watch_deference(w) +
+		     succession_delay(&w->place, w->store_took, &w->seed);
 }
 
 /** What the members that were asked have said. */
@@ -103,7 +112,7 @@
 {
 	if (!w->suspected)
 		return w->next_read <= now ? WATCH_READ : WATCH_NOTHING;
-	if (w->refused >= WATCH_REFUSED || w->members < 2) {
+	if (w->refused >= WATCH_REFUSED || w->place.members < 2) {
 		watch_vacate(w, now);
 		return WATCH_NOTHING;
 	}
@@ -125,9 +134,9 @@
 {
 	if (w->read_out)
 		return WATCH_NOTHING;
-	if (w->vacant)
-		return w->take_at <= now ? WATCH_TAKE : WATCH_NOTHING;
-	if (w->owner[0] == '\0' || w->store_doubted)
+	if (w->vacant && w->take_at <= now)
+		return WATCH_TAKE;
+	if (w->vacant || w->owner[0] == '\0' || w->store_doubted)
 		return w->next_read <= now ? WATCH_READ : WATCH_NOTHING;
 	if (w->cleared_until <= now &&
 	    (now - w->heard > WATCH_SUSPECT || w->refused >= WATCH_REFUSED)) {
@@ -148,11 +157,31 @@
 	w->read_sent = now;
 }
 
+/** The store has answered this node while the owner says that it has it not. */
+static void
+watch_store_served(struct watch *w, gb_time now)
+{
+	bool quick = w->store_took < WATCH_STORE_QUICK;
+
+	if (!w->store_doubted)
+		return;
+	w->store_doubted = false;
+	if (!quick)
+		w->served_since = 0;
+	else if (w->served_since == 0)
+		w->served_since = now;
+	if (quick &&
+	    (now - w->served_since >= WATCH_SERVED || w->store_long_silent))
+		watch_vacate(w, now);
+}
+
 void
 watch_row(struct watch *w, gb_time now, const char *addr, uint64_t epoch)
 {
+	if (w->read_out)
+		w->store_took = now - w->read_sent;
 	w->read_out = false;
-	w->next_read = now + WATCH_READ_EVERY;
+	w->next_read = now + WATCH_READ_EVERY + w->store_took;
 	if (addr == NULL || addr[0] == '\0' || strcmp(addr, w->self) == 0) {
 		w->epoch = epoch;
 		watch_vacate(w, now);
@@ -160,20 +189,10 @@
 	}
 	if (epoch == w->epoch && strcmp(addr, w->owner) == 0) {
 		w->suspected = true;
-		if (w->store_doubted && now - w->read_sent < WATCH_STORE_QUICK)
-			watch_vacate(w, now);
-		w->store_doubted = false;
+		watch_store_served(w, now);
 		return;
 	}
-	snprintf(w->owner, sizeof(w->owner), "%s", addr);
-	w->epoch = epoch;
-	w->vacant = false;
-	w->store_doubted = false;
-	w->suspected = false;
-	w->refused = 0;
-	w->polled = 0;
-	w->heard = now;
-	w->next_hello = now;
+	watch_handed(w, now, addr, epoch);
 }
 
 void
@@ -181,12 +200,12 @@
 {
 	w->read_out = false;
 	w->store_doubted = false;
+	w->served_since = 0;
 	w->next_read = now + WATCH_READ_EVERY + watch_spread(w);
 }
 
 void
-watch_heard(struct watch *w, gb_time now, bool vacating, gb_time store_silent,
-    unsigned int members)
+watch_heard(struct watch *w, gb_time now, const struct watch_news *news)
 {
 	w->hello_out = false;
 	w->next_hello = now + WATCH_HELLO_EVERY;
@@ -194,14 +213,42 @@
 	w->refused = 0;
 	w->suspected = false;
 	w->polled = 0;
-	w->members = members;
-	w->store_doubted = !vacating && store_silent > WATCH_STORE_SILENT;
-	if (vacating)
+	w->largest_milli = news->largest_milli;
+	w->place = news->place;
+	w->store_long_silent = news->store_silent > WATCH_STORE_SILENT;
+	w->store_doubted =
+	    !news->vacating &&
+	    (w->store_long_silent ||
+		(news->store_out && news->place.rank < WATCH_DOUBTERS));
+	if (!w->store_doubted)
+		w->served_since = 0;
+	if (news->vacating)
 		watch_vacate(w, now);
 	else if (!w->store_doubted)
 		w->vacant = false;
 }
 
+void
+watch_handed(struct watch *w, gb_time now, const char *addr, uint64_t epoch)
+{
+	snprintf(w->owner, sizeof(w->owner), "%s", addr);
+	w->epoch = epoch;
+	w->vacant = false;
+	w->store_doubted = false;
+	w->suspected = false;
+	w->refused = 0;
+	w->polled = 0;
+	w->heard = now;
+	w->next_hello = now;
+}
+
+void
+watch_recheck(struct watch *w, gb_time now)
+{
+	if (!w->hello_out && w->next_hello > now)
+		w->next_hello = now;
+}
+
 void
 watch_denied(struct watch *w, gb_time now, const char *owner, uint64_t epoch)
 {
@@ -209,9 +256,7 @@
 	w->next_hello = now + WATCH_HELLO_EVERY / 2;
 	if (epoch > w->epoch && owner[0] != '\0' &&
 	    strcmp(owner, w->self) != 0) {
-		snprintf(w->owner, sizeof(w->owner), "%s", owner);
-		w->epoch = epoch;
-		w->heard = now;
+		watch_handed(w, now, owner, epoch);
 		return;
 	}
 	/* It owned the pool by the row, but has forgotten so.  It learns of
--- a/libgooseberry/node/watch.h
+++ b/libgooseberry/node/watch.h
@@ -6,6 +6,7 @@
 #define GB_WATCH_H
 
 #include "gooseberry.h"
+#include "succession.h"
 
 /** What to do next. */
 enum watch_action {
@@ -31,6 +32,8 @@
 	gb_time next_read;
 	gb_time read_sent;
 	bool store_doubted; /**< the owner misses the store: does this node? */
+	bool store_long_silent; /**< the owner has missed it for long */
+	gb_time served_since; /**< this node has the store, the owner not, 0 */
 	gb_time next_hello;
 	gb_time heard;	      /**< the owner's last answer */
 	unsigned int refused; /**< hellos in a row that reached nobody */
@@ -40,10 +43,11 @@
 	unsigned int deaf;    /**< do not hear the owner either */
 	unsigned int hearing;
 	gb_time polled_at;
-	gb_time cleared_until;	/**< others hear the owner: no suspicion */
-	unsigned int members;	/**< other members that are known */
-	uint32_t own_milli;	/**< processor of this node, in thousandths */
-	uint32_t largest_milli; /**< of the largest live member, 0: unknown */
+	gb_time cleared_until;	 /**< others hear the owner: no suspicion */
+	struct succession place; /**< as the owner told it last */
+	gb_time store_took;	 /**< by the last read that was answered */
+	uint32_t own_milli;	 /**< processor of this node, in thousandths */
+	uint32_t largest_milli;	 /**< of the largest live member, 0: unknown */
 	uint64_t seed;
 };
 
@@ -55,9 +59,22 @@
 /** The owner's row was read; without a row the address is null. */
 void watch_row(struct watch *, gb_time now, const char *addr, uint64_t epoch);
 void watch_row_failed(struct watch *, gb_time now);
+/** What an owner says of itself when it answers a hello. */
+struct watch_news {
+	bool vacating;		/**< it stops: whoever is next may claim */
+	bool store_out;		/**< the store does not take its writes */
+	gb_time store_silent;	/**< since the store last answered it */
+	uint32_t largest_milli; /**< processor of the largest member */
+	struct succession place;
+};
+
 /** The owner answered a hello. */
-void watch_heard(struct watch *, gb_time now, bool vacating,
-    gb_time store_silent, unsigned int members);
+void watch_heard(struct watch *, gb_time now, const struct watch_news *);
+/** The owner has handed the pool to a member. */
+void watch_handed(
+    struct watch *, gb_time now, const char *addr, uint64_t epoch);
+/** Ask the owner anew, at once: it did not know its part. */
+void watch_recheck(struct watch *, gb_time now);
 /** The node that was said to own the pool does not, and knows this much. */
 void watch_denied(
     struct watch *, gb_time now, const char *owner, uint64_t epoch);
--- a/libgooseberry/pool/owner.c
+++ b/libgooseberry/pool/owner.c
@@ -71,6 +71,17 @@
 	return true;
 }
 
+bool
+gb_pool_store_out(const struct gb_pool *pool)
+{
+	unsigned int out = 0;
+	uint32_t i;
+
+	for (i = 0; i < GB_POOL_PARTS; i++)
+		out += pool_writer_out(pool, i);
+	return pool->phase == POOL_OWNER_ACTIVE && out >= OWNER_MAJORITY;
+}
+
 static unsigned int
 parts_at_least(const struct gb_pool *pool, enum pool_attach attach)
 {
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -801,6 +801,58 @@
 	pool_cell_free(cell);
 }
 
+/** Time that the pool is without an owner, up to how long. */
+static gb_time
+time_without_owner(struct pool_cell *cell, gb_time most)
+{
+	gb_time until = cell->now + most;
+	gb_time without = 0;
+
+	while (cell->now < until) {
+		pool_cell_run(cell, 5 * GB_MSEC);
+		if (pool_cell_owner(cell) == CELL_NODES)
+			without += 5 * GB_MSEC;
+	}
+	return without;
+}
+
+/** Load: the owner is stopped while the store is 25 times slower and callers go
+ * on.  It serves until its successor's claim stands, so that the pool is
+ * without an owner for three answers of the store, and less than half as long
+ * as when it lets go first. */
+static void
+test_owner_serves_until_its_successor_claims(void **state)
+{
+	struct pool_cell *cell;
+	gb_time without[2];
+	int first;
+
+	(void)state;
+	for (first = 0; first < 2; first++) {
+		cell = cell_begin(&plain);
+		cell->faults.store_slow = 100 * GB_MSEC;
+		submit_lookup(cell);
+		pool_cell_run(cell, 300 * GB_MSEC);
+		if (first == 0) {
+			gb_pool_release(cell->nodes[0], cell->now);
+			pool_cell_run(cell, 250 * GB_MSEC);
+		}
+		pool_cell_take(cell, 1);
+		without[first] = time_without_owner(cell, 4 * GB_SEC);
+		assert_int_equal(pool_cell_owner(cell), 1);
+		submit_lookup(cell);
+		pool_cell_run(cell, 4 * GB_SEC);
+		assert_int_equal(pool_cell_state(cell, 0), GB_FLOW_SUCCEEDED);
+		assert_int_equal(pool_cell_state(cell, 1), GB_FLOW_SUCCEEDED);
+		assert_unharmed(cell);
+		pool_cell_free(cell);
+	}
+	print_message("without an owner: %d ms released, %d ms handed over\n",
+	    (int)(without[0] / GB_MSEC), (int)(without[1] / GB_MSEC));
+	assert_true(without[1] <= 400 * GB_MSEC);
+	assert_true(without[1] * 2 <= without[0]);
+}
+
 /** Store a flow as a node does that finds no owner. */
 static void
 store_without_owner(struct pool_cell *cell, const gb_flow *spec)
@@ -1050,6 +1102,7 @@
 	    cmocka_unit_test(test_slow_store_still_takes_work_in),
 	    cmocka_unit_test(test_store_that_resets_turns_away_at_once),
 	    cmocka_unit_test(test_refused_writes_are_turned_away),
+	    cmocka_unit_test(test_owner_serves_until_its_successor_claims),
 	    cmocka_unit_test(test_adopted_flow_is_marked_before_it_starts),
 	    cmocka_unit_test(test_epoch_is_never_in_force_twice),
 	    cmocka_unit_test(test_release_does_not_wait_for_parts_that_are_out),
--- a/tests/test_watch.c
+++ b/tests/test_watch.c
@@ -17,16 +17,47 @@
 static gb_time now;
 /** Time that a read of the owner's row takes. */
 static gb_time read_takes;
+/** The owner's row, as it stands in the store. */
+static const char *row_addr;
+static uint64_t row_epoch;
+
+/** The owner answers a hello: whether it stops, and how long the store has not
+ * answered it.  This node is the first in the order of succession. */
+static void
+heard(struct watch *w, bool vacating, gb_time store_silent)
+{
+	struct watch_news news = {0};
+
+	news.vacating = vacating;
+	news.store_silent = store_silent;
+	news.largest_milli = w->largest_milli;
+	news.place = (struct succession){0, 5, 5};
+	watch_heard(w, now, &news);
+}
+
+/** The owner says that the store does not take its writes. */
+static void
+heard_store_out(struct watch *w, uint32_t rank)
+{
+	struct watch_news news = {0};
+
+	news.store_out = true;
+	news.largest_milli = w->largest_milli;
+	news.place = (struct succession){rank, 5, 5};
+	watch_heard(w, now, &news);
+}
 
 static void
 begin(struct watch *w)
 {
 	now = 100 * GB_SEC;
 	read_takes = 5 * GB_MSEC;
+	row_addr = OWNER;
+	row_epoch = 1;
 	watch_init(w, SELF, 250, now, 1);
 	watch_row(w, now, OWNER, 1);
-	watch_heard(w, now, false, 0, 5);
 	w->largest_milli = 250;
+	heard(w, false, 0);
 }
 
 static void
@@ -34,7 +65,7 @@
 {
 	watch_reading(w, now);
 	now += read_takes;
-	watch_row(w, now, OWNER, 1);
+	watch_row(w, now, row_addr, row_epoch);
 }
 
 /** Let time pass until the watch wants something but hellos, which nobody
@@ -69,7 +100,7 @@
 		now += STEP;
 		assert_int_not_equal(watch_next(&w, now), WATCH_TAKE);
 		if (watch_next(&w, now) == WATCH_HELLO)
-			watch_heard(&w, now, false, 0, 5);
+			heard(&w, false, 0);
 	}
 }
 
@@ -137,7 +168,7 @@
 
 	(void)state;
 	begin(&w);
-	watch_heard(&w, now, true, 0, 5);
+	heard(&w, true, 0);
 	began = now;
 	assert_int_equal(wanted(&w, GB_SEC), WATCH_TAKE);
 	assert_true(now - began < 200 * GB_MSEC);
@@ -153,7 +184,7 @@
 	(void)state;
 	begin(&w);
 	w.largest_milli = 500;
-	watch_heard(&w, now, true, 0, 5);
+	heard(&w, true, 0);
 	began = now;
 	assert_int_equal(wanted(&w, GB_SEC), WATCH_TAKE);
 	assert_true(now - began >= 300 * GB_MSEC);
@@ -166,7 +197,7 @@
 
 	(void)state;
 	begin(&w);
-	watch_heard(&w, now, false, 3 * GB_SEC, 5);
+	heard(&w, false, 3 * GB_SEC);
 	assert_int_equal(wanted(&w, GB_SEC), WATCH_TAKE);
 }
 
@@ -180,13 +211,13 @@
 
 	(void)state;
 	begin(&w);
-	watch_heard(&w, now, false, 3 * GB_SEC, 5);
+	heard(&w, false, 3 * GB_SEC);
 	assert_int_equal(watch_next(&w, now + GB_SEC), WATCH_READ);
 	now += GB_SEC;
 	watch_reading(&w, now);
 	watch_row(&w, now, "10.0.0.3:70", 2);
 	assert_int_equal(watch_next(&w, now), WATCH_HELLO);
-	watch_heard(&w, now, false, 0, 5);
+	heard(&w, false, 0);
 	assert_int_equal(wanted(&w, 150 * GB_MSEC), WATCH_NOTHING);
 }
 
@@ -199,11 +230,105 @@
 	(void)state;
 	begin(&w);
 	read_takes = 300 * GB_MSEC;
-	watch_heard(&w, now, false, 3 * GB_SEC, 5);
+	heard(&w, false, 3 * GB_SEC);
 	assert_int_equal(wanted(&w, 500 * GB_MSEC), WATCH_NOTHING);
 	assert_false(w.vacant);
 }
 
+/** Load: the store turns the owner away and serves the others.  The first
+ * successors look whether they have it, and one takes over in well under the
+ * 1.3 s after which the owner counts as silent to the store. */
+static void
+test_owner_that_is_turned_away_is_succeeded_soon(void **state)
+{
+	struct watch w;
+	gb_time began;
+	enum watch_action action = WATCH_NOTHING;
+
+	(void)state;
+	begin(&w);
+	began = now;
+	while (action != WATCH_TAKE && now - began < 3 * GB_SEC) {
+		action = watch_next(&w, now);
+		if (action == WATCH_HELLO)
+			heard_store_out(&w, 0);
+		else if (action == WATCH_READ)
+			read_row(&w);
+		now += STEP;
+	}
+	assert_int_equal(action, WATCH_TAKE);
+	assert_true(now - began < GB_SEC);
+}
+
+/** Load: an outage of the whole store is over, and the owner's next try comes
+ * 0.4 s after a successor was served: it keeps the pool. */
+static void
+test_owner_keeps_the_pool_when_the_store_is_back(void **state)
+{
+	struct watch w;
+	gb_time began;
+
+	(void)state;
+	begin(&w);
+	for (began = now; now - began < 400 * GB_MSEC; now += STEP) {
+		enum watch_action action = watch_next(&w, now);
+
+		assert_int_not_equal(action, WATCH_TAKE);
+		if (action == WATCH_HELLO)
+			heard_store_out(&w, 0);
+		else if (action == WATCH_READ)
+			read_row(&w);
+	}
+	for (began = now; now - began < GB_SEC; now += STEP) {
+		enum watch_action action = watch_next(&w, now);
+
+		assert_int_not_equal(action, WATCH_TAKE);
+		if (action == WATCH_HELLO)
+			heard(&w, false, 0);
+	}
+}
+
+/** Load: 35 nodes hear that the owner misses the store; all but the first
+ * successors leave it alone, so that the store is not asked by all. */
+static void
+test_only_the_first_successors_look(void **state)
+{
+	struct watch w;
+	gb_time began;
+
+	(void)state;
+	begin(&w);
+	for (began = now; now - began < GB_SEC; now += STEP) {
+		enum watch_action action = watch_next(&w, now);
+
+		assert_int_not_equal(action, WATCH_TAKE);
+		assert_int_not_equal(action, WATCH_READ);
+		if (action == WATCH_HELLO)
+			heard_store_out(&w, 12);
+	}
+}
+
+/** A node that waits for its turn goes on looking at the row, and learns of the
+ * owner that was faster. */
+static void
+test_waiting_successor_learns_of_the_owner(void **state)
+{
+	struct watch w;
+	struct watch_news news = {0};
+
+	(void)state;
+	begin(&w);
+	news.vacating = true;
+	news.largest_milli = 250;
+	news.place = (struct succession){15, 16, 34};
+	watch_heard(&w, now, &news);
+	now += 200 * GB_MSEC;
+	assert_int_equal(watch_next(&w, now), WATCH_READ);
+	watch_reading(&w, now);
+	watch_row(&w, now, "10.0.0.3:70", 2);
+	assert_int_equal(watch_next(&w, now), WATCH_HELLO);
+}
+
 static void
 test_own_old_row_is_taken_up(void **state)
 {
@@ -211,8 +336,10 @@
 
 	(void)state;
 	now = 100 * GB_SEC;
+	row_addr = SELF;
+	row_epoch = 4;
 	watch_init(&w, SELF, 250, now, 1);
-	watch_row(&w, now, SELF, 4);
+	watch_row(&w, now, row_addr, row_epoch);
 	assert_int_equal(wanted(&w, GB_SEC), WATCH_TAKE);
 	assert_int_equal(w.epoch, 4);
 }
@@ -230,6 +357,10 @@
 	    cmocka_unit_test(test_owner_without_store_is_succeeded),
 	    cmocka_unit_test(test_successor_is_not_doubted),
 	    cmocka_unit_test(test_slow_store_is_no_reason),
+	    cmocka_unit_test(test_owner_that_is_turned_away_is_succeeded_soon),
+	    cmocka_unit_test(test_owner_keeps_the_pool_when_the_store_is_back),
+	    cmocka_unit_test(test_only_the_first_successors_look),
+	    cmocka_unit_test(test_waiting_successor_learns_of_the_owner),
 	    cmocka_unit_test(test_own_old_row_is_taken_up),
 	};
 
