--- a/libgooseberry/node/watch.c
+++ b/libgooseberry/node/watch.c
@@ -13,8 +13,10 @@
 
 #include "watch.h"
 
-/** Interval of hellos to the owner. */
+/** Interval of hellos to the owner, and of the first successors' hellos, which
+ * learn of an owner without the store. */
 #define WATCH_HELLO_EVERY (200 * GB_MSEC)
+#define WATCH_HELLO_FIRST (100 * GB_MSEC)
 /** Silence after which the owner is suspected; processor shares of a tenth of
  * a second and slow nodes stay well under it. */
 #define WATCH_SUSPECT (900 * GB_MSEC)
@@ -208,7 +210,9 @@
 watch_heard(struct watch *w, gb_time now, const struct watch_news *news)
 {
 	w->hello_out = false;
-	w->next_hello = now + WATCH_HELLO_EVERY;
+	w->next_hello = now + (news->place.rank < WATCH_DOUBTERS
+				      ? WATCH_HELLO_FIRST
+				      : WATCH_HELLO_EVERY);
 	w->heard = now;
 	w->refused = 0;
 	w->suspected = false;
--- a/libgooseberry/pool/writer.c
+++ b/libgooseberry/pool/writer.c
@@ -43,9 +43,11 @@
 /** Time to come back after a refusal for want of the store: outages last some
  * seconds, and callers have three. */
 #define WRITER_COME_BACK GB_SEC
-/** First and longest pause after a refusal. */
+/** First and longest pause after a refusal.  Members wait longer than the
+ * longest before they take an owner that is refused for one that alone misses
+ * the store (WATCH_SERVED). */
 #define WRITER_RETRY_BASE (50 * GB_MSEC)
-#define WRITER_RETRY_MOST (400 * GB_MSEC)
+#define WRITER_RETRY_MOST (150 * GB_MSEC)
 
 uint32_t
 gb_pool_part(const char *flow_id)
