--- a/libgooseberry/node/watch.c
+++ b/libgooseberry/node/watch.c
@@ -36,10 +36,10 @@
 /** Nodes that see the same thing read the owner's row one after the other. */
 #define WATCH_SPREAD (60 * GB_MSEC)
 /** An owner that can't write is succeeded by a node that has the store for so
- * long meanwhile: the owner tries again each 0.4 s at the least, so that a
+ * long meanwhile: the owner tries again each 0.15 s at the least, so that a
  * store that has just come back is not taken for one that turns the owner away.
  */
-#define WATCH_SERVED (500 * GB_MSEC)
+#define WATCH_SERVED (250 * GB_MSEC)
 /** Successors that look whether they have the store when the owner has not. */
 #define WATCH_DOUBTERS 3
 /** Head start of larger nodes: a claim takes about 30 ms. */
@@ -138,8 +138,10 @@
 		return WATCH_NOTHING;
 	if (w->vacant && w->take_at <= now)
 		return WATCH_TAKE;
-	if (w->vacant || w->owner[0] == '\0' || w->store_doubted)
+	if (w->vacant || w->owner[0] == '\0')
 		return w->next_read <= now ? WATCH_READ : WATCH_NOTHING;
+	if (w->store_doubted && w->next_read <= now)
+		return WATCH_READ;
 	if (w->cleared_until <= now &&
 	    (now - w->heard > WATCH_SUSPECT || w->refused >= WATCH_REFUSED)) {
 		enum watch_action action = watch_suspicion(w, now);
@@ -163,18 +165,20 @@
 static void
 watch_store_served(struct watch *w, gb_time now)
 {
-	bool quick = w->store_took < WATCH_STORE_QUICK;
-
 	if (!w->store_doubted)
 		return;
-	w->store_doubted = false;
-	if (!quick)
+	if (w->store_took >= WATCH_STORE_QUICK) {
+		w->store_doubted = false;
 		w->served_since = 0;
-	else if (w->served_since == 0)
-		w->served_since = now;
-	if (quick &&
-	    (now - w->served_since >= WATCH_SERVED || w->store_long_silent))
+	} else if (w->store_long_silent ||
+		   (w->served_since != 0 &&
+		       now - w->served_since >= WATCH_SERVED)) {
+		w->store_doubted = false;
 		watch_vacate(w, now);
+	} else if (w->served_since == 0) {
+		w->served_since = now;
+		w->next_read = now + WATCH_SERVED;
+	}
 }
 
 void
--- a/tests/test_watch.c
+++ b/tests/test_watch.c
@@ -257,7 +257,7 @@
 		now += STEP;
 	}
 	assert_int_equal(action, WATCH_TAKE);
-	assert_true(now - began < 600 * GB_MSEC);
+	assert_true(now - began < 500 * GB_MSEC);
 }
 
 /** Load: an outage of the whole store is over, and the owner's next try comes
