A node stores what the store refuses the owner, after a look that it takes it

Hypothesis: while the store turns the owner away, the flows that it refuses come back 1 s later and are late; other nodes could store them at once. Change: the pool answers that it can't store; the node that took the request reads the flow's state row, and writes the flow as it does without an owner. The look comes first since a lost write would leave its caller with a 504.

--- a/libgooseberry/gen/proto.h
+++ b/libgooseberry/gen/proto.h
@@ -596,6 +596,7 @@
 	GB_FLOW_MAYBE = 2,
 	GB_FLOW_NOT_OWNER = 3,
 	GB_FLOW_BEHIND = 4,
+	GB_FLOW_CANT_STORE = 5,
 };
 typedef enum gb_flow_verdict gb_flow_verdict;
 
--- a/libgooseberry/gen/proto.x
+++ b/libgooseberry/gen/proto.x
@@ -496,7 +496,8 @@
 	GB_FLOW_REFUSED = 1,	/* never runs */
 	GB_FLOW_MAYBE = 2,	/* may have been accepted */
 	GB_FLOW_NOT_OWNER = 3,	/* ask another node; nothing was done */
-	GB_FLOW_BEHIND = 4	/* has an older configuration */
+	GB_FLOW_BEHIND = 4,	/* has an older configuration */
+	GB_FLOW_CANT_STORE = 5	/* not taken: the store refuses this owner */
 };
 
 struct gb_flow_submit {
--- a/libgooseberry/node/intake.c
+++ b/libgooseberry/node/intake.c
@@ -83,6 +83,16 @@
 	intake_finish(in, &answer);
 }
 
+/** The owner refused it; an earlier try may have been accepted. */
+static void
+intake_refused(struct intake *in, const gb_flow_answer *answer)
+{
+	if (in->maybe)
+		intake_give_up(in);
+	else
+		intake_finish(in, answer);
+}
+
 static void
 intake_again(struct intake *in)
 {
@@ -125,24 +135,32 @@
 	intake_finish(in, &answer);
 }
 
+/** Read the stored state of a flow. */
 static void
-intake_read(struct intake *in)
+state_ask(struct intake *in, const char *id,
+    void (*done)(struct node_call *, const struct gb_pool_read_res *))
 {
 	struct gb_node *node = in->node;
 	char to[GB_KEY_MAX + 1];
 	const struct gb_pool_read read = {
-	    gb_pool_part(in->ask.id), GB_POOL_STATES, in->ask.id, to, 1};
+	    gb_pool_part(id), GB_POOL_STATES, id, to, 1};
 
-	snprintf(to, sizeof(to), "%.200s0", in->ask.id);
+	snprintf(to, sizeof(to), "%.200s0", id);
 	in->out = true;
-	node->platform.read(node->platform.data,
-	    node_call_new(node, in, NULL, state_read), &read);
+	node->platform.read(
+	    node->platform.data, node_call_new(node, in, NULL, done), &read);
+}
+
+static void
+intake_read(struct intake *in)
+{
+	state_ask(in, in->ask.id, state_read);
 }
 
 static void
 flow_not_written(struct intake *in)
 {
-	if (node_now() - in->began > WRITE_PATIENCE)
+	if (in->stored_once || node_now() - in->began > WRITE_PATIENCE)
 		intake_give_up(in);
 	else
 		intake_again(in);
@@ -204,6 +222,44 @@
 
 /* At the owner ------------------------------------------------------------ */
 
+/** Whether the store takes what it refuses the owner: a read tells, and can't
+ * be lost like a write whose caller must then be told that it may have landed.
+ */
+static void
+store_looked(struct node_call *call, const struct gb_pool_read_res *res)
+{
+	struct intake *in = call->data;
+	gb_flow_answer answer = {0};
+
+	if (res->status != GB_STORE_OK) {
+		answer.verdict = GB_FLOW_REFUSED;
+		answer.retry_after_us = RETRY_AFTER;
+		intake_refused(in, &answer);
+	} else if (res->row_count > 0) {
+		answer.verdict = GB_FLOW_ACCEPTED;
+		intake_finish(in, &answer);
+	} else {
+		intake_write(in);
+	}
+}
+
+/** The store refuses the owner, and perhaps the owner alone: this node tries
+ * once itself, so that the flow is there when another takes over. */
+static void
+intake_owner_cant_store(struct intake *in, const gb_flow_answer *answer)
+{
+	gb_flow_answer refused = *answer;
+
+	if (in->submit == NULL || in->maybe || in->stored_once ||
+	    gb_pool_owns(in->node->pool) || node_store_out(in->node)) {
+		refused.verdict = GB_FLOW_REFUSED;
+		intake_refused(in, &refused);
+		return;
+	}
+	in->stored_once = true;
+	state_ask(in, in->submit->flow.id, store_looked);
+}
+
 void
 intake_answered(struct intake *in, const gb_flow_answer *answer)
 {
@@ -219,13 +275,12 @@
 		in->maybe = true;
 		intake_again(in);
 		return;
+	case GB_FLOW_CANT_STORE:
+		intake_owner_cant_store(in, answer);
+		return;
 	case GB_FLOW_REFUSED:
-		if (in->maybe) {
-			/* An earlier try may have been accepted. */
-			intake_give_up(in);
-			return;
-		}
-		break;
+		intake_refused(in, answer);
+		return;
 	default:
 		break;
 	}
--- a/libgooseberry/node/node_state.h
+++ b/libgooseberry/node/node_state.h
@@ -54,6 +54,7 @@
 	bool
 	    answered; /**< its caller has its answer; waits for the try's end */
 	bool maybe;   /**< an earlier try may have been carried out */
+	bool stored_once; /**< this node tried the store for an owner */
 	unsigned int tries;
 	gb_node_answer answer;
 	void *data;
--- a/libgooseberry/pool/flow.c
+++ b/libgooseberry/pool/flow.c
@@ -373,7 +373,7 @@
 {
 	gb_flow_answer answer = {0};
 
-	answer.verdict = GB_FLOW_REFUSED;
+	answer.verdict = GB_FLOW_CANT_STORE;
 	answer.retry_after_us = retry;
 	pool->stats.refused++;
 	gb_event(pool->cfg.events, GB_EVENT_NORMAL, "flow_refused",
--- a/libgooseberry/pool/pool.c
+++ b/libgooseberry/pool/pool.c
@@ -305,7 +305,7 @@
 		return;
 	if (pool_writer_out(pool, gb_pool_part(submit->flow.id))) {
 		pool->stats.refused++;
-		pool_answer(pool, token, GB_FLOW_REFUSED, GB_SEC);
+		pool_answer(pool, token, GB_FLOW_CANT_STORE, GB_SEC);
 		return;
 	}
 	if (!pool_admit(pool, &submit->flow, &retry_after, &why)) {
