Nodes write for themselves only while the store is quick

Cause (log): the owner is killed at 13 s while the store is 35 times slower; 35 nodes write 250 flows a second one by one, of which a part carries out 3.5 a second; the store turns calls away, and no claim comes through until 20 s. Ruled out: the order of claims (three nodes began, as meant). Change: a node without an owner writes only if its last read of the owner's row is younger than 0.4 s and took under 40 ms; otherwise it waits for an owner as long as eight reads take, then turns its caller away.

--- a/libgooseberry/node/intake.c
+++ b/libgooseberry/node/intake.c
@@ -22,11 +22,16 @@
 /** A submission waits this long for an owner to appear before this node
  * writes it itself. */
 #define WRITE_AFTER (120 * GB_MSEC)
-/** A node that finds neither owner nor store turns the caller away after this:
- * long enough for a takeover, early enough to come back. */
+/** A node that finds neither owner nor store turns the caller away after this,
+ * and so many reads of the store more: long enough for a takeover, early enough
+ * to come back. */
 #define WRITE_PATIENCE (400 * GB_MSEC)
+#define WRITE_PATIENCE_READS 8
 /** A caller's answer goes out this much before its time is up. */
 #define ANSWER_MARGIN (150 * GB_MSEC)
+/** A look at the store that takes longer says that it is slow for everybody: a
+ * write would come too late. */
+#define LOOK_QUICK (40 * GB_MSEC)
 /** Time to come back after a refusal for want of an owner and the store. */
 #define RETRY_AFTER (GB_SEC)
 
@@ -157,10 +162,18 @@
 	state_ask(in, in->ask.id, state_read);
 }
 
+static bool
+intake_patient(const struct intake *in)
+{
+	return node_now() - in->began <=
+	       WRITE_PATIENCE +
+		   WRITE_PATIENCE_READS * in->node->watch.store_took;
+}
+
 static void
 flow_not_written(struct intake *in)
 {
-	if (in->stored_once || node_now() - in->began > WRITE_PATIENCE)
+	if (in->stored_once || !intake_patient(in))
 		intake_give_up(in);
 	else
 		intake_again(in);
@@ -231,7 +244,8 @@
 	struct intake *in = call->data;
 	gb_flow_answer answer = {0};
 
-	if (res->status != GB_STORE_OK) {
+	if (res->status != GB_STORE_OK ||
+	    node_now() - call->sent > LOOK_QUICK) {
 		answer.verdict = GB_FLOW_REFUSED;
 		answer.retry_after_us = RETRY_AFTER;
 		intake_refused(in, &answer);
@@ -339,6 +353,22 @@
 		    owner_answered, in);
 }
 
+/** Nobody owns the pool.  While the store is slow the writes of all nodes would
+ * hold up the claim of the next owner, by seconds with 35 nodes: it is waited
+ * for. */
+static void
+intake_try_store(struct intake *in, gb_time now)
+{
+	if (watch_store_quick(&in->node->watch, now)) {
+		intake_write(in);
+	} else if (intake_patient(in)) {
+		intake_again(in);
+	} else {
+		in->out = false;
+		intake_give_up(in);
+	}
+}
+
 static void
 intake_try(struct intake *in, gb_time now)
 {
@@ -359,7 +389,7 @@
 		intake_give_up(in);
 	} else if (in->submit != NULL &&
 		   (silent || now - in->began >= WRITE_AFTER)) {
-		intake_write(in);
+		intake_try_store(in, now);
 	} else if (in->submit == NULL && in->ask.op == GB_FLOW_OP_STATE &&
 		   (silent || in->tries > 2)) {
 		intake_read(in);
--- a/libgooseberry/node/node.c
+++ b/libgooseberry/node/node.c
@@ -43,6 +43,7 @@
 	call->id = ++node->next_id | NODE_CALL;
 	call->node = node;
 	call->data = data;
+	call->sent = node_now();
 	call->txn_done = txn_done;
 	call->read_done = read_done;
 	HASH_ADD(hh, node->calls, id, sizeof(call->id), call);
--- a/libgooseberry/node/node_state.h
+++ b/libgooseberry/node/node_state.h
@@ -39,6 +39,7 @@
 	void (*read_done)(struct node_call *, const struct gb_pool_read_res *);
 	struct gb_node *node;
 	void *data;
+	gb_time sent;
 };
 
 /** A caller's request that is on its way. */
--- a/libgooseberry/node/watch.c
+++ b/libgooseberry/node/watch.c
@@ -31,6 +31,11 @@
 /** A store that answers this node within this is not what is wrong: it takes
  * 4 ms when all is well, and 240 ms and more when it is slow for everybody. */
 #define WATCH_STORE_QUICK (150 * GB_MSEC)
+/** A read that is as quick as usual, 4 ms and the way: at ten times that a part
+ * of the tables carries out a dozen writes a second, and callers bring 50. */
+#define WATCH_STORE_USUAL (40 * GB_MSEC)
+/** What is known of the store is this old at the most. */
+#define WATCH_STORE_KNOWN (400 * GB_MSEC)
 /** Pause between reads of the owner's row. */
 #define WATCH_READ_EVERY (150 * GB_MSEC)
 /** Nodes that see the same thing read the owner's row one after the other. */
@@ -184,8 +189,10 @@
 void
 watch_row(struct watch *w, gb_time now, const char *addr, uint64_t epoch)
 {
-	if (w->read_out)
+	if (w->read_out) {
 		w->store_took = now - w->read_sent;
+		w->store_read_at = now;
+	}
 	w->read_out = false;
 	w->next_read = now + WATCH_READ_EVERY + w->store_took;
 	if (addr == NULL || addr[0] == '\0' || strcmp(addr, w->self) == 0) {
@@ -316,6 +323,16 @@
 		w->deaf++;
 }
 
+bool
+watch_store_quick(struct watch *w, gb_time now)
+{
+	if (w->store_read_at != 0 && now - w->store_read_at < WATCH_STORE_KNOWN)
+		return w->store_took < WATCH_STORE_USUAL;
+	if (w->next_read > now)
+		w->next_read = now;
+	return false;
+}
+
 void
 watch_lost(struct watch *w, gb_time now, gb_time pause)
 {
--- a/libgooseberry/node/watch.h
+++ b/libgooseberry/node/watch.h
@@ -46,6 +46,7 @@
 	gb_time cleared_until;	 /**< others hear the owner: no suspicion */
 	struct succession place; /**< as the owner told it last */
 	gb_time store_took;	 /**< by the last read that was answered */
+	gb_time store_read_at;	 /**< when that answer came, 0: never */
 	uint32_t own_milli;	 /**< processor of this node, in thousandths */
 	uint32_t largest_milli;	 /**< of the largest live member, 0: unknown */
 	uint64_t seed;
@@ -84,6 +85,9 @@
 void watch_unheard(struct watch *, gb_time now, bool refused);
 void watch_poll_begun(struct watch *, gb_time now, unsigned int members);
 void watch_polled(struct watch *, enum watch_word);
+/** Whether the store has answered a moment ago, and as quickly as usual.  If it
+ * is not known, the owner's row is read at once. */
+bool watch_store_quick(struct watch *, gb_time now);
 /** Another node took the pool, or this one failed to. */
 void watch_lost(struct watch *, gb_time now, gb_time pause);
 
--- a/tests/test_watch.c
+++ b/tests/test_watch.c
@@ -329,6 +329,28 @@
 	assert_int_equal(watch_next(&w, now), WATCH_HELLO);
 }
 
+/** Load: the owner is gone while the store is 35 times slower; 35 nodes have
+ * callers.  They write for themselves only while the store is as quick as
+ * usual: otherwise their writes hold up the claim of the next owner. */
+static void
+test_nodes_write_only_while_the_store_is_quick(void **state)
+{
+	struct watch w;
+
+	(void)state;
+	begin(&w);
+	now += GB_SEC;
+	assert_false(watch_store_quick(&w, now));
+	assert_true(w.next_read <= now);
+	read_row(&w);
+	assert_true(watch_store_quick(&w, now));
+	now += 500 * GB_MSEC;
+	assert_false(watch_store_quick(&w, now));
+	read_takes = 140 * GB_MSEC;
+	read_row(&w);
+	assert_false(watch_store_quick(&w, now));
+}
+
 static void
 test_own_old_row_is_taken_up(void **state)
 {
@@ -361,6 +383,7 @@
 	    cmocka_unit_test(test_owner_keeps_the_pool_when_the_store_is_back),
 	    cmocka_unit_test(test_only_the_first_successors_look),
 	    cmocka_unit_test(test_waiting_successor_learns_of_the_owner),
+	    cmocka_unit_test(test_nodes_write_only_while_the_store_is_quick),
 	    cmocka_unit_test(test_own_old_row_is_taken_up),
 	};
 
