--- a/libgooseberry/node/handover.c
+++ b/libgooseberry/node/handover.c
@@ -131,6 +131,8 @@
 bool
 node_handover_begin(struct gb_node *node)
 {
+	if (!NODE_USES(node, GB_MECH_HANDOVER))
+		return false;
 	if (node->handover.under_way)
 		return true;
 	node->handover.tries = 0;
--- a/libgooseberry/node/intake.c
+++ b/libgooseberry/node/intake.c
@@ -264,8 +264,9 @@
 {
 	gb_flow_answer refused = *answer;
 
-	if (in->submit == NULL || in->maybe || in->stored_once ||
-	    gb_pool_owns(in->node->pool) || node_store_out(in->node)) {
+	if (!NODE_USES(in->node, GB_MECH_FOR_OWNER) || in->submit == NULL ||
+	    in->maybe || in->stored_once || gb_pool_owns(in->node->pool) ||
+	    node_store_out(in->node)) {
 		refused.verdict = GB_FLOW_REFUSED;
 		intake_refused(in, &refused);
 		return;
@@ -359,7 +360,9 @@
 static void
 intake_try_store(struct intake *in, gb_time now)
 {
-	if (watch_store_quick(&in->node->watch, now)) {
+	if (NODE_USES(in->node, GB_MECH_WITHOUT_OWNER) &&
+	    (!NODE_USES(in->node, GB_MECH_QUICK_ONLY) ||
+		watch_store_quick(&in->node->watch, now))) {
 		intake_write(in);
 	} else if (intake_patient(in)) {
 		intake_again(in);
--- a/libgooseberry/node/node.c
+++ b/libgooseberry/node/node.c
@@ -467,6 +467,8 @@
 	node->started = node_now();
 	node->incarnation = gb_hash(settings->name, strlen(settings->name)) ^
 			    (uint64_t)gb_clock_wall();
+	if (!gb_mechanisms_parse(settings->off, &node->off, err))
+		return NULL;
 	TAILQ_INIT(&node->intakes);
 	node->peers = gb_rpc_pool_new(loop, env);
 	node->server = gb_rpc_server_new(
@@ -483,6 +485,7 @@
 	if (settings->files > FILES_RESERVED)
 		pool.limits.connections =
 		    (uint32_t)(settings->files - FILES_RESERVED);
+	pool.off = node->off;
 	pool.events = events;
 	ops.data = node;
 	node->pool = gb_pool_new(&pool, &ops, node_now());
--- a/libgooseberry/node/node_state.h
+++ b/libgooseberry/node/node_state.h
@@ -113,6 +113,7 @@
 	uint64_t next_id;
 	struct intakes intakes;
 	gb_time started;
+	uint32_t off; /**< mechanisms that are switched off, as bits */
 	struct node_handover handover;
 	bool leaving;
 	bool released;	  /**< gave the pool up: the next may take it at once */
@@ -127,6 +128,10 @@
 /** Whether the store does not answer this node for now. */
 bool node_store_out(const struct gb_node *);
 
+/** Whether a mechanism is in use. */
+#define NODE_USES(node, mechanism) \
+	(((node)->off & (UINT32_C(1) << (mechanism))) == 0)
+
 /* intake.c */
 void intake_tick(struct gb_node *);
 /** The pool core answered. */
--- a/libgooseberry/node/peers.c
+++ b/libgooseberry/node/peers.c
@@ -70,6 +70,8 @@
 
 	place.ranked = res->successors.successors_len;
 	place.members = (unsigned int)node->known_count;
+	if (!NODE_USES(node, GB_MECH_RANKS))
+		return place;
 	for (i = 0; i < place.ranked; i++) {
 		if (strcmp(res->successors.successors_val[i],
 			node->settings.addr) == 0)
@@ -267,7 +269,8 @@
 		res.owner_addr = node->settings.addr;
 		res.owner_heard_us = 0;
 		res.store_silent_us = gb_pool_store_silent(node->pool, now);
-		res.store_out = gb_pool_store_out(node->pool);
+		res.store_out = NODE_USES(node, GB_MECH_DOUBT) &&
+				gb_pool_store_out(node->pool);
 		node_successors_fill(node, &res);
 	}
 	res.config = node->config == NULL ? 0 : node->config->version;
--- a/libgooseberry/node/succession.c
+++ b/libgooseberry/node/succession.c
@@ -31,7 +31,7 @@
 #define SUCCESSION_CLAIM_MOST (1200 * GB_MSEC)
 /** Nodes without a rank wait a random time of up to one claim for each of them,
  * and of so many at the least. */
-#define SUCCESSION_CLAIMS_SPREAD 4
+#define SUCCESSION_CLAIMS_SPREAD 2
 
 static bool
 member_can(const struct succession_member *m)
--- a/libgooseberry/node/watch.c
+++ b/libgooseberry/node/watch.c
@@ -48,7 +48,7 @@
 /** Successors that look whether they have the store when the owner has not. */
 #define WATCH_DOUBTERS 3
 /** Head start of larger nodes: a claim takes about 30 ms. */
-#define WATCH_DEFER (300 * GB_MSEC)
+#define WATCH_DEFER (400 * GB_MSEC)
 #define CORE_MILLI 1000
 /** Members have this long to say whether they hear the owner. */
 #define WATCH_POLL_WAIT (350 * GB_MSEC)
--- a/libgooseberry/pool.h
+++ b/libgooseberry/pool.h
@@ -244,12 +244,40 @@
 	uint32_t connections; /**< this node may have open, 0: no limit */
 };
 
+/** Mechanisms that can be switched off.  Each stands where it is decided; none
+ * is needed to keep a promise. */
+enum gb_mechanism {
+	GB_MECH_ORDER,	  /**< what is due first starts first */
+	GB_MECH_ROOM,	  /**< work that can wait is stopped for gangs */
+	GB_MECH_BOOK,	  /**< room is kept for gangs that wait */
+	GB_MECH_AHEAD,	  /**< advice is asked for before a step is ready */
+	GB_MECH_LANES,	  /**< a gang asks several lanes at once */
+	GB_MECH_RENEW,	  /**< tickets are renewed before room is there */
+	GB_MECH_ASIDE,	  /**< workers that fail or stand still are left out */
+	GB_MECH_SPEED,	  /**< who is pressed gets the fast workers */
+	GB_MECH_COPIES,	  /**< stragglers are copied where that is allowed */
+	GB_MECH_LAST_TRY, /**< a last try goes to workers beyond doubt */
+	GB_MECH_GATHER,	  /**< changes are gathered before they are written */
+	GB_MECH_HANDOVER, /**< an owner that stops serves until it is succeeded
+			   */
+	GB_MECH_RANKS,	  /**< successors claim in an order */
+	GB_MECH_DOUBT,	  /**< successors look when the owner can't write */
+	GB_MECH_WITHOUT_OWNER, /**< nodes store flows while there is no owner */
+	GB_MECH_FOR_OWNER,     /**< and those that the owner can't store */
+	GB_MECH_QUICK_ONLY,    /**< but only while the store is quick */
+	GB_MECHANISMS
+};
+
+/** Read a list of names, separated by commas, as bits. */
+bool gb_mechanisms_parse(const char *list, uint32_t *out, struct gb_error *);
+
 struct gb_pool_settings {
 	const char *name;     /**< of this node */
 	const char *addr;     /**< of its peer port */
 	uint64_t incarnation; /**< differs with each start of the process */
 	uint64_t seed;
 	struct gb_pool_limits limits;
+	uint32_t off; /**< mechanisms that are switched off, as bits */
 	struct gb_events *events;
 };
 
--- a/libgooseberry/pool/dispatch.c
+++ b/libgooseberry/pool/dispatch.c
@@ -214,9 +214,11 @@
 	case POOL_ROOM_NONE:
 		break;
 	}
-	if (!pool_book(pool, flow, step, &flow->wait, workers))
+	if (!POOL_USES(pool, GB_MECH_BOOK) ||
+	    !pool_book(pool, flow, step, &flow->wait, workers))
 		flow->wait = 0;
-	else if (POOL_ADVICE_NEEDED(flow) && step->renews_out == 0 &&
+	else if (POOL_USES(pool, GB_MECH_RENEW) && POOL_ADVICE_NEEDED(flow) &&
+		 step->renews_out == 0 &&
 		 flow->wait < step_advice_time(flow, step) &&
 		 !step_tickets_hold(pool, step, workers))
 		step_renew(
@@ -313,7 +315,8 @@
 	struct pool_step *step = &flow->steps[number];
 	gb_time in;
 
-	if (step->advice != POOL_ADVICE_NONE || step->asks_out > 0 ||
+	if (!POOL_USES(pool, GB_MECH_AHEAD) ||
+	    step->advice != POOL_ADVICE_NONE || step->asks_out > 0 ||
 	    !POOL_ADVICE_NEEDED(flow) || step->done > 0 ||
 	    step->advice_retry_at > pool->now || !pool_advice_lane_free(pool))
 		return;
@@ -345,7 +348,8 @@
 	uint32_t worker;
 	uint32_t i;
 
-	if ((step->spec->flags & GB_STEP_SPECULATIVE) == 0 ||
+	if (!POOL_USES(pool, GB_MECH_COPIES) ||
+	    (step->spec->flags & GB_STEP_SPECULATIVE) == 0 ||
 	    (step->spec->flags & GB_STEP_GANG) != 0 ||
 	    !pool_flow_step_ready(flow, step))
 		return;
--- a/libgooseberry/pool/fit.c
+++ b/libgooseberry/pool/fit.c
@@ -173,6 +173,8 @@
 		score += FIT_BOOKED_PENALTY;
 	if (worker->failures > 0)
 		score += 1.0;
+	if (!POOL_USES(pool, GB_MECH_SPEED))
+		return score;
 	/* Whoever has time to spare leaves the fast workers to the others. */
 	if (fit_spare(pool, flow) > FIT_SPARE)
 		score -= FIT_SLOW_FIRST * (worker->slowness - 1.0);
@@ -214,7 +216,8 @@
 		return false;
 	if (rack != NULL && strcmp(rack, worker->rack) != 0)
 		return false;
-	if (worker->failures > 0 && fit_last_try(flow, step))
+	if (POOL_USES(pool, GB_MECH_LAST_TRY) && worker->failures > 0 &&
+	    fit_last_try(flow, step))
 		return false;
 	if (tickets && POOL_ADVICE_NEEDED(flow) &&
 	    pool_fit_ticket(pool, step, worker->handle) == NULL)
--- a/libgooseberry/pool/health.c
+++ b/libgooseberry/pool/health.c
@@ -40,7 +40,8 @@
 	    worker->aside_for == 0 ? HEALTH_ASIDE : worker->aside_for * 2;
 	if (worker->aside_for > HEALTH_ASIDE_MOST)
 		worker->aside_for = HEALTH_ASIDE_MOST;
-	worker->aside_until = pool->now + worker->aside_for;
+	if (POOL_USES(pool, GB_MECH_ASIDE))
+		worker->aside_until = pool->now + worker->aside_for;
 	worker->failures = HEALTH_FAILURES - 1;
 	pool->stats.sidelined++;
 	gb_event(pool->cfg.events, GB_EVENT_ALWAYS, "worker_set_aside",
--- a/libgooseberry/pool/preempt.c
+++ b/libgooseberry/pool/preempt.c
@@ -242,7 +242,8 @@
 	enum pool_room room = POOL_ROOM_NONE;
 	struct preempt_slot *slots;
 
-	if (pool->cfg.limits.stop_us > PREEMPT_STOP_MOST || spare < 0 ||
+	if (!POOL_USES(pool, GB_MECH_ROOM) ||
+	    pool->cfg.limits.stop_us > PREEMPT_STOP_MOST || spare < 0 ||
 	    step->preempt_at > pool->now || step->renews_out > 0 ||
 	    (step->spec->flags & GB_STEP_SAME_RACK) != 0)
 		return POOL_ROOM_NONE;
--- a/libgooseberry/pool/rank.c
+++ b/libgooseberry/pool/rank.c
@@ -113,23 +113,25 @@
 	    pool->now - flow->ranked_at > RANK_AGE)
 		rank_chains(pool, flow);
 	flow->remaining = flow->chain + flow->wait;
+	flow->start_by = flow->due - flow->remaining;
 	if (pool->now + flow->remaining <= flow->due)
 		flow->tier = RANK_ON_TIME;
 	else if (pool->now + flow->remaining <= flow->late_due)
 		flow->tier = RANK_LATE;
 	else
 		flow->tier = RANK_TOO_LATE;
+	if (!POOL_USES(pool, GB_MECH_ORDER)) {
+		flow->tier = RANK_ON_TIME;
+		flow->start_by = flow->submitted;
+	}
 }
 
 int
 pool_rank_compare(const struct pool_flow *a, const struct pool_flow *b)
 {
-	gb_time latest_a = a->due - a->remaining;
-	gb_time latest_b = b->due - b->remaining;
-
 	if (a->tier != b->tier)
 		return a->tier < b->tier ? -1 : 1;
-	if (latest_a != latest_b)
-		return latest_a < latest_b ? -1 : 1;
+	if (a->start_by != b->start_by)
+		return a->start_by < b->start_by ? -1 : 1;
 	return strcmp(a->spec.id, b->spec.id);
 }
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -172,6 +172,7 @@
 	gb_time due;	   /**< to earn in full */
 	gb_time late_due;  /**< to earn anything */
 	gb_time remaining; /**< longest chain that is left */
+	gb_time start_by;  /**< the earliest goes first, within a tier */
 	gb_time wait;	 /**< until room for a gang is expected, as last seen */
 	uint64_t ranked; /**< change for which the chain was worked out */
 	gb_time ranked_at;
@@ -418,6 +419,10 @@
 #define POOL_ADVICE_NEEDED(flow) \
 	((flow)->queue != NULL && (flow)->queue->advice.needed)
 
+/** Whether a mechanism is in use. */
+#define POOL_USES(pool, mechanism) \
+	(((pool)->cfg.off & (UINT32_C(1) << (mechanism))) == 0)
+
 /* call.c */
 struct pool_call *pool_call_new(struct gb_pool *, enum pool_call_kind);
 /** Take the call of an answer out of the table; null when it belongs to an
--- a/libgooseberry/pool/writer.c
+++ b/libgooseberry/pool/writer.c
@@ -323,7 +323,9 @@
 	if (part->phase == POOL_PART_WAITING && part->retry_at <= pool->now)
 		part->phase = POOL_PART_IDLE;
 	if (part->phase != POOL_PART_IDLE ||
-	    pool->now - part->sent < (urgent ? WRITER_GAP : WRITER_GAP_LONG))
+	    (POOL_USES(pool, GB_MECH_GATHER) &&
+		pool->now - part->sent <
+		    (urgent ? WRITER_GAP : WRITER_GAP_LONG)))
 		return;
 	if (part->seal)
 		part_seal(pool, number);
