--- /dev/null
+++ b/tests/test_node.c
@@ -0,0 +1,369 @@
+/**
+ * @file test_node.c
+ * Nodes as they meet over their peer ports: who takes callers' flows when the
+ * owner can't store them, and how an owner that stops hands the pool over.
+ * The tables are the model of the platform; calls end with the next round of
+ * the loop.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+#include <uv.h>
+
+#include "node/node_state.h"
+#include "world.h"
+
+#define NODES 3
+/** Rounds of the loop that a test goes on for at the most, 1 ms each. */
+#define ROUNDS_MOST 20000
+
+struct cell;
+
+/** A call of a node to the tables. */
+struct table_call {
+	TAILQ_ENTRY(table_call) next;
+	unsigned int node;
+	uint64_t id;
+	bool write;
+	struct gb_pool_txn_res txn;
+	struct gb_pool_read_res read;
+};
+
+/** What a node's operations are handed. */
+struct seat {
+	struct cell *cell;
+	unsigned int number;
+};
+
+struct cell {
+	uv_loop_t loop;
+	uv_timer_t round;
+	struct world *world;
+	struct gb_node *nodes[NODES];
+	struct seat seats[NODES];
+	bool store_refuses[NODES]; /**< turned away by the tables */
+	TAILQ_HEAD(, table_call) calls;
+	unsigned int writes[NODES];
+	bool answered;
+	gb_flow_answer answer;
+};
+
+static const struct gb_env env = {NULL, NULL, NULL};
+/** Nodes end with their process: their cells stay, each with its addresses. */
+static struct cell *cells[8];
+static unsigned int cell_count;
+
+static struct table_call *
+table_call_add(struct seat *seat, uint64_t id, bool write)
+{
+	struct table_call *call = gb_calloc(1, sizeof(*call));
+
+	call->node = seat->number;
+	call->id = id;
+	call->write = write;
+	TAILQ_INSERT_TAIL(&seat->cell->calls, call, next);
+	return call;
+}
+
+static void
+op_txn(void *data, uint64_t id, const struct gb_pool_txn *txn)
+{
+	struct seat *seat = data;
+	struct table_call *call = table_call_add(seat, id, true);
+
+	if (seat->cell->store_refuses[seat->number]) {
+		call->txn.status = GB_STORE_REFUSED;
+		return;
+	}
+	seat->cell->writes[seat->number]++;
+	world_txn(seat->cell->world, txn, &call->txn);
+}
+
+static void
+op_read(void *data, uint64_t id, const struct gb_pool_read *read)
+{
+	struct seat *seat = data;
+	struct table_call *call = table_call_add(seat, id, false);
+
+	if (seat->cell->store_refuses[seat->number])
+		call->read.status = GB_STORE_REFUSED;
+	else
+		world_read(seat->cell->world, read, &call->read);
+}
+
+static void
+op_order(void *data, uint64_t id, const struct gb_pool_order *order)
+{
+	(void)data;
+	(void)id;
+	(void)order;
+	fail_msg("there are no workers");
+}
+
+static void
+op_hold(void *data, uint64_t id, const struct gb_pool_hold *hold)
+{
+	(void)data;
+	(void)id;
+	(void)hold;
+	fail_msg("there are no workers");
+}
+
+static void
+op_advise(void *data, uint64_t id, const gb_advice_ask *ask)
+{
+	(void)data;
+	(void)id;
+	(void)ask;
+	fail_msg("there are no workers");
+}
+
+static void
+op_follow(void *data, bool on)
+{
+	(void)data;
+	(void)on;
+}
+
+static struct gb_pool_config *
+config_decode(const char *text, size_t len)
+{
+	struct gb_pool_config *config = gb_pool_config_new(1);
+
+	(void)text;
+	(void)len;
+	config->version = 1;
+	snprintf(config->queues[0].name, GB_NAME_MAX, "lookup");
+	snprintf(config->queues[0].service, GB_NAME_MAX, "svc");
+	config->queues[0].max_attempts = 3;
+	config->queues[0].stretch = 2;
+	config->queues[0].target_us = GB_SEC;
+	gb_pool_config_seal(config);
+	return config;
+}
+
+static void
+on_round(uv_timer_t *timer)
+{
+	struct cell *cell = timer->data;
+	struct table_call *call;
+
+	while ((call = TAILQ_FIRST(&cell->calls)) != NULL) {
+		TAILQ_REMOVE(&cell->calls, call, next);
+		if (call->write)
+			gb_node_txn_done(
+			    cell->nodes[call->node], call->id, &call->txn);
+		else
+			gb_node_read_done(
+			    cell->nodes[call->node], call->id, &call->read);
+		world_txn_free(&call->txn);
+		world_read_free(&call->read);
+		free(call);
+	}
+}
+
+static struct gb_node *
+node_start(struct cell *cell, unsigned int number)
+{
+	const struct gb_node_platform platform = {op_order, op_order, op_hold,
+	    op_advise, op_txn, op_read, op_follow, config_decode,
+	    &cell->seats[number]};
+	struct gb_node_settings settings = {0};
+	struct gb_error err = {0};
+	struct gb_node *node;
+
+	snprintf(settings.name, sizeof(settings.name), "node-%u", number);
+	/* Each process of the test suite has addresses of its own. */
+	snprintf(settings.listen, sizeof(settings.listen), "127.%d.%d.%u:7300",
+	    1 + (int)getpid() / 250 % 250, 1 + (int)getpid() % 250,
+	    cell_count * NODES + number + 1);
+	snprintf(settings.addr, sizeof(settings.addr), "%s", settings.listen);
+	snprintf(settings.metrics, sizeof(settings.metrics), "127.0.0.1:0");
+	snprintf(settings.cpu_share, sizeof(settings.cpu_share), "1");
+	settings.lease_ms = 3000;
+	settings.stop_ms = 200;
+	settings.keep_s = 60;
+	settings.grace_s = 6;
+	node = gb_node_new(&cell->loop, &env, &settings, &platform, NULL, &err);
+	if (node == NULL)
+		fail_msg("node %u: %s", number, err.text);
+	gb_node_config_seen(node, "1", 1);
+	return node;
+}
+
+static struct cell *
+cell_begin(void)
+{
+	struct cell *cell = gb_calloc(1, sizeof(*cell));
+	unsigned int i;
+
+	uv_loop_init(&cell->loop);
+	TAILQ_INIT(&cell->calls);
+	cell->world = world_new(1);
+	for (i = 0; i < NODES; i++) {
+		cell->seats[i].cell = cell;
+		cell->seats[i].number = i;
+		cell->nodes[i] = node_start(cell, i);
+	}
+	uv_timer_init(&cell->loop, &cell->round);
+	cell->round.data = cell;
+	uv_timer_start(&cell->round, on_round, 1, 1);
+	cells[cell_count++] = cell;
+	return cell;
+}
+
+static unsigned int
+cell_owner(const struct cell *cell)
+{
+	unsigned int i;
+
+	for (i = 0; i < NODES; i++) {
+		if (gb_pool_owns(cell->nodes[i]->pool))
+			break;
+	}
+	return i;
+}
+
+/** Whether an owner knows the two others and has told them their places. */
+static bool
+cell_settled(const struct cell *cell)
+{
+	unsigned int owner = cell_owner(cell);
+	unsigned int i;
+
+	for (i = 0; i < NODES && owner < NODES; i++) {
+		if (i != owner && cell->nodes[i]->watch.place.ranked < 2)
+			return false;
+	}
+	return owner < NODES;
+}
+
+static void
+cell_settle(struct cell *cell)
+{
+	int i;
+
+	for (i = 0; i < ROUNDS_MOST && !cell_settled(cell); i++)
+		uv_run(&cell->loop, UV_RUN_ONCE);
+	assert_true(cell_settled(cell));
+}
+
+static void
+on_answer(void *data, const gb_flow_answer *answer)
+{
+	struct cell *cell = data;
+
+	cell->answered = true;
+	cell->answer = *answer;
+}
+
+static void
+cell_submit(struct cell *cell, unsigned int node, const char *id)
+{
+	gb_flow_submit submit = {0};
+	gb_step step = {0};
+	char none[] = "";
+	int i;
+
+	step.count = 1;
+	step.label = step.rack = none;
+	submit.config = 1;
+	submit.flow.id = (char *)id;
+	submit.flow.queue = (char *)"lookup";
+	submit.flow.service = (char *)"svc";
+	submit.flow.spec = (char *)"ms=100";
+	submit.flow.max_attempts = 3;
+	submit.flow.submitted_us = gb_clock_wall();
+	submit.flow.steps.steps_len = 1;
+	submit.flow.steps.steps_val = &step;
+	cell->answered = false;
+	gb_node_submit(
+	    cell->nodes[node], &submit, 20 * GB_SEC, on_answer, cell);
+	for (i = 0; i < ROUNDS_MOST && !cell->answered; i++)
+		uv_run(&cell->loop, UV_RUN_ONCE);
+	assert_true(cell->answered);
+}
+
+/** Load: the store turns the owner away and serves the others.  A flow that
+ * reaches another node is stored by that one, until the pool is taken over. */
+static void
+test_node_stores_what_the_owner_cannot(void **state)
+{
+	struct cell *cell = cell_begin();
+	unsigned int owner;
+	unsigned int other;
+	unsigned int rows;
+
+	(void)state;
+	cell_settle(cell);
+	owner = cell_owner(cell);
+	other = (owner + 1) % NODES;
+	cell->store_refuses[owner] = true;
+	rows = world_row_count(cell->world, GB_POOL_FLOWS);
+	cell_submit(cell, other, "00000000000000a1");
+	assert_int_equal(cell->answer.verdict, GB_FLOW_ACCEPTED);
+	assert_int_equal(world_row_count(cell->world, GB_POOL_FLOWS), rows + 1);
+}
+
+/** When the store turns all away, a flow is refused, with a time to come back,
+ * and never with an answer that leaves open whether it was taken. */
+static void
+test_nobody_can_store(void **state)
+{
+	struct cell *cell = cell_begin();
+	unsigned int i;
+
+	(void)state;
+	cell_settle(cell);
+	for (i = 0; i < NODES; i++)
+		cell->store_refuses[i] = true;
+	cell_submit(cell, (cell_owner(cell) + 1) % NODES, "00000000000000a2");
+	assert_int_equal(cell->answer.verdict, GB_FLOW_REFUSED);
+	assert_true(cell->answer.retry_after_us > 0);
+}
+
+/** Load: the instances are stopped in turn.  The owner stays the owner until a
+ * member of its choice has claimed the pool, in every round of the loop. */
+static void
+test_leaving_owner_serves_until_it_is_succeeded(void **state)
+{
+	struct cell *cell = cell_begin();
+	unsigned int owner;
+	int i;
+
+	(void)state;
+	cell_settle(cell);
+	owner = cell_owner(cell);
+	gb_node_leave(cell->nodes[owner]);
+	assert_true(cell->nodes[owner]->handover.under_way);
+	for (i = 0; i < ROUNDS_MOST && !gb_node_left(cell->nodes[owner]); i++) {
+		assert_true(gb_pool_owns(cell->nodes[owner]->pool));
+		uv_run(&cell->loop, UV_RUN_ONCE);
+	}
+	assert_true(gb_node_left(cell->nodes[owner]));
+	assert_false(cell->nodes[owner]->released);
+	for (i = 0; i < ROUNDS_MOST && cell_owner(cell) == NODES; i++)
+		uv_run(&cell->loop, UV_RUN_ONCE);
+	assert_int_not_equal(cell_owner(cell), NODES);
+	assert_int_not_equal(cell_owner(cell), owner);
+	assert_string_equal(cell->nodes[owner]->watch.owner,
+	    cell->nodes[cell_owner(cell)]->settings.addr);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_node_stores_what_the_owner_cannot),
+	    cmocka_unit_test(test_nobody_can_store),
+	    cmocka_unit_test(test_leaving_owner_serves_until_it_is_succeeded),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
