Who asks for a state is told the final one as soon as it is stored

Hypothesis: part of a lookup's time is the caller's pause between two looks: the first look after its last task finds the end not stored yet. Cause: ends are stored 30 to 60 ms after they are known, and callers look most often just then; they were told 'running' and came back after their pause. Change: a question that comes while the last change is being stored is answered when it is; at once when the store is out or a write takes over 0.3 s. Test test_state_is_told_when_the_end_is_stored failed before.

--- a/libgooseberry/pool/flow.c
+++ b/libgooseberry/pool/flow.c
@@ -383,6 +383,47 @@
 	pool_flow_free(pool, flow);
 }
 
+/** Callers look often once the last task has ended, before its end is stored:
+ * an answer that waits for the 30 to 60 ms that this takes is the final one,
+ * and saves them a look and its interval. */
+void
+pool_flow_ask(struct gb_pool *pool, struct pool_flow *flow, uint64_t token)
+{
+	struct pool_waiter *waiter = gb_calloc(1, sizeof(*waiter));
+	gb_flow_status shown = pool_flow_shown(flow);
+
+	waiter->token = token;
+	waiter->change = flow->change;
+	waiter->asks = true;
+	if (flow->status < GB_FLOW_SUCCEEDED || shown == flow->status ||
+	    pool_writer_out(pool, flow->part)) {
+		waiter->status = shown;
+		flow_answer(pool, waiter, GB_FLOW_ACCEPTED);
+		free(waiter);
+		return;
+	}
+	waiter->status = flow->status;
+	STAILQ_INSERT_TAIL(&flow->waiters, waiter, next);
+}
+
+void
+pool_flow_ask_ends(struct gb_pool *pool, struct pool_flow *flow)
+{
+	struct pool_waiter *waiter;
+	struct pool_waiter *next;
+
+	for (waiter = STAILQ_FIRST(&flow->waiters); waiter != NULL;
+	     waiter = next) {
+		next = STAILQ_NEXT(waiter, next);
+		if (!waiter->asks)
+			continue;
+		STAILQ_REMOVE(&flow->waiters, waiter, pool_waiter, next);
+		waiter->status = pool_flow_shown(flow);
+		flow_answer(pool, waiter, GB_FLOW_ACCEPTED);
+		free(waiter);
+	}
+}
+
 /** Free what was submitted, but for the names. */
 static void
 flow_trim(struct pool_flow *flow)
--- a/libgooseberry/pool/pool.c
+++ b/libgooseberry/pool/pool.c
@@ -364,7 +364,8 @@
 		pool_flow_wait(pool, flow, token, flow->change, flow->status);
 		return;
 	} else {
-		answer.status = pool_flow_shown(flow);
+		pool_flow_ask(pool, flow, token);
+		return;
 	}
 	pool->ops.answer(pool->ops.data, token, &answer);
 }
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -131,6 +131,7 @@
 	uint64_t token;
 	uint64_t change;
 	gb_flow_status status;
+	bool asks; /**< wants to know the state: any that is true will do */
 };
 
 STAILQ_HEAD(pool_waiters, pool_waiter);
@@ -522,6 +523,12 @@
 void pool_flow_turn_away(struct gb_pool *, struct pool_flow *, gb_time retry);
 void pool_flow_wait(struct gb_pool *, struct pool_flow *, uint64_t token,
     uint64_t change, gb_flow_status);
+/** Tell a caller the state; if its last change is being stored, then when it
+ * is. */
+void pool_flow_ask(struct gb_pool *, struct pool_flow *, uint64_t token);
+/** Changes are not stored for now: who asks for the state is told the stored
+ * one. */
+void pool_flow_ask_ends(struct gb_pool *, struct pool_flow *);
 bool pool_flow_step_ready(const struct pool_flow *, const struct pool_step *);
 /** Tasks of a step that may be started now. */
 uint32_t pool_flow_waiting(
--- a/libgooseberry/pool/writer.c
+++ b/libgooseberry/pool/writer.c
@@ -43,6 +43,10 @@
 /** Time to come back after a refusal for want of the store: outages last some
  * seconds, and callers have three. */
 #define WRITER_COME_BACK GB_SEC
+/** Who asks for the state of a flow whose end is being stored waits for a write
+ * of this length at the most: writes take 12 ms, and 0.2 s when the store is 25
+ * times slower. */
+#define WRITER_ASK_MOST (300 * GB_MSEC)
 /** First and longest pause after a refusal.  Members wait longer than the
  * longest before they take an owner that is refused for one that alone misses
  * the store (WATCH_SERVED). */
@@ -308,6 +312,21 @@
 	}
 }
 
+/** Who asks for the state of a flow waits no longer for its last change. */
+static void
+part_ask_ends(struct gb_pool *pool, struct pool_part *part)
+{
+	struct pool_flow *flow;
+	size_t i;
+
+	TAILQ_FOREACH(flow, &part->dirty, dirty_next)
+	{
+		pool_flow_ask_ends(pool, flow);
+	}
+	for (i = 0; i < part->sent_count; i++)
+		pool_flow_ask_ends(pool, part->sent_flows[i]);
+}
+
 static void
 part_tick(struct gb_pool *pool, uint32_t number)
 {
@@ -320,6 +339,9 @@
 	part_probe(pool, number);
 	if (pool_writer_out(pool, number))
 		part_out(pool, number);
+	if (pool_writer_out(pool, number) ||
+	    (part->call != 0 && pool->now - part->sent > WRITER_ASK_MOST))
+		part_ask_ends(pool, part);
 	if (part->phase == POOL_PART_WAITING && part->retry_at <= pool->now)
 		part->phase = POOL_PART_IDLE;
 	if (part->phase != POOL_PART_IDLE ||
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -771,8 +771,9 @@
 	pool_cell_run(cell, 2 * GB_SEC);
 	for (i = 0; i < 100; i++) {
 		assert_true(cell->flows[i].answered);
-		assert_true(cell->flows[i].answer.verdict == GB_FLOW_ACCEPTED ||
-			    cell->flows[i].answer.verdict == GB_FLOW_CANT_STORE);
+		assert_true(
+		    cell->flows[i].answer.verdict == GB_FLOW_ACCEPTED ||
+		    cell->flows[i].answer.verdict == GB_FLOW_CANT_STORE);
 	}
 	assert_unharmed(cell);
 	pool_cell_free(cell);
@@ -950,6 +951,49 @@
 	pool_cell_free(cell);
 }
 
+/** Ask for a flow's state as soon as all its tasks have ended, and give the
+ * answer a while; returns the status that was told, or unknown. */
+static gb_flow_status
+ask_at_the_end(struct pool_cell *cell, size_t flow, gb_time how_long)
+{
+	struct pool_cell_flow *f = &cell->flows[flow];
+	struct world_flow_view view = {0};
+	gb_flow_ask ask = {GB_FLOW_OP_STATE, f->spec.id};
+
+	while (!view.done) {
+		pool_cell_run(cell, 5 * GB_MSEC);
+		assert_true(world_flow_view(cell->world, f->spec.id, &view));
+	}
+	pool_cell_run(cell, 5 * GB_MSEC);
+	assert_int_equal(f->over, 0);
+	f->token = ++cell->next_token;
+	f->answered = false;
+	gb_pool_ask(cell->nodes[0], cell->now, f->token, &ask);
+	pool_cell_run(cell, how_long);
+	return f->answered ? f->answer.status : GB_FLOW_UNKNOWN;
+}
+
+/** Callers look at a state most often just after the last task has ended,
+ * before its end is stored.  They are told the final state once it is, and what
+ * is stored when the store is out. */
+static void
+test_state_is_told_when_the_end_is_stored(void **state)
+{
+	struct pool_cell *cell = cell_begin(&plain);
+	size_t flow = submit_lookup(cell);
+
+	(void)state;
+	assert_int_equal(
+	    ask_at_the_end(cell, flow, 100 * GB_MSEC), GB_FLOW_SUCCEEDED);
+	flow = submit_lookup(cell);
+	pool_cell_run(cell, 500 * GB_MSEC);
+	cell->faults.store_down = true;
+	assert_int_equal(
+	    ask_at_the_end(cell, flow, 400 * GB_MSEC), GB_FLOW_RUNNING);
+	assert_unharmed(cell);
+	pool_cell_free(cell);
+}
+
 /* Random faults ----------------------------------------------------------- */
 
 static void
@@ -1139,6 +1183,7 @@
 	    cmocka_unit_test(test_owner_serves_until_its_successor_claims),
 	    cmocka_unit_test(test_adopted_flow_is_marked_before_it_starts),
 	    cmocka_unit_test(test_lost_holds_hide_ends_for_a_moment_only),
+	    cmocka_unit_test(test_state_is_told_when_the_end_is_stored),
 	    cmocka_unit_test(test_epoch_is_never_in_force_twice),
 	    cmocka_unit_test(test_release_does_not_wait_for_parts_that_are_out),
 	    cmocka_unit_test(test_random_faults),
