--- a/libgooseberry/pool/report.c
+++ b/libgooseberry/pool/report.c
@@ -113,12 +113,11 @@
 	end_of_flow(end, flow);
 }
 
-/** Returns whether an end was listed that had not been seen. */
-static bool
+/** Take in the ends that have not been seen. */
+static void
 worker_ends(struct gb_pool *pool, struct pool_worker *worker,
     const struct gb_pool_report *report)
 {
-	bool news = false;
 	size_t i;
 
 	for (i = 0; i < report->ended_count; i++) {
@@ -127,10 +126,8 @@
 		if (seen->number <= worker->seen)
 			continue;
 		worker->seen = seen->number;
-		news = true;
 		end_take(pool, worker, end_add(worker, seen->number), seen);
 	}
-	return news;
 }
 
 void
@@ -302,16 +299,14 @@
 	}
 }
 
-bool
+void
 pool_report_take(struct gb_pool *pool, struct pool_worker *worker, gb_time sent,
     const struct gb_pool_report *report)
 {
-	bool news = worker_ends(pool, worker, report);
-
+	worker_ends(pool, worker, report);
 	worker_running(pool, worker, report);
 	if (report->ended_count < ENDS_LISTED_MOST)
 		worker_missing(pool, worker, sent, report);
-	return news;
 }
 
 void
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -548,9 +548,8 @@
 gb_flow_status pool_flow_shown(const struct pool_flow *);
 
 /* report.c */
-/** Take in what a worker answered to a hold; `sent` is when it was asked.
- * Returns whether it told of an end that was not known. */
-bool pool_report_take(struct gb_pool *, struct pool_worker *, gb_time sent,
+/** Take in what a worker answered to a hold; `sent` is when it was asked. */
+void pool_report_take(struct gb_pool *, struct pool_worker *, gb_time sent,
     const struct gb_pool_report *);
 /** Work out up to which end all that a worker told is stored. */
 void pool_report_ack(struct gb_pool *, struct pool_worker *);
--- a/libgooseberry/pool/worker.c
+++ b/libgooseberry/pool/worker.c
@@ -24,11 +24,9 @@
 #define HOLD_WAIT_BUSY (400 * GB_MSEC)
 #define HOLD_WAIT_IDLE (1800 * GB_MSEC)
 /** Pause after a hold that told of ends: gathers the next ones, because each
- * look at a worker is paid for, and lets the store confirm these. */
+ * look at a worker is paid for, and lets the store confirm these, since the
+ * worker answers at once as long as one is not acknowledged. */
 #define HOLD_GAP (60 * GB_MSEC)
-/** The same when all ends had been told of before, as while the store is out:
- * the worker answers at once as long as one is not acknowledged. */
-#define HOLD_GAP_OLD (60 * GB_MSEC)
 /** Where workers are asked in turn, a busy one waits this much for each worker
  * there is: at 3,000 it is asked each 0.75 s, 4,000 calls a second in all. */
 #define HOLD_TURN 250
@@ -165,16 +163,14 @@
 
 /** Pause after a hold that was answered. */
 static gb_time
-hold_pause(const struct gb_pool *pool, const struct pool_worker *worker,
-    size_t ended, bool news)
+hold_pause(
+    const struct gb_pool *pool, const struct pool_worker *worker, size_t ended)
 {
 	if (holds_are_short(pool))
 		return worker->run_count > 0
 			   ? HOLD_TURN * (gb_time)pool->worker_count
 			   : HOLD_WAIT_IDLE;
-	if (ended == 0)
-		return GB_MSEC;
-	return news ? HOLD_GAP : HOLD_GAP_OLD;
+	return ended == 0 ? GB_MSEC : HOLD_GAP;
 }
 
 void
@@ -182,7 +178,6 @@
     const struct gb_pool_report *report)
 {
 	struct pool_worker *worker = pool_worker_get(pool, call->worker);
-	bool news;
 
 	if (worker == NULL || worker->hold_call != call->id)
 		return;
@@ -211,14 +206,14 @@
 	pool_worker_clock(pool, worker, report->clock_ms);
 	worker->answered = pool->now;
 	worker->silent = 0;
-	news = pool_report_take(pool, worker, call->sent, report);
+	pool_report_take(pool, worker, call->sent, report);
 	pool_health_check(pool, worker);
 	if (!worker->fenced)
 		pool->work_changed = true;
 	worker->fenced = true;
 	worker->reported = call->sent;
 	worker->hold_at =
-	    pool->now + hold_pause(pool, worker, report->ended_count, news);
+	    pool->now + hold_pause(pool, worker, report->ended_count);
 }
 
 static void
