An outage of the whole store is no reason for a takeover when it is over

Ruled out: a lost owner (it was heard 56 ms before). Change: also after a long silence a successor must be served for 0.25 s while the owner is not. Test test_long_outage_of_all_is_no_reason failed before.

--- a/libgooseberry/node/watch.c
+++ b/libgooseberry/node/watch.c
@@ -175,9 +175,8 @@
 	if (w->store_took >= WATCH_STORE_QUICK) {
 		w->store_doubted = false;
 		w->served_since = 0;
-	} else if (w->store_long_silent ||
-		   (w->served_since != 0 &&
-		       now - w->served_since >= WATCH_SERVED)) {
+	} else if (w->served_since != 0 &&
+		   now - w->served_since >= WATCH_SERVED) {
 		w->store_doubted = false;
 		watch_vacate(w, now);
 	} else if (w->served_since == 0) {
@@ -234,10 +233,9 @@
 	w->polled = 0;
 	w->largest_milli = news->largest_milli;
 	w->place = news->place;
-	w->store_long_silent = news->store_silent > WATCH_STORE_SILENT;
 	w->store_doubted =
 	    !news->vacating &&
-	    (w->store_long_silent ||
+	    (news->store_silent > WATCH_STORE_SILENT ||
 		(news->store_out && news->place.rank < WATCH_DOUBTERS));
 	if (!w->store_doubted)
 		w->served_since = 0;
--- a/libgooseberry/node/watch.h
+++ b/libgooseberry/node/watch.h
@@ -32,7 +32,6 @@
 	gb_time next_read;
 	gb_time read_sent;
 	bool store_doubted; /**< the owner misses the store: does this node? */
-	bool store_long_silent; /**< the owner has missed it for long */
 	gb_time served_since; /**< this node has the store, the owner not, 0 */
 	gb_time next_hello;
 	gb_time heard;	      /**< the owner's last answer */
--- a/tests/test_watch.c
+++ b/tests/test_watch.c
@@ -288,6 +288,36 @@
 	}
 }
 
+/** Load: the whole store was away for 4 s, and answers a successor before it
+ * answers the owner's next try: its silence was no fault of the owner's
+ * (hibikiya, incident 3b07: a takeover in each outage, just when it was over).
+ */
+static void
+test_long_outage_of_all_is_no_reason(void **state)
+{
+	struct watch w;
+	gb_time began;
+
+	(void)state;
+	begin(&w);
+	for (began = now; now - began < 200 * GB_MSEC; now += STEP) {
+		enum watch_action action = watch_next(&w, now);
+
+		assert_int_not_equal(action, WATCH_TAKE);
+		if (action == WATCH_HELLO)
+			heard(&w, false, 4 * GB_SEC);
+		else if (action == WATCH_READ)
+			read_row(&w);
+	}
+	for (began = now; now - began < GB_SEC; now += STEP) {
+		enum watch_action action = watch_next(&w, now);
+
+		assert_int_not_equal(action, WATCH_TAKE);
+		if (action == WATCH_HELLO)
+			heard(&w, false, 0);
+	}
+}
+
 /** Load: 35 nodes hear that the owner misses the store; all but the first
  * successors leave it alone, so that the store is not asked by all. */
 static void
@@ -381,6 +411,7 @@
 	    cmocka_unit_test(test_slow_store_is_no_reason),
 	    cmocka_unit_test(test_owner_that_is_turned_away_is_succeeded_soon),
 	    cmocka_unit_test(test_owner_keeps_the_pool_when_the_store_is_back),
+	    cmocka_unit_test(test_long_outage_of_all_is_no_reason),
 	    cmocka_unit_test(test_only_the_first_successors_look),
 	    cmocka_unit_test(test_waiting_successor_learns_of_the_owner),
 	    cmocka_unit_test(test_nodes_write_only_while_the_store_is_quick),
