--- a/tests/test_watch.c
+++ b/tests/test_watch.c
@@ -260,32 +260,56 @@
 	assert_true(now - began < 500 * GB_MSEC);
 }
 
-/** Load: an outage of the whole store is over, and the owner's next try comes
- * 0.15 s after a successor was served: it keeps the pool. */
+/** What an owner says of itself in its answer to a hello. */
+typedef void (*owner_says)(struct watch *);
+
 static void
-test_owner_keeps_the_pool_when_the_store_is_back(void **state)
+says_store_out(struct watch *w)
+{
+	heard_store_out(w, 0);
+}
+
+static void
+says_long_silent(struct watch *w)
+{
+	heard(w, false, 4 * GB_SEC);
+}
+
+static void
+says_all_is_well(struct watch *w)
+{
+	heard(w, false, 0);
+}
+
+/** Let time pass with an owner that answers and a store that does; the pool
+ * must not be taken over. */
+static void
+assert_left_alone(struct watch *w, gb_time how_long, owner_says says)
 {
-	struct watch w;
 	gb_time began;
 
-	(void)state;
-	begin(&w);
-	for (began = now; now - began < 200 * GB_MSEC; now += STEP) {
-		enum watch_action action = watch_next(&w, now);
+	for (began = now; now - began < how_long; now += STEP) {
+		enum watch_action action = watch_next(w, now);
 
 		assert_int_not_equal(action, WATCH_TAKE);
 		if (action == WATCH_HELLO)
-			heard_store_out(&w, 0);
+			says(w);
 		else if (action == WATCH_READ)
-			read_row(&w);
+			read_row(w);
 	}
-	for (began = now; now - began < GB_SEC; now += STEP) {
-		enum watch_action action = watch_next(&w, now);
+}
 
-		assert_int_not_equal(action, WATCH_TAKE);
-		if (action == WATCH_HELLO)
-			heard(&w, false, 0);
-	}
+/** Load: an outage of the whole store is over, and the owner's next try comes
+ * 0.15 s after a successor was served: it keeps the pool. */
+static void
+test_owner_keeps_the_pool_when_the_store_is_back(void **state)
+{
+	struct watch w;
+
+	(void)state;
+	begin(&w);
+	assert_left_alone(&w, 200 * GB_MSEC, says_store_out);
+	assert_left_alone(&w, GB_SEC, says_all_is_well);
 }
 
 /** Load: the whole store was away for 4 s, and answers a successor before it
@@ -296,26 +320,11 @@
 test_long_outage_of_all_is_no_reason(void **state)
 {
 	struct watch w;
-	gb_time began;
 
 	(void)state;
 	begin(&w);
-	for (began = now; now - began < 200 * GB_MSEC; now += STEP) {
-		enum watch_action action = watch_next(&w, now);
-
-		assert_int_not_equal(action, WATCH_TAKE);
-		if (action == WATCH_HELLO)
-			heard(&w, false, 4 * GB_SEC);
-		else if (action == WATCH_READ)
-			read_row(&w);
-	}
-	for (began = now; now - began < GB_SEC; now += STEP) {
-		enum watch_action action = watch_next(&w, now);
-
-		assert_int_not_equal(action, WATCH_TAKE);
-		if (action == WATCH_HELLO)
-			heard(&w, false, 0);
-	}
+	assert_left_alone(&w, 200 * GB_MSEC, says_long_silent);
+	assert_left_alone(&w, GB_SEC, says_all_is_well);
 }
 
 /** Load: 35 nodes hear that the owner misses the store; all but the first
