--- a/libgooseberry/node/handover.c
+++ b/libgooseberry/node/handover.c
@@ -18,8 +18,8 @@
 
 /** A member answers at once whether it begins. */
 #define HANDOVER_ASK (500 * GB_MSEC)
-/** A claim that has not come by then has failed: it takes 1.5 s when the store
- * is 60 times slower. */
+/** A claim that has not come by then has failed: worked out, its read and its
+ * write take 1 s when the store is 60 times slower. */
 #define HANDOVER_CLAIM (2500 * GB_MSEC)
 /** Members that are asked before the owner lets go. */
 #define HANDOVER_TRIES 3
