--- a/libgooseberry/pool.h
+++ b/libgooseberry/pool.h
@@ -256,7 +256,6 @@
 	GB_MECH_ASIDE,	  /**< workers that fail or stand still are left out */
 	GB_MECH_SPEED,	  /**< who is pressed gets the fast workers */
 	GB_MECH_COPIES,	  /**< stragglers are copied where that is allowed */
-	GB_MECH_LAST_TRY, /**< a last try goes to workers beyond doubt */
 	GB_MECH_GATHER,	  /**< changes are gathered before they are written */
 	GB_MECH_HANDOVER, /**< an owner that stops serves until it is succeeded
 			   */
--- a/libgooseberry/pool/fit.c
+++ b/libgooseberry/pool/fit.c
@@ -183,23 +183,6 @@
 	return score;
 }
 
-/** One more failure ends the flow: only workers that are beyond doubt. */
-static bool
-fit_last_try(const struct pool_flow *flow, const struct pool_step *step)
-{
-	uint32_t most = flow->queue == NULL ? flow->spec.max_attempts
-					    : flow->queue->max_attempts;
-	uint32_t i;
-
-	if ((step->spec->flags & GB_STEP_GANG) != 0)
-		return step->tasks[0].failures + 1 >= most;
-	for (i = 0; i < step->spec->count; i++) {
-		if (!step->tasks[i].done && step->tasks[i].failures + 1 >= most)
-			return true;
-	}
-	return false;
-}
-
 static bool
 fit_candidate(const struct gb_pool *pool, const struct pool_flow *flow,
     const struct pool_step *step, bool tickets, struct pool_worker *worker,
@@ -216,9 +199,6 @@
 		return false;
 	if (rack != NULL && strcmp(rack, worker->rack) != 0)
 		return false;
-	if (POOL_USES(pool, GB_MECH_LAST_TRY) && worker->failures > 0 &&
-	    fit_last_try(flow, step))
-		return false;
 	if (tickets && POOL_ADVICE_NEEDED(flow) &&
 	    pool_fit_ticket(pool, step, worker->handle) == NULL)
 		return false;
--- a/libgooseberry/pool/mechanism.c
+++ b/libgooseberry/pool/mechanism.c
@@ -16,7 +16,6 @@
     [GB_MECH_ASIDE] = "aside",
     [GB_MECH_SPEED] = "speed",
     [GB_MECH_COPIES] = "copies",
-    [GB_MECH_LAST_TRY] = "last-try",
     [GB_MECH_GATHER] = "gather",
     [GB_MECH_HANDOVER] = "handover",
     [GB_MECH_RANKS] = "ranks",
