Entries of other writers name no worker to use; the others hold

Hypothesis: an entry that is incomplete, of other types, in an unknown state, of an unknown service or unreadable is used today, and harms. Cause: a missing or unknown State counted as ready, missing Capacity as zero, an unreadable changed entry left the older one in force, a service that the configuration does not name was looked at like others, and an entry at an address where nobody answers held each takeover up until every lease was over (4.5 s; the test's flow did not go on within 2.5 s). An entry with another worker's address made the owner take the answer 'another lifetime' for the end of the worker, and start its work again. Counters by fault, one log line a change.

--- a/libgooseberry/node/metrics.c
+++ b/libgooseberry/node/metrics.c
@@ -59,6 +59,18 @@
 	    {"gooseberry_flows_open", "Flows that are not over.", s->flows},
 	    {"gooseberry_runs_open", "Runs that are not over.", s->running},
 	    {"gooseberry_workers", "Workers known.", s->workers},
+	    {"gooseberry_entries_unreadable",
+		"Entries of workers that are no object.",
+		s->entry_faults[GB_POOL_ENTRY_UNREADABLE]},
+	    {"gooseberry_entries_incomplete",
+		"Entries that lack a field, or have one of another type.",
+		s->entry_faults[GB_POOL_ENTRY_INCOMPLETE]},
+	    {"gooseberry_entries_out_of_range",
+		"Entries with a value that cannot be.",
+		s->entry_faults[GB_POOL_ENTRY_RANGE]},
+	    {"gooseberry_entries_unknown_state",
+		"Entries with a state that nobody knows.",
+		s->entry_faults[GB_POOL_ENTRY_STATE]},
 	};
 
 	gb_counter_print(out, counters, sizeof(counters) / sizeof(counters[0]));
--- a/libgooseberry/pool.h
+++ b/libgooseberry/pool.h
@@ -43,15 +43,20 @@
 	uint64_t version;
 	struct gb_pool_queue *queues; /**< sorted by name once it is sealed */
 	size_t queue_count;
+	char (*services)[GB_NAME_MAX + 1]; /**< pools of workers */
+	size_t service_count;
 };
 
-struct gb_pool_config *gb_pool_config_new(size_t queues);
+struct gb_pool_config *gb_pool_config_new(size_t queues, size_t services);
 /** All queues are filled in: make them ready to be found. */
 void gb_pool_config_seal(struct gb_pool_config *);
 struct gb_pool_config *gb_pool_config_ref(struct gb_pool_config *);
 void gb_pool_config_unref(struct gb_pool_config *);
 const struct gb_pool_queue *gb_pool_config_queue(
     const struct gb_pool_config *, const char *name);
+/** Whether the configuration names a service, as one of its own or as that of a
+ * queue. */
+bool gb_pool_config_serves(const struct gb_pool_config *, const char *service);
 /** Queue of a request: the longest prefix of the path for that host. */
 const struct gb_pool_queue *gb_pool_config_route(
     const struct gb_pool_config *, const char *host, const char *path);
@@ -60,9 +65,25 @@
 
 #define GB_POOL_LABELS 8
 
-/** An entry of the platform's list of workers. */
+/** Why an entry of the list names no worker to use.  Others than the workers
+ * themselves may write there. */
+enum gb_pool_entry_fault {
+	GB_POOL_ENTRY_SOUND,
+	GB_POOL_ENTRY_UNREADABLE, /**< its bytes are no object */
+	GB_POOL_ENTRY_INCOMPLETE, /**< a field is missing, or of another type */
+	GB_POOL_ENTRY_RANGE,	  /**< a value that cannot be */
+	GB_POOL_ENTRY_STATE,	  /**< a state that nobody knows */
+	GB_POOL_ENTRY_FAULTS
+};
+
+/** Text for logs and metrics. */
+const char *gb_pool_entry_fault_name(enum gb_pool_entry_fault);
+
+/** An entry of the platform's list of workers.  Of one with a fault the id
+ * alone is told. */
 struct gb_pool_entry {
 	char id[GB_NAME_MAX + 1]; /**< of this lifetime of the worker */
+	enum gb_pool_entry_fault fault;
 	char addr[GB_NAME_MAX + 1];
 	char dc[GB_NAME_MAX + 1];
 	char service[GB_NAME_MAX + 1];
@@ -346,6 +367,7 @@
 	uint64_t starts, starts_refused, starts_lost, stops, preempted, holds;
 	uint64_t done, failed, stopped, lapsed, broken, alone;
 	uint64_t advice_calls, advice_busy, advice_lost;
+	uint64_t entry_faults[GB_POOL_ENTRY_FAULTS]; /**< entries refused */
 	uint64_t txns, txn_conflicts, txn_lost, rows, reads, takeovers, losses;
 	uint64_t flows, waiting, running, workers, sidelined;
 	struct gb_histogram accept_us, first_start_us, finish_us, advice_us;
--- a/libgooseberry/pool/advice.c
+++ b/libgooseberry/pool/advice.c
@@ -123,8 +123,8 @@
 ask_wants(const struct gb_pool *pool, const struct pool_flow *flow,
     const struct pool_step *step, const struct pool_worker *worker)
 {
-	return worker->listed && !worker->over && !worker->entry.draining &&
-	       !step_asked(step, worker->handle) &&
+	return pool_worker_offered(worker) && !worker->over &&
+	       !worker->entry.draining && !step_asked(step, worker->handle) &&
 	       pool_fit_allows(pool, flow, step, worker);
 }
 
--- a/libgooseberry/pool/config.c
+++ b/libgooseberry/pool/config.c
@@ -1,7 +1,7 @@
 /**
  * @file config.c
- * The operator's configuration: its queues.  There may be thousands of
- * them, and each change looks up that of every open flow.
+ * The operator's configuration: its queues and services.  There may be
+ * thousands of queues, and each change looks up that of every open flow.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -11,13 +11,15 @@
 #include "pool.h"
 
 struct gb_pool_config *
-gb_pool_config_new(size_t queues)
+gb_pool_config_new(size_t queues, size_t services)
 {
 	struct gb_pool_config *config = gb_calloc(1, sizeof(*config));
 
 	config->refs = 1;
 	config->queues = gb_calloc(queues, sizeof(*config->queues));
 	config->queue_count = queues;
+	config->services = gb_calloc(services, sizeof(*config->services));
+	config->service_count = services;
 	return config;
 }
 
@@ -51,6 +53,7 @@
 	if (config == NULL || --config->refs > 0)
 		return;
 	free(config->queues);
+	free(config->services);
 	free(config);
 }
 
@@ -66,6 +69,22 @@
 	    sizeof(wanted), queue_compare);
 }
 
+bool
+gb_pool_config_serves(const struct gb_pool_config *config, const char *service)
+{
+	size_t i;
+
+	for (i = 0; i < config->service_count; i++) {
+		if (strcmp(config->services[i], service) == 0)
+			return true;
+	}
+	for (i = 0; i < config->queue_count; i++) {
+		if (strcmp(config->queues[i].service, service) == 0)
+			return true;
+	}
+	return false;
+}
+
 const struct gb_pool_queue *
 gb_pool_config_route(
     const struct gb_pool_config *config, const char *host, const char *path)
--- a/libgooseberry/pool/fit.c
+++ b/libgooseberry/pool/fit.c
@@ -40,7 +40,7 @@
 pool_fit_usable(
     const struct gb_pool *pool, const struct pool_worker *worker, uint32_t part)
 {
-	return worker->listed && worker->fenced &&
+	return pool_worker_offered(worker) && worker->fenced &&
 	       (worker->recorded & (UINT32_C(1) << part)) != 0 &&
 	       !worker->over && !worker->foreign && !worker->entry.draining &&
 	       worker->silent == 0 && worker->aside_until <= pool->now;
@@ -352,7 +352,8 @@
 		const struct pool_worker *worker =
 		    pool_worker_get(pool, step->approved[i].worker);
 
-		if (!worker->listed || worker->over || worker->entry.draining)
+		if (!pool_worker_offered(worker) || worker->over ||
+		    worker->entry.draining)
 			continue;
 		here = fit_times(&step->spec->res, &worker->entry.capacity);
 		if (step->spec->per_worker > 0 && here > step->spec->per_worker)
--- a/libgooseberry/pool/owner.c
+++ b/libgooseberry/pool/owner.c
@@ -519,10 +519,13 @@
 /* Going on ---------------------------------------------------------------- */
 
 /** Whether every worker that may run something of a part has told this owner
- * what it runs, since the part was attached. */
+ * what it runs, since the part was attached.  An entry that names no worker to
+ * use, of which no owner recorded anything, need not answer: an address where
+ * nobody listens would hold up each takeover until every lease is over. */
 static bool
-part_all_told(const struct gb_pool *pool, const struct pool_part *part)
+part_all_told(const struct gb_pool *pool, uint32_t number)
 {
+	const struct pool_part *part = &pool->parts[number];
 	uint32_t i;
 
 	if (!pool->listed || pool->worker_count == 0)
@@ -530,6 +533,9 @@
 	for (i = 0; i < pool->worker_count; i++) {
 		const struct pool_worker *worker = pool->workers[i];
 
+		if (!pool_worker_offered(worker) && !worker->fenced &&
+		    (worker->recorded & (UINT32_C(1) << number)) == 0)
+			continue;
 		if (!worker->over &&
 		    (!worker->fenced || worker->reported < part->attached_at))
 			return false;
@@ -545,7 +551,7 @@
 
 	if (part->attach != POOL_ATTACH_DONE || part->settled)
 		return;
-	told = part_all_told(pool, part);
+	told = part_all_told(pool, number);
 	if (!told && pool->now < part->settle_at)
 		return;
 	part->settled = true;
--- a/libgooseberry/pool/pool.c
+++ b/libgooseberry/pool/pool.c
@@ -196,6 +196,7 @@
 	{
 		flow->queue = gb_pool_config_queue(config, flow->spec.queue);
 	}
+	pool_workers_served(pool);
 	pool->work_changed = true;
 }
 
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -210,6 +210,7 @@
 	gb_time booked_at;  /**< when the first of them wants it, 0: none */
 	bool was_booked;    /**< in the dispatch before this one */
 	bool listed;	    /**< by the platform */
+	bool served;	    /**< the configuration names its service */
 	bool fenced;	    /**< has answered this owner */
 	bool over;	    /**< its lifetime has ended, or its lease lapsed */
 	uint32_t recorded;  /**< parts in whose stored set it stands, as bits */
@@ -575,6 +576,11 @@
 /** Longest lease that owners give. */
 gb_time pool_worker_lease_most(const struct gb_pool *);
 void pool_worker_entry(struct gb_pool *, const struct gb_pool_entry *);
+/** The configuration has changed: which services it names. */
+void pool_workers_served(struct gb_pool *);
+/** Whether the list offers a worker for new work: its newest entry is sound,
+ * and names a service that there is. */
+bool pool_worker_offered(const struct pool_worker *);
 void pool_worker_tick(struct gb_pool *, struct pool_worker *);
 /** Add a worker of whom nothing is known but its entry. */
 struct pool_worker *pool_worker_new(
--- a/libgooseberry/pool/worker.c
+++ b/libgooseberry/pool/worker.c
@@ -255,6 +255,18 @@
 	}
 }
 
+/** Whether a worker is asked what it runs.  One that was never offered for
+ * work, and that no owner has recorded, has nothing to tell. */
+static bool
+worker_held(const struct gb_pool *pool, const struct pool_worker *worker)
+{
+	if (pool_worker_offered(worker) || worker->run_count > 0)
+		return true;
+	return (worker->fenced || worker->recorded != 0) &&
+	       (worker->silent < HOLD_UNLISTED_TRIES ||
+		   !pool_owner_settled(pool));
+}
+
 void
 pool_worker_tick(struct gb_pool *pool, struct pool_worker *worker)
 {
@@ -267,9 +279,7 @@
 	    worker->lapse_at < pool->now)
 		worker_runs_drop(pool, worker, "its lease has lapsed");
 	if (worker->hold_call == 0 && worker->hold_at <= pool->now &&
-	    (worker->listed || worker->run_count > 0 ||
-		worker->silent < HOLD_UNLISTED_TRIES ||
-		!pool_owner_settled(pool)))
+	    worker_held(pool, worker))
 		worker_hold(pool, worker);
 }
 
@@ -306,13 +316,105 @@
 	return worker;
 }
 
+const char *
+gb_pool_entry_fault_name(enum gb_pool_entry_fault fault)
+{
+	static const char *const names[GB_POOL_ENTRY_FAULTS] = {
+	    [GB_POOL_ENTRY_SOUND] = "sound",
+	    [GB_POOL_ENTRY_UNREADABLE] = "unreadable",
+	    [GB_POOL_ENTRY_INCOMPLETE] = "incomplete",
+	    [GB_POOL_ENTRY_RANGE] = "out_of_range",
+	    [GB_POOL_ENTRY_STATE] = "unknown_state"};
+
+	return names[fault];
+}
+
+bool
+pool_worker_offered(const struct pool_worker *worker)
+{
+	return worker->listed && worker->served &&
+	       worker->entry.fault == GB_POOL_ENTRY_SOUND;
+}
+
+static bool
+worker_served(const struct gb_pool *pool, const struct pool_worker *worker)
+{
+	return pool->config == NULL ||
+	       gb_pool_config_serves(pool->config, worker->entry.service);
+}
+
+void
+pool_workers_served(struct gb_pool *pool)
+{
+	uint32_t i;
+
+	for (i = 0; i < pool->worker_count; i++)
+		pool->workers[i]->served =
+		    worker_served(pool, pool->workers[i]);
+}
+
+/** The entry of a worker can't be used.  What is known of the worker stands:
+ * what it runs goes on under its lease, and its ends are taken note of. */
+static void
+entry_refused(struct gb_pool *pool, struct pool_worker *worker,
+    const struct gb_pool_entry *entry)
+{
+	bool news = worker == NULL || worker->entry.fault != entry->fault;
+
+	pool->stats.entry_faults[entry->fault]++;
+	if (news)
+		gb_event(pool->cfg.events, GB_EVENT_NORMAL, "worker_entry_bad",
+		    "{s:s, s:s, s:b, s:I}", "worker", entry->id, "why",
+		    gb_pool_entry_fault_name(entry->fault), "known",
+		    worker != NULL, "runs",
+		    (json_int_t)(worker == NULL ? 0 : worker->run_count));
+	if (worker == NULL)
+		return;
+	worker->entry.fault = entry->fault;
+	worker->listed = true;
+}
+
+/** One lifetime of a worker has one address: another one in its entry is
+ * believed only while nothing can run there, since an answer from elsewhere
+ * would say that the lifetime is over. */
+static void
+entry_moved(struct gb_pool *pool, struct pool_worker *worker,
+    struct gb_pool_entry *entry)
+{
+	bool believed = !worker->fenced && pool_owner_settled(pool);
+
+	if (strcmp(worker->entry.addr, entry->addr) == 0)
+		return;
+	gb_event(pool->cfg.events, GB_EVENT_NORMAL, "worker_entry_moved",
+	    "{s:s, s:s, s:s, s:b}", "worker", entry->id, "from",
+	    worker->entry.addr, "to", entry->addr, "believed", believed);
+	if (!believed) {
+		snprintf(
+		    entry->addr, sizeof(entry->addr), "%s", worker->entry.addr);
+		return;
+	}
+	/* Who answered or kept silent at the other address was somebody else.
+	 */
+	worker->over = false;
+	worker->silent = 0;
+	worker->hold_at = pool->now;
+}
+
 void
-pool_worker_entry(struct gb_pool *pool, const struct gb_pool_entry *entry)
+pool_worker_entry(struct gb_pool *pool, const struct gb_pool_entry *listed)
 {
-	struct pool_worker *worker = pool_worker_find(pool, entry->id);
+	struct pool_worker *worker = pool_worker_find(pool, listed->id);
+	struct gb_pool_entry copy = *listed;
+	struct gb_pool_entry *entry = &copy;
 
+	if (entry->fault != GB_POOL_ENTRY_SOUND) {
+		entry_refused(pool, worker, entry);
+		return;
+	}
 	if (worker == NULL && entry->removed)
 		return;
+	if (worker != NULL && !entry->removed)
+		entry_moved(pool, worker, entry);
 	if (worker == NULL) {
 		/* An older lifetime at this address may be listed later than a
 		 * newer one: only the worker's own answer proves it over. */
@@ -334,6 +436,7 @@
 		    (json_int_t)worker->run_count);
 	worker->entry = *entry;
 	worker->listed = true;
+	worker->served = worker_served(pool, worker);
 	pool_worker_set_want(pool, worker);
 	worker_rack(worker);
 	pool->work_changed = true;
--- a/libgooseberry/pool/worker_set.c
+++ b/libgooseberry/pool/worker_set.c
@@ -44,9 +44,9 @@
 {
 	if (worker->over)
 		return false;
-	if (worker->listed || worker->run_count > 0)
+	if (pool_worker_offered(worker) || worker->run_count > 0)
 		return true;
-	/* Unlisted and silent: until every lease it was given is over. */
+	/* Not offered and silent: until every lease it was given is over. */
 	return worker->recorded != 0 &&
 	       (worker->silent == 0 || worker->lapse_at >= pool->now ||
 		   !pool_owner_settled(pool));
--- a/soak/fault.c
+++ b/soak/fault.c
@@ -215,6 +215,8 @@
 WORKER_FAULT(host_still, "still")
 WORKER_FAULT(host_well, "well")
 WORKER_FAULT(host_drain, "drain")
+WORKER_FAULT(entry_spoiled, "spoiled")
+WORKER_FAULT(entry_sound, "sound")
 
 static void
 rack_crash(struct fault *fault)
@@ -306,7 +308,8 @@
     {"worker_still", false, host_still, host_well},
     {"worker_drain", false, host_drain, host_reborn},
     {"tables_two_parts", false, tables_two_parts, tables_well},
-    {"tables_most_parts", false, tables_most_parts, tables_well}};
+    {"tables_most_parts", false, tables_most_parts, tables_well},
+    {"entry_spoiled", false, entry_spoiled, entry_sound}};
 
 #define KIND_COUNT (sizeof(kinds) / sizeof(kinds[0]))
 
--- a/standin/emulator.c
+++ b/standin/emulator.c
@@ -192,6 +192,10 @@
 		world_worker_reborn(emu->world, worker->number);
 	} else if (strcmp(what, "drain") == 0) {
 		world_worker_drain(emu->world, worker->number);
+	} else if (strcmp(what, "spoiled") == 0) {
+		worker->spoiled = 1 + worker->number % EMU_SPOILED_WAYS;
+	} else if (strcmp(what, "sound") == 0) {
+		worker->spoiled = 0;
 	} else {
 		world_worker_sick(emu->world, worker->number,
 		    strcmp(what, "failing") == 0, strcmp(what, "still") == 0);
--- a/standin/emulator.h
+++ b/standin/emulator.h
@@ -30,12 +30,17 @@
 	unsigned int orders_late; /**< percent: done 2 to 6 s later */
 };
 
+/** Ways in which an entry of another writer is no good. */
+#define EMU_SPOILED_WAYS 5
+
 /** A worker as the platform sees it. */
 struct emu_worker {
 	unsigned int number;
 	struct http_server *server;
 	bool down;
 	gb_time down_at;
+	/** Its entry is written by somebody else: which way it is no good. */
+	unsigned int spoiled;
 	char listed[GB_NAME_MAX + 1]; /**< id under which it is listed */
 	char *entry;		      /**< as it is listed, null: it is not */
 };
--- a/standin/emulator_worker.c
+++ b/standin/emulator_worker.c
@@ -298,8 +298,32 @@
 
 /* List -------------------------------------------------------------------- */
 
+/** Make an entry one that names no worker to use. */
+static void
+entry_spoil(json_t *entry, unsigned int way)
+{
+	switch (way) {
+	case 1:
+		json_object_del(entry, "State");
+		break;
+	case 2:
+		json_object_set_new(entry, "State", json_string("resting"));
+		break;
+	case 3:
+		json_object_set_new(entry, "Service", json_string("unknown"));
+		break;
+	case 4:
+		json_object_set_new(entry, "Capacity", json_string("large"));
+		break;
+	default:
+		json_object_set_new(entry, "Address", json_integer(7));
+		break;
+	}
+}
+
 static char *
-entry_text(const struct emulator *emu, unsigned int number)
+entry_text(
+    const struct emulator *emu, unsigned int number, unsigned int spoiled)
 {
 	struct gb_pool_entry entry;
 	char addr[GB_NAME_MAX + 1];
@@ -308,11 +332,15 @@
 
 	world_worker_entry(emu->world, number, &entry);
 	snprintf(addr, sizeof(addr), "127.0.0.1:%u", emu->listed_port + number);
-	json = json_pack("{s:s, s:s, s:s, s:s, s:i, s:s, s:[s], s:{s:i, s:i}}",
+	json = json_pack("{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:i, s:[s], "
+			 "s:{s:i, s:i, s:i}}",
 	    "Service", entry.service, "Address", addr, "Zone", entry.dc,
 	    "Version", "1", "Slots", 8, "State",
-	    entry.draining ? "draining" : "ready", "Labels", entry.label[0],
-	    "Capacity", "Cpu", entry.capacity.cpu, "MemMb", entry.capacity.mem);
+	    entry.draining ? "draining" : "ready", "ColdRemainingMs", 0, "Seq",
+	    1, "Labels", entry.label[0], "Capacity", "Cpu", entry.capacity.cpu,
+	    "MemMb", entry.capacity.mem, "Gpus", entry.capacity.accel);
+	if (spoiled > 0)
+		entry_spoil(json, spoiled);
 	return plat_json_text(json, &len);
 }
 
@@ -339,7 +367,7 @@
 	}
 	if (worker->entry != NULL && strcmp(worker->listed, entry.id) != 0)
 		entry_remove(emu, worker);
-	text = entry_text(emu, worker->number);
+	text = entry_text(emu, worker->number, worker->spoiled);
 	if (worker->entry != NULL && strcmp(worker->entry, text) == 0) {
 		free(text);
 		return;
--- a/tests/pool_cell.c
+++ b/tests/pool_cell.c
@@ -2,10 +2,14 @@
  * @file pool_cell.c
  * Pool cores against the model of the platform, in virtual time.
  */
+#include <setjmp.h>
+#include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include <cmocka.h>
+
 #include "pool_cell.h"
 
 #define CELL_STEP (5 * GB_MSEC)
@@ -501,7 +505,7 @@
 	static const char *const names[] = {"lookup", "import", "rebuild"};
 	static const gb_time targets[] = {250, 3000, 1000};
 	static const double stretches[] = {1.5, 4.0, 2.2};
-	struct gb_pool_config *config = gb_pool_config_new(3);
+	struct gb_pool_config *config = gb_pool_config_new(3, 0);
 	size_t i;
 
 	config->version = 1;
@@ -577,18 +581,40 @@
 	return i;
 }
 
+/** An entry as the cell's faults have it. */
 static void
-cell_list(struct pool_cell *cell)
+entry_make(
+    const struct pool_cell *cell, unsigned int i, struct gb_pool_entry *entry)
 {
 	unsigned int count = world_worker_count(cell->world);
+	struct gb_pool_entry other;
+
+	if (i >= count) {
+		snprintf(entry->id, sizeof(entry->id), "stranger-%u", i);
+		snprintf(entry->addr, sizeof(entry->addr), "10.99.0.%u:1", i);
+		snprintf(entry->service, sizeof(entry->service), "unknown");
+		entry->capacity = cell->setup.capacity;
+		return;
+	}
+	world_worker_entry(cell->world, i, entry);
+	entry->removed = i < cell->hidden;
+	if (i < cell->spoiled)
+		entry->fault = GB_POOL_ENTRY_INCOMPLETE;
+	if (cell->moved) {
+		world_worker_entry(cell->world, (i + 1) % count, &other);
+		snprintf(entry->addr, sizeof(entry->addr), "%s", other.addr);
+	}
+}
+
+static void
+cell_list(struct pool_cell *cell)
+{
+	unsigned int count = world_worker_count(cell->world) + cell->strangers;
 	struct gb_pool_entry *entries = gb_calloc(count, sizeof(*entries));
 	unsigned int i;
 
-	for (i = 0; i < count; i++) {
-		world_worker_entry(cell->world, i, &entries[i]);
-		if (i < cell->hidden)
-			entries[i].removed = true;
-	}
+	for (i = 0; i < count; i++)
+		entry_make(cell, i, &entries[i]);
 	for (i = 0; i < CELL_NODES; i++) {
 		if (gb_pool_owns(cell->nodes[i]))
 			gb_pool_workers(
@@ -789,3 +815,34 @@
 {
 	return cell_ask(cell, flow, GB_FLOW_OP_STATE).status;
 }
+
+struct pool_cell *
+pool_cell_begin(const struct pool_cell_setup *setup)
+{
+	struct pool_cell *cell = pool_cell_new(setup);
+
+	pool_cell_take(cell, 0);
+	pool_cell_run(cell, GB_SEC);
+	assert_int_equal(pool_cell_owner(cell), 0);
+	return cell;
+}
+
+void
+pool_cell_assert_unharmed(const struct pool_cell *cell)
+{
+	const struct world_faults *faults = world_faults(cell->world);
+
+	if (faults->text[0] != '\0')
+		print_message("oracle: %s\n", faults->text);
+	assert_int_equal(faults->twice, 0);
+	assert_int_equal(faults->limit, 0);
+	assert_int_equal(faults->order, 0);
+	assert_int_equal(faults->budget, 0);
+}
+
+size_t
+pool_cell_submit_lookup(struct pool_cell *cell)
+{
+	pool_cell_step(cell, 2, 1400, GB_SEC, 0, -1);
+	return pool_cell_submit(cell, "lookup", "ms=1000");
+}
--- a/tests/pool_cell.h
+++ b/tests/pool_cell.h
@@ -68,7 +68,11 @@
 	unsigned int starts;
 	unsigned int advice_calls;
 	gb_time listed_at;
-	unsigned int hidden;	      /**< first workers that are not listed */
+	unsigned int hidden;  /**< first workers that are not listed */
+	unsigned int spoiled; /**< first workers whose entries are no good */
+	/** More entries, of a service that there is not, where nobody is. */
+	unsigned int strangers;
+	bool moved; /**< entries name the address of the next worker */
 	struct gb_events *events_log; /**< with GB_POOL_LOG set, else null */
 };
 
@@ -82,6 +86,13 @@
 /** Number of the node that owns the pool, or CELL_NODES. */
 unsigned int pool_cell_owner(const struct pool_cell *);
 
+/** A cell whose first node owns the pool. */
+struct pool_cell *pool_cell_begin(const struct pool_cell_setup *);
+/** The oracle has seen no promise broken. */
+void pool_cell_assert_unharmed(const struct pool_cell *);
+/** Submit two tasks of a second to the queue of lookups. */
+size_t pool_cell_submit_lookup(struct pool_cell *);
+
 /** Submit a flow to the owner; returns its number.  One step of `count` tasks
  * is added with each call of pool_cell_step before. */
 size_t pool_cell_submit(
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -136,7 +136,7 @@
 static struct gb_pool_config *
 config_decode(const char *text, size_t len)
 {
-	struct gb_pool_config *config = gb_pool_config_new(1);
+	struct gb_pool_config *config = gb_pool_config_new(1, 0);
 
 	(void)text;
 	(void)len;
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -19,57 +19,26 @@
 static const struct pool_cell_setup advised = {
     2, 48, {16000, 64000, 0, 0, 0}, 30, 100 * GB_MSEC, 1500 * GB_MSEC, 0};
 
-static struct pool_cell *
-cell_begin(const struct pool_cell_setup *setup)
-{
-	struct pool_cell *cell = pool_cell_new(setup);
-
-	pool_cell_take(cell, 0);
-	pool_cell_run(cell, GB_SEC);
-	assert_int_equal(pool_cell_owner(cell), 0);
-	return cell;
-}
-
-static void
-assert_unharmed(const struct pool_cell *cell)
-{
-	const struct world_faults *faults = world_faults(cell->world);
-
-	if (faults->text[0] != '\0')
-		print_message("oracle: %s\n", faults->text);
-	assert_int_equal(faults->twice, 0);
-	assert_int_equal(faults->limit, 0);
-	assert_int_equal(faults->order, 0);
-	assert_int_equal(faults->budget, 0);
-}
-
-static size_t
-submit_lookup(struct pool_cell *cell)
-{
-	pool_cell_step(cell, 2, 1400, GB_SEC, 0, -1);
-	return pool_cell_submit(cell, "lookup", "ms=1000");
-}
-
 /* One thing at a time ----------------------------------------------------- */
 
 static void
 test_flow_succeeds(void **state)
 {
-	struct pool_cell *cell = cell_begin(&plain);
-	size_t flow = submit_lookup(cell);
+	struct pool_cell *cell = pool_cell_begin(&plain);
+	size_t flow = pool_cell_submit_lookup(cell);
 
 	(void)state;
 	pool_cell_run(cell, 3 * GB_SEC);
 	assert_int_equal(cell->flows[flow].answer.verdict, GB_FLOW_ACCEPTED);
 	assert_int_equal(cell->flows[flow].status, GB_FLOW_SUCCEEDED);
-	assert_unharmed(cell);
+	pool_cell_assert_unharmed(cell);
 	pool_cell_free(cell);
 }
 
 static void
 test_steps_wait_for_each_other(void **state)
 {
-	struct pool_cell *cell = cell_begin(&plain);
+	struct pool_cell *cell = pool_cell_begin(&plain);
 	size_t flow;
 
 	(void)state;
@@ -78,15 +47,15 @@
 	flow = pool_cell_submit(cell, "import", "ms=1000");
 	pool_cell_run(cell, 5 * GB_SEC);
 	assert_int_equal(cell->flows[flow].status, GB_FLOW_SUCCEEDED);
-	assert_unharmed(cell);
+	pool_cell_assert_unharmed(cell);
 	pool_cell_free(cell);
 }
 
 static void
 test_submitted_twice_runs_once(void **state)
 {
-	struct pool_cell *cell = cell_begin(&plain);
-	size_t flow = submit_lookup(cell);
+	struct pool_cell *cell = pool_cell_begin(&plain);
+	size_t flow = pool_cell_submit_lookup(cell);
 
 	(void)state;
 	pool_cell_run(cell, 100 * GB_MSEC);
@@ -95,14 +64,14 @@
 	pool_cell_submit_again(cell, flow);
 	pool_cell_run(cell, 3 * GB_SEC);
 	assert_int_equal(cell->starts, 2);
-	assert_unharmed(cell);
+	pool_cell_assert_unharmed(cell);
 	pool_cell_free(cell);
 }
 
 static void
 test_fails_after_its_attempts(void **state)
 {
-	struct pool_cell *cell = cell_begin(&plain);
+	struct pool_cell *cell = pool_cell_begin(&plain);
 	size_t flow;
 
 	(void)state;
@@ -111,14 +80,14 @@
 	pool_cell_run(cell, 5 * GB_SEC);
 	assert_int_equal(cell->flows[flow].status, GB_FLOW_FAILED);
 	assert_int_equal(cell->starts, 3);
-	assert_unharmed(cell);
+	pool_cell_assert_unharmed(cell);
 	pool_cell_free(cell);
 }
 
 static void
 test_cancel_stops_what_runs(void **state)
 {
-	struct pool_cell *cell = cell_begin(&plain);
+	struct pool_cell *cell = pool_cell_begin(&plain);
 	size_t flow;
 
 	(void)state;
@@ -130,14 +99,14 @@
 	assert_int_equal(cell->flows[flow].status, GB_FLOW_CANCELLED);
 	assert_true(cell->flows[flow].answered);
 	assert_int_equal(cell->flows[flow].answer.status, GB_FLOW_CANCELLED);
-	assert_unharmed(cell);
+	pool_cell_assert_unharmed(cell);
 	pool_cell_free(cell);
 }
 
 static void
 test_advice_before_every_start(void **state)
 {
-	struct pool_cell *cell = cell_begin(&advised);
+	struct pool_cell *cell = pool_cell_begin(&advised);
 	size_t flow;
 
 	(void)state;
@@ -146,7 +115,7 @@
 	pool_cell_run(cell, 8 * GB_SEC);
 	assert_int_equal(cell->flows[flow].status, GB_FLOW_SUCCEEDED);
 	assert_int_equal(world_faults(cell->world)->ticket, 0);
-	assert_unharmed(cell);
+	pool_cell_assert_unharmed(cell);
 	pool_cell_free(cell);
 }
 
@@ -164,7 +133,7 @@
 
 	(void)state;
 	setup.workers = 4;
-	cell = cell_begin(&setup);
+	cell = pool_cell_begin(&setup);
 	for (i = 0; i < 30; i++) {
 		pool_cell_step(cell, 2, 2000, GB_SEC, 0, -1);
 		pool_cell_submit(cell, "import", "ms=1500");
@@ -178,7 +147,7 @@
 	}
 	pool_cell_run(cell, 4 * GB_SEC);
 	assert_int_equal(cell->flows[gang].status, GB_FLOW_SUCCEEDED);
-	assert_unharmed(cell);
+	pool_cell_assert_unharmed(cell);
 	pool_cell_free(cell);
 }
 
@@ -187,7 +156,7 @@
 static void
 test_failed_runs_count_over_owners(void **state)
 {
-	struct pool_cell *cell = cell_begin(&plain);
+	struct pool_cell *cell = pool_cell_begin(&plain);
 	size_t flow;
 
 	(void)state;
@@ -202,7 +171,7 @@
 	pool_cell_take(cell, 1);
 	pool_cell_run(cell, 5 * GB_SEC);
 	assert_int_equal(cell->flows[flow].status, GB_FLOW_FAILED);
-	assert_unharmed(cell);
+	pool_cell_assert_unharmed(cell);
 	pool_cell_free(cell);
 }
 
@@ -211,7 +180,7 @@
 static void
 test_runs_of_lost_worker_start_elsewhere(void **state)
 {
-	struct pool_cell *cell = cell_begin(&plain);
+	struct pool_cell *cell = pool_cell_begin(&plain);
 	size_t flow;
 	unsigned int i;
 
@@ -223,7 +192,7 @@
 		world_worker_crash(cell->world, i);
 	pool_cell_run(cell, 14 * GB_SEC);
 	assert_int_equal(cell->flows[flow].status, GB_FLOW_SUCCEEDED);
-	assert_unharmed(cell);
+	pool_cell_assert_unharmed(cell);
 	pool_cell_free(cell);
 }
 
@@ -239,12 +208,12 @@
 	(void)state;
 	setup.workers = 300;
 	setup.approved_percent = 12;
-	cell = cell_begin(&setup);
+	cell = pool_cell_begin(&setup);
 	pool_cell_step(cell, 40, 7000, GB_SEC, GB_STEP_GANG, -1);
 	flow = pool_cell_submit(cell, "rebuild", "ms=1000");
 	pool_cell_run(cell, 8 * GB_SEC);
 	assert_int_equal(cell->flows[flow].status, GB_FLOW_SUCCEEDED);
-	assert_unharmed(cell);
+	pool_cell_assert_unharmed(cell);
 	pool_cell_free(cell);
 }
 
@@ -254,7 +223,7 @@
 static void
 test_unlisted_workers_are_asked_too(void **state)
 {
-	struct pool_cell *cell = cell_begin(&plain);
+	struct pool_cell *cell = pool_cell_begin(&plain);
 	size_t flow;
 
 	(void)state;
@@ -271,7 +240,7 @@
 	cell->hidden = 0;
 	pool_cell_run(cell, 8 * GB_SEC);
 	assert_int_equal(cell->flows[flow].status, GB_FLOW_SUCCEEDED);
-	assert_unharmed(cell);
+	pool_cell_assert_unharmed(cell);
 	pool_cell_free(cell);
 }
 
@@ -280,7 +249,7 @@
 static void
 test_failing_worker_is_set_aside(void **state)
 {
-	struct pool_cell *cell = cell_begin(&plain);
+	struct pool_cell *cell = pool_cell_begin(&plain);
 	unsigned int failed = 0;
 	size_t i;
 
@@ -296,7 +265,7 @@
 	for (i = 0; i < cell->flow_count; i++)
 		failed += cell->flows[i].status == GB_FLOW_FAILED;
 	assert_int_equal(failed, 0);
-	assert_unharmed(cell);
+	pool_cell_assert_unharmed(cell);
 	pool_cell_free(cell);
 }
 
@@ -305,7 +274,7 @@
 static void
 test_gang_comes_together_over_lost_orders(void **state)
 {
-	struct pool_cell *cell = cell_begin(&plain);
+	struct pool_cell *cell = pool_cell_begin(&plain);
 	size_t flow;
 	size_t i;
 
@@ -319,7 +288,7 @@
 		assert_int_equal(cell->flows[flow].status, GB_FLOW_SUCCEEDED);
 	}
 	assert_int_equal(world_faults(cell->world)->alone, 0);
-	assert_unharmed(cell);
+	pool_cell_assert_unharmed(cell);
 	pool_cell_free(cell);
 }
 
@@ -330,7 +299,7 @@
 static void
 test_stale_entry_does_not_end_a_worker(void **state)
 {
-	struct pool_cell *cell = cell_begin(&plain);
+	struct pool_cell *cell = pool_cell_begin(&plain);
 	struct gb_pool_entry stale;
 	size_t flow;
 
@@ -344,7 +313,7 @@
 	pool_cell_run(cell, 8 * GB_SEC);
 	assert_int_equal(cell->flows[flow].status, GB_FLOW_SUCCEEDED);
 	assert_int_equal(cell->starts, 32);
-	assert_unharmed(cell);
+	pool_cell_assert_unharmed(cell);
 	pool_cell_free(cell);
 }
 
@@ -353,11 +322,11 @@
 static void
 test_gone_worker_does_not_hold_up_a_successor(void **state)
 {
-	struct pool_cell *cell = cell_begin(&plain);
+	struct pool_cell *cell = pool_cell_begin(&plain);
 	size_t flow;
 
 	(void)state;
-	submit_lookup(cell);
+	pool_cell_submit_lookup(cell);
 	world_worker_crash(cell->world, 3);
 	pool_cell_run(cell, 8 * GB_SEC);
 	pool_cell_step(cell, 4, 1000, GB_SEC, 0, -1);
@@ -368,14 +337,14 @@
 	pool_cell_take(cell, 1);
 	pool_cell_run(cell, 3 * GB_SEC);
 	assert_int_equal(cell->flows[flow].status, GB_FLOW_SUCCEEDED);
-	assert_unharmed(cell);
+	pool_cell_assert_unharmed(cell);
 	pool_cell_free(cell);
 }
 
 static void
 test_takeover_keeps_what_runs(void **state)
 {
-	struct pool_cell *cell = cell_begin(&plain);
+	struct pool_cell *cell = pool_cell_begin(&plain);
 	size_t flow;
 
 	(void)state;
@@ -388,7 +357,7 @@
 	assert_int_equal(pool_cell_owner(cell), 1);
 	assert_int_equal(cell->flows[flow].status, GB_FLOW_SUCCEEDED);
 	assert_int_equal(cell->starts, 8);
-	assert_unharmed(cell);
+	pool_cell_assert_unharmed(cell);
 	pool_cell_free(cell);
 }
 
@@ -397,27 +366,27 @@
 static void
 test_former_owner_does_no_harm(void **state)
 {
-	struct pool_cell *cell = cell_begin(&plain);
+	struct pool_cell *cell = pool_cell_begin(&plain);
 	int i;
 
 	(void)state;
 	for (i = 0; i < 20; i++)
-		submit_lookup(cell);
+		pool_cell_submit_lookup(cell);
 	pool_cell_run(cell, 200 * GB_MSEC);
 	pool_cell_take(cell, 1);
 	pool_cell_run(cell, 5 * GB_SEC);
 	assert_false(gb_pool_owns(cell->nodes[0]));
 	for (i = 0; i < 20; i++)
 		assert_int_equal(cell->flows[i].status, GB_FLOW_SUCCEEDED);
-	assert_unharmed(cell);
+	pool_cell_assert_unharmed(cell);
 	pool_cell_free(cell);
 }
 
 static void
 test_accepted_survives_loss_of_all(void **state)
 {
-	struct pool_cell *cell = cell_begin(&plain);
-	size_t flow = submit_lookup(cell);
+	struct pool_cell *cell = pool_cell_begin(&plain);
+	size_t flow = pool_cell_submit_lookup(cell);
 	unsigned int i;
 
 	(void)state;
@@ -428,7 +397,7 @@
 	pool_cell_take(cell, 2);
 	pool_cell_run(cell, 12 * GB_SEC);
 	assert_int_equal(cell->flows[flow].status, GB_FLOW_SUCCEEDED);
-	assert_unharmed(cell);
+	pool_cell_assert_unharmed(cell);
 	pool_cell_free(cell);
 }
 
@@ -437,16 +406,16 @@
 static void
 test_partial_outage_serves_the_rest(void **state)
 {
-	struct pool_cell *cell = cell_begin(&plain);
+	struct pool_cell *cell = pool_cell_begin(&plain);
 	unsigned int out = 0;
 	size_t i;
 
 	(void)state;
 	cell->faults.parts_down = 3;
-	submit_lookup(cell);
+	pool_cell_submit_lookup(cell);
 	pool_cell_run(cell, GB_SEC);
 	for (i = 0; i < 30; i++)
-		submit_lookup(cell);
+		pool_cell_submit_lookup(cell);
 	pool_cell_run(cell, 300 * GB_MSEC);
 	for (i = 1; i < 31; i++) {
 		const struct pool_cell_flow *flow = &cell->flows[i];
@@ -465,7 +434,7 @@
 	pool_cell_run(cell, 10 * GB_SEC);
 	for (i = 1; i < 31; i++)
 		assert_int_equal(cell->flows[i].status, GB_FLOW_SUCCEEDED);
-	assert_unharmed(cell);
+	pool_cell_assert_unharmed(cell);
 	pool_cell_free(cell);
 }
 
@@ -475,7 +444,7 @@
 static void
 test_takeover_while_parts_are_out(void **state)
 {
-	struct pool_cell *cell = cell_begin(&plain);
+	struct pool_cell *cell = pool_cell_begin(&plain);
 	size_t flow[30];
 	size_t again;
 	size_t i;
@@ -491,9 +460,9 @@
 	pool_cell_take(cell, 1);
 	pool_cell_run(cell, GB_SEC);
 	assert_int_equal(pool_cell_owner(cell), 1);
-	again = submit_lookup(cell);
+	again = pool_cell_submit_lookup(cell);
 	while (gb_pool_part(cell->flows[again].spec.id) < 2)
-		again = submit_lookup(cell);
+		again = pool_cell_submit_lookup(cell);
 	pool_cell_run(cell, 3 * GB_SEC);
 	assert_int_equal(cell->flows[again].answer.verdict, GB_FLOW_ACCEPTED);
 	for (i = 0; i < 30; i++) {
@@ -513,7 +482,7 @@
 		    pool_cell_state(cell, flow[i]), GB_FLOW_SUCCEEDED);
 	/* Nothing had to run again. */
 	assert_true(cell->starts <= 60 + 2 * (cell->flow_count - 30));
-	assert_unharmed(cell);
+	pool_cell_assert_unharmed(cell);
 	pool_cell_free(cell);
 }
 
@@ -521,8 +490,8 @@
 static void
 test_no_takeover_without_most_parts(void **state)
 {
-	struct pool_cell *cell = cell_begin(&plain);
-	size_t flow = submit_lookup(cell);
+	struct pool_cell *cell = pool_cell_begin(&plain);
+	size_t flow = pool_cell_submit_lookup(cell);
 
 	(void)state;
 	pool_cell_run(cell, 200 * GB_MSEC);
@@ -536,7 +505,7 @@
 	pool_cell_run(cell, 8 * GB_SEC);
 	assert_int_equal(pool_cell_owner(cell), 1);
 	assert_int_equal(pool_cell_state(cell, flow), GB_FLOW_SUCCEEDED);
-	assert_unharmed(cell);
+	pool_cell_assert_unharmed(cell);
 	pool_cell_free(cell);
 }
 
@@ -544,7 +513,7 @@
 static void
 test_rivals_leave_one_owner(void **state)
 {
-	struct pool_cell *cell = cell_begin(&plain);
+	struct pool_cell *cell = pool_cell_begin(&plain);
 	unsigned int i;
 
 	(void)state;
@@ -558,7 +527,7 @@
 		pool_cell_run(cell, GB_SEC);
 		assert_true(pool_cell_owner(cell) < CELL_NODES);
 	}
-	assert_unharmed(cell);
+	pool_cell_assert_unharmed(cell);
 	pool_cell_free(cell);
 }
 
@@ -568,7 +537,7 @@
 static void
 test_epoch_is_never_in_force_twice(void **state)
 {
-	struct pool_cell *cell = cell_begin(&plain);
+	struct pool_cell *cell = pool_cell_begin(&plain);
 	uint64_t epoch;
 	int i;
 
@@ -599,12 +568,12 @@
 static void
 test_release_does_not_wait_for_parts_that_are_out(void **state)
 {
-	struct pool_cell *cell = cell_begin(&plain);
+	struct pool_cell *cell = pool_cell_begin(&plain);
 	int i;
 
 	(void)state;
 	for (i = 0; i < 20; i++)
-		submit_lookup(cell);
+		pool_cell_submit_lookup(cell);
 	pool_cell_run(cell, 800 * GB_MSEC);
 	cell->faults.parts_down = 16;
 	pool_cell_run(cell, GB_SEC);
@@ -617,7 +586,7 @@
 	for (i = 0; i < 20; i++)
 		assert_int_equal(
 		    pool_cell_state(cell, (size_t)i), GB_FLOW_SUCCEEDED);
-	assert_unharmed(cell);
+	pool_cell_assert_unharmed(cell);
 	pool_cell_free(cell);
 }
 
@@ -628,7 +597,7 @@
 static void
 test_gang_takes_room_from_work_that_can_wait(void **state)
 {
-	struct pool_cell *cell = cell_begin(&plain);
+	struct pool_cell *cell = pool_cell_begin(&plain);
 	size_t gang;
 	size_t i;
 
@@ -652,7 +621,7 @@
 	}
 	/* No task was stopped twice, and few were stopped at all. */
 	assert_in_range(cell->starts, 128 + 8 + 8, 128 + 8 + 64);
-	assert_unharmed(cell);
+	pool_cell_assert_unharmed(cell);
 	pool_cell_free(cell);
 }
 
@@ -663,7 +632,7 @@
 {
 	struct pool_cell_setup setup = {7, 200, {16000, 64000, 0, 0, 0}, 30,
 	    500 * GB_MSEC, 1500 * GB_MSEC, 8 * GB_MSEC};
-	struct pool_cell *cell = cell_begin(&setup);
+	struct pool_cell *cell = pool_cell_begin(&setup);
 	unsigned int before;
 	char addr[32];
 	size_t flow;
@@ -684,7 +653,7 @@
 	assert_int_equal(cell->starts, 24);
 	pool_cell_run(cell, 4 * GB_SEC);
 	assert_int_equal(cell->flows[flow].status, GB_FLOW_SUCCEEDED);
-	assert_unharmed(cell);
+	pool_cell_assert_unharmed(cell);
 	pool_cell_free(cell);
 }
 
@@ -694,7 +663,7 @@
 static void
 test_room_of_a_part_that_is_not_read_counts(void **state)
 {
-	struct pool_cell *cell = cell_begin(&plain);
+	struct pool_cell *cell = pool_cell_begin(&plain);
 	int i;
 
 	(void)state;
@@ -716,7 +685,7 @@
 	pool_cell_run(cell, 2 * GB_SEC);
 	cell->faults.set_reads_fail = 0;
 	pool_cell_run(cell, 20 * GB_SEC);
-	assert_unharmed(cell);
+	pool_cell_assert_unharmed(cell);
 	pool_cell_free(cell);
 }
 
@@ -726,20 +695,20 @@
 static void
 test_slow_store_still_takes_work_in(void **state)
 {
-	struct pool_cell *cell = cell_begin(&plain);
+	struct pool_cell *cell = pool_cell_begin(&plain);
 	size_t i;
 
 	(void)state;
 	cell->faults.store_slow = 390 * GB_MSEC;
 	for (i = 0; i < 30; i++) {
-		submit_lookup(cell);
+		pool_cell_submit_lookup(cell);
 		pool_cell_run(cell, 50 * GB_MSEC);
 	}
 	pool_cell_run(cell, 2500 * GB_MSEC);
 	for (i = 0; i < 30; i++)
 		assert_int_equal(
 		    cell->flows[i].answer.verdict, GB_FLOW_ACCEPTED);
-	assert_unharmed(cell);
+	pool_cell_assert_unharmed(cell);
 	pool_cell_free(cell);
 }
 
@@ -749,18 +718,18 @@
 static void
 test_store_that_resets_turns_away_at_once(void **state)
 {
-	struct pool_cell *cell = cell_begin(&plain);
+	struct pool_cell *cell = pool_cell_begin(&plain);
 	unsigned int refused = 0;
 	size_t i;
 
 	(void)state;
 	for (i = 0; i < 20; i++) {
-		submit_lookup(cell);
+		pool_cell_submit_lookup(cell);
 		pool_cell_run(cell, 20 * GB_MSEC);
 	}
 	cell->faults.store_resets = true;
 	for (i = 20; i < 100; i++) {
-		submit_lookup(cell);
+		pool_cell_submit_lookup(cell);
 		pool_cell_run(cell, 50 * GB_MSEC);
 		if (cell->flows[i].answered &&
 		    cell->flows[i].answer.verdict == GB_FLOW_CANT_STORE)
@@ -775,7 +744,7 @@
 		    cell->flows[i].answer.verdict == GB_FLOW_ACCEPTED ||
 		    cell->flows[i].answer.verdict == GB_FLOW_CANT_STORE);
 	}
-	assert_unharmed(cell);
+	pool_cell_assert_unharmed(cell);
 	pool_cell_free(cell);
 }
 
@@ -784,13 +753,13 @@
 static void
 test_refused_writes_are_turned_away(void **state)
 {
-	struct pool_cell *cell = cell_begin(&plain);
+	struct pool_cell *cell = pool_cell_begin(&plain);
 	size_t i;
 
 	(void)state;
 	cell->faults.store_down = true;
 	for (i = 0; i < 20; i++) {
-		submit_lookup(cell);
+		pool_cell_submit_lookup(cell);
 		pool_cell_run(cell, 50 * GB_MSEC);
 	}
 	for (i = 0; i < 20; i++) {
@@ -798,7 +767,7 @@
 		assert_int_equal(
 		    cell->flows[i].answer.verdict, GB_FLOW_CANT_STORE);
 	}
-	assert_unharmed(cell);
+	pool_cell_assert_unharmed(cell);
 	pool_cell_free(cell);
 }
 
@@ -830,9 +799,9 @@
 
 	(void)state;
 	for (first = 0; first < 2; first++) {
-		cell = cell_begin(&plain);
+		cell = pool_cell_begin(&plain);
 		cell->faults.store_slow = 100 * GB_MSEC;
-		submit_lookup(cell);
+		pool_cell_submit_lookup(cell);
 		pool_cell_run(cell, 300 * GB_MSEC);
 		if (first == 0) {
 			gb_pool_release(cell->nodes[0], cell->now);
@@ -841,11 +810,11 @@
 		pool_cell_take(cell, 1);
 		without[first] = time_without_owner(cell, 4 * GB_SEC);
 		assert_int_equal(pool_cell_owner(cell), 1);
-		submit_lookup(cell);
+		pool_cell_submit_lookup(cell);
 		pool_cell_run(cell, 4 * GB_SEC);
 		assert_int_equal(pool_cell_state(cell, 0), GB_FLOW_SUCCEEDED);
 		assert_int_equal(pool_cell_state(cell, 1), GB_FLOW_SUCCEEDED);
-		assert_unharmed(cell);
+		pool_cell_assert_unharmed(cell);
 		pool_cell_free(cell);
 	}
 	print_message("without an owner: %d ms released, %d ms handed over\n",
@@ -896,7 +865,7 @@
 		char label[] = "";
 
 		setup.seed = 1 + (uint64_t)after;
-		cell = cell_begin(&setup);
+		cell = pool_cell_begin(&setup);
 		spec.id = (char *)"00000000000000aa";
 		spec.queue = (char *)"lookup";
 		spec.service = (char *)"svc";
@@ -918,7 +887,7 @@
 		/* For longer, leases lapse over ends that are not seen. */
 		cell->faults.hold_lost = 0;
 		pool_cell_run(cell, 6 * GB_SEC);
-		assert_unharmed(cell);
+		pool_cell_assert_unharmed(cell);
 		pool_cell_free(cell);
 	}
 }
@@ -929,14 +898,14 @@
 static void
 test_lost_holds_hide_ends_for_a_moment_only(void **state)
 {
-	struct pool_cell *cell = cell_begin(&plain);
+	struct pool_cell *cell = pool_cell_begin(&plain);
 	unsigned int late = 0;
 	size_t i;
 
 	(void)state;
 	cell->faults.hold_silent = 20;
 	for (i = 0; i < 100; i++) {
-		submit_lookup(cell);
+		pool_cell_submit_lookup(cell);
 		pool_cell_run(cell, 40 * GB_MSEC);
 	}
 	pool_cell_run(cell, 4 * GB_SEC);
@@ -947,7 +916,7 @@
 	}
 	print_message("late: %u of 100\n", late);
 	assert_true(late <= 20);
-	assert_unharmed(cell);
+	pool_cell_assert_unharmed(cell);
 	pool_cell_free(cell);
 }
 
@@ -979,18 +948,18 @@
 static void
 test_state_is_told_when_the_end_is_stored(void **state)
 {
-	struct pool_cell *cell = cell_begin(&plain);
-	size_t flow = submit_lookup(cell);
+	struct pool_cell *cell = pool_cell_begin(&plain);
+	size_t flow = pool_cell_submit_lookup(cell);
 
 	(void)state;
 	assert_int_equal(
 	    ask_at_the_end(cell, flow, 100 * GB_MSEC), GB_FLOW_SUCCEEDED);
-	flow = submit_lookup(cell);
+	flow = pool_cell_submit_lookup(cell);
 	pool_cell_run(cell, 500 * GB_MSEC);
 	cell->faults.store_down = true;
 	assert_int_equal(
 	    ask_at_the_end(cell, flow, 400 * GB_MSEC), GB_FLOW_RUNNING);
-	assert_unharmed(cell);
+	pool_cell_assert_unharmed(cell);
 	pool_cell_free(cell);
 }
 
@@ -1116,7 +1085,7 @@
 	setup.workers = 12;
 	setup.approved_percent = seed % 2 == 0 ? 0 : 70;
 	print_message("seed %llu\n", (unsigned long long)seed);
-	cell = cell_begin(&setup);
+	cell = pool_cell_begin(&setup);
 	for (i = 0; i < 60; i++) {
 		random_submit(cell);
 		if (i % 2 == 0)
@@ -1130,7 +1099,7 @@
 	if (world_faults(cell->world)->text[0] != '\0')
 		print_message("seed %llu: %s\n", (unsigned long long)seed,
 		    world_faults(cell->world)->text);
-	assert_unharmed(cell);
+	pool_cell_assert_unharmed(cell);
 	assert_all_over(cell);
 	pool_cell_free(cell);
 }
