Hellos carry the list of members once; the order of succession is worked out at intervals

Hypothesis: what the owner sends and works out for hellos grows with the square of the nodes, and is a large part of a thin link. Cause: each answer to a hello (5 a second from every node) carried the addresses of all members, and the members were ordered by succession for it, and again in every tick of 5 ms. Change: node/members.c; the list has a version, and is sent to a member that has another; order and largest processor are worked out each 0.1 s. Before: no test. After: test-node 4 of 4 with a new one. Conclusion: kept, for the bytes; the link needs more.

--- a/libgooseberry/gen/proto.c
+++ b/libgooseberry/gen/proto.c
@@ -1090,6 +1090,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->leaving))
 		 return FALSE;
+	 if (!xdr_uint64_t (xdrs, &objp->members_known))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -1126,6 +1128,8 @@
 			 return FALSE;
 		 if (!xdr_uint32_t (xdrs, &objp->largest_milli))
 			 return FALSE;
+		 if (!xdr_uint64_t (xdrs, &objp->members_vers))
+			 return FALSE;
 		 if (!xdr_array (xdrs, (char **)&objp->members.members_val, (u_int *) &objp->members.members_len, 4096,
 			sizeof (gb_name), (xdrproc_t) xdr_gb_name))
 			 return FALSE;
@@ -1164,6 +1168,8 @@
 			 return FALSE;
 		 if (!xdr_uint32_t (xdrs, &objp->largest_milli))
 			 return FALSE;
+		 if (!xdr_uint64_t (xdrs, &objp->members_vers))
+			 return FALSE;
 		 if (!xdr_array (xdrs, (char **)&objp->members.members_val, (u_int *) &objp->members.members_len, 4096,
 			sizeof (gb_name), (xdrproc_t) xdr_gb_name))
 			 return FALSE;
@@ -1195,6 +1201,8 @@
 		 return FALSE;
 	 if (!xdr_uint32_t (xdrs, &objp->largest_milli))
 		 return FALSE;
+	 if (!xdr_uint64_t (xdrs, &objp->members_vers))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->members.members_val, (u_int *) &objp->members.members_len, 4096,
 		sizeof (gb_name), (xdrproc_t) xdr_gb_name))
 		 return FALSE;
--- a/libgooseberry/gen/proto.h
+++ b/libgooseberry/gen/proto.h
@@ -637,6 +637,7 @@
 	uint32_t cpu_milli;
 	int64_t up_us;
 	bool_t leaving;
+	uint64_t members_known;
 };
 typedef struct gb_hello gb_hello;
 
@@ -650,6 +651,7 @@
 	int64_t store_silent_us;
 	bool_t store_out;
 	uint32_t largest_milli;
+	uint64_t members_vers;
 	struct {
 		u_int members_len;
 		gb_name *members_val;
--- a/libgooseberry/gen/proto.x
+++ b/libgooseberry/gen/proto.x
@@ -535,6 +535,7 @@
 	uint32_t cpu_milli;
 	int64_t up_us;		/* age of its process */
 	bool leaving;
+	uint64_t members_known;	/* version of the list of members it has */
 };
 
 struct gb_hello_res {
@@ -547,7 +548,8 @@
 	int64_t store_silent_us;	/* since the owner's last store answer */
 	bool store_out;		/* most parts do not take the owner's writes */
 	uint32_t largest_milli;	/* processor of the largest live member */
-	gb_name members<4096>;	/* addresses of peer ports */
+	uint64_t members_vers;	/* version of the list of members */
+	gb_name members<4096>;	/* empty when the caller has that version */
 	gb_name successors<16>;	/* who is to take the pool over, best first */
 	uint64_t config;
 	gb_body config_text;	/* empty unless the caller's is older */
--- a/libgooseberry/node/handover.c
+++ b/libgooseberry/node/handover.c
@@ -28,43 +28,6 @@
  * the pool does not go to and fro. */
 #define DEFER_AFTER (1500 * GB_MSEC)
 
-static size_t
-members_order(struct gb_node *node, struct succession_member *out)
-{
-	struct node_member *member;
-	size_t count = 0;
-
-	for (member = node->members; member != NULL; member = member->hh.next) {
-		struct succession_member *m = &out[count++];
-
-		m->addr = member->addr;
-		m->cpu_milli = member->cpu_milli;
-		m->up = member->up + (node_now() - member->heard);
-		m->silent = node_now() - member->heard;
-		m->leaving = member->leaving;
-		m->current = node->config != NULL &&
-			     member->config >= node->config->version;
-	}
-	return succession_order(out, count);
-}
-
-void
-node_successors_fill(struct gb_node *node, gb_hello_res *res)
-{
-	struct succession_member *order =
-	    gb_calloc(HASH_COUNT(node->members), sizeof(*order));
-	size_t count = members_order(node, order);
-	size_t i;
-
-	if (count > SUCCESSION_MOST)
-		count = SUCCESSION_MOST;
-	res->successors.successors_val = gb_calloc(count, sizeof(gb_name));
-	res->successors.successors_len = (u_int)count;
-	for (i = 0; i < count; i++)
-		res->successors.successors_val[i] = (char *)order[i].addr;
-	free(order);
-}
-
 static void handover_ask(struct gb_node *);
 
 static void
@@ -104,7 +67,7 @@
 {
 	struct succession_member *order =
 	    gb_calloc(HASH_COUNT(node->members), sizeof(*order));
-	size_t count = members_order(node, order);
+	size_t count = node_members_order(node, order);
 	gb_succeed ask = {0};
 
 	if (gb_pool_owns(node->pool) && node->handover.tries < count) {
@@ -155,10 +118,11 @@
 {
 	struct succession_member *order;
 
-	if (node_now() - node->owned_at < DEFER_AFTER)
+	if (node_now() - node->owned_at < DEFER_AFTER ||
+	    node->largest_milli * 2 < node->cpu_milli * 3)
 		return;
 	order = gb_calloc(HASH_COUNT(node->members), sizeof(*order));
-	if (members_order(node, order) > 0 &&
+	if (node_members_order(node, order) > 0 &&
 	    order[0].cpu_milli * 2 >= node->cpu_milli * 3) {
 		gb_event(node->events, GB_EVENT_ALWAYS, "pool_left_to_larger",
 		    "{s:s, s:I, s:I}", "member", order[0].addr, "cpu_milli",
--- /dev/null
+++ b/libgooseberry/node/members.c
@@ -0,0 +1,143 @@
+/**
+ * @file members.c
+ * The members that an owner knows, by their hellos.
+ *
+ * Load: 97 nodes say hello five times a second each.  What is sent and worked
+ * out for each hello grows with the square of the nodes, so a member is sent
+ * the list of all only when it has an older one, and the order of succession is
+ * worked out at intervals.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "node_state.h"
+
+/** Members that have not said hello for this long are not told of. */
+#define MEMBER_KEEP (5 * GB_SEC)
+/** The order of succession is this old at the most: hellos come each 0.2 s, and
+ * a successor's silence counts from 0.6 s on. */
+#define MEMBERS_EVERY (100 * GB_MSEC)
+
+static void
+member_drop(struct gb_node *node, struct node_member *member)
+{
+	HASH_DEL(node->members, member);
+	free(member);
+	node->members_vers++;
+}
+
+static struct node_member *
+member_new(struct gb_node *node, const gb_hello *hello)
+{
+	struct node_member *member = gb_calloc(1, sizeof(*member));
+
+	snprintf(member->addr, sizeof(member->addr), "%s", hello->addr);
+	HASH_ADD_STR(node->members, addr, member);
+	node->members_vers++;
+	gb_event(node->events, GB_EVENT_ALWAYS, "member_heard", "{s:s, s:s}",
+	    "member", hello->name, "addr", hello->addr);
+	return member;
+}
+
+void
+node_member_heard(struct gb_node *node, const gb_hello *hello)
+{
+	struct node_member *member;
+	gb_time now = node_now();
+
+	HASH_FIND_STR(node->members, hello->addr, member);
+	if (member == NULL)
+		member = member_new(node, hello);
+	member->heard = now;
+	member->config = hello->config;
+	if (node->config != NULL && hello->config >= node->config->version)
+		member->behind = 0;
+	member->leaving = hello->leaving;
+	member->cpu_milli = hello->cpu_milli;
+	member->up = hello->up_us;
+	gb_pool_member(node->pool, now, hello->addr, !hello->leaving);
+}
+
+size_t
+node_members_order(struct gb_node *node, struct succession_member *out)
+{
+	struct node_member *member;
+	size_t count = 0;
+
+	for (member = node->members; member != NULL; member = member->hh.next) {
+		struct succession_member *m = &out[count++];
+
+		m->addr = member->addr;
+		m->cpu_milli = member->cpu_milli;
+		m->up = member->up + (node_now() - member->heard);
+		m->silent = node_now() - member->heard;
+		m->leaving = member->leaving;
+		m->current = node->config != NULL &&
+			     member->config >= node->config->version;
+	}
+	return succession_order(out, count);
+}
+
+static void
+successors_order(struct gb_node *node)
+{
+	struct succession_member *order =
+	    gb_calloc(HASH_COUNT(node->members), sizeof(*order));
+	size_t count = node_members_order(node, order);
+	size_t i;
+
+	if (count > SUCCESSION_MOST)
+		count = SUCCESSION_MOST;
+	for (i = 0; i < count; i++)
+		snprintf(node->successors.addr[i], GB_NAME_MAX + 1, "%s",
+		    order[i].addr);
+	node->successors.count = count;
+	free(order);
+}
+
+/** Drop members that are gone, and work out who succeeds. */
+static void
+members_look(struct gb_node *node)
+{
+	struct node_member *member;
+	struct node_member *next;
+	gb_time now = node_now();
+
+	if (node->members_at > now)
+		return;
+	node->members_at = now + MEMBERS_EVERY;
+	node->largest_milli = 0;
+	HASH_ITER(hh, node->members, member, next)
+	{
+		if (now - member->heard > MEMBER_KEEP)
+			member_drop(node, member);
+		else if (member->cpu_milli > node->largest_milli)
+			node->largest_milli = member->cpu_milli;
+	}
+	successors_order(node);
+}
+
+void
+node_members_fill(struct gb_node *node, uint64_t known, gb_hello_res *res)
+{
+	struct node_member *member;
+	size_t i;
+
+	members_look(node);
+	res->largest_milli = node->largest_milli;
+	res->members_vers = node->members_vers;
+	res->successors.successors_val =
+	    gb_calloc(node->successors.count, sizeof(gb_name));
+	for (i = 0; i < node->successors.count; i++)
+		res->successors.successors_val[i] = node->successors.addr[i];
+	res->successors.successors_len = (u_int)i;
+	if (known == node->members_vers)
+		return;
+	res->members.members_val =
+	    gb_calloc(HASH_COUNT(node->members), sizeof(gb_name));
+	for (member = node->members; member != NULL; member = member->hh.next)
+		res->members.members_val[res->members.members_len++] =
+		    member->addr;
+}
--- a/libgooseberry/node/node.c
+++ b/libgooseberry/node/node.c
@@ -469,6 +469,7 @@
 			    (uint64_t)gb_clock_wall();
 	if (!gb_mechanisms_parse(settings->off, &node->off, err))
 		return NULL;
+	node->members_vers = node->incarnation;
 	TAILQ_INIT(&node->intakes);
 	node->peers = gb_rpc_pool_new(loop, env);
 	node->server = gb_rpc_server_new(
--- a/libgooseberry/node/node_state.h
+++ b/libgooseberry/node/node_state.h
@@ -31,6 +31,12 @@
 	uint32_t cpu_milli;
 };
 
+/** Who is to succeed the owner, best first. */
+struct node_successors {
+	char addr[SUCCESSION_MOST][GB_NAME_MAX + 1];
+	size_t count;
+};
+
 /** What the end of a call of the node's own has to go on with. */
 struct node_call {
 	UT_hash_handle hh;
@@ -102,8 +108,13 @@
 	size_t config_len;
 	gb_time push_at; /**< no configuration is sent to a member before */
 	struct node_member *members; /**< the owner's: those that say hello */
+	uint64_t members_vers;	     /**< grows when one comes or goes */
+	gb_time members_at;	     /**< the list is looked through then */
+	uint32_t largest_milli;	     /**< processor of the largest member */
+	struct node_successors successors;
 	char (*known)[GB_NAME_MAX + 1]; /**< others: told by the owner */
 	size_t known_count;
+	uint64_t known_vers; /**< version of that list, as the owner has it */
 	struct node_call *calls;
 	unsigned int
 	    store_losses; /**< calls in a row that did not come through */
@@ -146,11 +157,19 @@
 /** The pool was lost; tells whether to a member that was asked to take it.  The
  * epoch is the newest that is known. */
 bool node_handover_done(struct gb_node *, uint64_t epoch);
-/** Tell a member who is to take the pool over. */
-void node_successors_fill(struct gb_node *, gb_hello_res *);
 void node_serve_succeed(
     struct gb_node *, struct gb_rpc_call *, const gb_succeed *);
 
+/* members.c */
+/** A member said hello to this owner. */
+void node_member_heard(struct gb_node *, const gb_hello *);
+/** Tell a member of the others, unless it has this version of the list, and of
+ * the order of succession.  What is pointed to lasts until the next call. */
+void node_members_fill(struct gb_node *, uint64_t known, gb_hello_res *);
+/** Order the members by how well they would own the pool; returns how many of
+ * them could.  There is room for all members. */
+size_t node_members_order(struct gb_node *, struct succession_member *);
+
 /* metrics.c */
 bool node_metrics_serve(struct gb_node *, struct gb_error *);
 
--- a/libgooseberry/node/peers.c
+++ b/libgooseberry/node/peers.c
@@ -18,8 +18,6 @@
 #define PUSH_AFTER (500 * GB_MSEC)
 /** What a node spends on that: a third of the smallest link (10 Mbit/s). */
 #define PUSH_BYTES_PER_S 400000
-/** Members that have not said hello for this long are not told of. */
-#define MEMBER_KEEP (5 * GB_SEC)
 
 static void
 hello_fill(struct gb_node *node, gb_hello *hello)
@@ -34,6 +32,7 @@
 	hello->cpu_milli = node->cpu_milli;
 	hello->up_us = node_now() - node->started;
 	hello->leaving = node->leaving;
+	hello->members_known = node->known_vers;
 }
 
 static void
@@ -41,6 +40,9 @@
 {
 	u_int i;
 
+	if (res->members_vers == node->known_vers)
+		return;
+	node->known_vers = res->members_vers;
 	free(node->known);
 	node->known = gb_calloc(res->members.members_len, GB_NAME_MAX + 1);
 	node->known_count = 0;
@@ -177,53 +179,6 @@
 
 /* Serving ----------------------------------------------------------------- */
 
-static void
-member_heard(struct gb_node *node, const gb_hello *hello)
-{
-	struct node_member *member;
-	gb_time now = node_now();
-
-	HASH_FIND_STR(node->members, hello->addr, member);
-	if (member == NULL) {
-		member = gb_calloc(1, sizeof(*member));
-		snprintf(member->addr, sizeof(member->addr), "%s", hello->addr);
-		HASH_ADD_STR(node->members, addr, member);
-		gb_event(node->events, GB_EVENT_ALWAYS, "member_heard",
-		    "{s:s, s:s}", "member", hello->name, "addr", hello->addr);
-	}
-	member->heard = now;
-	member->config = hello->config;
-	if (node->config != NULL && hello->config >= node->config->version)
-		member->behind = 0;
-	member->leaving = hello->leaving;
-	member->cpu_milli = hello->cpu_milli;
-	member->up = hello->up_us;
-	gb_pool_member(node->pool, now, hello->addr, !hello->leaving);
-}
-
-static void
-members_fill(struct gb_node *node, gb_hello_res *res)
-{
-	struct node_member *member;
-	struct node_member *next;
-	gb_time now = node_now();
-	u_int count = HASH_COUNT(node->members);
-
-	res->members.members_val = gb_calloc(count + 1, sizeof(gb_name));
-	HASH_ITER(hh, node->members, member, next)
-	{
-		if (now - member->heard > MEMBER_KEEP) {
-			HASH_DEL(node->members, member);
-			free(member);
-			continue;
-		}
-		res->members.members_val[res->members.members_len++] =
-		    member->addr;
-		if (member->cpu_milli > res->largest_milli)
-			res->largest_milli = member->cpu_milli;
-	}
-}
-
 /** Whether to send a member the configuration: it reads it from the store
  * itself, and is helped only when it does not come to it. */
 static bool
@@ -264,14 +219,13 @@
 	res.owner_addr = node->watch.owner;
 	res.owner_heard_us = now - node->watch.heard;
 	if (gb_pool_owns(node->pool)) {
-		member_heard(node, hello);
-		members_fill(node, &res);
+		node_member_heard(node, hello);
+		node_members_fill(node, hello->members_known, &res);
 		res.owner_addr = node->settings.addr;
 		res.owner_heard_us = 0;
 		res.store_silent_us = gb_pool_store_silent(node->pool, now);
 		res.store_out = NODE_USES(node, GB_MECH_DOUBT) &&
 				gb_pool_store_out(node->pool);
-		node_successors_fill(node, &res);
 	}
 	res.config = node->config == NULL ? 0 : node->config->version;
 	if (config_push(node, hello)) {
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -358,6 +358,39 @@
 	    cell->nodes[cell_owner(cell)]->settings.addr);
 }
 
+/** Load: 97 nodes say hello five times a second each.  The list of members goes
+ * to those alone that have not got it, and again when a member has come. */
+static void
+test_list_of_members_is_sent_once(void **state)
+{
+	struct cell *cell = cell_begin();
+	gb_hello_res res = {0};
+	gb_hello late = {0};
+	struct gb_node *owner;
+	struct gb_node *other;
+	int i;
+
+	(void)state;
+	cell_settle(cell);
+	owner = cell->nodes[cell_owner(cell)];
+	other = cell->nodes[(cell_owner(cell) + 1) % NODES];
+	for (i = 0; i < ROUNDS_MOST && other->known_vers != owner->members_vers;
+	     i++)
+		uv_run(&cell->loop, UV_RUN_ONCE);
+	assert_int_equal(other->known_vers, owner->members_vers);
+	assert_int_equal(other->known_count, NODES - 2);
+	node_members_fill(owner, other->known_vers, &res);
+	assert_int_equal(res.members.members_len, 0);
+	assert_int_equal(res.successors.successors_len, NODES - 1);
+	free(res.successors.successors_val);
+	late.name = late.addr = late.dc = (char *)"127.0.0.1:1";
+	node_member_heard(owner, &late);
+	node_members_fill(owner, other->known_vers, &res);
+	assert_int_equal(res.members.members_len, NODES);
+	free(res.members.members_val);
+	free(res.successors.successors_val);
+}
+
 int
 main(void)
 {
@@ -365,6 +398,7 @@
 	    cmocka_unit_test(test_node_stores_what_the_owner_cannot),
 	    cmocka_unit_test(test_nobody_can_store),
 	    cmocka_unit_test(test_leaving_owner_serves_until_it_is_succeeded),
+	    cmocka_unit_test(test_list_of_members_is_sent_once),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
