An owner paces what it sends by its link, and counts bytes by kind of message

Hypothesis: on thin links the owner sends more than its link carries; renewals and answers wait for seconds, leases lapse, work is done again, which is sent too. Events link_full and link_free, bytes by kind in the metrics; a configuration pushed to a member takes a tenth of the link.

--- a/bench/direct.c
+++ b/bench/direct.c
@@ -119,7 +119,7 @@
 int
 main(int argc, char **argv)
 {
-	static const struct gb_env env = {gb_logger_line, NULL, NULL};
+	static const struct gb_env env = {gb_logger_line, NULL, NULL, NULL};
 	gb_sync hello = {.epoch = 1, .owner = 1, .seq = 1};
 
 	if (argc < 2) {
--- a/cli/daemon.c
+++ b/cli/daemon.c
@@ -155,7 +155,7 @@
 {
 	struct argp argp = {
 	    option_table, option_parse, "SETTINGS", d->doc, NULL, NULL, NULL};
-	struct gb_env env = {gb_logger_line, trace_line, NULL};
+	struct gb_env env = {gb_logger_line, trace_line, NULL, NULL};
 	struct gb_error err = {0};
 	int port;
 
--- a/libgooseberry/connection/http.c
+++ b/libgooseberry/connection/http.c
@@ -13,6 +13,8 @@
 #include "rpc.h"
 
 #define HTTP_BACKLOG 1024
+/** Bytes of an answer before its body: status, date, type, length. */
+#define HTTP_ANSWER_HEAD 170
 
 struct http_server {
 	uv_tcp_t tcp;
@@ -22,6 +24,7 @@
 	http_handler handler;
 	void *data;
 	int port;
+	struct gb_link *link;
 	unsigned int in_flight;
 	bool leaving; /**< connections end with their next answer */
 	bool closing;
@@ -142,6 +145,12 @@
 	return server;
 }
 
+void
+http_server_count(struct http_server *server, struct gb_link *link)
+{
+	server->link = link;
+}
+
 int
 http_server_port(const struct http_server *server)
 {
@@ -253,6 +262,8 @@
 			req->http1_is_persistent = 0;
 		http_call_add(call, "content-type", type);
 		h2o_send_inline(req, body, len);
+		gb_link_out(call->server->link, gb_clock_boot(),
+		    GB_TRAFFIC_CALLER, HTTP_ANSWER_HEAD + len);
 	}
 	free(call);
 }
--- a/libgooseberry/connection/http.h
+++ b/libgooseberry/connection/http.h
@@ -27,6 +27,8 @@
 struct http_server *http_server_new(struct uv_loop_s *, const char *addr,
     size_t body_limit, http_handler, void *, struct gb_error *);
 int http_server_port(const struct http_server *);
+/** Count what it answers as sent to callers. */
+void http_server_count(struct http_server *, struct gb_link *);
 /** End every connection with its next answer; still accept new ones, until
  * the balancer has seen that this entry is leaving. */
 void http_server_leave(struct http_server *);
--- a/libgooseberry/connection/rpc_client.c
+++ b/libgooseberry/connection/rpc_client.c
@@ -110,6 +110,8 @@
 	HASH_FIND(hh, client->pending, &xid, sizeof(xid), call);
 	if (call == NULL)
 		return true;
+	gb_link_in(gb_env_link(client->env), GB_TRAFFIC_RPC + call->proc,
+	    len + RPC_MARK_LEN);
 	method = &gb_rpc_methods[call->proc];
 	res = gb_calloc(1, method->res_size);
 	memset(&msg, 0, sizeof(msg));
@@ -156,6 +158,7 @@
 call_write(struct gb_rpc_client *client, struct rpc_pending *call)
 {
 	static const struct opaque_auth none = {0, NULL, 0};
+	size_t before = client->bytes;
 	struct rpc_msg msg;
 
 	memset(&msg, 0, sizeof(msg));
@@ -170,6 +173,8 @@
 	call->written = true;
 	rpc_stream_write((uv_stream_t *)&client->link->tcp, &msg,
 	    (xdrproc_t)raw_code, &call->arg, &client->bytes);
+	gb_link_out(gb_env_link(client->env), gb_clock_boot(),
+	    GB_TRAFFIC_RPC + call->proc, client->bytes - before);
 	free(call->arg.gb_body_val);
 	call->arg.gb_body_val = NULL;
 }
--- a/libgooseberry/connection/rpc_server.c
+++ b/libgooseberry/connection/rpc_server.c
@@ -82,9 +82,10 @@
 }
 
 static void
-reply_send(struct rpc_connection *conn, uint32_t xid, enum accept_stat stat,
-    xdrproc_t proc, void *res)
+reply_send(struct rpc_connection *conn, uint32_t xid, uint32_t number,
+    enum accept_stat stat, xdrproc_t proc, void *res)
 {
+	size_t before = conn->server->bytes;
 	struct rpc_msg msg;
 
 	if (conn->closed)
@@ -100,6 +101,8 @@
 	if (!rpc_stream_write((uv_stream_t *)&conn->tcp, &msg, NULL, NULL,
 		&conn->server->bytes))
 		connection_close(conn);
+	gb_link_out(gb_env_link(conn->server->env), gb_clock_boot(),
+	    GB_TRAFFIC_RPC + number, conn->server->bytes - before);
 }
 
 static void
@@ -114,7 +117,7 @@
 		    "Refused a malformed %s call.", method->name);
 		xdr_free(method->arg, arg);
 		free(arg);
-		reply_send(conn, xid, GARBAGE_ARGS, nothing_code, NULL);
+		reply_send(conn, xid, proc, GARBAGE_ARGS, nothing_code, NULL);
 		return;
 	}
 	call = gb_calloc(1, sizeof(*call));
@@ -147,11 +150,16 @@
 	}
 	if (msg.rm_call.cb_prog != RPC_PROGRAM ||
 	    msg.rm_call.cb_vers != RPC_PROGRAM_VERSION) {
-		reply_send(conn, msg.rm_xid, PROG_UNAVAIL, nothing_code, NULL);
+		reply_send(
+		    conn, msg.rm_xid, 0, PROG_UNAVAIL, nothing_code, NULL);
 	} else if (msg.rm_call.cb_proc == 0 ||
 		   msg.rm_call.cb_proc >= GB_PROCS) {
-		reply_send(conn, msg.rm_xid, PROC_UNAVAIL, nothing_code, NULL);
+		reply_send(
+		    conn, msg.rm_xid, 0, PROC_UNAVAIL, nothing_code, NULL);
 	} else {
+		gb_link_in(gb_env_link(conn->server->env),
+		    GB_TRAFFIC_RPC + (unsigned int)msg.rm_call.cb_proc,
+		    len + RPC_MARK_LEN);
 		call_serve(
 		    conn, msg.rm_xid, (uint32_t)msg.rm_call.cb_proc, &xdrs);
 	}
@@ -272,7 +280,7 @@
 void
 gb_rpc_call_reply(struct gb_rpc_call *call, void *res)
 {
-	reply_send(call->conn, call->xid, SUCCESS,
+	reply_send(call->conn, call->xid, call->proc, SUCCESS,
 	    gb_rpc_methods[call->proc].res, res);
 	connection_unref(call->conn);
 	free(call);
@@ -281,7 +289,8 @@
 void
 gb_rpc_call_refuse(struct gb_rpc_call *call)
 {
-	reply_send(call->conn, call->xid, PROC_UNAVAIL, nothing_code, NULL);
+	reply_send(call->conn, call->xid, call->proc, PROC_UNAVAIL,
+	    nothing_code, NULL);
 	connection_unref(call->conn);
 	free(call);
 }
--- a/libgooseberry/gooseberry.h
+++ b/libgooseberry/gooseberry.h
@@ -68,8 +68,11 @@
 	/** One finished span, as a line of JSON. */
 	void (*trace)(void *, const char *json);
 	void *data;
+	struct gb_link *link; /**< counts what is sent, or null */
 };
 
+/** The link of an environment, or null. */
+struct gb_link *gb_env_link(const struct gb_env *);
 void gb_env_log(const struct gb_env *, enum gb_level, const char *,
     const char *, ...) __attribute__((format(printf, 4, 5)));
 
@@ -515,6 +518,49 @@
 /** Procedures of all programs of the project, by number. */
 extern const struct gb_rpc_method gb_rpc_methods[GB_PROCS];
 
+/* Link ------------------------------------------------------------------- */
+
+/** Kinds of messages whose bytes are counted; behind the last come the
+ * procedures that processes offer each other. */
+enum gb_traffic_kind {
+	GB_TRAFFIC_START,
+	GB_TRAFFIC_STOP,
+	GB_TRAFFIC_HOLD,
+	GB_TRAFFIC_ADVICE,
+	GB_TRAFFIC_STORE_WRITE,
+	GB_TRAFFIC_STORE_READ,
+	GB_TRAFFIC_FEED,
+	GB_TRAFFIC_CALLER, /**< answers to callers */
+	GB_TRAFFIC_RPC
+};
+
+#define GB_TRAFFIC_KINDS (GB_TRAFFIC_RPC + GB_PROCS)
+
+/** Messages of one kind. */
+struct gb_traffic {
+	uint64_t sent; /**< messages */
+	uint64_t out;  /**< bytes, without the headers of the network */
+	uint64_t in;
+};
+
+struct gb_link;
+
+/** The link of this process; 0: its bandwidth does not matter. */
+struct gb_link *gb_link_new(uint64_t bytes_per_s);
+/** A message is sent; null counts nothing. */
+void gb_link_out(
+    struct gb_link *, gb_time now, unsigned int kind, size_t bytes);
+void gb_link_in(struct gb_link *, unsigned int kind, size_t bytes);
+/** Its bandwidth, 0: it does not matter. */
+uint64_t gb_link_rate(const struct gb_link *);
+/** How long what was sent so far keeps the link busy. */
+gb_time gb_link_queued(const struct gb_link *, gb_time now);
+/** Share of its bandwidth that is sent, averaged over about a second. */
+double gb_link_use(const struct gb_link *);
+const struct gb_traffic *gb_link_traffic(
+    const struct gb_link *, unsigned int kind);
+const char *gb_traffic_name(unsigned int kind);
+
 /** Serves a call; answer it now or later with gb_rpc_call_reply. */
 typedef void (*gb_rpc_serve)(
     void *, struct gb_rpc_call *, uint32_t proc, void *arg);
--- a/libgooseberry/node/metrics.c
+++ b/libgooseberry/node/metrics.c
@@ -2,6 +2,7 @@
  * @file metrics.c
  * Counters and histograms of a node in the common text form.
  */
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -10,6 +11,26 @@
 
 #define METRICS_BODY_MOST 1024
 
+/** Messages of all kinds that there were. */
+static void
+traffic_print(const struct gb_link *link, struct gb_text *out)
+{
+	unsigned int i;
+
+	for (i = 0; i < GB_TRAFFIC_KINDS; i++) {
+		const struct gb_traffic *t = gb_link_traffic(link, i);
+		const char *name = gb_traffic_name(i);
+
+		if (t->sent == 0 && t->in == 0)
+			continue;
+		gb_text_add(out,
+		    "gooseberry_messages{kind=\"%s\"} %" PRIu64
+		    "\ngooseberry_bytes_out{kind=\"%s\"} %" PRIu64
+		    "\ngooseberry_bytes_in{kind=\"%s\"} %" PRIu64 "\n",
+		    name, t->sent, name, t->out, name, t->in);
+	}
+}
+
 void
 gb_node_metrics(struct gb_node *node, struct gb_text *out)
 {
@@ -88,6 +109,8 @@
 	    out, "gooseberry_start_us", "Orders to start.", &s->start_us);
 	gb_histogram_print(out, "gooseberry_takeover_us",
 	    "Decision to ownership.", &s->takeover_us);
+	if (gb_env_link(node->env) != NULL)
+		traffic_print(node->env->link, out);
 }
 
 static void
--- a/libgooseberry/node/node.c
+++ b/libgooseberry/node/node.c
@@ -24,6 +24,10 @@
 #define FILES_RESERVED 900
 /** Callers are answered this much before a stopping process would be killed. */
 #define LEAVE_ANSWERED (1200 * GB_MSEC)
+/** The link is said to be full when what was sent waits this long, which a hold
+ * is given beside its own wait, and free again below the other. */
+#define LINK_FULL (200 * GB_MSEC)
+#define LINK_FREE (20 * GB_MSEC)
 /** A call of advice by way of a member. */
 #define ADVISE_TIMEOUT (3 * GB_SEC)
 
@@ -165,6 +169,15 @@
 	free(caller);
 }
 
+static void
+op_link(void *data, struct gb_pool_link *link)
+{
+	const struct gb_node *node = data;
+
+	link->queued = gb_link_queued(gb_env_link(node->env), node_now());
+	link->bytes_per_s = gb_link_rate(gb_env_link(node->env));
+}
+
 static void
 op_owner(void *data, bool owns, uint64_t epoch)
 {
@@ -422,6 +435,31 @@
 	}
 }
 
+/** Tell when the link is busy for long, and with what, and when it is not. */
+static void
+link_look(struct gb_node *node)
+{
+	const struct gb_link *link = gb_env_link(node->env);
+	gb_time queued = gb_link_queued(link, node_now());
+	unsigned int most = 0;
+	unsigned int i;
+
+	if (node->link_full ? queued > LINK_FREE : queued < LINK_FULL)
+		return;
+	node->link_full = !node->link_full;
+	for (i = 0; i < GB_TRAFFIC_KINDS; i++) {
+		if (gb_link_traffic(link, i)->out >
+		    gb_link_traffic(link, most)->out)
+			most = i;
+	}
+	gb_event(node->events, GB_EVENT_ALWAYS,
+	    node->link_full ? "link_full" : "link_free", "{s:I, s:I, s:s, s:I}",
+	    "queued_ms", (json_int_t)(queued / GB_MSEC), "use_percent",
+	    (json_int_t)(gb_link_use(link) * 100), "most_kind",
+	    gb_traffic_name(most), "most_bytes",
+	    (json_int_t)gb_link_traffic(link, most)->out);
+}
+
 static void
 on_tick(uv_timer_t *timer)
 {
@@ -432,6 +470,7 @@
 	watch_tick(node);
 	store_probe(node);
 	intake_tick(node);
+	link_look(node);
 	busy = gb_pool_owns(node->pool) || gb_pool_taking(node->pool) ||
 	       !TAILQ_EMPTY(&node->intakes) || node->leaving;
 	if (busy == node->busy_tick)
@@ -444,7 +483,7 @@
 /* Node -------------------------------------------------------------------- */
 
 static const struct gb_pool_ops pool_ops = {op_start, op_stop, op_hold,
-    op_advise, op_txn, op_read, op_answer, op_owner, NULL};
+    op_advise, op_txn, op_read, op_answer, op_owner, op_link, NULL};
 
 struct gb_node *
 gb_node_new(struct uv_loop_s *loop, const struct gb_env *env,
--- a/libgooseberry/node/node.h
+++ b/libgooseberry/node/node.h
@@ -43,6 +43,7 @@
 	char store[GB_NAME_MAX + 1];
 	char advice[GB_NAME_MAX + 1];
 	char cpu_share[GB_NAME_MAX + 1];
+	char link_mbps[GB_NAME_MAX + 1];
 	char orders[GB_NAME_MAX + 1];
 	char off[GB_KEY_MAX + 1]; /**< mechanisms that are switched off */
 	int64_t lease_ms, stop_ms, keep_s;
--- a/libgooseberry/node/peers.c
+++ b/libgooseberry/node/peers.c
@@ -16,7 +16,9 @@
 /** A member that is behind with its configuration for this long is sent it; the
  * bound for all of them is 2 s. */
 #define PUSH_AFTER (500 * GB_MSEC)
-/** What a node spends on that: a third of the smallest link (10 Mbit/s). */
+/** What a node spends on that: a tenth of its link, and a third of one of
+ * 10 Mbit/s where its bandwidth is not known. */
+#define PUSH_SHARE 10
 #define PUSH_BYTES_PER_S 400000
 
 static void
@@ -186,6 +188,7 @@
 {
 	struct node_member *member;
 	gb_time now = node_now();
+	uint64_t rate;
 
 	if (node->config == NULL || hello->config >= node->config->version)
 		return false;
@@ -195,8 +198,10 @@
 	if ((member != NULL && now - member->behind < PUSH_AFTER) ||
 	    node->push_at > now)
 		return false;
-	node->push_at =
-	    now + (gb_time)node->config_len * GB_SEC / PUSH_BYTES_PER_S;
+	rate = gb_link_rate(gb_env_link(node->env)) / PUSH_SHARE;
+	if (rate == 0 || rate > PUSH_BYTES_PER_S)
+		rate = PUSH_BYTES_PER_S;
+	node->push_at = now + (gb_time)(node->config_len * GB_SEC / rate);
 	return true;
 }
 
--- a/libgooseberry/pool.h
+++ b/libgooseberry/pool.h
@@ -239,6 +239,12 @@
 
 /* Core -------------------------------------------------------------------- */
 
+/** The link of the node, as far as it decides what to send. */
+struct gb_pool_link {
+	gb_time queued;	      /**< what was sent keeps it busy so long */
+	uint64_t bytes_per_s; /**< 0: it does not matter */
+};
+
 /** What the core asks its owner to do.  Pointers in arguments hold only for
  * the time of the call. */
 struct gb_pool_ops {
@@ -254,6 +260,8 @@
 	void (*answer)(void *, uint64_t token, const gb_flow_answer *);
 	/** Ownership was gained or lost. */
 	void (*owner)(void *, bool owns, uint64_t epoch);
+	/** How busy the link is; null: it does not matter. */
+	void (*link)(void *, struct gb_pool_link *);
 	void *data;
 };
 
@@ -285,6 +293,7 @@
 	GB_MECH_WITHOUT_OWNER, /**< nodes store flows while there is no owner */
 	GB_MECH_FOR_OWNER,     /**< and those that the owner can't store */
 	GB_MECH_QUICK_ONLY,    /**< but only while the store is quick */
+	GB_MECH_PACE, /**< what can wait is sent as the link takes it */
 	GB_MECHANISMS
 };
 
--- a/libgooseberry/pool/admit.c
+++ b/libgooseberry/pool/admit.c
@@ -5,6 +5,10 @@
  * Load: bursts of twice the usual.  A flow that waits costs memory and its
  * caller's patience, so the number that has not begun is bounded; what is
  * refused has not run and never will.
+ *
+ * Load: the owner's link is too thin for the starts that are asked for.  A flow
+ * whose starts would wait behind others until its objective has passed is
+ * refused at once, with the time until what waits has been sent.
  */
 #include "state.h"
 
@@ -14,16 +18,40 @@
 /** Time to come back after a refusal: as long as a burst drains for the
  * queues that wait least. */
 #define ADMIT_RETRY_US (2 * GB_SEC)
+/** Starts that wait for the link for less than this hold nobody up. */
+#define ADMIT_LINK_LEAST (500 * GB_MSEC)
+
+/** Time in which a flow earns in full, by what its caller declared. */
+static gb_time
+admit_objective(const struct gb_pool *pool, const gb_flow *flow)
+{
+	const struct gb_pool_queue *queue =
+	    gb_pool_config_queue(pool->config, flow->queue);
+	gb_time work = 0;
+	u_int i;
+
+	if (queue == NULL)
+		return 0;
+	for (i = 0; i < flow->steps.steps_len; i++)
+		work += flow->steps.steps_val[i].estimate_us;
+	return queue->target_us + (gb_time)(queue->stretch * (double)work);
+}
 
 bool
 pool_admit(struct gb_pool *pool, const gb_flow *flow, gb_time *retry_after,
     const char **why)
 {
-	(void)flow;
+	gb_time wait = pool_pace_wait(pool);
+
 	*retry_after = ADMIT_RETRY_US;
 	if (pool->open_count >= ADMIT_FLOWS_MOST) {
 		*why = "too many flows are open";
 		return false;
 	}
+	if (wait > ADMIT_LINK_LEAST && wait > admit_objective(pool, flow)) {
+		*why = "the link takes too long to start what waits";
+		*retry_after = wait;
+		return false;
+	}
 	return true;
 }
--- a/libgooseberry/pool/advice.c
+++ b/libgooseberry/pool/advice.c
@@ -302,6 +302,8 @@
 {
 	const struct pool_step *step = &flow->steps[number];
 
+	if (!pool_pace_advice(pool))
+		return false;
 	if (count == 0)
 		return step->asks_out == 0 && ask_others(pool, flow, number);
 	return step->renews_out == 0 &&
--- a/libgooseberry/pool/dispatch.c
+++ b/libgooseberry/pool/dispatch.c
@@ -254,6 +254,11 @@
 
 	if (wanted == 0 || step_claims_wait(pool, step))
 		return false;
+	pool->waiting_bytes += pool_pace_bytes(flow, wanted);
+	if (!pool_pace_starts(pool)) {
+		pool->work_changed = true;
+		return false;
+	}
 	if (advice && step->advice == POOL_ADVICE_NONE) {
 		if (step->advice_retry_at <= pool->now)
 			pool_advice_ask(pool, flow, number, NULL, 0);
@@ -406,6 +411,7 @@
 	}
 	qsort(flows, count, sizeof(*flows), flow_compare);
 	pool_book_clear(pool);
+	pool->waiting_bytes = 0;
 	for (i = 0; i < count; i++) {
 		for (j = 0; j < flows[i]->step_count; j++) {
 			step_mend(pool, flows[i], j);
--- /dev/null
+++ b/libgooseberry/pool/pace.c
@@ -0,0 +1,76 @@
+/**
+ * @file pace.c
+ * What an owner sends while its link fills.
+ *
+ * Load: starts, looks at workers, advice and store calls come to more than the
+ * link carries (105 starts a second of 0.9 KB each, over 2 Mbit/s).  Whatever
+ * is sent waits behind what was sent before; once renewals of leases and
+ * answers wait for seconds, leases lapse and work is done twice.  So what keeps
+ * promises (leases, stops, ends, answers) is always sent, and finds a short
+ * queue: starts wait while the link is busy for longer than a moment, questions
+ * for advice while it is busy at all, and looks at workers are spaced out. What
+ * can't be started in time for want of the link is not taken in.
+ */
+#include <string.h>
+
+#include "state.h"
+
+/** Starts wait while the link is busy for longer than this: a renewal that is
+ * sent behind them still comes well before its lease ends, also behind one gang
+ * that is sent whole (0.3 s at 2 Mbit/s). */
+#define PACE_STARTS (40 * GB_MSEC)
+/** The same for questions for advice, which are of use only when the start
+ * that follows can be sent. */
+#define PACE_ADVICE (80 * GB_MSEC)
+/** A look at a worker is put off by this many times as long as the link is
+ * busy: ends are told in fewer, longer answers. */
+#define PACE_LOOKS 2
+/** Bytes of a start beside its specification: names, lease, ticket, headers. */
+#define PACE_START_BYTES 520
+/** Share of the link that starts can have, beside looks and the store. */
+#define PACE_STARTS_SHARE 0.5
+
+static struct gb_pool_link
+pace_link(const struct gb_pool *pool)
+{
+	struct gb_pool_link link = {0};
+
+	if (pool->ops.link != NULL && POOL_USES(pool, GB_MECH_PACE))
+		pool->ops.link(pool->ops.data, &link);
+	return link;
+}
+
+bool
+pool_pace_starts(const struct gb_pool *pool)
+{
+	return pace_link(pool).queued <= PACE_STARTS;
+}
+
+bool
+pool_pace_advice(const struct gb_pool *pool)
+{
+	return pace_link(pool).queued <= PACE_ADVICE;
+}
+
+gb_time
+pool_pace_look(const struct gb_pool *pool, gb_time pause)
+{
+	return pause + PACE_LOOKS * pace_link(pool).queued;
+}
+
+uint64_t
+pool_pace_bytes(const struct pool_flow *flow, uint32_t tasks)
+{
+	return (uint64_t)tasks * (PACE_START_BYTES + strlen(flow->spec.spec));
+}
+
+gb_time
+pool_pace_wait(const struct gb_pool *pool)
+{
+	struct gb_pool_link link = pace_link(pool);
+
+	if (link.bytes_per_s == 0)
+		return 0;
+	return (gb_time)((double)pool->waiting_bytes * GB_SEC /
+			 ((double)link.bytes_per_s * PACE_STARTS_SHARE));
+}
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -6,7 +6,8 @@
  * load.c, dispatch.c, advice.c, worker.c, flow.c, report.c and run.c (which
  * meet over the ends of runs), health.c, worker_set.c, writer.c, call.c; then
  * the decisions without side effects: rank.c, fit.c, book.c, admit.c. preempt.c
- * stands between: it decides, and stops runs by way of run.c.
+ * stands between: it decides, and stops runs by way of run.c.  pace.c asks
+ * the node how busy its link is.
  */
 #ifndef GB_POOL_STATE_H
 #define GB_POOL_STATE_H
@@ -410,6 +411,7 @@
 	struct pool_candidate *candidates; /**< scratch, one a worker */
 	uint32_t candidate_size;
 	uint32_t bookings;	 /**< of the last dispatch */
+	uint64_t waiting_bytes;	 /**< of starts that wait, at the last one */
 	struct pool_slot *slots; /**< scratch of book.c */
 	size_t slot_size;
 	gb_time dispatch_at;
@@ -487,6 +489,17 @@
 enum pool_room pool_preempt(struct gb_pool *, struct pool_flow *,
     struct pool_step *, uint32_t *workers);
 
+/* pace.c */
+/** Whether the link takes starts now, and questions for advice. */
+bool pool_pace_starts(const struct gb_pool *);
+bool pool_pace_advice(const struct gb_pool *);
+/** Pause before the next look at a worker. */
+gb_time pool_pace_look(const struct gb_pool *, gb_time pause);
+/** Bytes that starting tasks of a flow takes. */
+uint64_t pool_pace_bytes(const struct pool_flow *, uint32_t tasks);
+/** How long the starts that wait will keep the link busy. */
+gb_time pool_pace_wait(const struct gb_pool *);
+
 /* admit.c */
 /** Whether to take a flow in; else when to come back. */
 bool pool_admit(
--- a/libgooseberry/pool/worker.c
+++ b/libgooseberry/pool/worker.c
@@ -170,7 +170,7 @@
 		return worker->run_count > 0
 			   ? HOLD_TURN * (gb_time)pool->worker_count
 			   : HOLD_WAIT_IDLE;
-	return ended == 0 ? GB_MSEC : HOLD_GAP;
+	return pool_pace_look(pool, ended == 0 ? GB_MSEC : HOLD_GAP);
 }
 
 void
--- a/libgooseberry/process/env.c
+++ b/libgooseberry/process/env.c
@@ -9,6 +9,12 @@
 
 #define LINE_MAX_LEN 512
 
+struct gb_link *
+gb_env_link(const struct gb_env *env)
+{
+	return env == NULL ? NULL : env->link;
+}
+
 void
 gb_env_log(const struct gb_env *env, enum gb_level level, const char *part,
     const char *fmt, ...)
--- a/soak/caller.c
+++ b/soak/caller.c
@@ -163,9 +163,10 @@
 	job->life = job->node->started;
 	job->sent = soak_now();
 	job->out = true;
-	plat_http_call(soak.http, job->node->front, method, path,
-	    "X-Gooseberrycart-Timeout-Ms: 3000\r\n", post ? job->body : NULL,
-	    post ? job->body_len : 0, CALL_TIMEOUT, done, job);
+	plat_http_call(soak.http, GB_TRAFFIC_CALLER, job->node->front, method,
+	    path, "X-Gooseberrycart-Timeout-Ms: 3000\r\n",
+	    post ? job->body : NULL, post ? job->body_len : 0, CALL_TIMEOUT,
+	    done, job);
 }
 
 /* Submitting -------------------------------------------------------------- */
@@ -234,8 +235,8 @@
 	TAILQ_INSERT_TAIL(&jobs, job, next);
 	snprintf(path, sizeof(path), "/flow/%s?attempts=4", job->id);
 	job->out = true;
-	plat_http_call(soak.http, soak.control, "POST", path, "", job->body,
-	    job->body_len, CONTROL_TIMEOUT, told, job);
+	plat_http_call(soak.http, GB_TRAFFIC_CALLER, soak.control, "POST", path,
+	    "", job->body, job->body_len, CONTROL_TIMEOUT, told, job);
 }
 
 /* States ------------------------------------------------------------------ */
@@ -269,8 +270,8 @@
 	    !job->cancel)
 		soak_broken("%s was cancelled by nobody", job->id);
 	snprintf(path, sizeof(path), "/flow/%s", job->id);
-	plat_http_call(soak.http, soak.control, "GET", path, "", NULL, 0,
-	    CONTROL_TIMEOUT, state_checked, job);
+	plat_http_call(soak.http, GB_TRAFFIC_CALLER, soak.control, "GET", path,
+	    "", NULL, 0, CONTROL_TIMEOUT, state_checked, job);
 }
 
 static void
@@ -336,8 +337,8 @@
 		return;
 	job->gone_asked = true;
 	snprintf(path, sizeof(path), "/flow/%s", job->id);
-	plat_http_call(soak.http, soak.control, "GET", path, "", NULL, 0,
-	    CONTROL_TIMEOUT, gone_checked, job);
+	plat_http_call(soak.http, GB_TRAFFIC_CALLER, soak.control, "GET", path,
+	    "", NULL, 0, CONTROL_TIMEOUT, gone_checked, job);
 }
 
 static void
@@ -460,11 +461,11 @@
 			    "%s is still open: %s", job->id, job->state);
 		audits_out++;
 		snprintf(path, sizeof(path), "/flow/%s", job->id);
-		plat_http_call(soak.http, soak.control, "GET", path, "", NULL,
-		    0, CONTROL_TIMEOUT, audited, job);
+		plat_http_call(soak.http, GB_TRAFFIC_CALLER, soak.control,
+		    "GET", path, "", NULL, 0, CONTROL_TIMEOUT, audited, job);
 	}
-	plat_http_call(soak.http, soak.control, "GET", "/report", "", NULL, 0,
-	    CONTROL_TIMEOUT, reported, NULL);
+	plat_http_call(soak.http, GB_TRAFFIC_CALLER, soak.control, "GET",
+	    "/report", "", NULL, 0, CONTROL_TIMEOUT, reported, NULL);
 }
 
 void
--- a/soak/operator.c
+++ b/soak/operator.c
@@ -61,8 +61,8 @@
 				  "Name", "pool", "EnforcesCapacity", 0),
 	    &len);
 	changed_at = soak_now();
-	plat_http_call(soak.http, soak.control, "POST", "/config", "", text,
-	    len, PROBE_TIMEOUT, soak_ignore, NULL);
+	plat_http_call(soak.http, GB_TRAFFIC_CALLER, soak.control, "POST",
+	    "/config", "", text, len, PROBE_TIMEOUT, soak_ignore, NULL);
 	free(text);
 }
 
@@ -123,8 +123,8 @@
 	probe->version = of;
 	probe->gone = gone;
 	snprintf(path, sizeof(path), "/probe-%u/", of);
-	plat_http_call(soak.http, node->direct, "GET", path, "", NULL, 0,
-	    PROBE_TIMEOUT, probed, probe);
+	plat_http_call(soak.http, GB_TRAFFIC_CALLER, node->direct, "GET", path,
+	    "", NULL, 0, PROBE_TIMEOUT, probed, probe);
 }
 
 void
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -78,8 +78,8 @@
 	va_start(ap, fmt);
 	vsnprintf(path, sizeof(path), fmt, ap);
 	va_end(ap);
-	plat_http_call(soak.http, soak.control, "POST", path, "", NULL, 0,
-	    5 * GB_SEC, soak_ignore, NULL);
+	plat_http_call(soak.http, GB_TRAFFIC_CALLER, soak.control, "POST", path,
+	    "", NULL, 0, 5 * GB_SEC, soak_ignore, NULL);
 }
 
 /* Course ------------------------------------------------------------------ */
@@ -279,7 +279,7 @@
 	    (unsigned long long)soak.seed, (int)getpid());
 	mkdir(soak.dir, 0755);
 	soak.loop = uv_default_loop();
-	soak.http = plat_http_new(soak.loop);
+	soak.http = plat_http_new(soak.loop, NULL);
 	soak.began = gb_clock_boot();
 	soak.unplanned = -CALM;
 	fault_plan();
--- a/standin/fault.c
+++ b/standin/fault.c
@@ -28,7 +28,7 @@
 int
 main(int argc, char **argv)
 {
-	static const struct gb_env env = {gb_logger_line, NULL, NULL};
+	static const struct gb_env env = {gb_logger_line, NULL, NULL, NULL};
 	gb_command cmd = {.team = "", .name = "", .author = ""};
 	struct gb_rpc_client *client;
 	uv_loop_t loop;
--- a/standin/store.c
+++ b/standin/store.c
@@ -205,7 +205,7 @@
 	    {"listen", 'l', "IP:PORT", 0, "Where to listen", 0}, {0}};
 	static const struct argp argp = {options, option_parse, NULL,
 	    "Stands in for the platform's table service.", NULL, NULL, NULL};
-	static const struct gb_env env = {gb_logger_line, NULL, NULL};
+	static const struct gb_env env = {gb_logger_line, NULL, NULL, NULL};
 	struct gb_error err = {0};
 	struct gb_rpc_server *server;
 
--- a/standin/worker.c
+++ b/standin/worker.c
@@ -221,7 +221,7 @@
 	    {"ledger", 'L', "FILE", 0, "What it runs goes here", 0}, {0}};
 	static const struct argp argp = {options, option_parse, NULL,
 	    "Stands in for a worker of the platform.", NULL, NULL, NULL};
-	static const struct gb_env env = {gb_logger_line, NULL, NULL};
+	static const struct gb_env env = {gb_logger_line, NULL, NULL, NULL};
 	struct gb_error err = {0};
 	struct gb_rpc_server *server;
 	uint64_t incarnation = 0;
--- a/tests/pool_cell.c
+++ b/tests/pool_cell.c
@@ -21,6 +21,10 @@
 #define CELL_HOLD_MARGIN (200 * GB_MSEC)
 #define CELL_LATE (2 * GB_SEC)
 #define CELL_LIST (500 * GB_MSEC)
+/** Bytes of messages beside what varies: headers, names and numbers. */
+#define CELL_HEAD 220
+#define CELL_START 440
+#define CELL_WORKER_NAME 16
 
 enum event_kind {
 	EVENT_START,
@@ -72,6 +76,17 @@
 	return gb_random_next(&cell->seed) % 100 < percent;
 }
 
+/** What a message waits for before it has left the node's link. */
+static gb_time
+link_wait(const struct cell_node *from, enum gb_traffic_kind kind, size_t bytes)
+{
+	struct pool_cell *cell = from->cell;
+	struct gb_link *link = cell->links[from->node];
+
+	gb_link_out(link, cell->now, kind, bytes);
+	return gb_link_queued(link, cell->now);
+}
+
 static struct pool_event *
 event_add(const struct cell_node *from, enum event_kind kind, uint64_t call,
     gb_time after)
@@ -131,8 +146,12 @@
 	struct pool_cell *cell = from->cell;
 	bool late = chance(cell, cell->faults.order_late);
 	bool lost = late || chance(cell, cell->faults.order_lost);
-	struct pool_event *event = event_add(
-	    from, kind, lost ? 0 : call, late ? CELL_LATE : 2 * CELL_WIRE);
+	gb_time wait = kind == EVENT_START
+			   ? link_wait(from, GB_TRAFFIC_START,
+				 CELL_START + strlen(order->spec))
+			   : link_wait(from, GB_TRAFFIC_STOP, CELL_HEAD);
+	struct pool_event *event = event_add(from, kind, lost ? 0 : call,
+	    wait + (late ? CELL_LATE : 2 * CELL_WIRE));
 
 	event->order = *order;
 	event->order.worker = copy(order->worker);
@@ -142,8 +161,8 @@
 	event->order.checkpoint = copy(order->checkpoint);
 	event->order.ticket = copy(order->ticket);
 	if (lost)
-		event_add(from, EVENT_ORDER_LOST, call, CELL_TIMEOUT)->stop =
-		    kind == EVENT_STOP;
+		event_add(from, EVENT_ORDER_LOST, call, wait + CELL_TIMEOUT)
+		    ->stop = kind == EVENT_STOP;
 }
 
 static void
@@ -165,8 +184,8 @@
 op_hold(void *data, uint64_t call, const struct gb_pool_hold *hold)
 {
 	const struct cell_node *from = data;
-	struct pool_event *event =
-	    event_add(from, EVENT_HOLD, call, 2 * CELL_WIRE);
+	struct pool_event *event = event_add(from, EVENT_HOLD, call,
+	    link_wait(from, GB_TRAFFIC_HOLD, CELL_HEAD) + 2 * CELL_WIRE);
 
 	event->hold = *hold;
 	event->hold.worker = copy(hold->worker);
@@ -180,7 +199,9 @@
 {
 	const struct cell_node *from = data;
 	struct pool_event *event = event_add(from, EVENT_ADVISE, call,
-	    from->cell->setup.decide_us +
+	    link_wait(from, GB_TRAFFIC_ADVICE,
+		CELL_HEAD + CELL_WORKER_NAME * ask->workers.workers_len) +
+		from->cell->setup.decide_us +
 		from->cell->setup.per_item_us * ask->workers.workers_len);
 
 	(void)member;
@@ -209,21 +230,33 @@
 	return out;
 }
 
+static size_t
+txn_bytes(const struct gb_pool_txn *txn)
+{
+	size_t bytes = CELL_HEAD;
+	size_t i;
+
+	for (i = 0; i < txn->put_count; i++)
+		bytes += CELL_HEAD + txn->puts[i].value.gb_body_len * 4 / 3;
+	return bytes;
+}
+
 static void
 op_txn(void *data, uint64_t call, const struct gb_pool_txn *txn)
 {
 	const struct cell_node *from = data;
 	struct pool_cell *cell = from->cell;
+	gb_time wait = link_wait(from, GB_TRAFFIC_STORE_WRITE, txn_bytes(txn));
 	bool late = chance(cell, cell->faults.txn_late);
 	bool lost = late || chance(cell, cell->faults.txn_lost);
 	struct pool_event *event = event_add(from, EVENT_TXN, lost ? 0 : call,
-	    late ? CELL_LATE : CELL_TXN + 2 * cell->faults.store_slow);
+	    wait + (late ? CELL_LATE : CELL_TXN + 2 * cell->faults.store_slow));
 
 	event->txn = *txn;
 	event->txn.conds = rows_copy(txn->conds, txn->cond_count);
 	event->txn.puts = rows_copy(txn->puts, txn->put_count);
 	if (lost)
-		event_add(from, EVENT_TXN_LOST, call, CELL_TIMEOUT);
+		event_add(from, EVENT_TXN_LOST, call, wait + CELL_TIMEOUT);
 }
 
 static void
@@ -232,8 +265,10 @@
 	const struct cell_node *from = data;
 	bool fails = read->table == GB_POOL_OWNERS && read->limit > 1 &&
 		     (from->cell->faults.set_reads_fail >> read->part & 1) != 0;
+	gb_time wait = link_wait(from, GB_TRAFFIC_STORE_READ, CELL_HEAD);
 	struct pool_event *event = event_add(from, EVENT_READ, call,
-	    fails ? CELL_READ_FAILS : CELL_TXN + from->cell->faults.store_slow);
+	    wait + (fails ? CELL_READ_FAILS
+			  : CELL_TXN + from->cell->faults.store_slow));
 
 	event->fails = fails;
 	event->read = *read;
@@ -267,6 +302,16 @@
 	(void)epoch;
 }
 
+static void
+op_link(void *data, struct gb_pool_link *out)
+{
+	const struct cell_node *from = data;
+	const struct gb_link *link = from->cell->links[from->node];
+
+	out->queued = gb_link_queued(link, from->cell->now);
+	out->bytes_per_s = gb_link_rate(link);
+}
+
 /* Events ------------------------------------------------------------------ */
 
 /** The core that waits for the answer, unless it has been killed. */
@@ -475,7 +520,7 @@
 node_start(struct pool_cell *cell, unsigned int node)
 {
 	static const struct gb_pool_ops table = {op_start, op_stop, op_hold,
-	    op_advise, op_txn, op_read, op_answer, op_owner, NULL};
+	    op_advise, op_txn, op_read, op_answer, op_owner, op_link, NULL};
 	struct gb_pool_settings settings = {0};
 	struct gb_pool_ops ops = table;
 	char name[16];
@@ -495,6 +540,9 @@
 	settings.limits.stop_us = 200 * GB_MSEC;
 	settings.limits.keep_us = 120 * GB_SEC;
 	ops.data = &cell_nodes[node];
+	free(cell->links[node]);
+	cell->links[node] = gb_link_new(cell->setup.link);
+	settings.off = cell->setup.off;
 	cell->nodes[node] = gb_pool_new(&settings, &ops, cell->now);
 	gb_pool_configure(cell->nodes[node], cell->now, cell->config);
 }
@@ -555,8 +603,10 @@
 {
 	size_t i;
 
-	for (i = 0; i < CELL_NODES; i++)
+	for (i = 0; i < CELL_NODES; i++) {
 		gb_pool_unref(cell->nodes[i]);
+		free(cell->links[i]);
+	}
 	for (i = 0; i < cell->event_count; i++)
 		event_clear(&cell->events[i]);
 	for (i = 0; i < cell->flow_count; i++)
--- a/tests/pool_cell.h
+++ b/tests/pool_cell.h
@@ -35,6 +35,8 @@
 	gb_time decide_us;
 	gb_time valid_us;
 	gb_time per_item_us; /**< more for each worker that is named */
+	uint64_t link;	     /**< bytes a second of each node, 0: no limit */
+	uint32_t off;	     /**< mechanisms that are switched off, as bits */
 };
 
 /** What became of a submission, as its caller sees it. */
@@ -56,6 +58,7 @@
 	struct world *world;
 	struct gb_pool *nodes[CELL_NODES];
 	uint64_t lives[CELL_NODES];
+	struct gb_link *links[CELL_NODES];
 	struct pool_cell_faults faults;
 	struct pool_cell_flow *flows;
 	size_t flow_count;
--- a/tests/test_entries.c
+++ b/tests/test_entries.c
@@ -13,9 +13,9 @@
 #include "pool_cell.h"
 
 static const struct pool_cell_setup plain = {
-    1, 16, {16000, 64000, 0, 0, 0}, 0, 0, 0, 0};
+    1, 16, {16000, 64000, 0, 0, 0}, 0, 0, 0, 0, 0, 0};
 static const struct pool_cell_setup one_worker = {
-    1, 1, {16000, 64000, 0, 0, 0}, 0, 0, 0, 0};
+    1, 1, {16000, 64000, 0, 0, 0}, 0, 0, 0, 0, 0, 0};
 
 /** A worker whose entry turns bad gets nothing new; what it runs keeps its
  * lease and ends as it should; a sound entry brings the worker back. */
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -117,12 +117,12 @@
 	struct outcome outcome = {0};
 
 	if (http == NULL)
-		http = plat_http_new(loop);
+		http = plat_http_new(loop, NULL);
 	server->answer = answer;
 	server->closes = closes;
 	server_start(loop, server);
-	plat_http_call(http, server->addr, "GET", "/", "", NULL, 0,
-	    CALL_TIMEOUT, on_done, &outcome);
+	plat_http_call(http, GB_TRAFFIC_HOLD, server->addr, "GET", "/", "",
+	    NULL, 0, CALL_TIMEOUT, on_done, &outcome);
 	while (!outcome.done)
 		uv_run(loop, UV_RUN_ONCE);
 	return outcome;
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -56,7 +56,7 @@
 	gb_flow_answer answer;
 };
 
-static const struct gb_env env = {NULL, NULL, NULL};
+static const struct gb_env env = {NULL, NULL, NULL, NULL};
 /** Nodes end with their process: their cells stay, each with its addresses. */
 static struct cell *cells[8];
 static unsigned int cell_count;
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -15,9 +15,9 @@
 #include "pool_cell.h"
 
 static const struct pool_cell_setup plain = {
-    1, 16, {16000, 64000, 0, 0, 0}, 0, 0, 0, 0};
+    1, 16, {16000, 64000, 0, 0, 0}, 0, 0, 0, 0, 0, 0};
 static const struct pool_cell_setup advised = {
-    2, 48, {16000, 64000, 0, 0, 0}, 30, 100 * GB_MSEC, 1500 * GB_MSEC, 0};
+    2, 48, {16000, 64000, 0, 0, 0}, 30, 100 * GB_MSEC, 1500 * GB_MSEC, 0, 0, 0};
 
 /* One thing at a time ----------------------------------------------------- */
 
@@ -631,7 +631,7 @@
 test_gang_asks_several_lanes(void **state)
 {
 	struct pool_cell_setup setup = {7, 200, {16000, 64000, 0, 0, 0}, 30,
-	    500 * GB_MSEC, 1500 * GB_MSEC, 8 * GB_MSEC};
+	    500 * GB_MSEC, 1500 * GB_MSEC, 8 * GB_MSEC, 0, 0};
 	struct pool_cell *cell = pool_cell_begin(&setup);
 	unsigned int before;
 	char addr[32];
--- a/tests/test_rpc.c
+++ b/tests/test_rpc.c
@@ -19,7 +19,7 @@
 
 #define BIG (3 * 1024 * 1024)
 
-static const struct gb_env env = {NULL, NULL, NULL};
+static const struct gb_env env = {NULL, NULL, NULL, NULL};
 
 /** What the server does with the next exec. */
 enum serve_mode { SERVE_ECHO, SERVE_NEVER };
