--- a/libgooseberry/gen/proto.c
+++ b/libgooseberry/gen/proto.c
@@ -1133,8 +1133,9 @@
 		 if (!xdr_array (xdrs, (char **)&objp->members.members_val, (u_int *) &objp->members.members_len, 4096,
 			sizeof (gb_name), (xdrproc_t) xdr_gb_name))
 			 return FALSE;
-		 if (!xdr_array (xdrs, (char **)&objp->successors.successors_val, (u_int *) &objp->successors.successors_len, 16,
-			sizeof (gb_name), (xdrproc_t) xdr_gb_name))
+		 if (!xdr_uint32_t (xdrs, &objp->rank))
+			 return FALSE;
+		 if (!xdr_uint32_t (xdrs, &objp->ranked))
 			 return FALSE;
 		 if (!xdr_uint64_t (xdrs, &objp->config))
 			 return FALSE;
@@ -1173,8 +1174,9 @@
 		 if (!xdr_array (xdrs, (char **)&objp->members.members_val, (u_int *) &objp->members.members_len, 4096,
 			sizeof (gb_name), (xdrproc_t) xdr_gb_name))
 			 return FALSE;
-		 if (!xdr_array (xdrs, (char **)&objp->successors.successors_val, (u_int *) &objp->successors.successors_len, 16,
-			sizeof (gb_name), (xdrproc_t) xdr_gb_name))
+		 if (!xdr_uint32_t (xdrs, &objp->rank))
+			 return FALSE;
+		 if (!xdr_uint32_t (xdrs, &objp->ranked))
 			 return FALSE;
 		 if (!xdr_uint64_t (xdrs, &objp->config))
 			 return FALSE;
@@ -1206,8 +1208,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->members.members_val, (u_int *) &objp->members.members_len, 4096,
 		sizeof (gb_name), (xdrproc_t) xdr_gb_name))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->successors.successors_val, (u_int *) &objp->successors.successors_len, 16,
-		sizeof (gb_name), (xdrproc_t) xdr_gb_name))
+	 if (!xdr_uint32_t (xdrs, &objp->rank))
+		 return FALSE;
+	 if (!xdr_uint32_t (xdrs, &objp->ranked))
 		 return FALSE;
 	 if (!xdr_uint64_t (xdrs, &objp->config))
 		 return FALSE;
--- a/libgooseberry/gen/proto.h
+++ b/libgooseberry/gen/proto.h
@@ -656,10 +656,8 @@
 		u_int members_len;
 		gb_name *members_val;
 	} members;
-	struct {
-		u_int successors_len;
-		gb_name *successors_val;
-	} successors;
+	uint32_t rank;
+	uint32_t ranked;
 	uint64_t config;
 	gb_body config_text;
 };
--- a/libgooseberry/gen/proto.x
+++ b/libgooseberry/gen/proto.x
@@ -550,7 +550,8 @@
 	uint32_t largest_milli;	/* processor of the largest live member */
 	uint64_t members_vers;	/* version of the list of members */
 	gb_name members<4096>;	/* empty when the caller has that version */
-	gb_name successors<16>;	/* who is to take the pool over, best first */
+	uint32_t rank;		/* the caller's, in the order of succession */
+	uint32_t ranked;	/* members that have a rank */
 	uint64_t config;
 	gb_body config_text;	/* empty unless the caller's is older */
 };
--- a/libgooseberry/node/members.c
+++ b/libgooseberry/node/members.c
@@ -34,6 +34,7 @@
 	struct node_member *member = gb_calloc(1, sizeof(*member));
 
 	snprintf(member->addr, sizeof(member->addr), "%s", hello->addr);
+	member->rank = SUCCESSION_UNRANKED;
 	HASH_ADD_STR(node->members, addr, member);
 	node->members_vers++;
 	gb_event(node->events, GB_EVENT_ALWAYS, "member_heard", "{s:s, s:s}",
@@ -41,7 +42,7 @@
 	return member;
 }
 
-void
+struct node_member *
 node_member_heard(struct gb_node *node, const gb_hello *hello)
 {
 	struct node_member *member;
@@ -58,6 +59,7 @@
 	member->cpu_milli = hello->cpu_milli;
 	member->up = hello->up_us;
 	gb_pool_member(node->pool, now, hello->addr, !hello->leaving);
+	return member;
 }
 
 size_t
@@ -80,20 +82,24 @@
 	return succession_order(out, count);
 }
 
+/** Rank the members by how well they would own the pool. */
 static void
-successors_order(struct gb_node *node)
+members_rank(struct gb_node *node)
 {
 	struct succession_member *order =
 	    gb_calloc(HASH_COUNT(node->members), sizeof(*order));
 	size_t count = node_members_order(node, order);
-	size_t i;
-
-	if (count > SUCCESSION_MOST)
-		count = SUCCESSION_MOST;
-	for (i = 0; i < count; i++)
-		snprintf(node->successors.addr[i], GB_NAME_MAX + 1, "%s",
-		    order[i].addr);
-	node->successors.count = count;
+	struct node_member *member;
+	uint32_t i;
+
+	for (member = node->members; member != NULL; member = member->hh.next)
+		member->rank = SUCCESSION_UNRANKED;
+	node->ranked =
+	    count > SUCCESSION_MOST ? SUCCESSION_MOST : (uint32_t)count;
+	for (i = 0; i < node->ranked; i++) {
+		HASH_FIND_STR(node->members, order[i].addr, member);
+		member->rank = i;
+	}
 	free(order);
 }
 
@@ -116,23 +122,20 @@
 		else if (member->cpu_milli > node->largest_milli)
 			node->largest_milli = member->cpu_milli;
 	}
-	successors_order(node);
+	members_rank(node);
 }
 
 void
-node_members_fill(struct gb_node *node, uint64_t known, gb_hello_res *res)
+node_members_fill(struct gb_node *node, const struct node_member *to,
+    uint64_t known, gb_hello_res *res)
 {
 	struct node_member *member;
-	size_t i;
 
 	members_look(node);
 	res->largest_milli = node->largest_milli;
+	res->rank = to->rank;
+	res->ranked = node->ranked;
 	res->members_vers = node->members_vers;
-	res->successors.successors_val =
-	    gb_calloc(node->successors.count, sizeof(gb_name));
-	for (i = 0; i < node->successors.count; i++)
-		res->successors.successors_val[i] = node->successors.addr[i];
-	res->successors.successors_len = (u_int)i;
 	if (known == node->members_vers)
 		return;
 	res->members.members_val =
--- a/libgooseberry/node/node_state.h
+++ b/libgooseberry/node/node_state.h
@@ -29,12 +29,7 @@
 	gb_time behind; /**< since then it has an older configuration, 0 */
 	bool leaving;
 	uint32_t cpu_milli;
-};
-
-/** Who is to succeed the owner, best first. */
-struct node_successors {
-	char addr[SUCCESSION_MOST][GB_NAME_MAX + 1];
-	size_t count;
+	uint32_t rank; /**< in the order of succession */
 };
 
 /** What the end of a call of the node's own has to go on with. */
@@ -112,7 +107,7 @@
 	uint64_t members_vers;	     /**< grows when one comes or goes */
 	gb_time members_at;	     /**< the list is looked through then */
 	uint32_t largest_milli;	     /**< processor of the largest member */
-	struct node_successors successors;
+	uint32_t ranked;	     /**< members with a rank */
 	char (*known)[GB_NAME_MAX + 1]; /**< others: told by the owner */
 	size_t known_count;
 	uint64_t known_vers; /**< version of that list, as the owner has it */
@@ -163,10 +158,11 @@
 
 /* members.c */
 /** A member said hello to this owner. */
-void node_member_heard(struct gb_node *, const gb_hello *);
-/** Tell a member of the others, unless it has this version of the list, and of
- * the order of succession.  What is pointed to lasts until the next call. */
-void node_members_fill(struct gb_node *, uint64_t known, gb_hello_res *);
+struct node_member *node_member_heard(struct gb_node *, const gb_hello *);
+/** Tell a member its rank, and of the others, unless it has this version of the
+ * list.  The names that are pointed to last until the next call. */
+void node_members_fill(struct gb_node *, const struct node_member *,
+    uint64_t known, gb_hello_res *);
 /** Order the members by how well they would own the pool; returns how many of
  * them could.  There is room for all members. */
 size_t node_members_order(struct gb_node *, struct succession_member *);
--- a/libgooseberry/node/peers.c
+++ b/libgooseberry/node/peers.c
@@ -70,17 +70,11 @@
 place_learn(const struct gb_node *node, const gb_hello_res *res)
 {
 	struct succession place = {SUCCESSION_UNRANKED, 0, 0};
-	u_int i;
 
-	place.ranked = res->successors.successors_len;
+	place.ranked = res->ranked;
 	place.members = (unsigned int)node->known_count;
-	if (!NODE_USES(node, GB_MECH_RANKS))
-		return place;
-	for (i = 0; i < place.ranked; i++) {
-		if (strcmp(res->successors.successors_val[i],
-			node->settings.addr) == 0)
-			place.rank = i;
-	}
+	if (NODE_USES(node, GB_MECH_RANKS))
+		place.rank = res->rank;
 	return place;
 }
 
@@ -212,6 +206,7 @@
 	gb_hello_res res = {0};
 	gb_time now = node_now();
 
+	res.rank = SUCCESSION_UNRANKED;
 	gb_pool_epoch_seen(node->pool, now, hello->epoch);
 	res.owner = gb_pool_owns(node->pool) || node->released;
 	res.taking = gb_pool_loading(node->pool);
@@ -224,8 +219,8 @@
 	res.owner_addr = node->watch.owner;
 	res.owner_heard_us = now - node->watch.heard;
 	if (gb_pool_owns(node->pool)) {
-		node_member_heard(node, hello);
-		node_members_fill(node, hello->members_known, &res);
+		node_members_fill(node, node_member_heard(node, hello),
+		    hello->members_known, &res);
 		res.owner_addr = node->settings.addr;
 		res.owner_heard_us = 0;
 		res.store_silent_us = gb_pool_store_silent(node->pool, now);
@@ -239,7 +234,6 @@
 	}
 	gb_rpc_call_reply(call, &res);
 	free(res.members.members_val);
-	free(res.successors.successors_val);
 }
 
 static struct node_caller *
