Admission by the link counts only while the link is what starts wait for

Hypothesis: a flow is refused for want of the link though the pool is what is full. Change: only a link that is used by 0.8 of late turns flows away.

--- a/libgooseberry/node/node.c
+++ b/libgooseberry/node/node.c
@@ -176,6 +176,7 @@
 
 	link->queued = gb_link_queued(gb_env_link(node->env), node_now());
 	link->bytes_per_s = gb_link_rate(gb_env_link(node->env));
+	link->use = gb_link_use(gb_env_link(node->env));
 }
 
 static void
--- a/libgooseberry/pool.h
+++ b/libgooseberry/pool.h
@@ -243,6 +243,7 @@
 struct gb_pool_link {
 	gb_time queued;	      /**< what was sent keeps it busy so long */
 	uint64_t bytes_per_s; /**< 0: it does not matter */
+	double use;	      /**< share of that which is sent, of late */
 };
 
 /** What the core asks its owner to do.  Pointers in arguments hold only for
--- a/libgooseberry/pool/pace.c
+++ b/libgooseberry/pool/pace.c
@@ -27,6 +27,8 @@
 #define PACE_LOOKS 2
 /** Bytes of a start beside its specification: names, lease, ticket, headers. */
 #define PACE_START_BYTES 520
+/** A link that is used less than this is not what starts wait for. */
+#define PACE_FULL 0.8
 /** Share of the link that starts can have, beside looks and the store. */
 #define PACE_STARTS_SHARE 0.5
 
@@ -69,7 +71,7 @@
 {
 	struct gb_pool_link link = pace_link(pool);
 
-	if (link.bytes_per_s == 0)
+	if (link.bytes_per_s == 0 || link.use < PACE_FULL)
 		return 0;
 	return (gb_time)((double)pool->waiting_bytes * GB_SEC /
 			 ((double)link.bytes_per_s * PACE_STARTS_SHARE));
--- a/tests/pool_cell.c
+++ b/tests/pool_cell.c
@@ -310,6 +310,7 @@
 
 	out->queued = gb_link_queued(link, from->cell->now);
 	out->bytes_per_s = gb_link_rate(link);
+	out->use = gb_link_use(link);
 }
 
 /* Events ------------------------------------------------------------------ */
