--- a/libgooseberry/gooseberry.h
+++ b/libgooseberry/gooseberry.h
@@ -530,7 +530,8 @@
 	GB_TRAFFIC_STORE_WRITE,
 	GB_TRAFFIC_STORE_READ,
 	GB_TRAFFIC_FEED,
-	GB_TRAFFIC_CALLER, /**< answers to callers */
+	GB_TRAFFIC_CALLER,  /**< answers to callers */
+	GB_TRAFFIC_CONNECT, /**< new connections to the platform */
 	GB_TRAFFIC_RPC
 };
 
--- a/libgooseberry/process/link.c
+++ b/libgooseberry/process/link.c
@@ -119,7 +119,8 @@
 	    [GB_TRAFFIC_STORE_WRITE] = "store_write",
 	    [GB_TRAFFIC_STORE_READ] = "store_read",
 	    [GB_TRAFFIC_FEED] = "feed",
-	    [GB_TRAFFIC_CALLER] = "caller"};
+	    [GB_TRAFFIC_CALLER] = "caller",
+	    [GB_TRAFFIC_CONNECT] = "connect"};
 
 	if (kind < GB_TRAFFIC_RPC)
 		return names[kind];
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -182,6 +182,66 @@
 	assert_int_equal(outcome.status, 0);
 }
 
+/* Load: a worker answers late, and orders go on coming ------------------- */
+
+#define ORDERS 20
+#define CONNS_MOST 6
+
+/** Takes connections and answers nothing. */
+struct silent_server {
+	uv_tcp_t tcp;
+	uv_tcp_t conns[ORDERS];
+	unsigned int count;
+	char addr[32];
+};
+
+static void
+on_silent_connection(uv_stream_t *listener, int status)
+{
+	struct silent_server *server = listener->data;
+
+	assert_int_equal(status, 0);
+	uv_tcp_init(listener->loop, &server->conns[server->count]);
+	uv_accept(listener, (uv_stream_t *)&server->conns[server->count]);
+	server->count++;
+}
+
+/** Connections to one worker are few, however many orders there are; an order
+ * that waited for one until its time was up was surely not carried out. */
+static void
+test_connections_to_a_worker_are_few(void **state)
+{
+	static struct silent_server server;
+	struct outcome outcomes[ORDERS] = {0};
+	uv_loop_t *loop = uv_default_loop();
+	struct plat_http *http = plat_http_new(loop, NULL);
+	struct sockaddr_in sin;
+	int len = sizeof(sin);
+	unsigned int sent = 0;
+	unsigned int i;
+
+	(void)state;
+	uv_ip4_addr("127.0.0.1", 0, &sin);
+	uv_tcp_init(loop, &server.tcp);
+	server.tcp.data = &server;
+	uv_tcp_bind(&server.tcp, (struct sockaddr *)&sin, 0);
+	uv_listen((uv_stream_t *)&server.tcp, ORDERS, on_silent_connection);
+	uv_tcp_getsockname(&server.tcp, (struct sockaddr *)&sin, &len);
+	snprintf(server.addr, sizeof(server.addr), "127.0.0.1:%d",
+	    ntohs(sin.sin_port));
+	for (i = 0; i < ORDERS; i++)
+		plat_http_call(http, GB_TRAFFIC_START, server.addr, "POST", "/",
+		    "", "{}", 2, CALL_TIMEOUT, on_done, &outcomes[i]);
+	for (i = 0; i < ORDERS; i++) {
+		while (!outcomes[i].done)
+			uv_run(loop, UV_RUN_ONCE);
+		assert_int_equal(outcomes[i].status, 0);
+		sent += outcomes[i].sent;
+	}
+	assert_in_range(server.count, 1, CONNS_MOST);
+	assert_in_range(sent, 1, CONNS_MOST);
+}
+
 int
 main(void)
 {
@@ -191,6 +251,7 @@
 	    cmocka_unit_test(test_cut_short),
 	    cmocka_unit_test(test_no_answer),
 	    cmocka_unit_test(test_malformed),
+	    cmocka_unit_test(test_connections_to_a_worker_are_few),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
