Starts that got no answer are sent again as the link takes them

Hypothesis: on a full link lost answers make more starts, which fill it further. Cause: a start without answer was sent again at once, up to three times, 0.9 KB each, whatever the link; all other starts wait. Change: it waits like them (pool_run_start_again).

--- a/libgooseberry/pool/run.c
+++ b/libgooseberry/pool/run.c
@@ -213,25 +213,40 @@
 	pool_run_stop_send(pool, run);
 }
 
-/** An order without answer is sent again: what the worker did with the first
- * shows in the answer, and a gang waits for its members only so long. */
-static void
-run_start_lost(struct gb_pool *pool, struct pool_run *run)
+void
+pool_run_start_again(struct gb_pool *pool, struct pool_run *run)
 {
 	const struct pool_step *step = &run->flow->steps[run->step];
 	const struct pool_approval *a =
 	    pool_fit_ticket(pool, step, run->worker->handle);
 
-	pool->stats.starts_lost++;
+	run->again = false;
 	if (run->confirmed != 0)
 		return;
-	if (run->state == POOL_RUN_STARTING && run->tries < START_TRIES &&
+	if (run->tries < START_TRIES &&
 	    (a != NULL || !POOL_ADVICE_NEEDED(run->flow)))
 		run_start_send(pool, run, a == NULL ? NULL : a->ticket);
 	else
 		run_unsure(pool, run);
 }
 
+/** An order without answer is sent again, as soon as the link takes it: what
+ * the worker did with the first shows in the answer, and a gang waits for its
+ * members only so long. */
+static void
+run_start_lost(struct gb_pool *pool, struct pool_run *run)
+{
+	pool->stats.starts_lost++;
+	if (run->confirmed != 0)
+		return;
+	if (run->state == POOL_RUN_STARTING && !pool_pace_starts(pool))
+		run->again = true;
+	else if (run->state == POOL_RUN_STARTING)
+		pool_run_start_again(pool, run);
+	else
+		run_unsure(pool, run);
+}
+
 /** What the answer to any order tells; returns the run that it is about, or
  * null when nothing is left to be done. */
 static struct pool_run *
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -56,6 +56,7 @@
 	gb_res res;
 	uint64_t start_call; /**< that is out, 0: none */
 	unsigned int tries;  /**< orders to start that were sent */
+	bool again; /**< the order is to be sent again when the link takes it */
 	uint64_t stop_call;
 	gb_time started;
 	gb_time confirmed; /**< when the worker first said that it runs, 0 */
@@ -627,6 +628,8 @@
 /** Start a run of a task. */
 void pool_run_start(struct gb_pool *, struct pool_flow *, uint32_t step,
     uint32_t index, uint64_t number, struct pool_worker *, const char *ticket);
+/** Send an order to start again that got no answer. */
+void pool_run_start_again(struct gb_pool *, struct pool_run *);
 void pool_run_stop(struct gb_pool *, struct pool_run *, const char *why);
 void pool_run_free(struct gb_pool *, struct pool_run *);
 void pool_run_start_done(struct gb_pool *, const struct pool_call *,
--- a/libgooseberry/pool/worker.c
+++ b/libgooseberry/pool/worker.c
@@ -252,6 +252,9 @@
 			run->state == POOL_RUN_UNSURE) &&
 		    run->stop_at <= pool->now)
 			pool_run_stop_send(pool, run);
+		if (run->again && run->state == POOL_RUN_STARTING &&
+		    pool_pace_starts(pool))
+			pool_run_start_again(pool, run);
 	}
 }
 
