Keys of other writers are escaped in queries of the next page

Cause: a table is read in pages of 500 rows, each from behind the last key of the one before, which was put into the query as it stands: a key with an & or a blank there would have made every read of the list malformed (540 workers take two pages). Test: test_keys_in_queries. h2o_uri_escape was tried and keeps & and =, as paths may.

--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -170,6 +170,20 @@
 	assert_string_equal(entry.id, id);
 }
 
+/** A page of the list ends with whatever key another writer chose; the next one
+ * is asked for from there. */
+static void
+test_keys_in_queries(void **state)
+{
+	char out[64];
+
+	(void)state;
+	plat_query_value("i-7f3a91c2", out, sizeof(out));
+	assert_string_equal(out, "i-7f3a91c2");
+	plat_query_value("a b&Limit=0#\xc3\xa9", out, sizeof(out));
+	assert_string_equal(out, "a%20b%26Limit%3D0%23%C3%A9");
+}
+
 int
 main(void)
 {
@@ -181,6 +195,7 @@
 	    cmocka_unit_test(test_bytes_that_cannot_be_read),
 	    cmocka_unit_test(test_entries_with_a_byte_changed),
 	    cmocka_unit_test(test_ids),
+	    cmocka_unit_test(test_keys_in_queries),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
