A new owner's looks at workers are paced; their set is written for several at once

Hypothesis: at 0.5 Mbit/s an owner is suspected because its answers stand behind looks at all workers. Change: looks wait while the link is busy over 0.2 s, the worker that was left first comes first in the next tick; a change of the set alone is gathered for 0.12 s.

--- a/libgooseberry/pool/pace.c
+++ b/libgooseberry/pool/pace.c
@@ -22,6 +22,10 @@
 /** The same for questions for advice, which are of use only when the start
  * that follows can be sent. */
 #define PACE_ADVICE (80 * GB_MSEC)
+/** Looks at workers wait while the link is busy for longer than this: a new
+ * owner asks all workers at once, and what members ask it meanwhile must be
+ * answered well before its silence is suspected (0.9 s). */
+#define PACE_LOOKS_MOST (200 * GB_MSEC)
 /** A look at a worker is put off by this many times as long as the link is
  * busy: ends are told in fewer, longer answers. */
 #define PACE_LOOKS 2
@@ -54,6 +58,12 @@
 	return pace_link(pool).queued <= PACE_ADVICE;
 }
 
+bool
+pool_pace_looks(const struct gb_pool *pool)
+{
+	return pace_link(pool).queued <= PACE_LOOKS_MOST;
+}
+
 gb_time
 pool_pace_look(const struct gb_pool *pool, gb_time pause)
 {
--- a/libgooseberry/pool/pool.c
+++ b/libgooseberry/pool/pool.c
@@ -92,7 +92,6 @@
 gb_pool_tick(struct gb_pool *pool, gb_time now, gb_time wall)
 {
 	gb_time gap;
-	uint32_t i;
 
 	pool->now = now;
 	pool->wall = wall;
@@ -101,8 +100,9 @@
 		pool_writer_tick(pool);
 	if (!pool_active(pool))
 		return;
-	for (i = 0; i < pool->worker_count && pool_active(pool); i++)
-		pool_worker_tick(pool, pool->workers[i]);
+	pool_workers_tick(pool);
+	if (!pool_active(pool))
+		return;
 	gap = DISPATCH_GAP + DISPATCH_GAP_FLOW * (gb_time)pool->open_count;
 	if ((pool->work_changed && now - pool->dispatch_at >= gap) ||
 	    now - pool->dispatch_at >= DISPATCH_IDLE) {
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -404,7 +404,8 @@
 	struct pool_worker **workers;
 	uint32_t worker_count;
 	uint32_t worker_size;
-	bool listed; /**< the list of workers has been read */
+	uint32_t tick_from; /**< worker that the next tick begins with */
+	bool listed;	    /**< the list of workers has been read */
 	/* Advice */
 	struct pool_lane *lanes;
 	size_t lane_count;
@@ -504,6 +505,8 @@
 /** Whether the link takes starts now, and questions for advice. */
 bool pool_pace_starts(const struct gb_pool *);
 bool pool_pace_advice(const struct gb_pool *);
+/** Whether the link takes a look at a worker. */
+bool pool_pace_looks(const struct gb_pool *);
 /** Pause before the next look at a worker. */
 gb_time pool_pace_look(const struct gb_pool *, gb_time pause);
 /** Bytes that starting tasks of a flow takes. */
@@ -605,7 +608,8 @@
 /** Whether the list offers a worker for new work: its newest entry is sound,
  * and names a service that there is. */
 bool pool_worker_offered(const struct pool_worker *);
-void pool_worker_tick(struct gb_pool *, struct pool_worker *);
+/** What is due of all workers, the one first that was left last. */
+void pool_workers_tick(struct gb_pool *);
 /** Add a worker of whom nothing is known but its entry. */
 struct pool_worker *pool_worker_new(
     struct gb_pool *, const struct gb_pool_entry *);
--- a/libgooseberry/pool/worker.c
+++ b/libgooseberry/pool/worker.c
@@ -270,20 +270,44 @@
 		   !pool_owner_settled(pool));
 }
 
-void
-pool_worker_tick(struct gb_pool *pool, struct pool_worker *worker)
+/** Returns false when the link left no room for a look at the worker. */
+static bool
+worker_tick(struct gb_pool *pool, struct pool_worker *worker)
 {
 	if (worker->recorded != 0 && !pool_worker_in_use(pool, worker))
 		pool_worker_set_mark(pool, worker);
 	if (worker->over)
-		return;
+		return true;
 	runs_tick(pool, worker);
 	if (worker->silent > 0 && worker->run_count > 0 &&
 	    worker->lapse_at < pool->now)
 		worker_runs_drop(pool, worker, "its lease has lapsed");
-	if (worker->hold_call == 0 && worker->hold_at <= pool->now &&
-	    worker_held(pool, worker))
-		worker_hold(pool, worker);
+	if (worker->hold_call != 0 || worker->hold_at > pool->now ||
+	    !worker_held(pool, worker))
+		return true;
+	if (!pool_pace_looks(pool))
+		return false;
+	worker_hold(pool, worker);
+	return true;
+}
+
+void
+pool_workers_tick(struct gb_pool *pool)
+{
+	uint32_t count = pool->worker_count;
+	uint32_t from = count == 0 ? 0 : pool->tick_from % count;
+	uint32_t term = (uint32_t)pool->term;
+	bool left = false;
+	uint32_t i;
+
+	for (i = 0; i < count && (uint32_t)pool->term == term; i++) {
+		uint32_t number = (from + i) % count;
+
+		if (worker_tick(pool, pool->workers[number]) || left)
+			continue;
+		left = true;
+		pool->tick_from = number;
+	}
 }
 
 static void
--- a/libgooseberry/pool/writer.c
+++ b/libgooseberry/pool/writer.c
@@ -331,8 +331,9 @@
 part_tick(struct gb_pool *pool, uint32_t number)
 {
 	struct pool_part *part = &pool->parts[number];
-	bool urgent = part->urgent || part->set_changed != 0 ||
-		      pool->phase == POOL_OWNER_RELEASING;
+	/* Workers are listed one by one at a cold start: the set, 40 bytes for
+	 * each, is written for several of them. */
+	bool urgent = part->urgent || pool->phase == POOL_OWNER_RELEASING;
 
 	if (part->attach != POOL_ATTACH_DONE)
 		return;
