Ranks of successors do not change with the way that hellos take

Ruled out: the store (7 to 18 ms for the successors' reads); the owner's word (it said at once that the store does not take its writes). Change: a process's start is worked out from its first hello. Test: test_ranks_do_not_change_with_the_way_of_hellos, seen failing.

--- a/libgooseberry/node/members.c
+++ b/libgooseberry/node/members.c
@@ -57,7 +57,10 @@
 		member->behind = 0;
 	member->leaving = hello->leaving;
 	member->cpu_milli = hello->cpu_milli;
-	member->up = hello->up_us;
+	if (member->incarnation != hello->incarnation) {
+		member->incarnation = hello->incarnation;
+		member->started = now - hello->up_us;
+	}
 	gb_pool_member(node->pool, now, hello->addr, !hello->leaving);
 	return member;
 }
@@ -73,7 +76,7 @@
 
 		m->addr = member->addr;
 		m->cpu_milli = member->cpu_milli;
-		m->up = member->up + (node_now() - member->heard);
+		m->up = node_now() - member->started;
 		m->silent = node_now() - member->heard;
 		m->leaving = member->leaving;
 		m->current = node->config != NULL &&
--- a/libgooseberry/node/node_state.h
+++ b/libgooseberry/node/node_state.h
@@ -24,7 +24,10 @@
 	UT_hash_handle hh;
 	char addr[GB_NAME_MAX + 1];
 	gb_time heard;
-	gb_time up; /**< age of its process when it was heard */
+	uint64_t incarnation; /**< of its process */
+	/** When that process started, by its first hello: ages that come later
+	 * differ by the way they took, and ranks must not change by that. */
+	gb_time started;
 	uint64_t config;
 	gb_time behind; /**< since then it has an older configuration, 0 */
 	bool leaving;
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -392,6 +392,54 @@
 	free(res.members.members_val);
 }
 
+/** Say hello to an owner as a member whose process has this age. */
+static void
+member_hello(
+    struct gb_node *owner, char *addr, uint64_t incarnation, gb_time up)
+{
+	gb_hello hello = {0};
+
+	hello.name = hello.addr = hello.dc = addr;
+	hello.incarnation = incarnation;
+	hello.cpu_milli = 4000;
+	hello.config = 1;
+	hello.up_us = up;
+	node_member_heard(owner, &hello);
+}
+
+static const char *
+first_successor(struct gb_node *owner)
+{
+	struct succession_member order[NODES + 2];
+
+	assert_true(node_members_order(owner, order) > 0);
+	return order[0].addr;
+}
+
+/** Load: 15 equal nodes that started at nearly the same time.  Hellos take a
+ * few milliseconds more or less, and ranks that change by that would make no
+ * successor look long enough whether the store serves it. */
+static void
+test_ranks_do_not_change_with_the_way_of_hellos(void **state)
+{
+	struct cell *cell = cell_begin();
+	char a[] = "127.0.0.1:1";
+	char b[] = "127.0.0.1:2";
+	struct gb_node *owner;
+
+	(void)state;
+	cell_settle(cell);
+	owner = cell->nodes[cell_owner(cell)];
+	member_hello(owner, a, 1, 5000 * GB_MSEC);
+	member_hello(owner, b, 2, 5010 * GB_MSEC);
+	assert_string_equal(first_successor(owner), a);
+	member_hello(owner, b, 2, 4980 * GB_MSEC);
+	assert_string_equal(first_successor(owner), a);
+	/* A process that was started anew will stay longest. */
+	member_hello(owner, b, 3, 1000 * GB_MSEC);
+	assert_string_equal(first_successor(owner), b);
+}
+
 int
 main(void)
 {
@@ -400,6 +448,7 @@
 	    cmocka_unit_test(test_nobody_can_store),
 	    cmocka_unit_test(test_leaving_owner_serves_until_it_is_succeeded),
 	    cmocka_unit_test(test_list_of_members_is_sent_once),
+	    cmocka_unit_test(test_ranks_do_not_change_with_the_way_of_hellos),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
