--- a/libgooseberry/node/members.c
+++ b/libgooseberry/node/members.c
@@ -101,7 +101,8 @@
 	    count > SUCCESSION_MOST ? SUCCESSION_MOST : (uint32_t)count;
 	for (i = 0; i < node->ranked; i++) {
 		HASH_FIND_STR(node->members, order[i].addr, member);
-		member->rank = i;
+		if (member != NULL)
+			member->rank = i;
 	}
 	free(order);
 }
