--- a/libgooseberry/pool/worker.c
+++ b/libgooseberry/pool/worker.c
@@ -296,11 +296,11 @@
 {
 	uint32_t count = pool->worker_count;
 	uint32_t from = count == 0 ? 0 : pool->tick_from % count;
-	uint32_t term = (uint32_t)pool->term;
+	uint64_t term = pool->term;
 	bool left = false;
 	uint32_t i;
 
-	for (i = 0; i < count && (uint32_t)pool->term == term; i++) {
+	for (i = 0; i < count && pool->term == term; i++) {
 		uint32_t number = (from + i) % count;
 
 		if (worker_tick(pool, pool->workers[number]) || left)
