--- a/bench/regress.sh
+++ b/bench/regress.sh
@@ -31,7 +31,7 @@
 	    >"$OUT/$name.txt" 2>&1
 	awk -v name="$name" '
 	/^score on the standard days/ { score = $NF }
-	/^(quiet|trouble|scale)-[0-9] / {
+	/^(quiet|trouble|scale)-[0-9] / && $4 ~ /^-?[0-9.]+$/ {
 		days = days " " $4
 		if ($1 !~ /^quiet/) { sum += $4; n++ }
 	}
