--- a/libgooseberry/pool/pace.c
+++ b/libgooseberry/pool/pace.c
@@ -3,7 +3,7 @@
  * What an owner sends while its link fills.
  *
  * Load: starts, looks at workers, advice and store calls come to more than the
- * link carries (105 starts a second of 0.9 KB each, over 2 Mbit/s).  Whatever
+ * link carries (91 starts a second of 0.9 KB each, over 2 Mbit/s).  Whatever
  * is sent waits behind what was sent before; once renewals of leases and
  * answers wait for seconds, leases lapse and work is done twice.  So what keeps
  * promises (leases, stops, ends, answers) is always sent, and finds a short
--- a/libgooseberry/pool/rank.c
+++ b/libgooseberry/pool/rank.c
@@ -13,9 +13,9 @@
  * be in time.  What a flow is worth grows by less than its size, and the room
  * of one large gang is that of several small ones, which find it sooner.  So
  * the more gangs wait for room, the further a flow that is larger than others
- * of its queue goes behind them, and a smaller one before them.  Where a gang
- * waits alone it keeps its place: it would never gather its room behind small
- * ones that keep coming.
+ * of its queue goes behind them, and a smaller one before them.  Small ones
+ * that its booking holds up count as waiting: where they keep five eighths of
+ * the pool busy, a gang of two thirds of it waits until they stop.
  */
 #include <string.h>
 
--- a/libgooseberry/process/link.c
+++ b/libgooseberry/process/link.c
@@ -3,8 +3,8 @@
  * What a node sends and receives, by kind of message, and how long what it has
  * sent waits on its link.
  *
- * Load: an instance with a link of 2 Mbit/s owns a pool of 85 workers that asks
- * for 105 starts a second.  Starts, looks at workers and store calls come to
+ * Load: an instance with a link of 2 Mbit/s owns a pool of 85 workers that
+ * makes 91 starts a second.  Starts, looks at workers and store calls come to
  * more than the link carries; answers to holds then come seconds late, leases
  * lapse, and work is done again, which is sent too.  So the bytes that are sent
  * are counted against the bandwidth that the settings name, and whoever has
