--- a/bench/ablation.sh
+++ b/bench/ablation.sh
@@ -4,7 +4,7 @@
 # seeds.  Works on a copy of the repository, since the switch stands in the
 # template of the settings.  Only where the users' kit is there.
 #   bench/ablation.sh -o OUT [-s "SEED ..."] [-d "DAY ..."] [-m "NAME ..."] SITE.toml ...
-KIT=${KIT:-/work/given/kit/more/system}
+export KIT=${KIT:-$(cd "$(dirname "$0")/../.." && pwd)/given/kit/more/system}
 BENCH=${BENCH:-$KIT/more/bench-993d7d/bin/fleetbench}
 OUT=/tmp/ablation SEEDS="1 2" DAYS="trouble-1 scale-1 trouble-2 scale-2 trouble-3"
 NAMES="order room book ahead lanes renew aside speed copies gather
--- a/bench/rounds.sh
+++ b/bench/rounds.sh
@@ -5,7 +5,7 @@
 #   bench/rounds.sh -o OUT [-w WHY] [-s "SEED ..."] [-d "DAY ..."] SITE.toml ...
 # Environment: BENCH, the bench's program; JOBS, plays at a time (4); NOCPU=1,
 # processor time isn't charged.
-KIT=${KIT:-/work/given/kit/more/system}
+KIT=${KIT:-$(cd "$(dirname "$0")/../.." && pwd)/given/kit/more/system}
 BENCH=${BENCH:-$KIT/more/bench-993d7d/bin/fleetbench}
 OUT=/tmp/rounds WHY=rounds SEEDS="1 2 3"
 DAYS="trouble-1 scale-1 trouble-2 scale-2 trouble-3"
