Sight: a line for each run that is lost with its worker, crashes counted apart

Cause: `worker_runs_lost` named the worker and a number of runs only, and `runs_lapsed` counted crashes and leases that were waited out together. Ruled out: nothing yet. No decision changes.

--- a/libgooseberry/pool.h
+++ b/libgooseberry/pool.h
@@ -377,6 +377,8 @@
 	uint64_t submitted, accepted, refused, repeated;
 	uint64_t starts, starts_refused, starts_lost, stops, preempted, holds;
 	uint64_t done, failed, stopped, lapsed, broken, alone;
+	uint64_t crashed;      /**< runs lost with a worker that is over */
+	uint64_t workers_over; /**< lifetimes of workers that ended */
 	uint64_t advice_calls, advice_busy, advice_lost;
 	uint64_t entry_faults[GB_POOL_ENTRY_FAULTS]; /**< entries refused */
 	uint64_t txns, txn_conflicts, txn_lost, rows, reads, takeovers, losses;
--- a/libgooseberry/pool/worker.c
+++ b/libgooseberry/pool/worker.c
@@ -94,6 +94,24 @@
 	return worker->clock_ms + (since + lease) / GB_MSEC;
 }
 
+/** Which task was lost with which worker, and how long it had run: tells a task
+ * that crashes its workers from one that was on a worker that crashed. */
+static void
+run_lost_event(struct gb_pool *pool, const struct pool_run *run)
+{
+	const struct pool_worker *worker = run->worker;
+
+	gb_event(pool->cfg.events, GB_EVENT_ALWAYS, "run_lost",
+	    "{s:s, s:I, s:I, s:I, s:s, s:I, s:I, s:b}", "flow",
+	    run->flow->spec.id, "step", (json_int_t)run->step, "index",
+	    (json_int_t)run->index, "run", (json_int_t)run->number, "worker",
+	    worker->entry.id, "started_ms_ago",
+	    (json_int_t)((pool->now - run->started) / GB_MSEC),
+	    "answered_ms_ago",
+	    (json_int_t)((pool->now - worker->answered) / GB_MSEC), "crashed",
+	    worker->over);
+}
+
 /** All that a worker ran is over, and nothing can begin on it any more. */
 static void
 worker_runs_drop(
@@ -109,7 +127,11 @@
 		struct pool_flow *flow = run->flow;
 		uint32_t number = run->step;
 
-		pool->stats.lapsed++;
+		run_lost_event(pool, run);
+		if (worker->over)
+			pool->stats.crashed++;
+		else
+			pool->stats.lapsed++;
 		pool_run_free(pool, run);
 		pool_flow_gang_broken(
 		    pool, flow, number, "the worker of a member was lost");
@@ -123,6 +145,7 @@
 	if (worker->over)
 		return;
 	worker->over = true;
+	pool->stats.workers_over++;
 	pool_worker_set_mark(pool, worker);
 	worker_runs_drop(pool, worker, why);
 }
--- a/tests/test_link.c
+++ b/tests/test_link.c
@@ -120,6 +120,7 @@
 	*in_time = (unsigned int)(*in_time * 100 / cell->flow_count);
 	*refused = (unsigned int)(*refused * 100 / cell->flow_count);
 	assert_int_equal(gb_pool_stats(cell->nodes[0])->lapsed, 0);
+	assert_int_equal(gb_pool_stats(cell->nodes[0])->crashed, 0);
 	pool_cell_assert_unharmed(cell);
 	pool_cell_free(cell);
 }
