--- /dev/null
+++ b/libgooseberry/pool/flow_state.c
@@ -0,0 +1,186 @@
+/**
+ * @file flow_state.c
+ * Stored form of what has become of a flow.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "state.h"
+
+static bool
+task_has_state(const struct pool_task *task)
+{
+	return task->failures > 0 || (task->checkpoint != NULL && !task->done);
+}
+
+static void
+step_state_fill(
+    const struct pool_step *step, uint32_t number, gb_flow_state *state)
+{
+	gb_body *bits = &state->done.done_val[number];
+	gb_task_state *out;
+	uint32_t i;
+
+	bits->gb_body_len = (step->spec->count + 7) / 8;
+	bits->gb_body_val = gb_calloc(1, bits->gb_body_len);
+	for (i = 0; i < step->spec->count; i++) {
+		const struct pool_task *task = &step->tasks[i];
+
+		if (task->done)
+			bits->gb_body_val[i / 8] |= (char)(1 << (i % 8));
+		if (!task_has_state(task))
+			continue;
+		out = &state->tasks.tasks_val[state->tasks.tasks_len++];
+		out->step = number;
+		out->index = i;
+		out->failed_runs.failed_runs_len = task->failures;
+		out->failed_runs.failed_runs_val =
+		    gb_calloc(task->failures, sizeof(uint64_t));
+		memcpy(out->failed_runs.failed_runs_val, task->failed_runs,
+		    task->failures * sizeof(uint64_t));
+		out->checkpoint =
+		    gb_strdup(task->checkpoint == NULL ? "" : task->checkpoint);
+	}
+}
+
+void
+pool_flow_state_fill(const struct pool_flow *flow, gb_flow_state *state)
+{
+	size_t count = 0;
+	uint32_t i;
+	uint32_t j;
+
+	memset(state, 0, sizeof(*state));
+	state->status = flow->status;
+	state->cancelled = flow->cancelled;
+	state->owned = true;
+	if (flow->status >= GB_FLOW_SUCCEEDED)
+		return;
+	for (i = 0; i < flow->step_count; i++) {
+		for (j = 0; j < flow->steps[i].spec->count; j++) {
+			if (task_has_state(&flow->steps[i].tasks[j]))
+				count++;
+		}
+	}
+	state->tasks.tasks_val = gb_calloc(count, sizeof(gb_task_state));
+	state->done.done_val = gb_calloc(flow->step_count, sizeof(gb_body));
+	state->done.done_len = flow->step_count;
+	for (i = 0; i < flow->step_count; i++)
+		step_state_fill(&flow->steps[i], i, state);
+}
+
+void
+pool_flow_state_clear(gb_flow_state *state)
+{
+	xdr_free((xdrproc_t)xdr_gb_flow_state, (char *)state);
+}
+
+void
+pool_task_checkpoint(struct pool_task *task, const char *checkpoint)
+{
+	free(task->checkpoint);
+	task->checkpoint = gb_strdup(checkpoint);
+}
+
+static bool
+step_load(struct pool_step *step, const gb_body *bits)
+{
+	uint32_t i;
+
+	if (bits->gb_body_len < (step->spec->count + 7) / 8)
+		return false;
+	for (i = 0; i < step->spec->count; i++) {
+		if ((bits->gb_body_val[i / 8] & (1 << (i % 8))) == 0)
+			continue;
+		step->tasks[i].done = true;
+		step->done++;
+	}
+	return true;
+}
+
+bool
+pool_task_failed_once(struct pool_task *task, uint64_t run)
+{
+	uint32_t i;
+
+	for (i = 0; i < task->failures; i++) {
+		if (task->failed_runs[i] == run)
+			return false;
+	}
+	if (task->failures >= GB_ATTEMPTS_MAX)
+		return false;
+	task->failed_runs = gb_realloc(
+	    task->failed_runs, (task->failures + 1) * sizeof(uint64_t));
+	task->failed_runs[task->failures++] = run;
+	return true;
+}
+
+static void
+task_load(struct pool_task *task, const gb_task_state *state)
+{
+	u_int i;
+
+	for (i = 0; i < state->failed_runs.failed_runs_len; i++)
+		pool_task_failed_once(task, state->failed_runs.failed_runs_val[i]);
+	if (state->checkpoint[0] != '\0')
+		pool_task_checkpoint(task, state->checkpoint);
+}
+
+/** A step begins only when the ends of those before it are stored, so that one
+ * that is not ready by what is stored has not been begun by anybody. */
+static void
+flow_steps_fresh(struct pool_flow *flow)
+{
+	uint32_t i;
+	uint32_t j;
+
+	for (i = 0; i < flow->step_count; i++) {
+		const gb_step *spec = flow->steps[i].spec;
+
+		for (j = 0; j < spec->after.after_len; j++) {
+			const struct pool_step *before =
+			    &flow->steps[spec->after.after_val[j]];
+
+			if (before->done < before->spec->count)
+				flow->steps[i].fresh = true;
+		}
+	}
+}
+
+bool
+pool_flow_load(
+    struct gb_pool *pool, struct pool_flow *flow, const gb_flow_state *state)
+{
+	const gb_task_state *task;
+	uint32_t i;
+
+	(void)pool;
+	flow->created = true;
+	flow->cancelled = state->cancelled;
+	flow->status = state->status;
+	flow->stored = flow->change;
+	/* Stored by a node without an owner: nobody has started any of it. */
+	flow->fresh = !state->owned;
+	flow->owned = state->owned;
+	if (state->status >= GB_FLOW_SUCCEEDED)
+		return true;
+	if (state->done.done_len != 0 &&
+	    state->done.done_len != flow->step_count)
+		return false;
+	for (i = 0; i < state->done.done_len; i++) {
+		if (!step_load(&flow->steps[i], &state->done.done_val[i]))
+			return false;
+		flow->begun = flow->begun || flow->steps[i].done > 0;
+	}
+	flow_steps_fresh(flow);
+	for (i = 0; i < state->tasks.tasks_len; i++) {
+		task = &state->tasks.tasks_val[i];
+		if (task->step >= flow->step_count ||
+		    task->index >= flow->steps[task->step].spec->count)
+			return false;
+		task_load(&flow->steps[task->step].tasks[task->index], task);
+		flow->begun = true;
+	}
+	return true;
+}
+
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -4,7 +4,8 @@
  *
  * Calls go one way, from the top of this list to its end: pool.c, owner.c,
  * load.c, dispatch.c, advice.c, worker.c, flow.c, report.c and run.c (which
- * meet over the ends of runs), health.c, worker_set.c, writer.c, call.c; then
+ * meet over the ends of runs), health.c, worker_set.c, writer.c, flow_state.c,
+ * call.c; then
  * the decisions without side effects: rank.c, fit.c, book.c, admit.c. preempt.c
  * stands between: it decides, and stops runs by way of run.c.  pace.c asks
  * the node how busy its link is.
@@ -541,10 +542,8 @@
 void pool_flow_free(struct gb_pool *, struct pool_flow *);
 /** Forget the state of a flow that was being read. */
 void pool_flow_loading_free(struct pool_flow *);
-void pool_flow_state_fill(const struct pool_flow *, gb_flow_state *);
-void pool_flow_state_clear(gb_flow_state *);
-bool pool_flow_load(
-    struct gb_pool *, struct pool_flow *, const gb_flow_state *);
+/** A change of a flow must be stored; soon, if something waits for it. */
+void pool_flow_changed(struct gb_pool *, struct pool_flow *, bool urgent);
 /** A change of a flow has been stored. */
 void pool_flow_stored(struct gb_pool *, struct pool_flow *, uint64_t change);
 /** Turn away a flow that was never sent to the store. */
@@ -575,6 +574,18 @@
 void pool_flow_sweep(struct gb_pool *);
 gb_flow_status pool_flow_shown(const struct pool_flow *);
 
+/* flow_state.c */
+/** The state is freed with pool_flow_state_clear. */
+void pool_flow_state_fill(const struct pool_flow *, gb_flow_state *);
+void pool_flow_state_clear(gb_flow_state *);
+/** False when the state does not fit what was submitted. */
+bool pool_flow_load(
+    struct gb_pool *, struct pool_flow *, const gb_flow_state *);
+void pool_task_checkpoint(struct pool_task *, const char *checkpoint);
+/** Count a failed run once, in whatever order ends come; false when it has been
+ * counted. */
+bool pool_task_failed_once(struct pool_task *, uint64_t run);
+
 /* report.c */
 /** Take in what a worker answered to a hold; `sent` is when it was asked. */
 void pool_report_take(struct gb_pool *, struct pool_worker *, gb_time sent,
