Workers that crash under a task are counted; a task that crashes them is given up

Hypothesis: a run that is lost with its worker must leave a mark in its task, stored with the flow, and told apart from runs that stood beside it and from workers that are only cut off. Cause: nothing counted such runs (hypothesis 1); its class: an end that nobody lists leaves no trace. So a worker that falls silent within 0.5 s of a start is stored with the task at once. Blaming whatever was new on the worker: of test_lost_racks_fail_nobody a flow that stood twice on a lost rack failed; workers that are lost together blame nobody. Change: crash.c. Given up after two crashes soon after its start, once of these alone; or four in all. A suspect starts once its mark is stored, on the emptiest worker, and nothing else starts there until the worker is seen alive after it; it gets no copies. The clock of another lifetime is no longer taken for the worker's. States of older programs are read as before. The model counts a crash for all runs of a worker, members of one gang too.

--- a/libgooseberry/gen/proto.c
+++ b/libgooseberry/gen/proto.c
@@ -946,6 +946,39 @@
 	return TRUE;
 }
 
+bool_t
+xdr_gb_worker_away (XDR *xdrs, gb_worker_away *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_gb_name (xdrs, &objp->worker))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->alone))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_gb_task_crashes (XDR *xdrs, gb_task_crashes *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_uint32_t (xdrs, &objp->step))
+		 return FALSE;
+	 if (!xdr_uint32_t (xdrs, &objp->index))
+		 return FALSE;
+	 if (!xdr_uint32_t (xdrs, &objp->workers))
+		 return FALSE;
+	 if (!xdr_uint32_t (xdrs, &objp->blamed))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->alone))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->away.away_val, (u_int *) &objp->away.away_len, GB_AWAY_MAX,
+		sizeof (gb_worker_away), (xdrproc_t) xdr_gb_worker_away))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_gb_flow_state (XDR *xdrs, gb_flow_state *objp)
 {
@@ -963,6 +996,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->tasks.tasks_val, (u_int *) &objp->tasks.tasks_len, GB_TASKS_MAX,
 		sizeof (gb_task_state), (xdrproc_t) xdr_gb_task_state))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->crashes.crashes_val, (u_int *) &objp->crashes.crashes_len, GB_TASKS_MAX,
+		sizeof (gb_task_crashes), (xdrproc_t) xdr_gb_task_crashes))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/libgooseberry/gen/proto.h
+++ b/libgooseberry/gen/proto.h
@@ -551,6 +551,26 @@
 	gb_name checkpoint;
 };
 typedef struct gb_task_state gb_task_state;
+#define GB_AWAY_MAX 8
+
+struct gb_worker_away {
+	gb_name worker;
+	bool_t alone;
+};
+typedef struct gb_worker_away gb_worker_away;
+
+struct gb_task_crashes {
+	uint32_t step;
+	uint32_t index;
+	uint32_t workers;
+	uint32_t blamed;
+	bool_t alone;
+	struct {
+		u_int away_len;
+		gb_worker_away *away_val;
+	} away;
+};
+typedef struct gb_task_crashes gb_task_crashes;
 
 struct gb_flow_state {
 	gb_flow_status status;
@@ -564,6 +584,10 @@
 		u_int tasks_len;
 		gb_task_state *tasks_val;
 	} tasks;
+	struct {
+		u_int crashes_len;
+		gb_task_crashes *crashes_val;
+	} crashes;
 };
 typedef struct gb_flow_state gb_flow_state;
 
@@ -760,6 +784,8 @@
 extern  bool_t xdr_gb_flow (XDR *, gb_flow*);
 extern  bool_t xdr_gb_flow_status (XDR *, gb_flow_status*);
 extern  bool_t xdr_gb_task_state (XDR *, gb_task_state*);
+extern  bool_t xdr_gb_worker_away (XDR *, gb_worker_away*);
+extern  bool_t xdr_gb_task_crashes (XDR *, gb_task_crashes*);
 extern  bool_t xdr_gb_flow_state (XDR *, gb_flow_state*);
 extern  bool_t xdr_gb_owner_row (XDR *, gb_owner_row*);
 extern  bool_t xdr_gb_worker_ref (XDR *, gb_worker_ref*);
@@ -830,6 +856,8 @@
 extern bool_t xdr_gb_flow ();
 extern bool_t xdr_gb_flow_status ();
 extern bool_t xdr_gb_task_state ();
+extern bool_t xdr_gb_worker_away ();
+extern bool_t xdr_gb_task_crashes ();
 extern bool_t xdr_gb_flow_state ();
 extern bool_t xdr_gb_owner_row ();
 extern bool_t xdr_gb_worker_ref ();
--- a/libgooseberry/gen/proto.x
+++ b/libgooseberry/gen/proto.x
@@ -461,13 +461,32 @@
 	gb_name checkpoint;
 };
 
-/* What has become of a flow. */
+const GB_AWAY_MAX = 8;
+
+/* A worker that fell silent soon after it was told to start a task. */
+struct gb_worker_away {
+	gb_name worker;
+	bool alone;		/* no other flow's start was as new */
+};
+
+/* A task under which workers have crashed, or may have. */
+struct gb_task_crashes {
+	uint32_t step;
+	uint32_t index;
+	uint32_t workers;	/* that crashed under it */
+	uint32_t blamed;	/* of these, soon after it was started there */
+	bool alone;		/* once no other flow's start was as new */
+	gb_worker_away away<GB_AWAY_MAX>;
+};
+
+/* What has become of a flow.  Rows of older programs end before `crashes`. */
 struct gb_flow_state {
 	gb_flow_status status;
 	bool cancelled;
 	bool owned;		/* an owner took it in: tasks may have begun */
 	gb_body done<GB_STEPS_MAX>;	/* a bit for each task of a step */
 	gb_task_state tasks<GB_TASKS_MAX>;
+	gb_task_crashes crashes<GB_TASKS_MAX>;
 };
 
 /* Who owns the pool.  One copy in each part, so that every transaction of a
--- a/libgooseberry/node/intake.c
+++ b/libgooseberry/node/intake.c
@@ -113,7 +113,7 @@
 	gb_flow_state state = {0};
 	gb_flow_status status = GB_FLOW_QUEUED;
 
-	if (gb_xdr_decode((xdrproc_t)xdr_gb_flow_state, &row->value, &state))
+	if (gb_flow_state_decode(&row->value, &state))
 		status = state.status;
 	xdr_free((xdrproc_t)xdr_gb_flow_state, (char *)&state);
 	return status;
--- a/libgooseberry/pool.h
+++ b/libgooseberry/pool.h
@@ -372,6 +372,10 @@
 /** Whether a flow can be taken in at all: its shape is served. */
 bool gb_flow_check(const gb_flow *, struct gb_error *);
 
+/** Read a row of the table of states, also of older programs; free the state
+ * with xdr_free.  False when it can't be read. */
+bool gb_flow_state_decode(const gb_body *row, gb_flow_state *);
+
 /** Counters of a core, for the metrics address. */
 struct gb_pool_stats {
 	uint64_t submitted, accepted, refused, repeated;
@@ -379,6 +383,7 @@
 	uint64_t done, failed, stopped, lapsed, broken, alone;
 	uint64_t crashed;      /**< runs lost with a worker that is over */
 	uint64_t workers_over; /**< lifetimes of workers that ended */
+	uint64_t given_up;     /**< flows that crash their workers */
 	uint64_t advice_calls, advice_busy, advice_lost;
 	uint64_t entry_faults[GB_POOL_ENTRY_FAULTS]; /**< entries refused */
 	uint64_t txns, txn_conflicts, txn_lost, rows, reads, takeovers, losses;
--- /dev/null
+++ b/libgooseberry/pool/crash.c
@@ -0,0 +1,456 @@
+/**
+ * @file crash.c
+ * Tasks that crash the workers that start them.
+ *
+ * Load: a task takes its worker down within moments of its start, again and
+ * again, and with it all else that runs there (eight runs on a pool that is
+ * four fifths full).  Its neighbours must not be taken for it, nor whoever
+ * stands on a rack that is lost; and a worker that is only cut off has not
+ * crashed, though what it ran was lost with its lease.
+ *
+ * A worker has crashed under its runs when another lifetime answers in its
+ * place and it was not about to leave.  Of these runs, those that were started
+ * so short a time before that the worker was not seen alive since are blamed.
+ * A task that a worker has crashed under is suspect: it starts only once that
+ * is stored, on the emptiest worker, where nothing else is started until the
+ * worker is seen alive after it.  So the second crash tells it from its
+ * neighbours, and it is given up.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "state.h"
+
+/** A worker that answers this much after a start has survived it: a task that
+ * crashes its worker does so within some 10 ms, and busy workers are heard each
+ * 0.4 s. */
+#define CRASH_SOON (500 * GB_MSEC)
+/** Crashes soon after a start that give a task up, if nothing else was new on
+ * the worker at one of them.  With one, whoever stands on a lost rack would
+ * fail. */
+#define CRASH_BLAMED_MOST 2
+/** Workers that are missed within so short a time were lost together, with a
+ * rack or a zone: nothing that ran there is blamed.  It is seen of a busy worker
+ * within 0.6 s that it is silent. */
+#define CRASH_TOGETHER (600 * GB_MSEC)
+#define CRASH_TOGETHER_WORKERS 3
+/** Workers that crash under a task, at whatever time, before it is given up:
+ * more than chance brings, and a start less than are allowed, since one may be
+ * forgotten with an owner. */
+#define CRASH_MOST 4
+/** Starts that are allowed in all, with workers of which it is not known
+ * whether they crashed. */
+#define CRASH_STARTS_MOST 5
+/** How long it is waited for a word of a worker that is away before the task is
+ * started once more: workers come back after some seconds. */
+#define CRASH_HOLD (10 * GB_SEC)
+
+/** A task that was lost with a worker that is away: its next answer tells
+ * whether it crashed. */
+struct pool_loss {
+	STAILQ_ENTRY(pool_loss) next;
+	char flow[GB_NAME_MAX + 1];
+	uint32_t step;
+	uint32_t index;
+};
+
+/* Suspects ---------------------------------------------------------------- */
+
+static struct pool_suspect *
+suspect_get(struct pool_flow *flow, uint32_t step, uint32_t index)
+{
+	struct pool_task *task = &flow->steps[step].tasks[index];
+
+	if (task->suspect == NULL) {
+		task->suspect = gb_calloc(1, sizeof(*task->suspect));
+		flow->steps[step].suspects++;
+	}
+	return task->suspect;
+}
+
+/** Nothing is held against the task any more. */
+static void
+suspect_clear(struct pool_flow *flow, uint32_t step, uint32_t index)
+{
+	struct pool_task *task = &flow->steps[step].tasks[index];
+
+	if (task->suspect == NULL || task->suspect->crashes > 0 ||
+	    task->suspect->away_count > 0)
+		return;
+	free(task->suspect);
+	task->suspect = NULL;
+	flow->steps[step].suspects--;
+}
+
+static struct pool_away *
+away_find(struct pool_suspect *suspect, const char *worker)
+{
+	uint32_t i;
+
+	for (i = 0; suspect != NULL && i < suspect->away_count; i++) {
+		if (strcmp(suspect->away[i].worker, worker) == 0)
+			return &suspect->away[i];
+	}
+	return NULL;
+}
+
+/** Take a worker off; false when it does not stand there. */
+static bool
+away_remove(
+    struct pool_suspect *suspect, const char *worker, struct pool_away *out)
+{
+	struct pool_away *away = away_find(suspect, worker);
+
+	if (away == NULL)
+		return false;
+	*out = *away;
+	*away = suspect->away[--suspect->away_count];
+	return true;
+}
+
+/** A worker is away with a task; returns what is known of that, or null when
+ * there are too many. */
+static struct pool_away *
+away_add(struct pool_flow *flow, uint32_t step, uint32_t index,
+    struct pool_worker *worker)
+{
+	struct pool_suspect *suspect = suspect_get(flow, step, index);
+	struct pool_away *away = away_find(suspect, worker->entry.id);
+	struct pool_loss *loss;
+
+	if (away != NULL || suspect->away_count == GB_AWAY_MAX)
+		return away;
+	away = &suspect->away[suspect->away_count++];
+	memset(away, 0, sizeof(*away));
+	snprintf(
+	    away->worker, sizeof(away->worker), "%s", worker->entry.id);
+	loss = gb_calloc(1, sizeof(*loss));
+	snprintf(loss->flow, sizeof(loss->flow), "%s", flow->spec.id);
+	loss->step = step;
+	loss->index = index;
+	STAILQ_INSERT_TAIL(&worker->losses, loss, next);
+	return away;
+}
+
+/* Stored form ------------------------------------------------------------- */
+
+void
+pool_crash_load(struct gb_pool *pool, struct pool_flow *flow,
+    const gb_task_crashes *stored)
+{
+	struct pool_suspect *suspect =
+	    suspect_get(flow, stored->step, stored->index);
+	u_int i;
+
+	suspect->crashes = stored->workers;
+	suspect->blamed = stored->blamed;
+	suspect->alone = stored->alone;
+	for (i = 0; i < stored->away.away_len; i++) {
+		const gb_worker_away *row = &stored->away.away_val[i];
+		struct pool_worker *worker =
+		    pool_worker_find(pool, row->worker);
+		struct pool_away *away;
+
+		if (worker == NULL)
+			continue;
+		away = away_add(flow, stored->step, stored->index, worker);
+		if (away == NULL)
+			break;
+		away->blamed = true;
+		away->alone = row->alone;
+	}
+	suspect->hold_until = pool->now + CRASH_HOLD;
+}
+
+bool
+pool_crash_stored(const struct pool_task *task)
+{
+	return task->suspect != NULL && !task->done;
+}
+
+void
+pool_crash_fill(const struct pool_suspect *suspect, gb_task_crashes *out)
+{
+	uint32_t i;
+
+	out->workers = suspect->crashes;
+	out->blamed = suspect->blamed;
+	out->alone = suspect->alone;
+	out->away.away_val =
+	    gb_calloc(suspect->away_count, sizeof(gb_worker_away));
+	for (i = 0; i < suspect->away_count; i++) {
+		const struct pool_away *away = &suspect->away[i];
+		gb_worker_away *row;
+
+		if (!away->blamed)
+			continue;
+		row = &out->away.away_val[out->away.away_len++];
+		row->worker = gb_strdup(away->worker);
+		row->alone = away->alone;
+	}
+}
+
+/* What is known of a start ------------------------------------------------ */
+
+/** Whether a worker has not been seen alive since a run was started on it. */
+static bool
+run_is_new(const struct pool_run *run)
+{
+	return run->started + CRASH_SOON > run->worker->clock_at;
+}
+
+bool
+pool_crash_on_trial(const struct pool_worker *worker)
+{
+	const struct pool_run *run;
+
+	if (worker->suspect_runs == 0)
+		return false;
+	TAILQ_FOREACH(run, &worker->runs, of_worker)
+	{
+		if (run->suspect && run_is_new(run))
+			return true;
+	}
+	return false;
+}
+
+bool
+pool_crash_has_new(
+    const struct pool_worker *worker, const struct pool_flow *but)
+{
+	const struct pool_run *run;
+
+	TAILQ_FOREACH(run, &worker->runs, of_worker)
+	{
+		if (run->flow != but && run_is_new(run))
+			return true;
+	}
+	return false;
+}
+
+/** Whether a worker was lost together with others. */
+static bool
+worker_lost_with_others(
+    const struct gb_pool *pool, const struct pool_worker *worker)
+{
+	unsigned int together = 0;
+	uint32_t i;
+
+	for (i = 0; i < pool->worker_count; i++) {
+		const struct pool_worker *other = pool->workers[i];
+
+		together += other->missed != 0 &&
+			    llabs(other->missed - worker->missed) <=
+				CRASH_TOGETHER;
+	}
+	return together >= CRASH_TOGETHER_WORKERS;
+}
+
+/* Counting ---------------------------------------------------------------- */
+
+static bool
+suspect_is_guilty(const struct pool_suspect *suspect)
+{
+	return (suspect->blamed >= CRASH_BLAMED_MOST && suspect->alone) ||
+	       suspect->crashes >= CRASH_MOST;
+}
+
+static void
+task_crashed(struct gb_pool *pool, struct pool_flow *flow, uint32_t step,
+    uint32_t index, bool blamed, bool alone)
+{
+	struct pool_suspect *suspect = suspect_get(flow, step, index);
+
+	suspect->crashes++;
+	suspect->blamed += blamed;
+	suspect->alone = suspect->alone || (blamed && alone);
+	gb_event(pool->cfg.events, GB_EVENT_ALWAYS, "task_crashed_worker",
+	    "{s:s, s:I, s:I, s:I, s:I, s:b, s:b}", "flow", flow->spec.id,
+	    "step", (json_int_t)step, "index", (json_int_t)index, "workers",
+	    (json_int_t)suspect->crashes, "blamed", (json_int_t)suspect->blamed,
+	    "soon", blamed, "alone", alone);
+	pool_flow_changed(pool, flow, true);
+	suspect->change = flow->change;
+	if (!suspect_is_guilty(suspect))
+		return;
+	pool->stats.given_up++;
+	pool_flow_fail(
+	    pool, flow, "a task crashes the workers that start it");
+}
+
+/** The run's task, if what became of it still matters. */
+static bool
+run_counts(const struct pool_run *run)
+{
+	return run->flow->status < GB_FLOW_SUCCEEDED &&
+	       !run->flow->steps[run->step].tasks[run->index].done;
+}
+
+void
+pool_crash_worker_missed(struct gb_pool *pool, struct pool_worker *worker)
+{
+	const struct pool_run *run;
+	struct pool_away *away;
+
+	TAILQ_FOREACH(run, &worker->runs, of_worker)
+	{
+		if (!run_counts(run) || !run_is_new(run) ||
+		    worker->entry.draining)
+			continue;
+		away = away_add(run->flow, run->step, run->index, worker);
+		if (away == NULL || away->blamed)
+			continue;
+		away->blamed = true;
+		away->alone = !pool_crash_has_new(worker, run->flow);
+		pool_flow_changed(pool, run->flow, true);
+		run->flow->steps[run->step].tasks[run->index].suspect->change =
+		    run->flow->change;
+	}
+}
+
+void
+pool_crash_run_over(struct gb_pool *pool, const struct pool_run *run)
+{
+	struct pool_away away;
+	bool blamed;
+
+	if (!run_counts(run) || run->worker->entry.draining)
+		return;
+	blamed = run_is_new(run) && !worker_lost_with_others(pool, run->worker);
+	away_remove(run->flow->steps[run->step].tasks[run->index].suspect,
+	    run->worker->entry.id, &away);
+	task_crashed(pool, run->flow, run->step, run->index, blamed,
+	    !pool_crash_has_new(run->worker, run->flow));
+}
+
+void
+pool_crash_run_lapsed(struct gb_pool *pool, const struct pool_run *run)
+{
+	struct pool_away *away;
+
+	if (!run_counts(run) || run->worker->entry.draining)
+		return;
+	away = away_add(run->flow, run->step, run->index, run->worker);
+	/* It may yet crash, when the run has been killed: not to blame. */
+	if (away != NULL)
+		away->blamed = false;
+	run->flow->steps[run->step].tasks[run->index].suspect->hold_until =
+	    pool->now + CRASH_HOLD;
+}
+
+/** The worker of a loss has answered, as itself or as another lifetime. */
+static void
+loss_resolve(struct gb_pool *pool, const struct pool_worker *worker,
+    const struct pool_loss *loss, bool crashed)
+{
+	struct pool_flow *flow = pool_flow_find(pool, loss->flow);
+	struct pool_away away;
+	bool blamed;
+
+	if (flow == NULL || flow->status >= GB_FLOW_SUCCEEDED ||
+	    loss->step >= flow->step_count ||
+	    loss->index >= flow->steps[loss->step].spec->count)
+		return;
+	if (!away_remove(flow->steps[loss->step].tasks[loss->index].suspect,
+		worker->entry.id, &away))
+		return;
+	pool->work_changed = true;
+	if (!crashed || flow->steps[loss->step].tasks[loss->index].done) {
+		suspect_clear(flow, loss->step, loss->index);
+		pool_flow_changed(pool, flow, false);
+		return;
+	}
+	blamed = away.blamed && !worker_lost_with_others(pool, worker);
+	task_crashed(
+	    pool, flow, loss->step, loss->index, blamed, away.alone);
+}
+
+void
+pool_crash_worker_known(
+    struct gb_pool *pool, struct pool_worker *worker, bool crashed)
+{
+	struct pool_loss *loss;
+
+	while ((loss = STAILQ_FIRST(&worker->losses)) != NULL) {
+		STAILQ_REMOVE_HEAD(&worker->losses, next);
+		loss_resolve(
+		    pool, worker, loss, crashed && !worker->entry.draining);
+		free(loss);
+	}
+}
+
+void
+pool_crash_worker_forget(struct pool_worker *worker)
+{
+	struct pool_loss *loss;
+
+	while ((loss = STAILQ_FIRST(&worker->losses)) != NULL) {
+		STAILQ_REMOVE_HEAD(&worker->losses, next);
+		free(loss);
+	}
+}
+
+/* Waiting ----------------------------------------------------------------- */
+
+bool
+pool_crash_held(const struct gb_pool *pool, const struct pool_flow *flow,
+    const struct pool_task *task)
+{
+	const struct pool_suspect *suspect = task->suspect;
+
+	if (suspect == NULL)
+		return false;
+	if (flow->stored < suspect->change)
+		return true;
+	return suspect->crashes + suspect->away_count >= CRASH_MOST &&
+	       suspect->hold_until > pool->now;
+}
+
+uint32_t
+pool_crash_held_count(const struct gb_pool *pool, const struct pool_flow *flow,
+    const struct pool_step *step)
+{
+	uint32_t count = 0;
+	uint32_t i;
+
+	for (i = 0; step->suspects > 0 && i < step->spec->count; i++) {
+		const struct pool_task *task = &step->tasks[i];
+
+		count += !task->done && TAILQ_EMPTY(&task->runs) &&
+			 pool_crash_held(pool, flow, task);
+	}
+	return count;
+}
+
+/** A task was lost with worker after worker, none of which came back. */
+static bool
+task_is_hopeless(const struct gb_pool *pool, const struct pool_task *task)
+{
+	const struct pool_suspect *suspect = task->suspect;
+
+	return suspect != NULL && !task->done &&
+	       suspect->crashes + suspect->away_count >= CRASH_STARTS_MOST &&
+	       suspect->hold_until <= pool->now;
+}
+
+void
+pool_crash_sweep(struct gb_pool *pool, struct pool_flow *flow)
+{
+	uint32_t i;
+	uint32_t j;
+
+	for (i = 0; i < flow->step_count; i++) {
+		const struct pool_step *step = &flow->steps[i];
+
+		for (j = 0; step->suspects > 0 && j < step->spec->count; j++) {
+			if (!task_is_hopeless(pool, &step->tasks[j]))
+				continue;
+			pool->stats.given_up++;
+			pool_flow_fail(pool, flow,
+			    "every worker that started a task was lost");
+			return;
+		}
+	}
+}
--- a/libgooseberry/pool/dispatch.c
+++ b/libgooseberry/pool/dispatch.c
@@ -59,7 +59,8 @@
 	for (i = 0; i < step->spec->count && placed < count; i++) {
 		struct pool_task *task = &step->tasks[i];
 
-		if (task->done || !TAILQ_EMPTY(&task->runs))
+		if (task->done || !TAILQ_EMPTY(&task->runs) ||
+		    pool_crash_held(pool, flow, task))
 			continue;
 		pool_run_start(pool, flow, number, i,
 		    gang ? run : run_number_next(pool, step),
@@ -364,6 +365,7 @@
 
 		if (run == NULL || TAILQ_NEXT(run, of_task) != NULL ||
 		    step->tasks[i].done || run->state == POOL_RUN_STOPPING ||
+		    step->tasks[i].suspect != NULL ||
 		    (double)(pool->now - run->started) <
 			DISPATCH_STRAGGLER * (double)usual)
 			continue;
--- a/libgooseberry/pool/fit.c
+++ b/libgooseberry/pool/fit.c
@@ -25,6 +25,9 @@
 #define FIT_FAST_FIRST 2.0
 /** So does room that a gang waits for: others are used first. */
 #define FIT_BOOKED_PENALTY 0.5
+/** A task that was lost with a worker is put where nothing else is new, so that
+ * a second crash tells which of them it was. */
+#define FIT_NEW_PENALTY 10.0
 
 gb_res
 pool_fit_free(const struct pool_worker *worker)
@@ -43,7 +46,8 @@
 	return pool_worker_offered(worker) && worker->fenced &&
 	       (worker->recorded & (UINT32_C(1) << part)) != 0 &&
 	       !worker->over && !worker->foreign && !worker->entry.draining &&
-	       worker->silent == 0 && worker->aside_until <= pool->now;
+	       worker->silent == 0 && worker->aside_until <= pool->now &&
+	       !pool_crash_on_trial(worker);
 }
 
 static bool
@@ -164,8 +168,15 @@
 {
 	double left = (double)(room->cpu - step->spec->res.cpu) /
 		      (double)(worker->entry.capacity.cpu + 1);
+	bool gang = (step->spec->flags & GB_STEP_GANG) != 0;
 	double score = left;
 
+	/* It may take its worker down with all that runs there: the emptiest
+	 * first. */
+	if (step->suspects > 0 && !gang)
+		score = -left;
+	if (step->suspects > 0 && pool_crash_has_new(worker, flow))
+		score += FIT_NEW_PENALTY;
 	if (step->spec->rack[0] != '\0' &&
 	    strcmp(step->spec->rack, worker->rack) != 0)
 		score += FIT_REMOTE_PENALTY;
--- a/libgooseberry/pool/flow.c
+++ b/libgooseberry/pool/flow.c
@@ -46,6 +46,7 @@
 {
 	free(task->checkpoint);
 	free(task->failed_runs);
+	free(task->suspect);
 }
 
 static void
@@ -334,15 +335,21 @@
     const struct pool_step *step)
 {
 	uint32_t left = step->spec->count - step->done;
+	uint32_t held;
 
 	if (left == 0 || !pool_flow_step_ready(flow, step))
 		return 0;
 	if (!pool->parts[flow->part].settled && !flow->fresh && !step->fresh)
 		return 0;
 	if ((step->spec->flags & GB_STEP_GANG) != 0)
-		return step->active > 0 ? 0 : left;
+		return step->active > 0 ||
+			       pool_crash_held_count(pool, flow, step) > 0
+			   ? 0
+			   : left;
 	/* Tasks that are done may have a run that is still being stopped. */
-	return left > step->active_open ? left - step->active_open : 0;
+	left = left > step->active_open ? left - step->active_open : 0;
+	held = pool_crash_held_count(pool, flow, step);
+	return left > held ? left - held : 0;
 }
 
 void
@@ -399,6 +406,13 @@
 	    (json_int_t)((pool->now - flow->due) / GB_MSEC));
 }
 
+void
+pool_flow_fail(struct gb_pool *pool, struct pool_flow *flow, const char *why)
+{
+	if (flow->status < GB_FLOW_SUCCEEDED)
+		flow_over(pool, flow, GB_FLOW_FAILED, why);
+}
+
 void
 pool_flow_cancel(struct gb_pool *pool, struct pool_flow *flow)
 {
@@ -524,6 +538,8 @@
 
 	HASH_ITER(hh, pool->flows, flow, next)
 	{
+		if (flow->status < GB_FLOW_SUCCEEDED)
+			pool_crash_sweep(pool, flow);
 		if (flow->status < GB_FLOW_SUCCEEDED ||
 		    flow->stored < flow->change ||
 		    !pool_part_attached(pool, flow->part))
--- a/libgooseberry/pool/flow_state.c
+++ b/libgooseberry/pool/flow_state.c
@@ -43,9 +43,28 @@
 	}
 }
 
+/** Tasks under which workers have crashed. */
+static void
+step_crashes_fill(
+    const struct pool_step *step, uint32_t number, gb_flow_state *state)
+{
+	gb_task_crashes *out;
+	uint32_t i;
+
+	for (i = 0; step->suspects > 0 && i < step->spec->count; i++) {
+		if (!pool_crash_stored(&step->tasks[i]))
+			continue;
+		out = &state->crashes.crashes_val[state->crashes.crashes_len++];
+		out->step = number;
+		out->index = i;
+		pool_crash_fill(step->tasks[i].suspect, out);
+	}
+}
+
 void
 pool_flow_state_fill(const struct pool_flow *flow, gb_flow_state *state)
 {
+	size_t suspects = 0;
 	size_t count = 0;
 	uint32_t i;
 	uint32_t j;
@@ -57,16 +76,47 @@
 	if (flow->status >= GB_FLOW_SUCCEEDED)
 		return;
 	for (i = 0; i < flow->step_count; i++) {
+		suspects += flow->steps[i].suspects;
 		for (j = 0; j < flow->steps[i].spec->count; j++) {
 			if (task_has_state(&flow->steps[i].tasks[j]))
 				count++;
 		}
 	}
 	state->tasks.tasks_val = gb_calloc(count, sizeof(gb_task_state));
+	state->crashes.crashes_val =
+	    gb_calloc(suspects, sizeof(gb_task_crashes));
 	state->done.done_val = gb_calloc(flow->step_count, sizeof(gb_body));
 	state->done.done_len = flow->step_count;
-	for (i = 0; i < flow->step_count; i++)
+	for (i = 0; i < flow->step_count; i++) {
 		step_state_fill(&flow->steps[i], i, state);
+		step_crashes_fill(&flow->steps[i], i, state);
+	}
+}
+
+/** A state that ends before its last list, as older programs wrote it. */
+static bool
+state_decode_older(const gb_body *row, gb_flow_state *state)
+{
+	gb_body longer = {0};
+	bool ok;
+
+	longer.gb_body_len = row->gb_body_len + BYTES_PER_XDR_UNIT;
+	longer.gb_body_val = gb_calloc(1, longer.gb_body_len);
+	if (row->gb_body_len > 0)
+		memcpy(longer.gb_body_val, row->gb_body_val, row->gb_body_len);
+	ok = gb_xdr_decode((xdrproc_t)xdr_gb_flow_state, &longer, state);
+	free(longer.gb_body_val);
+	return ok;
+}
+
+bool
+gb_flow_state_decode(const gb_body *row, gb_flow_state *state)
+{
+	memset(state, 0, sizeof(*state));
+	if (gb_xdr_decode((xdrproc_t)xdr_gb_flow_state, row, state))
+		return true;
+	memset(state, 0, sizeof(*state));
+	return state_decode_older(row, state);
 }
 
 void
@@ -121,7 +171,8 @@
 	u_int i;
 
 	for (i = 0; i < state->failed_runs.failed_runs_len; i++)
-		pool_task_failed_once(task, state->failed_runs.failed_runs_val[i]);
+		pool_task_failed_once(
+		    task, state->failed_runs.failed_runs_val[i]);
 	if (state->checkpoint[0] != '\0')
 		pool_task_checkpoint(task, state->checkpoint);
 }
@@ -147,6 +198,24 @@
 	}
 }
 
+static bool
+flow_crashes_load(
+    struct gb_pool *pool, struct pool_flow *flow, const gb_flow_state *state)
+{
+	uint32_t i;
+
+	for (i = 0; i < state->crashes.crashes_len; i++) {
+		const gb_task_crashes *stored = &state->crashes.crashes_val[i];
+
+		if (stored->step >= flow->step_count ||
+		    stored->index >= flow->steps[stored->step].spec->count)
+			return false;
+		pool_crash_load(pool, flow, stored);
+		flow->begun = true;
+	}
+	return true;
+}
+
 bool
 pool_flow_load(
     struct gb_pool *pool, struct pool_flow *flow, const gb_flow_state *state)
@@ -154,7 +223,6 @@
 	const gb_task_state *task;
 	uint32_t i;
 
-	(void)pool;
 	flow->created = true;
 	flow->cancelled = state->cancelled;
 	flow->status = state->status;
@@ -181,6 +249,5 @@
 		task_load(&flow->steps[task->step].tasks[task->index], task);
 		flow->begun = true;
 	}
-	return true;
+	return flow_crashes_load(pool, flow, state);
 }
-
--- a/libgooseberry/pool/load.c
+++ b/libgooseberry/pool/load.c
@@ -47,7 +47,7 @@
 	struct pool_flow *flow;
 	gb_flow spec = {0};
 
-	if (!gb_xdr_decode((xdrproc_t)xdr_gb_flow_state, &row->value, &state)) {
+	if (!gb_flow_state_decode(&row->value, &state)) {
 		row_unreadable(pool, "states", row);
 		return;
 	}
--- a/libgooseberry/pool/run.c
+++ b/libgooseberry/pool/run.c
@@ -36,6 +36,8 @@
 	run->res = s->spec->res;
 	run->started = pool->now;
 	run->moved = pool->now;
+	run->suspect = s->tasks[index].suspect != NULL;
+	worker->suspect_runs += run->suspect;
 	if (TAILQ_EMPTY(&s->tasks[index].runs)) {
 		s->active++;
 		s->active_open++;
@@ -67,6 +69,7 @@
 	}
 	TAILQ_REMOVE(&run->worker->runs, run, of_worker);
 	run->worker->run_count--;
+	run->worker->suspect_runs -= run->suspect;
 	gb_res_sub(&run->worker->used, &run->res);
 	run->flow->runs--;
 	pool->stats.running--;
@@ -255,14 +258,14 @@
 {
 	struct pool_worker *worker = pool_worker_get(pool, call->worker);
 
-	if (worker != NULL)
-		pool_worker_clock(pool, worker, res->clock_ms);
-	if (pool_worker_fenced_off(pool, res->status))
-		return NULL;
 	if (res->status == GB_POOL_ORDER_REBORN && worker != NULL) {
 		pool_worker_over(pool, worker, "another lifetime answered");
 		return NULL;
 	}
+	if (worker != NULL)
+		pool_worker_clock(pool, worker, res->clock_ms);
+	if (pool_worker_fenced_off(pool, res->status))
+		return NULL;
 	return call->run;
 }
 
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -4,11 +4,10 @@
  *
  * Calls go one way, from the top of this list to its end: pool.c, owner.c,
  * load.c, dispatch.c, advice.c, worker.c, flow.c, report.c and run.c (which
- * meet over the ends of runs), health.c, worker_set.c, writer.c, flow_state.c,
- * call.c; then
- * the decisions without side effects: rank.c, fit.c, book.c, admit.c. preempt.c
- * stands between: it decides, and stops runs by way of run.c.  pace.c asks
- * the node how busy its link is.
+ * meet over the ends of runs), crash.c, health.c, worker_set.c, writer.c,
+ * flow_state.c, call.c; then the decisions without side effects: rank.c, fit.c,
+ * book.c, admit.c. preempt.c stands between: it decides, and stops runs by way
+ * of run.c.  pace.c asks the node how busy its link is.
  */
 #ifndef GB_POOL_STATE_H
 #define GB_POOL_STATE_H
@@ -66,6 +65,7 @@
 	gb_time lapse_at;  /**< an order without answer can't begin after */
 	uint32_t percent;
 	gb_time moved; /**< when the percent last rose */
+	bool suspect;  /**< its task was lost with a worker before */
 	char checkpoint[GB_NAME_MAX + 1];
 };
 
@@ -73,8 +73,27 @@
 
 /* Flows ------------------------------------------------------------------- */
 
+/** A worker that is away and may have crashed under a task. */
+struct pool_away {
+	char worker[GB_NAME_MAX + 1]; /**< its id */
+	bool blamed; /**< fell silent soon after the task was started there */
+	bool alone;  /**< and no other flow's start was as new */
+};
+
+/** What is known of a task that was lost with workers. */
+struct pool_suspect {
+	uint32_t crashes; /**< workers that crashed under it */
+	uint32_t blamed;  /**< of these, soon after it was started there */
+	bool alone;	  /**< once no other flow's start was as new */
+	uint32_t away_count;
+	struct pool_away away[GB_AWAY_MAX];
+	gb_time hold_until; /**< waits for a word of these, if they are many */
+	uint64_t change;    /**< change of the flow with the newest of it */
+};
+
 struct pool_task {
-	struct pool_runs runs; /**< one, or two of a speculative step */
+	struct pool_suspect *suspect; /**< null: never lost with a worker */
+	struct pool_runs runs;	      /**< one, or two of a speculative step */
 	bool done;
 	bool preempted; /**< has been stopped to make room for others */
 	uint32_t failures;
@@ -105,6 +124,7 @@
 	uint64_t done_change; /**< change of the flow that made it whole */
 	uint32_t active;      /**< tasks that have a run */
 	uint32_t active_open; /**< of these, tasks that are not done */
+	uint32_t suspects;    /**< tasks that were lost with workers */
 	uint64_t run_number;  /**< newest number given to a start */
 	gb_time preempt_at;   /**< may make room again */
 	enum pool_advice_state advice;
@@ -203,6 +223,9 @@
 
 STAILQ_HEAD(pool_ends, pool_end);
 
+struct pool_loss;
+STAILQ_HEAD(pool_losses, pool_loss);
+
 struct pool_worker {
 	UT_hash_handle hh;
 	uint32_t handle;
@@ -226,6 +249,7 @@
 	gb_time hold_at;      /**< next hold */
 	gb_time answered;     /**< last hold that was answered */
 	unsigned int silent;  /**< holds without answer in a row */
+	gb_time missed;	      /**< when the first of the newest of these was */
 	int64_t clock_ms;     /**< its clock in the last answer */
 	gb_time clock_at;     /**< when that answer came */
 	int64_t lease_end_ms; /**< latest end of a lease that was sent */
@@ -235,6 +259,8 @@
 	struct pool_ends ends;
 	struct pool_runs runs;
 	uint32_t run_count;
+	uint32_t suspect_runs;	   /**< of these, of tasks that are suspect */
+	struct pool_losses losses; /**< runs that were lost while it was away */
 	/* Health, by what it does with its work */
 	unsigned int failures; /**< in a row, of different flows */
 	uint64_t failed_flow;
@@ -561,6 +587,8 @@
 uint32_t pool_flow_waiting(
     const struct gb_pool *, const struct pool_flow *, const struct pool_step *);
 void pool_flow_cancel(struct gb_pool *, struct pool_flow *);
+/** The flow is over: it can't be done. */
+void pool_flow_fail(struct gb_pool *, struct pool_flow *, const char *why);
 /** A run has ended; the change is to be stored before it is acknowledged. */
 void pool_flow_ended(struct gb_pool *, struct pool_flow *,
     const struct gb_pool_seen *, struct pool_worker *);
@@ -671,6 +699,39 @@
 /** Look for runs that have come to a standstill. */
 void pool_health_check(struct gb_pool *, struct pool_worker *);
 
+/* crash.c */
+/** A worker that may have crashed was not heard: a successor must know of what
+ * was just started there. */
+void pool_crash_worker_missed(struct gb_pool *, struct pool_worker *);
+/** A run is lost: another lifetime answered in its worker's place. */
+void pool_crash_run_over(struct gb_pool *, const struct pool_run *);
+/** A run is lost: its worker is away and its lease was waited out. */
+void pool_crash_run_lapsed(struct gb_pool *, const struct pool_run *);
+/** A worker that was away has answered, or another lifetime in its place. */
+void pool_crash_worker_known(
+    struct gb_pool *, struct pool_worker *, bool crashed);
+void pool_crash_worker_forget(struct pool_worker *);
+/** Whether a suspect was just started on a worker, so that nothing else may
+ * be. */
+bool pool_crash_on_trial(const struct pool_worker *);
+/** Whether a run of another flow was just started on a worker. */
+bool pool_crash_has_new(
+    const struct pool_worker *, const struct pool_flow *but);
+/** Whether a task may not be started yet. */
+bool pool_crash_held(
+    const struct gb_pool *, const struct pool_flow *, const struct pool_task *);
+/** Tasks of a step without a run that may not be started yet. */
+uint32_t pool_crash_held_count(
+    const struct gb_pool *, const struct pool_flow *, const struct pool_step *);
+/** Give a flow up of which no worker that started it came back. */
+void pool_crash_sweep(struct gb_pool *, struct pool_flow *);
+/** Take in what is stored of a task. */
+void pool_crash_load(
+    struct gb_pool *, struct pool_flow *, const gb_task_crashes *);
+/** Whether there is something of a task to be stored; and that. */
+bool pool_crash_stored(const struct pool_task *);
+void pool_crash_fill(const struct pool_suspect *, gb_task_crashes *);
+
 /* advice.c */
 void pool_advice_lane(struct gb_pool *, const char *addr, bool usable);
 bool pool_advice_lane_free(const struct gb_pool *);
--- a/libgooseberry/pool/worker.c
+++ b/libgooseberry/pool/worker.c
@@ -128,10 +128,13 @@
 		uint32_t number = run->step;
 
 		run_lost_event(pool, run);
-		if (worker->over)
+		if (worker->over) {
 			pool->stats.crashed++;
-		else
+			pool_crash_run_over(pool, run);
+		} else {
 			pool->stats.lapsed++;
+			pool_crash_run_lapsed(pool, run);
+		}
 		pool_run_free(pool, run);
 		pool_flow_gang_broken(
 		    pool, flow, number, "the worker of a member was lost");
@@ -145,9 +148,12 @@
 	if (worker->over)
 		return;
 	worker->over = true;
+	if (worker->silent == 0)
+		worker->missed = pool->now;
 	pool->stats.workers_over++;
 	pool_worker_set_mark(pool, worker);
 	worker_runs_drop(pool, worker, why);
+	pool_crash_worker_known(pool, worker, true);
 }
 
 bool
@@ -164,7 +170,10 @@
 {
 	gb_time pause;
 
-	worker->silent++;
+	if (worker->silent++ == 0) {
+		worker->missed = pool->now;
+		pool_crash_worker_missed(pool, worker);
+	}
 	pause = HOLD_RETRY * (gb_time)(worker->silent - 1);
 	worker->hold_at =
 	    pool->now + (pause < HOLD_RETRY_MOST ? pause : HOLD_RETRY_MOST);
@@ -229,6 +238,7 @@
 	pool_worker_clock(pool, worker, report->clock_ms);
 	worker->answered = pool->now;
 	worker->silent = 0;
+	pool_crash_worker_known(pool, worker, false);
 	pool_report_take(pool, worker, call->sent, report);
 	pool_health_check(pool, worker);
 	if (!worker->fenced)
@@ -286,7 +296,8 @@
 static bool
 worker_held(const struct gb_pool *pool, const struct pool_worker *worker)
 {
-	if (pool_worker_offered(worker) || worker->run_count > 0)
+	if (pool_worker_offered(worker) || worker->run_count > 0 ||
+	    !STAILQ_EMPTY(&worker->losses))
 		return true;
 	return (worker->fenced || worker->recorded != 0) &&
 	       (worker->silent < HOLD_UNLISTED_TRIES ||
@@ -355,6 +366,7 @@
 	worker->slowness = 1.0;
 	TAILQ_INIT(&worker->runs);
 	STAILQ_INIT(&worker->ends);
+	STAILQ_INIT(&worker->losses);
 	if (pool->worker_count == pool->worker_size) {
 		pool->worker_size = pool->worker_size * 2 + 64;
 		pool->workers = gb_realloc(pool->workers,
@@ -502,6 +514,7 @@
 		struct pool_worker *worker = pool->workers[i];
 
 		pool_report_clear(worker);
+		pool_crash_worker_forget(worker);
 		worker->fenced = false;
 		worker->recorded = 0;
 		worker->recording = 0;
--- a/standin/world.c
+++ b/standin/world.c
@@ -217,10 +217,14 @@
 	struct world_run *run;
 	const struct world_end *end;
 
+	/* All that runs there, also members of a gang that ends with one. */
+	TAILQ_FOREACH(run, &worker->runs, next)
+	{
+		oracle_crash(world, worker, run);
+	}
 	while ((run = TAILQ_FIRST(&worker->runs)) != NULL) {
 		struct world_run gone = *run;
 
-		oracle_crash(world, worker, run);
 		oracle_end(world, run, true, GB_POOL_LAPSED);
 		TAILQ_REMOVE(&worker->runs, run, next);
 		free(run);
