Room that shrinks and grows: the model, its oracle, a failing test

Hypothesis: entries are taken in whole, so placement sees the room that is left; what was decided before may not. Cause: of the one that fails, an order without answer is sent again up to three times, 0.3 s apart, without a look at the room. Ruled out: placement, room kept for gangs while tickets are renewed, bookings, takeovers (four tests pass; with the old room kept on purpose all five fail). Change: world_worker_resize, an oracle that counts room which has shrunk 0.6 s later, an order that is lost on its way in the test cell; test_capacity.c. Figures: 1 of 5 fails, "over its capacity" four times.

--- a/libgooseberry/pool/crash.c
+++ b/libgooseberry/pool/crash.c
@@ -32,8 +32,8 @@
  * fail. */
 #define CRASH_BLAMED_MOST 2
 /** Workers that are missed within so short a time were lost together, with a
- * rack or a zone: nothing that ran there is blamed.  It is seen of a busy worker
- * within 0.6 s that it is silent. */
+ * rack or a zone: nothing that ran there is blamed.  It is seen of a busy
+ * worker within 0.6 s that it is silent. */
 #define CRASH_TOGETHER (600 * GB_MSEC)
 #define CRASH_TOGETHER_WORKERS 3
 /** Workers that crash under a task, at whatever time, before it is given up:
@@ -124,8 +124,7 @@
 		return away;
 	away = &suspect->away[suspect->away_count++];
 	memset(away, 0, sizeof(*away));
-	snprintf(
-	    away->worker, sizeof(away->worker), "%s", worker->entry.id);
+	snprintf(away->worker, sizeof(away->worker), "%s", worker->entry.id);
 	loss = gb_calloc(1, sizeof(*loss));
 	snprintf(loss->flow, sizeof(loss->flow), "%s", flow->spec.id);
 	loss->step = step;
@@ -137,8 +136,8 @@
 /* Stored form ------------------------------------------------------------- */
 
 void
-pool_crash_load(struct gb_pool *pool, struct pool_flow *flow,
-    const gb_task_crashes *stored)
+pool_crash_load(
+    struct gb_pool *pool, struct pool_flow *flow, const gb_task_crashes *stored)
 {
 	struct pool_suspect *suspect =
 	    suspect_get(flow, stored->step, stored->index);
@@ -241,9 +240,9 @@
 	for (i = 0; i < pool->worker_count; i++) {
 		const struct pool_worker *other = pool->workers[i];
 
-		together += other->missed != 0 &&
-			    llabs(other->missed - worker->missed) <=
-				CRASH_TOGETHER;
+		together +=
+		    other->missed != 0 &&
+		    llabs(other->missed - worker->missed) <= CRASH_TOGETHER;
 	}
 	return together >= CRASH_TOGETHER_WORKERS;
 }
@@ -276,8 +275,7 @@
 	if (!suspect_is_guilty(suspect))
 		return;
 	pool->stats.given_up++;
-	pool_flow_fail(
-	    pool, flow, "a task crashes the workers that start it");
+	pool_flow_fail(pool, flow, "a task crashes the workers that start it");
 }
 
 /** The run's task, if what became of it still matters. */
@@ -363,8 +361,7 @@
 		return;
 	}
 	blamed = away.blamed && !worker_lost_with_others(pool, worker);
-	task_crashed(
-	    pool, flow, loss->step, loss->index, blamed, away.alone);
+	task_crashed(pool, flow, loss->step, loss->index, blamed, away.alone);
 }
 
 void
--- a/standin/world.c
+++ b/standin/world.c
@@ -18,6 +18,9 @@
 #define GANG_WAIT (3 * GB_SEC)
 /** A checkpoint is made after each of these of work. */
 #define CHECKPOINT_WORK (2 * GB_SEC)
+/** A worker's smaller room is known this much later: it is listed each 0.5 s,
+ * and orders are on their way. */
+#define SHRUNK_KNOWN (600 * GB_MSEC)
 /** A task that crashes its worker does so this long after it has begun. */
 #define CRASH_AFTER (10 * GB_MSEC)
 /** A worker that a task crashed is back after this, if nothing else is said. */
@@ -260,6 +263,20 @@
 	worker_name(world, worker);
 }
 
+void
+world_worker_resize(
+    struct world *world, unsigned int number, const gb_res *capacity)
+{
+	struct world_worker *worker = world->workers[number];
+
+	if (world->now >= worker->shrunk_until ||
+	    capacity->cpu > worker->capacity_before.cpu)
+		worker->capacity_before = worker->capacity;
+	if (capacity->cpu < worker->capacity.cpu)
+		worker->shrunk_until = world->now + SHRUNK_KNOWN;
+	worker->capacity = *capacity;
+}
+
 void
 world_worker_sick(
     struct world *world, unsigned int number, bool failing, bool still)
@@ -395,6 +412,19 @@
 	return true;
 }
 
+/** Room that has shrunk counts once the owner can know of it. */
+static bool
+worker_is_over(const struct world *world, const struct world_worker *worker)
+{
+	const gb_res *most =
+	    world->now < worker->shrunk_until &&
+		    worker->capacity_before.cpu > worker->capacity.cpu
+		? &worker->capacity_before
+		: &worker->capacity;
+
+	return worker->used.cpu > most->cpu || worker->used.mem > most->mem;
+}
+
 /** A task that has crashed as many workers as it may is started again only so
  * many times less one. */
 static void
@@ -436,8 +466,7 @@
 			fault(world, &world->faults.order, "out of order",
 			    run->flow);
 	}
-	if (worker->used.cpu > worker->capacity.cpu ||
-	    worker->used.mem > worker->capacity.mem)
+	if (worker_is_over(world, worker))
 		fault(world, &world->faults.limit, "over its capacity",
 		    run->flow);
 	task->running++;
--- a/standin/world.h
+++ b/standin/world.h
@@ -45,6 +45,9 @@
 void world_worker_crash(struct world *, unsigned int number);
 /** A new lifetime at the same address. */
 void world_worker_reborn(struct world *, unsigned int number);
+/** The worker has more or less room from now on; what runs goes on. */
+void world_worker_resize(
+    struct world *, unsigned int number, const gb_res *capacity);
 /** Everything that is started on it fails, or stands still. */
 void world_worker_sick(
     struct world *, unsigned int number, bool failing, bool still);
--- a/standin/world_state.h
+++ b/standin/world_state.h
@@ -58,6 +58,8 @@
 	char dc[GB_NAME_MAX + 1];
 	char rack[GB_NAME_MAX + 1];
 	gb_res capacity;
+	gb_res capacity_before; /**< may be used until shrunk_until */
+	gb_time shrunk_until;
 	gb_res used;
 	double speed;
 	int64_t offset_ms; /**< its clock less the world's */
--- a/tests/pool_cell.c
+++ b/tests/pool_cell.c
@@ -150,9 +150,16 @@
 			   ? link_wait(from, GB_TRAFFIC_START,
 				 CELL_START + strlen(order->spec))
 			   : link_wait(from, GB_TRAFFIC_STOP, CELL_HEAD);
-	struct pool_event *event = event_add(from, kind, lost ? 0 : call,
-	    wait + (late ? CELL_LATE : 2 * CELL_WIRE));
+	struct pool_event *event;
 
+	if (cell->faults.order_dropped > 0 &&
+	    chance(cell, cell->faults.order_dropped)) {
+		event_add(from, EVENT_ORDER_LOST, call, wait + CELL_TIMEOUT)
+		    ->stop = kind == EVENT_STOP;
+		return;
+	}
+	event = event_add(from, kind, lost ? 0 : call,
+	    wait + (late ? CELL_LATE : 2 * CELL_WIRE));
 	event->order = *order;
 	event->order.worker = copy(order->worker);
 	event->order.addr = copy(order->addr);
--- a/tests/pool_cell.h
+++ b/tests/pool_cell.h
@@ -12,8 +12,9 @@
 
 /** Faults in force, in percent of the calls they concern. */
 struct pool_cell_faults {
-	unsigned int order_lost; /**< carried out, no answer */
-	unsigned int order_late; /**< no answer, carried out 2 s later */
+	unsigned int order_lost;    /**< carried out, no answer */
+	unsigned int order_late;    /**< no answer, carried out 2 s later */
+	unsigned int order_dropped; /**< neither carried out nor answered */
 	unsigned int hold_lost;
 	unsigned int hold_silent; /**< its answer never comes */
 	unsigned int txn_lost;	  /**< done, no answer */
--- /dev/null
+++ b/tests/test_capacity.c
@@ -0,0 +1,156 @@
+/**
+ * @file test_capacity.c
+ * Workers whose room shrinks and grows while they run.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "pool_cell.h"
+
+static const struct pool_cell_setup plain = {
+    21, 16, {16000, 64000, 0, 0, 0}, 0, 0, 0, 0, 0, 0};
+static const struct pool_cell_setup advised = {22, 24,
+    {16000, 64000, 0, 0, 0}, 50, 100 * GB_MSEC, 1500 * GB_MSEC, 200, 0, 0};
+
+/** Small work, wide steps and gangs, more than the pool can do at once. */
+static void
+submit_tenth(struct pool_cell *cell, unsigned int tenth)
+{
+	pool_cell_step(cell, 2, 1400, GB_SEC, 0, -1);
+	pool_cell_submit(cell, "lookup", "ms=800");
+	if (tenth % 4 == 1) {
+		pool_cell_step(cell, 8, 2000, 3 * GB_SEC,
+		    tenth % 8 == 1 ? GB_STEP_CHECKPOINT : 0, -1);
+		pool_cell_submit(cell, "import", "ms=3000");
+	}
+	if (tenth % 9 == 2) {
+		pool_cell_step(cell, 12, 4500, 3 * GB_SEC, GB_STEP_GANG, -1);
+		pool_cell_submit(cell, "rebuild", "ms=3000");
+	}
+}
+
+/** One worker after another has between nothing and all of its room. */
+static void
+resize_one(struct pool_cell *cell)
+{
+	uint64_t n = gb_random_next(&cell->seed);
+	gb_res capacity = cell->setup.capacity;
+
+	capacity.cpu = (int)(capacity.cpu * (int)(n % 5) / 4);
+	capacity.mem = (int)(capacity.mem * (int)(n % 5) / 4);
+	world_worker_resize(cell->world,
+	    (unsigned int)(n / 64 % world_worker_count(cell->world)),
+	    &capacity);
+}
+
+static void
+resize_all(struct pool_cell *cell, const gb_res *capacity)
+{
+	unsigned int i;
+
+	for (i = 0; i < world_worker_count(cell->world); i++)
+		world_worker_resize(cell->world, i, capacity);
+}
+
+static void
+play(const struct pool_cell_setup *setup, unsigned int dropped, bool takeovers)
+{
+	struct pool_cell *cell = pool_cell_begin(setup);
+	unsigned int tenth;
+	size_t i;
+
+	cell->faults.order_dropped = dropped;
+	for (tenth = 0; tenth < 200; tenth++) {
+		submit_tenth(cell, tenth);
+		if (tenth % 3 == 0)
+			resize_one(cell);
+		if (takeovers && tenth % 25 == 24) {
+			pool_cell_kill(
+			    cell, pool_cell_owner(cell) % CELL_NODES);
+			pool_cell_take(cell, tenth % CELL_NODES);
+		}
+		pool_cell_run(cell, 100 * GB_MSEC);
+	}
+	cell->faults.order_dropped = 0;
+	resize_all(cell, &cell->setup.capacity);
+	pool_cell_run(cell, 90 * GB_SEC);
+	pool_cell_assert_unharmed(cell);
+	for (i = 0; i < cell->flow_count; i++) {
+		if (cell->flows[i].accepted)
+			assert_int_equal(
+			    cell->flows[i].status, GB_FLOW_SUCCEEDED);
+	}
+	pool_cell_free(cell);
+}
+
+static void
+test_nothing_starts_over_what_is_left(void **state)
+{
+	(void)state;
+	play(&plain, 0, false);
+}
+
+/** Gangs keep room while they wait for tickets, and it shrinks meanwhile. */
+static void
+test_room_that_is_kept_shrinks(void **state)
+{
+	(void)state;
+	play(&advised, 0, false);
+}
+
+/** An order that was lost is sent again: not onto room that has gone. */
+static void
+test_orders_are_repeated_on_what_is_left(void **state)
+{
+	(void)state;
+	play(&plain, 30, false);
+	play(&advised, 30, false);
+}
+
+static void
+test_owners_go_while_room_changes(void **state)
+{
+	(void)state;
+	play(&plain, 10, true);
+	play(&advised, 10, true);
+}
+
+/** A flow that fits only an empty, whole worker waits until one is whole. */
+static void
+test_waits_for_room_to_grow(void **state)
+{
+	static const gb_res half = {8000, 32000, 0, 0, 0};
+	struct pool_cell *cell = pool_cell_begin(&plain);
+	size_t flow;
+
+	(void)state;
+	resize_all(cell, &half);
+	pool_cell_run(cell, GB_SEC);
+	pool_cell_step(cell, 4, 12000, GB_SEC, GB_STEP_GANG, -1);
+	flow = pool_cell_submit(cell, "rebuild", "ms=1000");
+	pool_cell_run(cell, 5 * GB_SEC);
+	assert_true(cell->flows[flow].status < GB_FLOW_SUCCEEDED);
+	resize_all(cell, &plain.capacity);
+	pool_cell_run(cell, 5 * GB_SEC);
+	assert_int_equal(cell->flows[flow].status, GB_FLOW_SUCCEEDED);
+	pool_cell_assert_unharmed(cell);
+	pool_cell_free(cell);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_nothing_starts_over_what_is_left),
+	    cmocka_unit_test(test_room_that_is_kept_shrinks),
+	    cmocka_unit_test(test_orders_are_repeated_on_what_is_left),
+	    cmocka_unit_test(test_owners_go_while_room_changes),
+	    cmocka_unit_test(test_waits_for_room_to_grow),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
