An order is sent again only to a worker that may still be given it

Cause: pool_run_start_again repeated what was decided up to 0.9 s before. Change: the worker's entry must still be sound and not draining, and all that was given to it must fit; else the run is stopped, as after the last try.

--- a/libgooseberry/pool/run.c
+++ b/libgooseberry/pool/run.c
@@ -216,6 +216,15 @@
 	pool_run_stop_send(pool, run);
 }
 
+/** Whether an order may be sent to a worker again.  Since the first one its
+ * room may have shrunk, it may be about to leave, or its entry turned bad. */
+static bool
+worker_takes_again(const struct pool_worker *worker)
+{
+	return pool_worker_offered(worker) && !worker->entry.draining &&
+	       gb_res_fits(&worker->used, &worker->entry.capacity);
+}
+
 void
 pool_run_start_again(struct gb_pool *pool, struct pool_run *run)
 {
@@ -226,7 +235,7 @@
 	run->again = false;
 	if (run->confirmed != 0)
 		return;
-	if (run->tries < START_TRIES &&
+	if (run->tries < START_TRIES && worker_takes_again(run->worker) &&
 	    (a != NULL || !POOL_ADVICE_NEEDED(run->flow)))
 		run_start_send(pool, run, a == NULL ? NULL : a->ticket);
 	else
--- a/tests/test_capacity.c
+++ b/tests/test_capacity.c
@@ -13,8 +13,8 @@
 
 static const struct pool_cell_setup plain = {
     21, 16, {16000, 64000, 0, 0, 0}, 0, 0, 0, 0, 0, 0};
-static const struct pool_cell_setup advised = {22, 24,
-    {16000, 64000, 0, 0, 0}, 50, 100 * GB_MSEC, 1500 * GB_MSEC, 200, 0, 0};
+static const struct pool_cell_setup advised = {22, 24, {16000, 64000, 0, 0, 0},
+    50, 100 * GB_MSEC, 1500 * GB_MSEC, 200, 0, 0};
 
 /** Small work, wide steps and gangs, more than the pool can do at once. */
 static void
