The emulator and the soak bring tasks that crash their workers, and room that shrinks

Hypothesis: what the model shows in virtual time holds over sockets, beside every other fault, takeovers in the midst. Change: the emulator's workers go down when a task crashes them and come back by themselves; /worker/N/shrunk and whole change what an entry says of its room, and starts over it count 4.5 s later. One job in 25 of the soak crashes its workers; a kind of fault shrinks workers, and every third one stays shrunk for the last jobs, when all is calm, 5 s after the last fault. A job that crashes its workers must not be shown as done.

--- a/soak/caller.c
+++ b/soak/caller.c
@@ -22,6 +22,10 @@
 /** One job in so many runs for longer than that, and is cancelled. */
 #define LONG_JOBS 15
 #define LONG_MS 9000
+/** One job in so many crashes the workers that start its first task, which are
+ * back after 0.3 s and more. */
+#define CRASH_JOBS 25
+#define CRASH_BACK_SPREAD_MS 6000
 /** An answer that is cut off sooner than this after its request may have been
  * cut before it was read. */
 #define CUT_SLACK (200 * GB_MSEC)
@@ -115,6 +119,9 @@
 	}
 	snprintf(spec, sizeof(spec), "ms=%u fails=%u", ms,
 	    soak_random(8) == 0 ? 1 + soak_random(5) : 0);
+	if (fault_crashes() && soak_random(CRASH_JOBS) == 0)
+		snprintf(spec, sizeof(spec), "ms=%u crash=0 back=%u", ms,
+		    300 + soak_random(CRASH_BACK_SPREAD_MS));
 	job->body = plat_json_text(
 	    json_pack("{s:s, s:o}", "Spec", spec, "Steps", steps),
 	    &job->body_len);
@@ -413,6 +420,9 @@
 		soak_broken("%s was refused and ran", job->id);
 	if (job->cancelled > 0 && plat_json_int(root, "running") > 0)
 		soak_broken("%s was cancelled and runs on", job->id);
+	if (plat_json_bool(root, "crashes") && job->phase == JOB_OVER &&
+	    strcmp(job->state, "succeeded") == 0)
+		soak_broken("%s crashes its workers and is done", job->id);
 	if (job->last && !plat_json_bool(root, "done") &&
 	    strcmp(job->state, "failed") != 0)
 		soak_broken("%s was not done when all was calm", job->id);
--- a/soak/fault.c
+++ b/soak/fault.c
@@ -217,6 +217,8 @@
 WORKER_FAULT(host_drain, "drain")
 WORKER_FAULT(entry_spoiled, "spoiled")
 WORKER_FAULT(entry_sound, "sound")
+WORKER_FAULT(host_shrunk, "shrunk")
+WORKER_FAULT(host_whole, "whole")
 
 static void
 rack_crash(struct fault *fault)
@@ -309,9 +311,21 @@
     {"worker_drain", false, host_drain, host_reborn},
     {"tables_two_parts", false, tables_two_parts, tables_well},
     {"tables_most_parts", false, tables_most_parts, tables_well},
-    {"entry_spoiled", false, entry_spoiled, entry_sound}};
+    {"entry_spoiled", false, entry_spoiled, entry_sound},
+    {"worker_shrunk", false, host_shrunk, host_whole}};
 
 #define KIND_COUNT (sizeof(kinds) / sizeof(kinds[0]))
+/** Kinds of the seeds from before workers shrank and tasks crashed them. */
+#define KINDS_BEFORE_CRASHES 51
+/** One worker in so many is shrunk when all else is calm. */
+#define SHRUNK_WORKERS 3
+
+bool
+fault_crashes(void)
+{
+	return !soak.planned_only &&
+	       (soak.kinds == 0 || soak.kinds > KINDS_BEFORE_CRASHES);
+}
 
 static struct fault faults[FAULTS_MOST];
 static unsigned int fault_count;
@@ -390,6 +404,9 @@
 			fault_end(&faults[i]);
 		faults[i].state = FAULT_OVER;
 	}
+	for (i = 0; fault_crashes() && i < soak.worker_count;
+	     i += SHRUNK_WORKERS)
+		soak_control("/worker/%u/shrunk", i);
 }
 
 void
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -19,7 +19,7 @@
 #define PORT_WORKER 1000
 #define PORT_WORKER_PROXY 1500
 /** After the last fault: calm, then the last jobs, then the audit. */
-#define CALM (4 * GB_SEC)
+#define CALM (5 * GB_SEC)
 #define SETTLE (30 * GB_SEC)
 
 struct soak soak = {.seed = 1,
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -106,7 +106,9 @@
 /** Draw the faults of the run from the seed. */
 void fault_plan(void);
 void fault_tick(void);
-/** End every fault. */
+/** Whether jobs crash their workers in this run. */
+bool fault_crashes(void);
+/** End every fault; some workers have less room from then on. */
 void fault_heal(void);
 /** Counts of the faults that were injected, one line. */
 void fault_report(void);
--- a/standin/emulator.c
+++ b/standin/emulator.c
@@ -16,6 +16,12 @@
 /** The list of workers is looked after this often. */
 #define LIST_EVERY_TICKS 20
 #define RACK_WORKERS 8
+#define WORKER_MEMORY 65536
+/** Room that a shrunk worker has left, in percent. */
+#define SHRUNK_PERCENT 25
+/** What a worker says of its room is known to the owner after this: the
+ * platform's bound on a calm store, and a heartbeat. */
+#define SHRUNK_KNOWN (4500 * GB_MSEC)
 
 struct emulator emulator = {
     .approved_percent = 60, .ticket_valid = 2 * GB_SEC, .decide_ms = 20};
@@ -180,18 +186,30 @@
 	emu_answer(call, 200, json_object());
 }
 
+/** Give a worker a share of its room, in percent. */
+static void
+worker_resize(
+    struct emulator *emu, const struct emu_worker *worker, unsigned int percent)
+{
+	const gb_res capacity = {.cpu = (int)(options.cpu * percent / 100),
+	    .mem = (int)(WORKER_MEMORY * percent / 100)};
+
+	world_worker_resize(emu->world, worker->number, &capacity);
+}
+
 static void
 worker_fault(struct emulator *emu, struct emu_worker *worker, const char *what)
 {
 	if (strcmp(what, "crash") == 0) {
-		worker->down = true;
-		worker->down_at = emu_now(emu);
 		world_worker_crash(emu->world, worker->number);
 	} else if (strcmp(what, "reborn") == 0) {
-		worker->down = false;
 		world_worker_reborn(emu->world, worker->number);
 	} else if (strcmp(what, "drain") == 0) {
 		world_worker_drain(emu->world, worker->number);
+	} else if (strcmp(what, "shrunk") == 0) {
+		worker_resize(emu, worker, SHRUNK_PERCENT);
+	} else if (strcmp(what, "whole") == 0) {
+		worker_resize(emu, worker, 100);
 	} else if (strcmp(what, "spoiled") == 0) {
 		worker->spoiled = 1 + worker->number % EMU_SPOILED_WAYS;
 	} else if (strcmp(what, "sound") == 0) {
@@ -229,9 +247,11 @@
 			emu_answer(call, 404, json_object());
 		else
 			emu_answer(call, 200,
-			    json_pack("{s:i, s:i, s:b, s:b}", "starts",
+			    json_pack("{s:i, s:i, s:b, s:b, s:b}", "starts",
 				(int)view.starts, "running", (int)view.running,
-				"done", view.done, "failed", view.failed));
+				"done", view.done, "failed",
+				view.failed || view.crashed, "crashes",
+				view.crashes));
 		return;
 	}
 	if (!plat_flow_decode(call->body, call->body_len, &flow, &err)) {
@@ -283,6 +303,22 @@
 
 /* Program ----------------------------------------------------------------- */
 
+/** Tasks take workers down, which come back by themselves. */
+static void
+workers_look(struct emulator *emu)
+{
+	unsigned int i;
+
+	for (i = 0; i < emu->worker_count; i++) {
+		struct emu_worker *worker = &emu->workers[i];
+		bool down = !world_worker_up(emu->world, i);
+
+		if (down && !worker->down)
+			worker->down_at = emu_now(emu);
+		worker->down = down;
+	}
+}
+
 static void
 on_tick(uv_timer_t *timer)
 {
@@ -290,6 +326,7 @@
 	struct emulator *emu = timer->data;
 
 	world_tick(emu->world, emu_now(emu));
+	workers_look(emu);
 	emu_worker_tick(emu);
 	if (ticks++ % LIST_EVERY_TICKS == 0)
 		emu_worker_list(emu);
@@ -300,7 +337,7 @@
 workers_listen(struct emulator *emu, struct gb_error *err)
 {
 	const gb_res capacity = {
-	    .cpu = (int)options.cpu, .mem = 65536, .slots = 0};
+	    .cpu = (int)options.cpu, .mem = WORKER_MEMORY, .slots = 0};
 	char addr[GB_NAME_MAX + 1];
 	unsigned int i;
 
@@ -328,6 +365,7 @@
 	emu->loop = uv_default_loop();
 	emu->began = gb_clock_boot();
 	emu->world = world_new(emu->seed);
+	world_shrunk_known(emu->world, SHRUNK_KNOWN);
 	if (!workers_listen(emu, err))
 		return false;
 	if (http_server_new(emu->loop, options.store, BODY_MOST,
--- a/standin/world.c
+++ b/standin/world.c
@@ -36,6 +36,7 @@
 	struct world *world = gb_calloc(1, sizeof(*world));
 
 	world->seed = seed;
+	world->shrunk_known = SHRUNK_KNOWN;
 	TAILQ_INIT(&world->rows);
 	return world;
 }
@@ -243,6 +244,12 @@
 	worker_clear(worker);
 }
 
+bool
+world_worker_up(const struct world *world, unsigned int number)
+{
+	return world->workers[number]->up;
+}
+
 void
 world_worker_crash(struct world *world, unsigned int number)
 {
@@ -273,10 +280,16 @@
 	    capacity->cpu > worker->capacity_before.cpu)
 		worker->capacity_before = worker->capacity;
 	if (capacity->cpu < worker->capacity.cpu)
-		worker->shrunk_until = world->now + SHRUNK_KNOWN;
+		worker->shrunk_until = world->now + world->shrunk_known;
 	worker->capacity = *capacity;
 }
 
+void
+world_shrunk_known(struct world *world, gb_time after)
+{
+	world->shrunk_known = after;
+}
+
 void
 world_worker_sick(
     struct world *world, unsigned int number, bool failing, bool still)
--- a/standin/world.h
+++ b/standin/world.h
@@ -41,6 +41,8 @@
 /** Entry of the list of workers. */
 void world_worker_entry(
     const struct world *, unsigned int number, struct gb_pool_entry *);
+/** Whether the worker's process runs. */
+bool world_worker_up(const struct world *, unsigned int number);
 /** The worker's process ends; all that runs on it is gone. */
 void world_worker_crash(struct world *, unsigned int number);
 /** A new lifetime at the same address. */
@@ -48,6 +50,8 @@
 /** The worker has more or less room from now on; what runs goes on. */
 void world_worker_resize(
     struct world *, unsigned int number, const gb_res *capacity);
+/** From then on after it has shrunk, starts that bring it over count. */
+void world_shrunk_known(struct world *, gb_time after);
 /** Everything that is started on it fails, or stands still. */
 void world_worker_sick(
     struct world *, unsigned int number, bool failing, bool still);
--- a/standin/world_state.h
+++ b/standin/world_state.h
@@ -113,6 +113,7 @@
 	unsigned int worker_count;
 	struct world_flow *flows;
 	bool tickets;		/**< starts need one */
+	gb_time shrunk_known;	/**< owners know of less room so much later */
 	struct world_rows rows; /**< in the order of their keys */
 	struct world_row *by_name;
 	uint64_t vers;
