--- a/tests/test_cells.c
+++ b/tests/test_cells.c
@@ -46,6 +46,37 @@
 	cells_free(c);
 }
 
+/** A task whose worker restarts whenever it runs there has only so many
+ * attempts: the document allows five. */
+static void
+test_task_that_restarts_workers_is_given_up(void **state)
+{
+	struct cells *c = cells_up(3);
+	unsigned int restarts = 0;
+	unsigned int idle = 0;
+	uint32_t w;
+
+	(void)state;
+	fuzz_cells_document(c, "long",
+	    "\"kind\": \"batch\", \"resources\": {\"cpu_milli\": 1500}, "
+	    "\"policy\": {\"run_ms\": 4000, \"idempotent\": true}");
+	cells_submit(c, 0, 4, 1);
+	while (idle < 200 && restarts < 20) {
+		cells_run(c, 50 * GB_MSEC);
+		w = worker_busy(c);
+		if (w == WORKERS) {
+			idle++;
+			continue;
+		}
+		idle = 0;
+		restarts++;
+		cells_worker_restart(c, w);
+	}
+	print_message("restarts: %u\n", restarts);
+	assert_in_range(restarts, 1, 5);
+	cells_down(c);
+}
+
 /** A task of a worker that is cut off waits for the end of its lease. */
 static void
 test_cut_worker_keeps_its_task(void **state)
@@ -392,6 +423,7 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_cut_worker_keeps_its_task),
+	    cmocka_unit_test(test_task_that_restarts_workers_is_given_up),
 	    cmocka_unit_test(test_unanswered_requests_keep_their_room),
 	    cmocka_unit_test(test_outage_serves_lookups),
 	    cmocka_unit_test(test_operators_race),
