--- a/libgooseberry/process/core.h
+++ b/libgooseberry/process/core.h
@@ -592,6 +592,8 @@
 void job_task_ready(struct gb_core *, struct job *, uint32_t index);
 void job_task_report(struct gb_core *, struct job *, uint32_t index,
     struct worker *, const gb_held *);
+/** A worker restarted under a task that had been sent to it. */
+void job_task_crashed(struct gb_core *, struct job *, uint32_t index);
 void job_task_lost(
     struct gb_core *, struct job *, uint32_t index, bool never_started);
 /** Let tasks start anew once no worker can still hold them. */
--- a/libgooseberry/process/job.c
+++ b/libgooseberry/process/job.c
@@ -368,6 +368,39 @@
 	return task;
 }
 
+/** Count a failed attempt; true when it was the last. */
+static bool
+task_failed(struct gb_core *core, struct job *job, uint32_t index)
+{
+	struct task *task = &job->tasks[index];
+
+	task->failures++;
+	if (!job->derived && (!job->spec.idempotent || job->cancelled ||
+				 task->failures >= job->spec.max_attempts)) {
+		job_task_end(core, job, index, GB_OUTCOME_FAILED);
+		return true;
+	}
+	job_back_off(core, job, task->failures);
+	return false;
+}
+
+/* A task that takes its worker down would be started for ever, and end what
+ * else runs there each time: a restart counts as an attempt. */
+void
+job_task_crashed(struct gb_core *core, struct job *job, uint32_t index)
+{
+	struct task *task = &job->tasks[index];
+	bool stopping = task->state == TASK_STOPPING;
+
+	if (stopping || !job->spec.idempotent) {
+		job_task_lost(core, job, index, false);
+		return;
+	}
+	job_task_release(core, job, index);
+	if (!task_failed(core, job, index))
+		job_task_again(core, job, index, false);
+}
+
 static void
 task_reported_end(struct gb_core *core, struct job *job, uint32_t index,
     struct worker *w, const gb_held *held)
@@ -386,14 +419,8 @@
 		return;
 	case GB_HELD_FAILED:
 		worker_blame(core, w, job->id, true);
-		task->failures++;
-		if (!job->derived &&
-		    (!job->spec.idempotent || job->cancelled ||
-			task->failures >= job->spec.max_attempts)) {
-			job_task_end(core, job, index, GB_OUTCOME_FAILED);
+		if (task_failed(core, job, index))
 			return;
-		}
-		job_back_off(core, job, task->failures);
 		break;
 	case GB_HELD_REFUSED:
 	case GB_HELD_STOPPED:
--- a/libgooseberry/process/worker.c
+++ b/libgooseberry/process/worker.c
@@ -177,9 +177,11 @@
 	       w->out.acks.acks_len == 0;
 }
 
-/** Everything attached can no longer run on this worker. */
+/** Everything attached can no longer run on this worker; it may have crashed
+ * under what had been sent. */
 static void
-worker_tasks_over(struct gb_core *core, struct worker *w, uint64_t unsent)
+worker_tasks_over(
+    struct gb_core *core, struct worker *w, uint64_t unsent, bool crashed)
 {
 	while (w->task_count > 0) {
 		struct task_ref ref = w->tasks[w->task_count - 1];
@@ -188,7 +190,10 @@
 		    task->state == TASK_COMMITTING ||
 		    (task->state == TASK_STARTING && task->seq >= unsent);
 
-		job_task_lost(core, ref.job, ref.index, never);
+		if (crashed && !never)
+			job_task_crashed(core, ref.job, ref.index);
+		else
+			job_task_lost(core, ref.job, ref.index, never);
 	}
 }
 
@@ -207,13 +212,21 @@
 
 /** The worker process that held the tasks has ended. */
 static void
-worker_restarted(struct gb_core *core, struct worker *w, uint64_t unsent)
+worker_over(
+    struct gb_core *core, struct worker *w, uint64_t unsent, bool crashed)
 {
 	w->incarnation = 0;
 	w->foreign = (gb_res){0};
 	worker_out_clear(w);
 	request_worker_over(core, w);
-	worker_tasks_over(core, w, unsent);
+	worker_tasks_over(core, w, unsent, crashed);
+}
+
+/** Another process answers in its place. */
+static void
+worker_restarted(struct gb_core *core, struct worker *w, uint64_t unsent)
+{
+	worker_over(core, w, unsent, !w->draining);
 }
 
 static void
@@ -222,7 +235,7 @@
 	struct shard *shard = w->shard;
 	gb_record rec;
 
-	worker_restarted(core, w, w->seq + 1);
+	worker_over(core, w, w->seq + 1, false);
 	worker_evidence(core, w, EVIDENCE_GONE);
 	if (!w->durable || shard->state != SHARD_ACTIVE)
 		return;
@@ -636,7 +649,7 @@
 	gb_env_log(&core->cfg.env, GB_LOG_WARNING, "worker",
 	    "The lease of worker %s is over.", w->name);
 	worker_out_clear(w);
-	worker_tasks_over(core, w, w->seq + 1);
+	worker_tasks_over(core, w, w->seq + 1, false);
 	worker_evidence(core, w, EVIDENCE_LAPSED);
 }
 
