Two findings of the soak, as failing tests in virtual time

Cause: as the logs show: run_lost with started_ms_ago 2993 and answered_ms_ago 3679; six starts over one takeover, of which four crashes were counted. Change: the cell has workers that answer nothing once they are down; two tests.

--- a/tests/pool_cell.c
+++ b/tests/pool_cell.c
@@ -331,6 +331,17 @@
 	return cell->nodes[event->node];
 }
 
+/** The sender of an order learns that it got no answer. */
+static void
+order_timeout(struct pool_cell *cell, const struct pool_event *event)
+{
+	const struct cell_node from = {cell, event->node};
+
+	event_add(
+	    &from, EVENT_ORDER_LOST, event->call, CELL_TIMEOUT - 2 * CELL_WIRE)
+	    ->stop = event->kind == EVENT_STOP;
+}
+
 static void
 event_order(struct pool_cell *cell, const struct pool_event *event)
 {
@@ -343,6 +354,10 @@
 		world_stop(cell->world, &event->order, &res);
 	if (pool == NULL)
 		return;
+	if (res.status == GB_POOL_ORDER_LOST && cell->faults.workers_dark) {
+		order_timeout(cell, event);
+		return;
+	}
 	if (event->kind == EVENT_START)
 		gb_pool_start_done(pool, cell->now, event->call, &res);
 	else
@@ -382,6 +397,9 @@
 		report.status = GB_POOL_ORDER_LOST;
 	event->silent = !wait && cell->faults.hold_silent > 0 &&
 			chance(cell, cell->faults.hold_silent);
+	event->silent =
+	    event->silent ||
+	    (cell->faults.workers_dark && report.status == GB_POOL_ORDER_LOST);
 	wait = wait || event->silent;
 	if (!wait)
 		gb_pool_hold_done(pool, cell->now, event->call, &report);
--- a/tests/pool_cell.h
+++ b/tests/pool_cell.h
@@ -20,6 +20,8 @@
 	unsigned int txn_lost;	  /**< done, no answer */
 	unsigned int txn_late;	  /**< no answer, done 2 s later */
 	unsigned int advice_lost;
+	bool workers_dark; /**< workers that are down answer nothing, in place
+			      of resetting connections */
 	bool store_down;
 	bool store_resets;  /**< calls are not carried out, without an answer */
 	gb_time store_slow; /**< added to each read, and twice to each write */
--- a/tests/test_crash.c
+++ b/tests/test_crash.c
@@ -229,6 +229,64 @@
 	pool_cell_free(cell);
 }
 
+/** Workers that are down answer nothing, and are missed after up to 0.6 s: what
+ * was sent to them meanwhile never ran there, and is not to blame. */
+static void
+test_starts_on_dead_workers_fail_nobody(void **state)
+{
+	struct pool_cell_setup setup = pool24;
+	struct pool_cell *cell;
+	unsigned int round;
+	unsigned int i;
+
+	(void)state;
+	setup.workers = 6;
+	cell = pool_cell_begin(&setup);
+	cell->faults.workers_dark = true;
+	for (round = 0; round < 12; round++) {
+		unsigned int first = round % 3 * 2;
+
+		for (i = first; i < first + 2; i++)
+			world_worker_crash(cell->world, i);
+		for (i = 0; i < 8; i++)
+			pool_cell_submit_lookup(cell);
+		pool_cell_run(cell, 2500 * GB_MSEC);
+		for (i = first; i < first + 2; i++)
+			world_worker_reborn(cell->world, i);
+		pool_cell_run(cell, 500 * GB_MSEC);
+	}
+	pool_cell_run(cell, 60 * GB_SEC);
+	assert_only_crashers_fail(cell);
+	pool_cell_free(cell);
+}
+
+/** Workers answer nothing and come back after their leases, and owners are
+ * killed meanwhile: which workers are away is not forgotten with them. */
+static void
+test_owners_go_while_workers_are_away(void **state)
+{
+	unsigned int delay;
+
+	(void)state;
+	for (delay = 10; delay <= 70; delay += 5) {
+		struct pool_cell *cell = pool_cell_begin(&pool24);
+		unsigned int round;
+
+		cell->faults.workers_dark = true;
+		submit_crasher(cell, "ms=2000 crash=0 back=6000");
+		for (round = 1; round <= 4; round++) {
+			pool_cell_run(cell, delay * 100 * GB_MSEC);
+			pool_cell_kill(
+			    cell, pool_cell_owner(cell) % CELL_NODES);
+			pool_cell_take(cell, round % CELL_NODES);
+			pool_cell_run(cell, GB_SEC);
+		}
+		pool_cell_run(cell, 90 * GB_SEC);
+		assert_only_crashers_fail(cell);
+		pool_cell_free(cell);
+	}
+}
+
 int
 main(void)
 {
@@ -239,6 +297,8 @@
 	    cmocka_unit_test(test_copies_crash_workers_too),
 	    cmocka_unit_test(test_owners_go_while_workers_crash),
 	    cmocka_unit_test(test_lost_racks_fail_nobody),
+	    cmocka_unit_test(test_starts_on_dead_workers_fail_nobody),
+	    cmocka_unit_test(test_owners_go_while_workers_are_away),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
