What is away with a task outlives its owner; a start without answer blames nobody

Ruled out: four crashes in all as the only limit where leases lapse first: with two starts forgotten that is six (test_owners_go_while_workers_are_away).

--- a/libgooseberry/gen/proto.c
+++ b/libgooseberry/gen/proto.c
@@ -953,8 +953,12 @@
 
 	 if (!xdr_gb_name (xdrs, &objp->worker))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->soon))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->alone))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->lapsed))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -969,6 +973,8 @@
 		 return FALSE;
 	 if (!xdr_uint32_t (xdrs, &objp->workers))
 		 return FALSE;
+	 if (!xdr_uint32_t (xdrs, &objp->soon))
+		 return FALSE;
 	 if (!xdr_uint32_t (xdrs, &objp->blamed))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->alone))
--- a/libgooseberry/gen/proto.x
+++ b/libgooseberry/gen/proto.x
@@ -463,10 +463,12 @@
 
 const GB_AWAY_MAX = 8;
 
-/* A worker that fell silent soon after it was told to start a task. */
+/* A worker that fell silent with a task. */
 struct gb_worker_away {
 	gb_name worker;
-	bool alone;		/* no other flow's start was as new */
+	bool soon;		/* after it had started the task */
+	bool alone;		/* and no other flow's start was as new */
+	bool lapsed;		/* the lease was over before it was heard of */
 };
 
 /* A task under which workers have crashed, or may have. */
@@ -474,7 +476,8 @@
 	uint32_t step;
 	uint32_t index;
 	uint32_t workers;	/* that crashed under it */
-	uint32_t blamed;	/* of these, soon after it was started there */
+	uint32_t soon;		/* of these, soon after it was started there */
+	uint32_t blamed;	/* of these, surely under it */
 	bool alone;		/* once no other flow's start was as new */
 	gb_worker_away away<GB_AWAY_MAX>;
 };
--- a/libgooseberry/pool/crash.c
+++ b/libgooseberry/pool/crash.c
@@ -31,6 +31,9 @@
  * the worker at one of them.  With one, whoever stands on a lost rack would
  * fail. */
 #define CRASH_BLAMED_MOST 2
+/** The same with workers that came back only after the task's lease, and may
+ * have crashed when it had been killed. */
+#define CRASH_SOON_MOST 3
 /** Workers that are missed within so short a time were lost together, with a
  * rack or a zone: nothing that ran there is blamed.  It is seen of a busy
  * worker within 0.6 s that it is silent. */
@@ -110,26 +113,46 @@
 	return true;
 }
 
+/** The next answer of the worker tells what became of the task. */
+static void
+away_link(struct pool_flow *flow, uint32_t step, uint32_t index,
+    struct pool_away *away, struct pool_worker *worker)
+{
+	struct pool_loss *loss = gb_calloc(1, sizeof(*loss));
+
+	snprintf(loss->flow, sizeof(loss->flow), "%s", flow->spec.id);
+	loss->step = step;
+	loss->index = index;
+	STAILQ_INSERT_TAIL(&worker->losses, loss, next);
+	away->linked = true;
+}
+
 /** A worker is away with a task; returns what is known of that, or null when
  * there are too many. */
 static struct pool_away *
-away_add(struct pool_flow *flow, uint32_t step, uint32_t index,
-    struct pool_worker *worker)
+away_add(
+    struct pool_flow *flow, uint32_t step, uint32_t index, const char *worker)
 {
 	struct pool_suspect *suspect = suspect_get(flow, step, index);
-	struct pool_away *away = away_find(suspect, worker->entry.id);
-	struct pool_loss *loss;
+	struct pool_away *away = away_find(suspect, worker);
 
 	if (away != NULL || suspect->away_count == GB_AWAY_MAX)
 		return away;
 	away = &suspect->away[suspect->away_count++];
 	memset(away, 0, sizeof(*away));
-	snprintf(away->worker, sizeof(away->worker), "%s", worker->entry.id);
-	loss = gb_calloc(1, sizeof(*loss));
-	snprintf(loss->flow, sizeof(loss->flow), "%s", flow->spec.id);
-	loss->step = step;
-	loss->index = index;
-	STAILQ_INSERT_TAIL(&worker->losses, loss, next);
+	snprintf(away->worker, sizeof(away->worker), "%s", worker);
+	return away;
+}
+
+/** The same of a run, whose worker is known. */
+static struct pool_away *
+away_add_run(const struct pool_run *run)
+{
+	struct pool_away *away =
+	    away_add(run->flow, run->step, run->index, run->worker->entry.id);
+
+	if (away != NULL && !away->linked)
+		away_link(run->flow, run->step, run->index, away, run->worker);
 	return away;
 }
 
@@ -141,24 +164,22 @@
 {
 	struct pool_suspect *suspect =
 	    suspect_get(flow, stored->step, stored->index);
+	struct pool_away *away;
 	u_int i;
 
 	suspect->crashes = stored->workers;
+	suspect->soon = stored->soon;
 	suspect->blamed = stored->blamed;
 	suspect->alone = stored->alone;
 	for (i = 0; i < stored->away.away_len; i++) {
 		const gb_worker_away *row = &stored->away.away_val[i];
-		struct pool_worker *worker =
-		    pool_worker_find(pool, row->worker);
-		struct pool_away *away;
 
-		if (worker == NULL)
-			continue;
-		away = away_add(flow, stored->step, stored->index, worker);
+		away = away_add(flow, stored->step, stored->index, row->worker);
 		if (away == NULL)
 			break;
-		away->blamed = true;
+		away->soon = row->soon;
 		away->alone = row->alone;
+		away->lapsed = row->lapsed;
 	}
 	suspect->hold_until = pool->now + CRASH_HOLD;
 }
@@ -175,19 +196,19 @@
 	uint32_t i;
 
 	out->workers = suspect->crashes;
+	out->soon = suspect->soon;
 	out->blamed = suspect->blamed;
 	out->alone = suspect->alone;
 	out->away.away_val =
 	    gb_calloc(suspect->away_count, sizeof(gb_worker_away));
 	for (i = 0; i < suspect->away_count; i++) {
 		const struct pool_away *away = &suspect->away[i];
-		gb_worker_away *row;
+		gb_worker_away *row = &out->away.away_val[out->away.away_len++];
 
-		if (!away->blamed)
-			continue;
-		row = &out->away.away_val[out->away.away_len++];
 		row->worker = gb_strdup(away->worker);
+		row->soon = away->soon;
 		row->alone = away->alone;
+		row->lapsed = away->lapsed;
 	}
 }
 
@@ -200,6 +221,14 @@
 	return run->started + CRASH_SOON > run->worker->clock_at;
 }
 
+/** Whether a worker was last seen alive as it began a run.  One that did not
+ * answer the order may have gone before it came. */
+static bool
+run_begun_soon(const struct pool_run *run)
+{
+	return run->confirmed != 0 && run_is_new(run);
+}
+
 bool
 pool_crash_on_trial(const struct pool_worker *worker)
 {
@@ -252,24 +281,46 @@
 static bool
 suspect_is_guilty(const struct pool_suspect *suspect)
 {
-	return (suspect->blamed >= CRASH_BLAMED_MOST && suspect->alone) ||
+	return (suspect->alone && (suspect->blamed >= CRASH_BLAMED_MOST ||
+				      suspect->soon >= CRASH_SOON_MOST)) ||
 	       suspect->crashes >= CRASH_MOST;
 }
 
+static void
+suspect_count(struct pool_suspect *suspect, const struct pool_away *how)
+{
+	suspect->crashes++;
+	suspect->soon += how->soon;
+	suspect->blamed += how->soon && !how->lapsed;
+	suspect->alone = suspect->alone || (how->soon && how->alone);
+}
+
+/** Whether it is guilty if all workers that are away have crashed. */
+static bool
+suspect_may_be_guilty(const struct pool_suspect *suspect)
+{
+	struct pool_suspect worst = *suspect;
+	uint32_t i;
+
+	for (i = 0; i < suspect->away_count; i++)
+		suspect_count(&worst, &suspect->away[i]);
+	return suspect_is_guilty(&worst);
+}
+
+/** A worker crashed under a task. */
 static void
 task_crashed(struct gb_pool *pool, struct pool_flow *flow, uint32_t step,
-    uint32_t index, bool blamed, bool alone)
+    uint32_t index, const struct pool_away *how)
 {
 	struct pool_suspect *suspect = suspect_get(flow, step, index);
 
-	suspect->crashes++;
-	suspect->blamed += blamed;
-	suspect->alone = suspect->alone || (blamed && alone);
+	suspect_count(suspect, how);
 	gb_event(pool->cfg.events, GB_EVENT_ALWAYS, "task_crashed_worker",
-	    "{s:s, s:I, s:I, s:I, s:I, s:b, s:b}", "flow", flow->spec.id,
-	    "step", (json_int_t)step, "index", (json_int_t)index, "workers",
-	    (json_int_t)suspect->crashes, "blamed", (json_int_t)suspect->blamed,
-	    "soon", blamed, "alone", alone);
+	    "{s:s, s:I, s:I, s:I, s:I, s:I, s:b, s:b, s:b}", "flow",
+	    flow->spec.id, "step", (json_int_t)step, "index", (json_int_t)index,
+	    "workers", (json_int_t)suspect->crashes, "blamed",
+	    (json_int_t)suspect->blamed, "soon", how->soon, "alone", how->alone,
+	    "lapsed", how->lapsed);
 	pool_flow_changed(pool, flow, true);
 	suspect->change = flow->change;
 	if (!suspect_is_guilty(suspect))
@@ -278,12 +329,17 @@
 	pool_flow_fail(pool, flow, "a task crashes the workers that start it");
 }
 
-/** The run's task, if what became of it still matters. */
+static struct pool_task *
+task_of(const struct pool_run *run)
+{
+	return &run->flow->steps[run->step].tasks[run->index];
+}
+
+/** Whether what becomes of a run's task still matters. */
 static bool
 run_counts(const struct pool_run *run)
 {
-	return run->flow->status < GB_FLOW_SUCCEEDED &&
-	       !run->flow->steps[run->step].tasks[run->index].done;
+	return run->flow->status < GB_FLOW_SUCCEEDED && !task_of(run)->done;
 }
 
 void
@@ -297,30 +353,28 @@
 		if (!run_counts(run) || !run_is_new(run) ||
 		    worker->entry.draining)
 			continue;
-		away = away_add(run->flow, run->step, run->index, worker);
-		if (away == NULL || away->blamed)
+		away = away_add_run(run);
+		if (away == NULL)
 			continue;
-		away->blamed = true;
+		away->soon = run_begun_soon(run);
 		away->alone = !pool_crash_has_new(worker, run->flow);
 		pool_flow_changed(pool, run->flow, true);
-		run->flow->steps[run->step].tasks[run->index].suspect->change =
-		    run->flow->change;
+		task_of(run)->suspect->change = run->flow->change;
 	}
 }
 
 void
 pool_crash_run_over(struct gb_pool *pool, const struct pool_run *run)
 {
-	struct pool_away away;
-	bool blamed;
+	struct pool_away how = {0};
 
 	if (!run_counts(run) || run->worker->entry.draining)
 		return;
-	blamed = run_is_new(run) && !worker_lost_with_others(pool, run->worker);
-	away_remove(run->flow->steps[run->step].tasks[run->index].suspect,
-	    run->worker->entry.id, &away);
-	task_crashed(pool, run->flow, run->step, run->index, blamed,
-	    !pool_crash_has_new(run->worker, run->flow));
+	away_remove(task_of(run)->suspect, run->worker->entry.id, &how);
+	how.soon =
+	    run_begun_soon(run) && !worker_lost_with_others(pool, run->worker);
+	how.alone = !pool_crash_has_new(run->worker, run->flow);
+	task_crashed(pool, run->flow, run->step, run->index, &how);
 }
 
 void
@@ -330,38 +384,45 @@
 
 	if (!run_counts(run) || run->worker->entry.draining)
 		return;
-	away = away_add(run->flow, run->step, run->index, run->worker);
-	/* It may yet crash, when the run has been killed: not to blame. */
+	away = away_add_run(run);
 	if (away != NULL)
-		away->blamed = false;
-	run->flow->steps[run->step].tasks[run->index].suspect->hold_until =
-	    pool->now + CRASH_HOLD;
+		away->lapsed = true;
+	task_of(run)->suspect->hold_until = pool->now + CRASH_HOLD;
+	pool_flow_changed(pool, run->flow, false);
 }
 
-/** The worker of a loss has answered, as itself or as another lifetime. */
+/** A worker that was away with a task has answered, as itself or as another
+ * lifetime. */
 static void
-loss_resolve(struct gb_pool *pool, const struct pool_worker *worker,
-    const struct pool_loss *loss, bool crashed)
+away_resolve(struct gb_pool *pool, struct pool_flow *flow, uint32_t step,
+    uint32_t index, const struct pool_worker *worker, bool crashed)
 {
-	struct pool_flow *flow = pool_flow_find(pool, loss->flow);
+	struct pool_task *task = &flow->steps[step].tasks[index];
 	struct pool_away away;
-	bool blamed;
 
-	if (flow == NULL || flow->status >= GB_FLOW_SUCCEEDED ||
-	    loss->step >= flow->step_count ||
-	    loss->index >= flow->steps[loss->step].spec->count)
-		return;
-	if (!away_remove(flow->steps[loss->step].tasks[loss->index].suspect,
-		worker->entry.id, &away))
+	if (!away_remove(task->suspect, worker->entry.id, &away))
 		return;
 	pool->work_changed = true;
-	if (!crashed || flow->steps[loss->step].tasks[loss->index].done) {
-		suspect_clear(flow, loss->step, loss->index);
+	if (!crashed || task->done) {
+		suspect_clear(flow, step, index);
 		pool_flow_changed(pool, flow, false);
 		return;
 	}
-	blamed = away.blamed && !worker_lost_with_others(pool, worker);
-	task_crashed(pool, flow, loss->step, loss->index, blamed, away.alone);
+	away.soon = away.soon && !worker_lost_with_others(pool, worker);
+	task_crashed(pool, flow, step, index, &away);
+}
+
+static void
+loss_resolve(struct gb_pool *pool, const struct pool_worker *worker,
+    const struct pool_loss *loss, bool crashed)
+{
+	struct pool_flow *flow = pool_flow_find(pool, loss->flow);
+
+	if (flow != NULL && flow->status < GB_FLOW_SUCCEEDED &&
+	    loss->step < flow->step_count &&
+	    loss->index < flow->steps[loss->step].spec->count)
+		away_resolve(
+		    pool, flow, loss->step, loss->index, worker, crashed);
 }
 
 void
@@ -401,8 +462,8 @@
 		return false;
 	if (flow->stored < suspect->change)
 		return true;
-	return suspect->crashes + suspect->away_count >= CRASH_MOST &&
-	       suspect->hold_until > pool->now;
+	return suspect->hold_until > pool->now &&
+	       suspect_may_be_guilty(suspect);
 }
 
 uint32_t
@@ -432,6 +493,31 @@
 	       suspect->hold_until <= pool->now;
 }
 
+/** What was read of a task names workers that may have become known since. */
+static void
+task_link(
+    struct gb_pool *pool, struct pool_flow *flow, uint32_t step, uint32_t index)
+{
+	struct pool_suspect *suspect = flow->steps[step].tasks[index].suspect;
+	struct pool_worker *worker;
+	uint32_t i;
+
+	for (i = suspect == NULL ? 0 : suspect->away_count; i > 0; i--) {
+		struct pool_away *away = &suspect->away[i - 1];
+
+		worker =
+		    away->linked ? NULL : pool_worker_find(pool, away->worker);
+		if (worker == NULL)
+			continue;
+		if (!worker->over) {
+			away_link(flow, step, index, away, worker);
+			continue;
+		}
+		away_resolve(pool, flow, step, index, worker, true);
+		return; /* the rest with the next sweep */
+	}
+}
+
 void
 pool_crash_sweep(struct gb_pool *pool, struct pool_flow *flow)
 {
@@ -442,6 +528,9 @@
 		const struct pool_step *step = &flow->steps[i];
 
 		for (j = 0; step->suspects > 0 && j < step->spec->count; j++) {
+			task_link(pool, flow, i, j);
+			if (flow->status >= GB_FLOW_SUCCEEDED)
+				return;
 			if (!task_is_hopeless(pool, &step->tasks[j]))
 				continue;
 			pool->stats.given_up++;
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -76,15 +76,17 @@
 /** A worker that is away and may have crashed under a task. */
 struct pool_away {
 	char worker[GB_NAME_MAX + 1]; /**< its id */
-	bool blamed; /**< fell silent soon after it had started the task */
+	bool soon;   /**< fell silent soon after it had started the task */
 	bool alone;  /**< and no other flow's start was as new */
+	bool lapsed; /**< the lease was over before it was heard of */
 	bool linked; /**< the worker is known, and has the task in its losses */
 };
 
 /** What is known of a task that was lost with workers. */
 struct pool_suspect {
 	uint32_t crashes; /**< workers that crashed under it */
-	uint32_t blamed;  /**< of these, soon after it was started there */
+	uint32_t soon;	  /**< of these, soon after it was started there */
+	uint32_t blamed;  /**< of these, surely under it */
 	bool alone;	  /**< once no other flow's start was as new */
 	uint32_t away_count;
 	struct pool_away away[GB_AWAY_MAX];
