Neighbours of a task that crashes its worker: failing test

Found on reading: worker_runs_drop frees each run as it is judged, so that the last one of several finds nothing else new on the worker and counts as alone.

--- a/tests/test_crash.c
+++ b/tests/test_crash.c
@@ -222,6 +222,59 @@
 	}
 }
 
+/** What is stored of the crashes under the first task of a flow. */
+static gb_task_crashes
+stored_crashes(struct pool_cell *cell, size_t flow)
+{
+	const char *id = cell->flows[flow].spec.id;
+	struct gb_pool_read_res res = {0};
+	gb_task_crashes crashes = {0};
+	gb_flow_state state = {0};
+	char to[GB_KEY_MAX];
+	const struct gb_pool_read read = {
+	    gb_pool_part(id), GB_POOL_STATES, id, to, 1};
+
+	snprintf(to, sizeof(to), "%s0", id);
+	world_read(cell->world, &read, &res);
+	assert_int_equal(res.row_count, 1);
+	assert_true(gb_flow_state_decode(&res.rows[0].value, &state));
+	assert_int_equal(state.crashes.crashes_len, 1);
+	crashes = state.crashes.crashes_val[0];
+	assert_int_equal(crashes.away.away_len, 0);
+	memset(&crashes.away, 0, sizeof(crashes.away));
+	xdr_free((xdrproc_t)xdr_gb_flow_state, (char *)&state);
+	world_read_free(&res);
+	return crashes;
+}
+
+/** Three flows are started together on the one worker that there is, which one
+ * of them crashes: which one can't be told. */
+static void
+test_neighbours_are_not_alone(void **state)
+{
+	struct pool_cell_setup setup = pool24;
+	struct pool_cell *cell;
+	size_t i;
+
+	(void)state;
+	setup.workers = 1;
+	cell = pool_cell_begin(&setup);
+	for (i = 0; i < 3; i++)
+		submit_crasher(
+		    cell, i == 1 ? "ms=900 crash=0 back=300" : "ms=900");
+	pool_cell_run(cell, 600 * GB_MSEC);
+	for (i = 0; i < 3; i++) {
+		gb_task_crashes crashes = stored_crashes(cell, i);
+
+		assert_int_equal(crashes.workers, 1);
+		assert_int_equal(crashes.blamed, 1);
+		assert_false(crashes.alone);
+	}
+	pool_cell_run(cell, 30 * GB_SEC);
+	assert_only_crashers_fail(cell);
+	pool_cell_free(cell);
+}
+
 /** A whole rack is lost again and again: what ran there is not to blame. */
 static void
 test_lost_racks_fail_nobody(void **state)
@@ -312,6 +365,7 @@
 	    cmocka_unit_test(test_gang_with_such_a_member_is_given_up),
 	    cmocka_unit_test(test_copies_crash_workers_too),
 	    cmocka_unit_test(test_owners_go_while_workers_crash),
+	    cmocka_unit_test(test_neighbours_are_not_alone),
 	    cmocka_unit_test(test_lost_racks_fail_nobody),
 	    cmocka_unit_test(test_starts_on_dead_workers_fail_nobody),
 	    cmocka_unit_test(test_owners_go_while_workers_are_away),
