Crashes are judged together, counted by how sure they are, and logged as they are

Change: runs of a worker are judged before the first is freed; adopted runs are not new; three crashes give a task up if two surely came while it ran and one soon after its start, else four; workers that are away for 10 s count as crashed. The format of task_crashed_worker.

--- a/libgooseberry/gen/proto.c
+++ b/libgooseberry/gen/proto.c
@@ -951,8 +951,53 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_gb_name (xdrs, &objp->worker))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->begun))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->soon))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->alone))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->lapsed))
+				 return FALSE;
+		} else {
+			IXDR_PUT_BOOL(buf, objp->begun);
+			IXDR_PUT_BOOL(buf, objp->soon);
+			IXDR_PUT_BOOL(buf, objp->alone);
+			IXDR_PUT_BOOL(buf, objp->lapsed);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_gb_name (xdrs, &objp->worker))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->begun))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->soon))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->alone))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->lapsed))
+				 return FALSE;
+		} else {
+			objp->begun = IXDR_GET_BOOL(buf);
+			objp->soon = IXDR_GET_BOOL(buf);
+			objp->alone = IXDR_GET_BOOL(buf);
+			objp->lapsed = IXDR_GET_BOOL(buf);
+		}
+	 return TRUE;
+	}
+
 	 if (!xdr_gb_name (xdrs, &objp->worker))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->begun))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->soon))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->alone))
@@ -973,6 +1018,8 @@
 		 return FALSE;
 	 if (!xdr_uint32_t (xdrs, &objp->workers))
 		 return FALSE;
+	 if (!xdr_uint32_t (xdrs, &objp->sure))
+		 return FALSE;
 	 if (!xdr_uint32_t (xdrs, &objp->soon))
 		 return FALSE;
 	 if (!xdr_uint32_t (xdrs, &objp->blamed))
--- a/libgooseberry/gen/proto.h
+++ b/libgooseberry/gen/proto.h
@@ -555,6 +555,7 @@
 
 struct gb_worker_away {
 	gb_name worker;
+	bool_t begun;
 	bool_t soon;
 	bool_t alone;
 	bool_t lapsed;
@@ -565,6 +566,7 @@
 	uint32_t step;
 	uint32_t index;
 	uint32_t workers;
+	uint32_t sure;
 	uint32_t soon;
 	uint32_t blamed;
 	bool_t alone;
--- a/libgooseberry/gen/proto.x
+++ b/libgooseberry/gen/proto.x
@@ -466,7 +466,8 @@
 /* A worker that fell silent with a task. */
 struct gb_worker_away {
 	gb_name worker;
-	bool soon;		/* after it had started the task */
+	bool begun;		/* it had said that it runs the task */
+	bool soon;		/* after that */
 	bool alone;		/* and no other flow's start was as new */
 	bool lapsed;		/* the lease was over before it was heard of */
 };
@@ -476,8 +477,9 @@
 	uint32_t step;
 	uint32_t index;
 	uint32_t workers;	/* that crashed under it */
-	uint32_t soon;		/* of these, soon after it was started there */
-	uint32_t blamed;	/* of these, surely under it */
+	uint32_t sure;		/* of these, surely while they ran it */
+	uint32_t soon;		/* soon after they had begun it */
+	uint32_t blamed;	/* of these, surely while they ran it */
 	bool alone;		/* once no other flow's start was as new */
 	gb_worker_away away<GB_AWAY_MAX>;
 };
--- a/libgooseberry/pool/report.c
+++ b/libgooseberry/pool/report.c
@@ -205,6 +205,7 @@
 	    pool, flow, seen->step, seen->index, seen->run, worker);
 	run->state = POOL_RUN_RUNNING;
 	run->confirmed = pool->now;
+	run->adopted = true;
 	flow->begun = true;
 	return run;
 }
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -65,7 +65,11 @@
 	gb_time lapse_at;  /**< an order without answer can't begin after */
 	uint32_t percent;
 	gb_time moved; /**< when the percent last rose */
+	bool adopted;  /**< was started by an earlier owner */
 	bool suspect;  /**< its task was lost with a worker before */
+	/* Of a run whose worker is lost */
+	bool lost_soon;	 /**< after the worker had begun it */
+	bool lost_alone; /**< and no other flow's start was as new */
 	char checkpoint[GB_NAME_MAX + 1];
 };
 
@@ -76,7 +80,8 @@
 /** A worker that is away and may have crashed under a task. */
 struct pool_away {
 	char worker[GB_NAME_MAX + 1]; /**< its id */
-	bool soon;   /**< fell silent soon after it had started the task */
+	bool begun;		      /**< it had said that it runs the task */
+	bool soon;		      /**< fell silent soon after that */
 	bool alone;  /**< and no other flow's start was as new */
 	bool lapsed; /**< the lease was over before it was heard of */
 	bool linked; /**< the worker is known, and has the task in its losses */
@@ -85,8 +90,9 @@
 /** What is known of a task that was lost with workers. */
 struct pool_suspect {
 	uint32_t crashes; /**< workers that crashed under it */
-	uint32_t soon;	  /**< of these, soon after it was started there */
-	uint32_t blamed;  /**< of these, surely under it */
+	uint32_t sure;	  /**< of these, surely while they ran it */
+	uint32_t soon;	  /**< soon after they had begun it */
+	uint32_t blamed;  /**< of these, surely while they ran it */
 	bool alone;	  /**< once no other flow's start was as new */
 	uint32_t away_count;
 	struct pool_away away[GB_AWAY_MAX];
@@ -708,6 +714,8 @@
 /** A worker that may have crashed was not heard: a successor must know of what
  * was just started there. */
 void pool_crash_worker_missed(struct gb_pool *, struct pool_worker *);
+/** A worker is lost: judge its runs, before the first of them is freed. */
+void pool_crash_judge(const struct gb_pool *, struct pool_worker *);
 /** A run is lost: another lifetime answered in its worker's place. */
 void pool_crash_run_over(struct gb_pool *, const struct pool_run *);
 /** A run is lost: its worker is away and its lease was waited out. */
