--- a/bench/regress.sh
+++ b/bench/regress.sh
@@ -30,7 +30,11 @@
 	"$BENCH" score "$site" --jobs "${JOBS:-4}" --why "$WHY: $name" \
 	    >"$OUT/$name.txt" 2>&1
 	awk -v name="$name" '
-	/^score on the standard days/ { score = $NF }
+	/^score on the standard days/ {
+		score = $0
+		sub(/.*\): /, "", score)
+		sub(/,.*/, "", score)
+	}
 	/^(quiet|trouble|scale)-[0-9] / && $4 ~ /^-?[0-9.]+$/ {
 		days = days " " $4
 		if ($1 !~ /^quiet/) { sum += $4; n++ }
--- a/libgooseberry/pool/crash.c
+++ b/libgooseberry/pool/crash.c
@@ -322,7 +322,7 @@
 	struct pool_suspect *suspect = suspect_get(flow, step, index);
 
 	suspect_count(suspect, how);
-	gb_event(pool->cfg.events, GB_EVENT_ALWAYS, "task_crashed_worker",
+	gb_event(pool->cfg.events, GB_EVENT_NORMAL, "task_crashed_worker",
 	    "{s:s, s:I, s:I, s:I, s:I, s:b, s:b, s:b}", "flow", flow->spec.id,
 	    "step", (json_int_t)step, "index", (json_int_t)index, "workers",
 	    (json_int_t)suspect->crashes, "blamed", (json_int_t)suspect->blamed,
--- a/libgooseberry/pool/worker.c
+++ b/libgooseberry/pool/worker.c
@@ -109,7 +109,7 @@
 {
 	const struct pool_worker *worker = run->worker;
 
-	gb_event(pool->cfg.events, GB_EVENT_ALWAYS, "run_lost",
+	gb_event(pool->cfg.events, GB_EVENT_NORMAL, "run_lost",
 	    "{s:s, s:I, s:I, s:I, s:s, s:I, s:I, s:b}", "flow",
 	    run->flow->spec.id, "step", (json_int_t)run->step, "index",
 	    (json_int_t)run->index, "run", (json_int_t)run->number, "worker",
