--- a/libgooseberry/pool/crash.c
+++ b/libgooseberry/pool/crash.c
@@ -215,7 +215,7 @@
 	}
 }
 
-/* What is known of a start ------------------------------------------------ */
+/* Runs that are new on their worker --------------------------------------- */
 
 /** Whether a worker has not been seen alive since a run was started on it. */
 static bool
@@ -233,7 +233,7 @@
 }
 
 bool
-pool_crash_on_trial(const struct pool_worker *worker)
+pool_crash_on_probation(const struct pool_worker *worker)
 {
 	const struct pool_run *run;
 
@@ -282,7 +282,7 @@
 /* Counting ---------------------------------------------------------------- */
 
 static bool
-suspect_is_guilty(const struct pool_suspect *suspect)
+suspect_over_limit(const struct pool_suspect *suspect)
 {
 	bool sure = suspect->sure >= CRASH_SURE_LEAST && suspect->soon > 0;
 
@@ -302,16 +302,16 @@
 	suspect->alone = suspect->alone || (how->soon && how->alone);
 }
 
-/** Whether it is guilty if all workers that are away have crashed. */
+/** Whether it is over the limit if all workers that are away have crashed. */
 static bool
-suspect_may_be_guilty(const struct pool_suspect *suspect)
+suspect_may_be_over_limit(const struct pool_suspect *suspect)
 {
 	struct pool_suspect worst = *suspect;
 	uint32_t i;
 
 	for (i = 0; i < suspect->away_count; i++)
 		suspect_count(&worst, &suspect->away[i]);
-	return suspect_is_guilty(&worst);
+	return suspect_over_limit(&worst);
 }
 
 /** A worker crashed under a task. */
@@ -329,7 +329,7 @@
 	    "soon", how->soon, "alone", how->alone, "lapsed", how->lapsed);
 	pool_flow_changed(pool, flow, true);
 	suspect->change = flow->change;
-	if (!suspect_is_guilty(suspect))
+	if (!suspect_over_limit(suspect))
 		return;
 	pool->stats.given_up++;
 	pool_flow_fail(pool, flow, "a task crashes the workers that start it");
@@ -372,7 +372,7 @@
 }
 
 void
-pool_crash_judge(const struct gb_pool *pool, struct pool_worker *worker)
+pool_crash_classify(const struct gb_pool *pool, struct pool_worker *worker)
 {
 	bool together = worker_lost_with_others(pool, worker);
 	struct pool_run *run;
@@ -486,7 +486,7 @@
 	if (flow->stored < suspect->change)
 		return true;
 	return suspect->hold_until > pool->now &&
-	       suspect_may_be_guilty(suspect);
+	       suspect_may_be_over_limit(suspect);
 }
 
 uint32_t
--- a/libgooseberry/pool/fit.c
+++ b/libgooseberry/pool/fit.c
@@ -47,7 +47,7 @@
 	       (worker->recorded & (UINT32_C(1) << part)) != 0 &&
 	       !worker->over && !worker->foreign && !worker->entry.draining &&
 	       worker->silent == 0 && worker->aside_until <= pool->now &&
-	       !pool_crash_on_trial(worker);
+	       !pool_crash_on_probation(worker);
 }
 
 static bool
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -714,8 +714,8 @@
 /** A worker that may have crashed was not heard: a successor must know of what
  * was just started there. */
 void pool_crash_worker_missed(struct gb_pool *, struct pool_worker *);
-/** A worker is lost: judge its runs, before the first of them is freed. */
-void pool_crash_judge(const struct gb_pool *, struct pool_worker *);
+/** A worker is lost: classify its runs, before the first of them is freed. */
+void pool_crash_classify(const struct gb_pool *, struct pool_worker *);
 /** A run is lost: another lifetime answered in its worker's place. */
 void pool_crash_run_over(struct gb_pool *, const struct pool_run *);
 /** A run is lost: its worker is away and its lease was waited out. */
@@ -726,7 +726,7 @@
 void pool_crash_worker_forget(struct pool_worker *);
 /** Whether a suspect was just started on a worker, so that nothing else may
  * be. */
-bool pool_crash_on_trial(const struct pool_worker *);
+bool pool_crash_on_probation(const struct pool_worker *);
 /** Whether a run of another flow was just started on a worker. */
 bool pool_crash_has_new(
     const struct pool_worker *, const struct pool_flow *but);
--- a/libgooseberry/pool/worker.c
+++ b/libgooseberry/pool/worker.c
@@ -131,7 +131,7 @@
 		gb_event(pool->cfg.events, GB_EVENT_ALWAYS, "worker_runs_lost",
 		    "{s:s, s:I, s:s}", "worker", worker->entry.id, "runs",
 		    (json_int_t)worker->run_count, "why", why);
-	pool_crash_judge(pool, worker);
+	pool_crash_classify(pool, worker);
 	while ((run = TAILQ_FIRST(&worker->runs)) != NULL) {
 		struct pool_flow *flow = run->flow;
 		uint32_t number = run->step;
