--- a/standin/world.c
+++ b/standin/world.c
@@ -25,11 +25,6 @@
 #define CRASH_AFTER (10 * GB_MSEC)
 /** A worker that a task crashed is back after this, if nothing else is said. */
 #define CRASH_BACK_MS 1300
-/** Workers that may crash under one task before it is started only
- * CRASH_STARTS - 1 times more. */
-#define CRASH_WORKERS 3
-#define CRASH_STARTS 3
-
 struct world *
 world_new(uint64_t seed)
 {
@@ -87,33 +82,10 @@
 	free(world);
 }
 
-const struct world_faults *
-world_faults(const struct world *world)
-{
-	return &world->faults;
-}
-
-static void
-fault(struct world *world, unsigned int *count, const char *what,
-    const char *task)
-{
-	(*count)++;
-	/* A gang that waited alone may have had a fault near it; what must
-	 * never happen goes before it. */
-	if (world->faults.text[0] == '\0' || count != &world->faults.alone)
-		snprintf(world->faults.text, sizeof(world->faults.text),
-		    "%s: %s at %lld ms", what, task,
-		    (long long)(world->now / GB_MSEC));
-}
-
-static struct world_task *task_of(struct world *, const char *id, uint32_t step,
-    uint32_t index, struct world_flow **);
 static void gang_end(struct world *, const char *flow, uint32_t step,
     uint64_t number, enum gb_pool_how);
 static unsigned long spec_number(
     const char *spec, const char *name, unsigned long fallback);
-static void oracle_end(
-    struct world *, const struct world_run *, bool lost, enum gb_pool_how);
 
 /* Workers ----------------------------------------------------------------- */
 
@@ -186,35 +158,6 @@
 	entry->removed = !worker->up;
 }
 
-/** An end that the owner has not taken note of is lost with the worker. */
-static void
-end_lost(struct world *world, const struct world_end *end)
-{
-	struct world_flow *flow;
-	struct world_task *task = task_of(
-	    world, end->seen.flow, end->seen.step, end->seen.index, &flow);
-
-	if (task == NULL)
-		return;
-	if (end->seen.how == GB_POOL_DONE && !task->noted)
-		task->done = false;
-	if (end->seen.how == GB_POOL_FAILED && task->failures > 0)
-		task->failures--;
-}
-
-/** A worker that leaves after a notice has not crashed. */
-static void
-oracle_crash(struct world *world, const struct world_worker *worker,
-    const struct world_run *run)
-{
-	struct world_flow *flow;
-	struct world_task *task =
-	    task_of(world, run->flow, run->step, run->index, &flow);
-
-	if (task != NULL && !worker->draining)
-		task->crashes++;
-}
-
 static void
 worker_lose_runs(struct world *world, struct world_worker *worker)
 {
@@ -224,12 +167,12 @@
 	/* All that runs there, also members of a gang that ends with one. */
 	TAILQ_FOREACH(run, &worker->runs, next)
 	{
-		oracle_crash(world, worker, run);
+		world_oracle_crash(world, worker, run);
 	}
 	while ((run = TAILQ_FIRST(&worker->runs)) != NULL) {
 		struct world_run gone = *run;
 
-		oracle_end(world, run, true, GB_POOL_LAPSED);
+		world_oracle_end(world, run, true, GB_POOL_LAPSED);
 		TAILQ_REMOVE(&worker->runs, run, next);
 		free(run);
 		if (gone.gang > 0)
@@ -238,7 +181,7 @@
 	}
 	TAILQ_FOREACH(end, &worker->ends, next)
 	{
-		end_lost(world, end);
+		world_oracle_end_lost(world, end);
 	}
 	memset(&worker->used, 0, sizeof(worker->used));
 	worker_clear(worker);
@@ -322,195 +265,6 @@
 	return worker->offset_ms + world->now / GB_MSEC;
 }
 
-/* Oracle ------------------------------------------------------------------ */
-
-void
-world_submitted(
-    struct world *world, const gb_flow *spec, unsigned int max_attempts)
-{
-	struct world_flow *flow = gb_calloc(1, sizeof(*flow));
-	uint32_t i;
-
-	if (!gb_xdr_copy(
-		(xdrproc_t)xdr_gb_flow, spec, &flow->spec, sizeof(flow->spec)))
-		abort(); /* the test made it */
-	flow->max_attempts = max_attempts;
-	for (i = 0; i < flow->spec.steps.steps_len; i++) {
-		flow->first[i] = flow->task_count;
-		flow->task_count += flow->spec.steps.steps_val[i].count;
-	}
-	flow->tasks = gb_calloc(flow->task_count, sizeof(*flow->tasks));
-	HASH_ADD_KEYPTR(
-	    hh, world->flows, flow->spec.id, strlen(flow->spec.id), flow);
-}
-
-/** Failures of a task; those of a gang's members count together, since one
- * that fails ends them all. */
-static unsigned int
-failures_of(
-    const struct world_flow *flow, uint32_t step, uint32_t index, bool ever)
-{
-	const gb_step *spec = &flow->spec.steps.steps_val[step];
-	const struct world_task *tasks = &flow->tasks[flow->first[step]];
-	bool gang = (spec->flags & GB_STEP_GANG) != 0;
-	uint32_t last = gang ? spec->count : index + 1;
-	unsigned int failures = 0;
-	uint32_t i;
-
-	for (i = gang ? 0 : index; i < last; i++)
-		failures += ever ? tasks[i].ever_failures : tasks[i].failures;
-	return failures;
-}
-
-/** Whether a task of the step, or its gang, has failed as often as it may. */
-static bool
-step_failed(const struct world_flow *flow, uint32_t step)
-{
-	uint32_t i;
-
-	for (i = 0; i < flow->spec.steps.steps_val[step].count; i++) {
-		if (failures_of(flow, step, i, true) >= flow->max_attempts)
-			return true;
-	}
-	return false;
-}
-
-bool
-world_flow_view(
-    const struct world *world, const char *id, struct world_flow_view *view)
-{
-	const struct world_flow *flow;
-	uint32_t i;
-
-	memset(view, 0, sizeof(*view));
-	HASH_FIND_STR(world->flows, id, flow);
-	if (flow == NULL)
-		return false;
-	view->starts = flow->starts;
-	view->done = true;
-	view->crashes = strstr(flow->spec.spec, "crash=") != NULL;
-	for (i = 0; i < flow->task_count; i++) {
-		view->crashed = view->crashed || flow->tasks[i].crashes >= 2;
-		view->running += (unsigned int)flow->tasks[i].running;
-		view->done = view->done && flow->tasks[i].ever_done;
-	}
-	for (i = 0; i < flow->spec.steps.steps_len; i++)
-		view->failed = view->failed || step_failed(flow, i);
-	return true;
-}
-
-static struct world_task *
-task_of(struct world *world, const char *id, uint32_t step, uint32_t index,
-    struct world_flow **out)
-{
-	struct world_flow *flow;
-
-	HASH_FIND_STR(world->flows, id, flow);
-	*out = flow;
-	if (flow == NULL || step >= flow->spec.steps.steps_len ||
-	    index >= flow->spec.steps.steps_val[step].count)
-		return NULL;
-	return &flow->tasks[flow->first[step] + index];
-}
-
-static bool
-step_done(const struct world_flow *flow, uint32_t step)
-{
-	uint32_t i;
-
-	for (i = 0; i < flow->spec.steps.steps_val[step].count; i++) {
-		if (!flow->tasks[flow->first[step] + i].ever_done)
-			return false;
-	}
-	return true;
-}
-
-/** Room that has shrunk counts once the owner can know of it. */
-static bool
-worker_is_over(const struct world *world, const struct world_worker *worker)
-{
-	const gb_res *most =
-	    world->now < worker->shrunk_until &&
-		    worker->capacity_before.cpu > worker->capacity.cpu
-		? &worker->capacity_before
-		: &worker->capacity;
-
-	return worker->used.cpu > most->cpu || worker->used.mem > most->mem;
-}
-
-/** A task that has crashed as many workers as it may is started again only so
- * many times less one. */
-static void
-oracle_crash_budget(
-    struct world *world, struct world_task *task, const struct world_run *run)
-{
-	if (!run->crashes || task->crashes < CRASH_WORKERS)
-		return;
-	if (++task->starts_after >= CRASH_STARTS)
-		fault(world, &world->faults.budget, "goes on crashing workers",
-		    run->flow);
-}
-
-static void
-oracle_start(struct world *world, struct world_worker *worker,
-    const struct world_run *run)
-{
-	struct world_flow *flow;
-	struct world_task *task =
-	    task_of(world, run->flow, run->step, run->index, &flow);
-	const gb_step *step;
-	uint32_t i;
-
-	if (task == NULL) {
-		fault(world, &world->faults.order, "unknown task", run->flow);
-		return;
-	}
-	step = &flow->spec.steps.steps_val[run->step];
-	if ((step->flags & GB_STEP_SPECULATIVE) == 0 &&
-	    (task->running > 0 || task->done))
-		fault(world, &world->faults.twice, "started twice", run->flow);
-	if (failures_of(flow, run->step, run->index, false) >=
-	    flow->max_attempts)
-		fault(
-		    world, &world->faults.budget, "too many tries", run->flow);
-	oracle_crash_budget(world, task, run);
-	for (i = 0; i < step->after.after_len; i++) {
-		if (!step_done(flow, step->after.after_val[i]))
-			fault(world, &world->faults.order, "out of order",
-			    run->flow);
-	}
-	if (worker_is_over(world, worker))
-		fault(world, &world->faults.limit, "over its capacity",
-		    run->flow);
-	task->running++;
-	flow->starts++;
-}
-
-static void
-oracle_end(struct world *world, const struct world_run *run, bool lost,
-    enum gb_pool_how how)
-{
-	struct world_flow *flow;
-	struct world_task *task =
-	    task_of(world, run->flow, run->step, run->index, &flow);
-
-	if (task == NULL)
-		return;
-	task->running--;
-	if (lost)
-		return;
-	if (how == GB_POOL_DONE) {
-		task->done = true;
-		task->ever_done = true;
-	}
-	if (how == GB_POOL_FAILED) {
-		task->failures++;
-		task->ever_failures++;
-	}
-	if (how == GB_POOL_ALONE)
-		fault(world, &world->faults.alone, "waited alone", run->flow);
-}
-
 /* Runs -------------------------------------------------------------------- */
 
 static unsigned long
@@ -547,7 +301,7 @@
 	    mark_get(worker, run->flow, run->step, run->index);
 	struct world_end *end = gb_calloc(1, sizeof(*end));
 
-	oracle_end(world, run, false, how);
+	world_oracle_end(world, run, false, how);
 	end->seen.number = ++worker->ended;
 	end->seen.step = run->step;
 	end->seen.index = run->index;
@@ -776,7 +530,8 @@
 	if (order->checkpoint != NULL)
 		run->worked = strtol(order->checkpoint, NULL, 10) *
 			      (gb_time)CHECKPOINT_WORK;
-	if (task_of(world, run->flow, run->step, run->index, &flow) != NULL) {
+	if (world_task_of(world, run->flow, run->step, run->index, &flow) !=
+	    NULL) {
 		step = &flow->spec.steps.steps_val[run->step];
 		run->res = step->res;
 		run->gang = (step->flags & GB_STEP_GANG) != 0 ? step->count : 0;
@@ -816,13 +571,13 @@
 	if (world->tickets &&
 	    (order->ticket == NULL ||
 		strtoll(order->ticket, NULL, 10) < world->now)) {
-		fault(
+		world_fault(
 		    world, &world->faults.ticket, "no ticket", order->id.flow);
 		res->status = GB_POOL_ORDER_NO_TICKET;
 		return;
 	}
 	res->status = GB_POOL_ORDER_DONE;
-	oracle_start(world, worker, run_new(world, worker, order));
+	world_oracle_start(world, worker, run_new(world, worker, order));
 }
 
 void
@@ -848,24 +603,6 @@
 		mark->run = order->id.run;
 }
 
-/** The owner takes note of an end; one member's stands for its gang. */
-static void
-end_noted(struct world *world, const struct world_end *end)
-{
-	struct world_flow *flow;
-	struct world_task *task = task_of(
-	    world, end->seen.flow, end->seen.step, end->seen.index, &flow);
-	const gb_step *step;
-	uint32_t i;
-
-	if (task == NULL || end->seen.how != GB_POOL_DONE)
-		return;
-	task->noted = true;
-	step = &flow->spec.steps.steps_val[end->seen.step];
-	for (i = 0; (step->flags & GB_STEP_GANG) != 0 && i < step->count; i++)
-		flow->tasks[flow->first[end->seen.step] + i].noted = true;
-}
-
 static void
 ends_forget(struct world *world, struct world_worker *worker, uint64_t cursor)
 {
@@ -873,7 +610,7 @@
 
 	while ((end = TAILQ_FIRST(&worker->ends)) != NULL &&
 	       end->seen.number <= cursor) {
-		end_noted(world, end);
+		world_oracle_end_noted(world, end);
 		TAILQ_REMOVE(&worker->ends, end, next);
 		free(end);
 	}
--- a/standin/world_state.h
+++ b/standin/world_state.h
@@ -122,4 +122,23 @@
 
 void world_rows_free(struct world *);
 
+/* world_oracle.c */
+/** Something happened that must not; keeps the first text. */
+void world_fault(
+    struct world *, unsigned int *count, const char *what, const char *task);
+/** Task of a flow that was submitted, or null. */
+struct world_task *world_task_of(struct world *, const char *id, uint32_t step,
+    uint32_t index, struct world_flow **);
+void world_oracle_start(
+    struct world *, struct world_worker *, const struct world_run *);
+void world_oracle_end(
+    struct world *, const struct world_run *, bool lost, enum gb_pool_how);
+/** A worker goes down under a run. */
+void world_oracle_crash(
+    struct world *, const struct world_worker *, const struct world_run *);
+/** An end that the owner has not taken note of is lost with the worker. */
+void world_oracle_end_lost(struct world *, const struct world_end *);
+/** The owner takes note of an end; one member's stands for its gang. */
+void world_oracle_end_noted(struct world *, const struct world_end *);
+
 #endif
