--- a/soak/caller.c
+++ b/soak/caller.c
@@ -223,7 +223,7 @@
 	if (res->status != 200) {
 		fprintf(stderr, "soak: the emulator does not answer: %u %.*s\n",
 		    res->status, (int)res->body_len, res->body);
-		exit(EXIT_FAILURE);
+		soak_end(EXIT_FAILURE);
 	}
 	job->phase = JOB_SUBMITTING;
 	job->at = 0;
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -91,21 +91,27 @@
 	phase_since = soak_now();
 }
 
-static void
-finish(void)
+void
+soak_end(int status)
 {
 	unsigned int i;
 
+	for (i = 0; i < soak.node_count; i++)
+		node_signal(&soak.nodes[i], SIGKILL);
+	kill(soak.emulator, SIGKILL);
+	exit(status);
+}
+
+static void
+finish(void)
+{
 	fault_report();
 	caller_report();
 	printf("soak: seed=%llu nodes=%u workers=%u seconds=%u broken=%u "
 	       "logs=%s\n",
 	    (unsigned long long)soak.seed, soak.node_count, soak.worker_count,
 	    soak.seconds, soak.broken, soak.dir);
-	for (i = 0; i < soak.node_count; i++)
-		node_signal(&soak.nodes[i], SIGKILL);
-	kill(soak.emulator, SIGKILL);
-	exit(soak.broken == 0 ? EXIT_SUCCESS : EXIT_FAILURE);
+	soak_end(soak.broken == 0 ? EXIT_SUCCESS : EXIT_FAILURE);
 }
 
 static void
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -88,6 +88,8 @@
 gb_time soak_now(void);
 /** A number below a bound, from the seed. */
 unsigned int soak_random(unsigned int below);
+/** End every process of the run, then this one. */
+void soak_end(int status) __attribute__((noreturn));
 /** A promise was broken. */
 void soak_broken(const char *fmt, ...) __attribute__((format(printf, 1, 2)));
 /** Tell the emulator something; nobody waits for the answer. */
--- a/standin/world_oracle.c
+++ b/standin/world_oracle.c
@@ -109,8 +109,8 @@
 }
 
 struct world_task *
-world_task_of(struct world *world, const char *id, uint32_t step, uint32_t index,
-    struct world_flow **out)
+world_task_of(struct world *world, const char *id, uint32_t step,
+    uint32_t index, struct world_flow **out)
 {
 	struct world_flow *flow;
 
@@ -156,8 +156,8 @@
 	if (!run->crashes || task->crashes < CRASH_WORKERS)
 		return;
 	if (++task->starts_after >= CRASH_STARTS)
-		world_fault(world, &world->faults.budget, "goes on crashing workers",
-		    run->flow);
+		world_fault(world, &world->faults.budget,
+		    "goes on crashing workers", run->flow);
 }
 
 void
@@ -171,13 +171,15 @@
 	uint32_t i;
 
 	if (task == NULL) {
-		world_fault(world, &world->faults.order, "unknown task", run->flow);
+		world_fault(
+		    world, &world->faults.order, "unknown task", run->flow);
 		return;
 	}
 	step = &flow->spec.steps.steps_val[run->step];
 	if ((step->flags & GB_STEP_SPECULATIVE) == 0 &&
 	    (task->running > 0 || task->done))
-		world_fault(world, &world->faults.twice, "started twice", run->flow);
+		world_fault(
+		    world, &world->faults.twice, "started twice", run->flow);
 	if (failures_of(flow, run->step, run->index, false) >=
 	    flow->max_attempts)
 		world_fault(
@@ -217,7 +219,8 @@
 		task->ever_failures++;
 	}
 	if (how == GB_POOL_ALONE)
-		world_fault(world, &world->faults.alone, "waited alone", run->flow);
+		world_fault(
+		    world, &world->faults.alone, "waited alone", run->flow);
 }
 
 /** An end that the owner has not taken note of is lost with the worker. */
@@ -266,4 +269,3 @@
 	for (i = 0; (step->flags & GB_STEP_GANG) != 0 && i < step->count; i++)
 		flow->tasks[flow->first[end->seen.step] + i].noted = true;
 }
-
--- a/tests/test_crash.c
+++ b/tests/test_crash.c
@@ -155,6 +155,25 @@
 	}
 }
 
+/** Its workers never come back: after a while they count as crashed, and it is
+ * not started before that. */
+static void
+test_workers_never_come_back(void **state)
+{
+	struct pool_cell *cell = pool_cell_begin(&pool24);
+	size_t flow;
+
+	(void)state;
+	run_with_others(cell, 10);
+	flow = submit_crasher(cell, "crash=0 back=300000");
+	run_with_others(cell, 600);
+	pool_cell_run(cell, 60 * GB_SEC);
+	assert_int_equal(cell->flows[flow].status, GB_FLOW_FAILED);
+	assert_in_range(view_of(cell, flow).starts, 3, STARTS_MOST - 1);
+	assert_only_crashers_fail(cell);
+	pool_cell_free(cell);
+}
+
 /** One member of a gang crashes its workers: each time the gang is started
  * again, and with it that member. */
 static void
@@ -362,6 +381,7 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_task_that_crashes_workers_is_given_up),
 	    cmocka_unit_test(test_workers_come_back_soon_or_late),
+	    cmocka_unit_test(test_workers_never_come_back),
 	    cmocka_unit_test(test_gang_with_such_a_member_is_given_up),
 	    cmocka_unit_test(test_copies_crash_workers_too),
 	    cmocka_unit_test(test_owners_go_while_workers_crash),
