--- a/libgooseberry/pool/crash.c
+++ b/libgooseberry/pool/crash.c
@@ -314,6 +314,13 @@
 	return suspect_over_limit(&worst);
 }
 
+static void
+flow_give_up(struct gb_pool *pool, struct pool_flow *flow)
+{
+	pool->stats.given_up++;
+	pool_flow_fail(pool, flow, "a task crashes the workers that start it");
+}
+
 /** A worker crashed under a task. */
 static void
 task_crashed(struct gb_pool *pool, struct pool_flow *flow, uint32_t step,
@@ -329,10 +336,8 @@
 	    "soon", how->soon, "alone", how->alone, "lapsed", how->lapsed);
 	pool_flow_changed(pool, flow, true);
 	suspect->change = flow->change;
-	if (!suspect_over_limit(suspect))
-		return;
-	pool->stats.given_up++;
-	pool_flow_fail(pool, flow, "a task crashes the workers that start it");
+	if (suspect_over_limit(suspect))
+		flow_give_up(pool, flow);
 }
 
 static struct pool_task *
@@ -476,22 +481,20 @@
 /* Waiting ----------------------------------------------------------------- */
 
 bool
-pool_crash_held(const struct gb_pool *pool, const struct pool_flow *flow,
-    const struct pool_task *task)
+pool_crash_held(const struct pool_flow *flow, const struct pool_task *task)
 {
 	const struct pool_suspect *suspect = task->suspect;
 
 	if (suspect == NULL)
 		return false;
-	if (flow->stored < suspect->change)
-		return true;
-	return suspect->hold_until > pool->now &&
+	/* Not by the clock: when the wait is over, the sweep counts first. */
+	return flow->stored < suspect->change ||
 	       suspect_may_be_over_limit(suspect);
 }
 
 uint32_t
-pool_crash_held_count(const struct gb_pool *pool, const struct pool_flow *flow,
-    const struct pool_step *step)
+pool_crash_held_count(
+    const struct pool_flow *flow, const struct pool_step *step)
 {
 	uint32_t count = 0;
 	uint32_t i;
@@ -500,7 +503,7 @@
 		const struct pool_task *task = &step->tasks[i];
 
 		count += !task->done && TAILQ_EMPTY(&task->runs) &&
-			 pool_crash_held(pool, flow, task);
+			 pool_crash_held(flow, task);
 	}
 	return count;
 }
@@ -548,6 +551,20 @@
 	}
 }
 
+static void
+task_sweep(
+    struct gb_pool *pool, struct pool_flow *flow, uint32_t step, uint32_t index)
+{
+	const struct pool_task *task = &flow->steps[step].tasks[index];
+
+	task_link(pool, flow, step, index);
+	task_waited(pool, flow, step, index);
+	/* As it was read, perhaps by another limit. */
+	if (flow->status < GB_FLOW_SUCCEEDED && task->suspect != NULL &&
+	    !task->done && suspect_over_limit(task->suspect))
+		flow_give_up(pool, flow);
+}
+
 void
 pool_crash_sweep(struct gb_pool *pool, struct pool_flow *flow)
 {
@@ -557,11 +574,9 @@
 	for (i = 0; i < flow->step_count; i++) {
 		const struct pool_step *step = &flow->steps[i];
 
-		for (j = 0; step->suspects > 0 && j < step->spec->count; j++) {
-			task_link(pool, flow, i, j);
-			task_waited(pool, flow, i, j);
-			if (flow->status >= GB_FLOW_SUCCEEDED)
-				return;
-		}
+		for (j = 0; step->suspects > 0 && j < step->spec->count &&
+			    flow->status < GB_FLOW_SUCCEEDED;
+		     j++)
+			task_sweep(pool, flow, i, j);
 	}
 }
--- a/libgooseberry/pool/dispatch.c
+++ b/libgooseberry/pool/dispatch.c
@@ -60,7 +60,7 @@
 		struct pool_task *task = &step->tasks[i];
 
 		if (task->done || !TAILQ_EMPTY(&task->runs) ||
-		    pool_crash_held(pool, flow, task))
+		    pool_crash_held(flow, task))
 			continue;
 		pool_run_start(pool, flow, number, i,
 		    gang ? run : run_number_next(pool, step),
--- a/libgooseberry/pool/flow.c
+++ b/libgooseberry/pool/flow.c
@@ -342,13 +342,12 @@
 	if (!pool->parts[flow->part].settled && !flow->fresh && !step->fresh)
 		return 0;
 	if ((step->spec->flags & GB_STEP_GANG) != 0)
-		return step->active > 0 ||
-			       pool_crash_held_count(pool, flow, step) > 0
+		return step->active > 0 || pool_crash_held_count(flow, step) > 0
 			   ? 0
 			   : left;
 	/* Tasks that are done may have a run that is still being stopped. */
 	left = left > step->active_open ? left - step->active_open : 0;
-	held = pool_crash_held_count(pool, flow, step);
+	held = pool_crash_held_count(flow, step);
 	return left > held ? left - held : 0;
 }
 
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -731,11 +731,10 @@
 bool pool_crash_has_new(
     const struct pool_worker *, const struct pool_flow *but);
 /** Whether a task may not be started yet. */
-bool pool_crash_held(
-    const struct gb_pool *, const struct pool_flow *, const struct pool_task *);
+bool pool_crash_held(const struct pool_flow *, const struct pool_task *);
 /** Tasks of a step without a run that may not be started yet. */
 uint32_t pool_crash_held_count(
-    const struct gb_pool *, const struct pool_flow *, const struct pool_step *);
+    const struct pool_flow *, const struct pool_step *);
 /** Give a flow up of which no worker that started it came back. */
 void pool_crash_sweep(struct gb_pool *, struct pool_flow *);
 /** Take in what is stored of a task. */
--- a/tests/test_crash.c
+++ b/tests/test_crash.c
@@ -247,7 +247,7 @@
 {
 	const char *id = cell->flows[flow].spec.id;
 	struct gb_pool_read_res res = {0};
-	gb_task_crashes crashes = {0};
+	gb_task_crashes crashes;
 	gb_flow_state state = {0};
 	char to[GB_KEY_MAX];
 	const struct gb_pool_read read = {
