--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -96,8 +96,8 @@
 	bool alone;	  /**< once no other flow's start was as new */
 	uint32_t away_count;
 	struct pool_away away[GB_AWAY_MAX];
-	gb_time hold_until; /**< waits for a word of these, if they are many */
-	uint64_t change;    /**< change of the flow with the newest of it */
+	gb_time hold_until; /**< what is away by then counts as crashed */
+	uint64_t change;    /**< of the flow, with which this must be stored */
 };
 
 struct pool_task {
@@ -735,7 +735,8 @@
 /** Tasks of a step without a run that may not be started yet. */
 uint32_t pool_crash_held_count(
     const struct pool_flow *, const struct pool_step *);
-/** Give a flow up of which no worker that started it came back. */
+/** Count workers that have been away for too long, and give the flow up if one
+ * of its tasks is over the limit. */
 void pool_crash_sweep(struct gb_pool *, struct pool_flow *);
 /** Take in what is stored of a task. */
 void pool_crash_load(
--- a/tests/test_crash.c
+++ b/tests/test_crash.c
@@ -375,6 +375,29 @@
 	}
 }
 
+/** Rows that an older program wrote end before the crashes. */
+static void
+test_older_states_are_read(void **state)
+{
+	gb_flow_state written = {0};
+	gb_flow_state read;
+	gb_body row;
+
+	(void)state;
+	written.status = GB_FLOW_RUNNING;
+	written.owned = TRUE;
+	assert_true(
+	    gb_xdr_encode((xdrproc_t)xdr_gb_flow_state, &written, &row));
+	row.gb_body_len -= BYTES_PER_XDR_UNIT;
+	assert_true(gb_flow_state_decode(&row, &read));
+	assert_int_equal(read.status, GB_FLOW_RUNNING);
+	assert_true(read.owned);
+	assert_int_equal(read.crashes.crashes_len, 0);
+	row.gb_body_len -= BYTES_PER_XDR_UNIT;
+	assert_false(gb_flow_state_decode(&row, &read));
+	free(row.gb_body_val);
+}
+
 int
 main(void)
 {
@@ -389,6 +412,7 @@
 	    cmocka_unit_test(test_lost_racks_fail_nobody),
 	    cmocka_unit_test(test_starts_on_dead_workers_fail_nobody),
 	    cmocka_unit_test(test_owners_go_while_workers_are_away),
+	    cmocka_unit_test(test_older_states_are_read),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
