--- a/libgooseberry/pool/flow_state.c
+++ b/libgooseberry/pool/flow_state.c
@@ -36,8 +36,10 @@
 		out->failed_runs.failed_runs_len = task->failures;
 		out->failed_runs.failed_runs_val =
 		    gb_calloc(task->failures, sizeof(uint64_t));
-		memcpy(out->failed_runs.failed_runs_val, task->failed_runs,
-		    task->failures * sizeof(uint64_t));
+		if (task->failures > 0)
+			memcpy(out->failed_runs.failed_runs_val,
+			    task->failed_runs,
+			    task->failures * sizeof(uint64_t));
 		out->checkpoint =
 		    gb_strdup(task->checkpoint == NULL ? "" : task->checkpoint);
 	}
