--- a/soak/bites.sh
+++ b/soak/bites.sh
@@ -64,8 +64,8 @@
 breakage "runs are numbered anew by each owner" $P/dispatch.c \
     's/(pool->epoch - 1) \* POOL_RUNS_PER_EPOCH/0/'
 breakage "crashes under a task are not limited" $P/crash.c \
-    's/suspect->crashes >= CRASH_MOST/suspect->crashes >= 99 + CRASH_MOST/'
+    's/if (suspect->alone \&\&/if (false \&\&/; s/return suspect->crashes >= (sure.*/return sure \&\& false;/'
 breakage "whoever stands on a worker that crashes is failed" $P/crash.c \
-    's/return (suspect->alone/return suspect->crashes > 0 || (suspect->alone/'
+    's/return suspect->crashes >= (sure.*/return sure || suspect->crashes > 0;/'
 breakage "room that has shrunk is not looked at" $P/worker.c \
-    's/^\tworker->entry = \*entry;/\tentry->capacity = worker->entry.capacity; worker->entry = *entry;/'
+    '/"worker_draining"/,/listed = true/s/worker->entry = \*entry;/entry->capacity = worker->entry.capacity; &/'
