--- a/libgooseberry/pool/crash.c
+++ b/libgooseberry/pool/crash.c
@@ -21,7 +21,7 @@
 
 #include <jansson.h>
 
-#include "state.h"
+#include "crash.h"
 
 /** A worker that answers this much after a start has survived it: a task that
  * crashes its worker does so within some 10 ms, and busy workers are heard each
@@ -49,6 +49,29 @@
  * workers come back after some seconds. */
 #define CRASH_HOLD (10 * GB_SEC)
 
+/** A worker that is away and may have crashed under a task. */
+struct pool_away {
+	char worker[GB_NAME_MAX + 1]; /**< its id */
+	bool begun;		      /**< it had said that it runs the task */
+	bool soon;		      /**< fell silent soon after that */
+	bool alone;  /**< and no other flow's start was as new */
+	bool lapsed; /**< the lease was over before it was heard of */
+	bool linked; /**< the worker is known, and has the task in its losses */
+};
+
+/** What is known of a task that was lost with workers. */
+struct pool_suspect {
+	uint32_t crashes; /**< workers that crashed under it */
+	uint32_t sure;	  /**< of these, surely while they ran it */
+	uint32_t soon;	  /**< soon after they had begun it */
+	uint32_t blamed;  /**< of these, surely while they ran it */
+	bool alone;	  /**< once no other flow's start was as new */
+	uint32_t away_count;
+	struct pool_away away[GB_AWAY_MAX];
+	gb_time hold_until; /**< what is away by then counts as crashed */
+	uint64_t change;    /**< of the flow, with which this must be stored */
+};
+
 /** A task that was lost with a worker that is away: its next answer tells
  * whether it crashed. */
 struct pool_loss {
--- /dev/null
+++ b/libgooseberry/pool/crash.h
@@ -0,0 +1,45 @@
+/**
+ * @file crash.h
+ * Tasks that crash the workers that start them: what worker.c, flow.c, fit.c and
+ * dispatch.c ask and tell.
+ */
+#ifndef GB_POOL_CRASH_H
+#define GB_POOL_CRASH_H
+
+#include "state.h"
+
+/** A worker that may have crashed was not heard: a successor must know of what
+ * was just started there. */
+void pool_crash_worker_missed(struct gb_pool *, struct pool_worker *);
+/** A worker is lost: classify its runs, before the first of them is freed. */
+void pool_crash_classify(const struct gb_pool *, struct pool_worker *);
+/** A run is lost: another lifetime answered in its worker's place. */
+void pool_crash_run_over(struct gb_pool *, const struct pool_run *);
+/** A run is lost: its worker is away and its lease was waited out. */
+void pool_crash_run_lapsed(struct gb_pool *, const struct pool_run *);
+/** A worker that was away has answered, or another lifetime in its place. */
+void pool_crash_worker_known(
+    struct gb_pool *, struct pool_worker *, bool crashed);
+void pool_crash_worker_forget(struct pool_worker *);
+/** Whether a suspect was just started on a worker, so that nothing else may
+ * be. */
+bool pool_crash_on_probation(const struct pool_worker *);
+/** Whether a run of another flow was just started on a worker. */
+bool pool_crash_has_new(
+    const struct pool_worker *, const struct pool_flow *but);
+/** Whether a task may not be started yet. */
+bool pool_crash_held(const struct pool_flow *, const struct pool_task *);
+/** Tasks of a step without a run that may not be started yet. */
+uint32_t pool_crash_held_count(
+    const struct pool_flow *, const struct pool_step *);
+/** Count workers that have been away for too long, and give the flow up if one
+ * of its tasks is over the limit. */
+void pool_crash_sweep(struct gb_pool *, struct pool_flow *);
+/** Take in what is stored of a task. */
+void pool_crash_load(
+    struct gb_pool *, struct pool_flow *, const gb_task_crashes *);
+/** Whether there is something of a task to be stored; and that. */
+bool pool_crash_stored(const struct pool_task *);
+void pool_crash_fill(const struct pool_suspect *, gb_task_crashes *);
+
+#endif
--- a/libgooseberry/pool/dispatch.c
+++ b/libgooseberry/pool/dispatch.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "crash.h"
 #include "state.h"
 
 /** A new copy of a straggler is started when its run takes this many times as
--- a/libgooseberry/pool/fit.c
+++ b/libgooseberry/pool/fit.c
@@ -10,6 +10,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "crash.h"
 #include "state.h"
 
 /** A ticket must still hold when the order reaches the worker: a round trip
--- a/libgooseberry/pool/flow.c
+++ b/libgooseberry/pool/flow.c
@@ -7,6 +7,7 @@
 
 #include <jansson.h>
 
+#include "crash.h"
 #include "state.h"
 
 /** A finished flow is forgotten this much later than its state must be
--- a/libgooseberry/pool/flow_state.c
+++ b/libgooseberry/pool/flow_state.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "crash.h"
 #include "state.h"
 
 static bool
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -77,28 +77,7 @@
 
 /* Flows ------------------------------------------------------------------- */
 
-/** A worker that is away and may have crashed under a task. */
-struct pool_away {
-	char worker[GB_NAME_MAX + 1]; /**< its id */
-	bool begun;		      /**< it had said that it runs the task */
-	bool soon;		      /**< fell silent soon after that */
-	bool alone;  /**< and no other flow's start was as new */
-	bool lapsed; /**< the lease was over before it was heard of */
-	bool linked; /**< the worker is known, and has the task in its losses */
-};
-
-/** What is known of a task that was lost with workers. */
-struct pool_suspect {
-	uint32_t crashes; /**< workers that crashed under it */
-	uint32_t sure;	  /**< of these, surely while they ran it */
-	uint32_t soon;	  /**< soon after they had begun it */
-	uint32_t blamed;  /**< of these, surely while they ran it */
-	bool alone;	  /**< once no other flow's start was as new */
-	uint32_t away_count;
-	struct pool_away away[GB_AWAY_MAX];
-	gb_time hold_until; /**< what is away by then counts as crashed */
-	uint64_t change;    /**< of the flow, with which this must be stored */
-};
+struct pool_suspect;
 
 struct pool_task {
 	struct pool_suspect *suspect; /**< null: never lost with a worker */
@@ -710,41 +689,6 @@
 /** Look for runs that have come to a standstill. */
 void pool_health_check(struct gb_pool *, struct pool_worker *);
 
-/* crash.c */
-/** A worker that may have crashed was not heard: a successor must know of what
- * was just started there. */
-void pool_crash_worker_missed(struct gb_pool *, struct pool_worker *);
-/** A worker is lost: classify its runs, before the first of them is freed. */
-void pool_crash_classify(const struct gb_pool *, struct pool_worker *);
-/** A run is lost: another lifetime answered in its worker's place. */
-void pool_crash_run_over(struct gb_pool *, const struct pool_run *);
-/** A run is lost: its worker is away and its lease was waited out. */
-void pool_crash_run_lapsed(struct gb_pool *, const struct pool_run *);
-/** A worker that was away has answered, or another lifetime in its place. */
-void pool_crash_worker_known(
-    struct gb_pool *, struct pool_worker *, bool crashed);
-void pool_crash_worker_forget(struct pool_worker *);
-/** Whether a suspect was just started on a worker, so that nothing else may
- * be. */
-bool pool_crash_on_probation(const struct pool_worker *);
-/** Whether a run of another flow was just started on a worker. */
-bool pool_crash_has_new(
-    const struct pool_worker *, const struct pool_flow *but);
-/** Whether a task may not be started yet. */
-bool pool_crash_held(const struct pool_flow *, const struct pool_task *);
-/** Tasks of a step without a run that may not be started yet. */
-uint32_t pool_crash_held_count(
-    const struct pool_flow *, const struct pool_step *);
-/** Count workers that have been away for too long, and give the flow up if one
- * of its tasks is over the limit. */
-void pool_crash_sweep(struct gb_pool *, struct pool_flow *);
-/** Take in what is stored of a task. */
-void pool_crash_load(
-    struct gb_pool *, struct pool_flow *, const gb_task_crashes *);
-/** Whether there is something of a task to be stored; and that. */
-bool pool_crash_stored(const struct pool_task *);
-void pool_crash_fill(const struct pool_suspect *, gb_task_crashes *);
-
 /* advice.c */
 void pool_advice_lane(struct gb_pool *, const char *addr, bool usable);
 bool pool_advice_lane_free(const struct gb_pool *);
--- a/libgooseberry/pool/worker.c
+++ b/libgooseberry/pool/worker.c
@@ -11,6 +11,7 @@
 
 #include <jansson.h>
 
+#include "crash.h"
 #include "state.h"
 
 /** Lease given with each order and hold; as long as a worker grants, but no
