Tests: one scenario of a large gang, one way to replace an owner

The scenario stood in test_rank and test_large_gang; killing an owner and letting another take over in four files; using up a gang's attempts twice. Comments say what failed, not where it was seen.

--- a/libgooseberry/pool/crash.h
+++ b/libgooseberry/pool/crash.h
@@ -1,7 +1,7 @@
 /**
  * @file crash.h
- * Tasks that crash the workers that start them: what worker.c, flow.c, fit.c and
- * dispatch.c ask and tell.
+ * Tasks that crash the workers that start them: what worker.c, flow.c, fit.c
+ * and dispatch.c ask and tell.
  */
 #ifndef GB_POOL_CRASH_H
 #define GB_POOL_CRASH_H
--- a/tests/pool_cell.c
+++ b/tests/pool_cell.c
@@ -773,6 +773,13 @@
 	node_start(cell, node);
 }
 
+void
+pool_cell_replace_owner(struct pool_cell *cell, unsigned int node)
+{
+	pool_cell_kill(cell, pool_cell_owner(cell) % CELL_NODES);
+	pool_cell_take(cell, node);
+}
+
 /* Flows ------------------------------------------------------------------- */
 
 static struct pool_cell_flow *
--- a/tests/pool_cell.h
+++ b/tests/pool_cell.h
@@ -91,6 +91,8 @@
 void pool_cell_take(struct pool_cell *, unsigned int node);
 /** A node's process is killed and starts anew, knowing nothing. */
 void pool_cell_kill(struct pool_cell *, unsigned int node);
+/** Whoever owns the pool is killed, and a node takes it over. */
+void pool_cell_replace_owner(struct pool_cell *, unsigned int node);
 /** Number of the node that owns the pool, or CELL_NODES. */
 unsigned int pool_cell_owner(const struct pool_cell *);
 
--- a/tests/test_capacity.c
+++ b/tests/test_capacity.c
@@ -69,9 +69,7 @@
 		if (tenth % 3 == 0)
 			resize_one(cell);
 		if (takeovers && tenth % 25 == 24) {
-			pool_cell_kill(
-			    cell, pool_cell_owner(cell) % CELL_NODES);
-			pool_cell_take(cell, tenth % CELL_NODES);
+			pool_cell_replace_owner(cell, tenth % CELL_NODES);
 		}
 		pool_cell_run(cell, 100 * GB_MSEC);
 	}
--- a/tests/test_crash.c
+++ b/tests/test_crash.c
@@ -228,9 +228,7 @@
 		flow = submit_crasher(cell, "ms=2000 crash=0");
 		for (round = 1; round <= 3; round++) {
 			run_with_others(cell, delay);
-			pool_cell_kill(
-			    cell, pool_cell_owner(cell) % CELL_NODES);
-			pool_cell_take(cell, round % CELL_NODES);
+			pool_cell_replace_owner(cell, round % CELL_NODES);
 			pool_cell_run(cell, 500 * GB_MSEC);
 		}
 		run_with_others(cell, 200);
@@ -364,9 +362,7 @@
 		submit_crasher(cell, "ms=2000 crash=0 back=6000");
 		for (round = 1; round <= 4; round++) {
 			pool_cell_run(cell, delay * 100 * GB_MSEC);
-			pool_cell_kill(
-			    cell, pool_cell_owner(cell) % CELL_NODES);
-			pool_cell_take(cell, round % CELL_NODES);
+			pool_cell_replace_owner(cell, round % CELL_NODES);
 			pool_cell_run(cell, GB_SEC);
 		}
 		pool_cell_run(cell, 90 * GB_SEC);
--- a/tests/test_crash_takeover.c
+++ b/tests/test_crash_takeover.c
@@ -38,8 +38,7 @@
 			continue;
 		starts = view.starts;
 		pool_cell_run(cell, 300 * GB_MSEC);
-		pool_cell_kill(cell, pool_cell_owner(cell) % CELL_NODES);
-		pool_cell_take(cell, starts % CELL_NODES);
+		pool_cell_replace_owner(cell, starts % CELL_NODES);
 	}
 	pool_cell_assert_unharmed(cell);
 	pool_cell_free(cell);
--- a/tests/test_large_gang.c
+++ b/tests/test_large_gang.c
@@ -11,42 +11,7 @@
 
 #include <cmocka.h>
 
-#include "pool_cell.h"
-
-/** Time in which a gang of three seconds is to be done. */
-#define OBJECTIVE (7600 * GB_MSEC)
-
-/** Small gangs come each `period` tenths of a second, each of which would fit;
- * one that needs two thirds of the pool is done within three times its
- * objective. */
-static void
-large_gang_is_done(int period)
-{
-	struct pool_cell_setup setup = {
-	    5, 24, {16000, 64000, 0, 0, 0}, 0, 0, 0, 0, 0, 0};
-	struct pool_cell *cell = pool_cell_begin(&setup);
-	size_t large = 0;
-	int i;
-
-	for (i = 0; i < 300; i++) {
-		if (i == 40) {
-			pool_cell_step(
-			    cell, 60, 4000, 3 * GB_SEC, GB_STEP_GANG, -1);
-			large = pool_cell_submit(cell, "rebuild", "ms=3000");
-		}
-		if (i % period == 0) {
-			pool_cell_step(
-			    cell, 8, 4000, 3 * GB_SEC, GB_STEP_GANG, -1);
-			pool_cell_submit(cell, "rebuild", "ms=3000");
-		}
-		pool_cell_run(cell, 100 * GB_MSEC);
-	}
-	assert_int_equal(cell->flows[large].status, GB_FLOW_SUCCEEDED);
-	assert_true(cell->flows[large].over - cell->flows[large].submitted <=
-		    3 * OBJECTIVE);
-	pool_cell_assert_unharmed(cell);
-	pool_cell_free(cell);
-}
+#include "large_gang.h"
 
 /** Load: the small ones keep 83% of the pool busy. */
 static void
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -1,8 +1,8 @@
 /**
  * @file test_pool.c
  * The pool core: what it promises, under one fault after the other and under
- * several at random.  Every failure that was found on the users' bench has a
- * test here; its name says which.
+ * several at random.  Every failure that was found has a test here; its name
+ * says which.
  */
 #include <setjmp.h>
 #include <stdarg.h>
@@ -119,10 +119,10 @@
 	pool_cell_free(cell);
 }
 
-/* Failures found on the bench --------------------------------------------- */
+/* Failures that were found ------------------------------------------------ */
 
 /** A gang that needs nearly whole workers, on a pool that small work keeps
- * busy: it waited for ever (byggepas quiet-1). */
+ * busy: it waited for ever. */
 static void
 test_gang_finds_room_on_busy_pool(void **state)
 {
@@ -197,7 +197,7 @@
 }
 
 /** Of many workers a call names a part: a gang whose approved workers are too
- * few asks about others (LOST, grown byggepas quiet-1). */
+ * few asks about others. */
 static void
 test_more_workers_are_asked_about(void **state)
 {
@@ -533,7 +533,7 @@
 
 /** A claim that lost holds two parts and goes on; the winner owns the pool and
  * then releases it.  Its epoch must not be in force again under the loser, whom
- * no worker could tell from it (bench: TWICE, byggepas trouble-2 seed 11). */
+ * no worker could tell from it. */
 static void
 test_epoch_is_never_in_force_twice(void **state)
 {
@@ -563,8 +563,7 @@
 }
 
 /** Load: an owner stops while a part is out.  What could not be written there
- * must not hold the handover up (bench: acdi grown trouble-2 seed 31, 0.6 s
- * without an owner, and then a small one). */
+ * must not hold the handover up, which left the pool without an owner. */
 static void
 test_release_does_not_wait_for_parts_that_are_out(void **state)
 {
@@ -658,8 +657,7 @@
 }
 
 /** A part is read in part, and then the read is lost.  What workers told of its
- * flows meanwhile must still count against their room (bench: LIMIT, own day
- * lossy beside a killed owner). */
+ * flows meanwhile must still count against their room. */
 static void
 test_room_of_a_part_that_is_not_read_counts(void **state)
 {
@@ -850,7 +848,7 @@
 
 /** Load: callers' flows were stored while there was no owner; the owner that
  * finds them is succeeded at any moment after.  The successor must not take
- * them for flows that nobody has begun (hibikiya grown trouble-3, seed 1). */
+ * them for flows that nobody has begun. */
 static void
 test_adopted_flow_is_marked_before_it_starts(void **state)
 {
@@ -987,8 +985,8 @@
 		pool_cell_take(cell, (unsigned int)(n / 64 % CELL_NODES));
 		break;
 	case 6:
-		pool_cell_kill(cell, pool_cell_owner(cell) % CELL_NODES);
-		pool_cell_take(cell, (unsigned int)(n / 64 % CELL_NODES));
+		pool_cell_replace_owner(
+		    cell, (unsigned int)(n / 64 % CELL_NODES));
 		break;
 	case 7:
 		world_worker_crash(cell->world, worker);
--- a/tests/test_rank.c
+++ b/tests/test_rank.c
@@ -9,6 +9,7 @@
 
 #include <cmocka.h>
 
+#include "large_gang.h"
 #include "pool_cell.h"
 
 /** Tasks of the gangs of a burst, which comes in rounds of one each. */
@@ -73,31 +74,8 @@
 static void
 test_a_large_gang_does_not_starve(void **state)
 {
-	struct pool_cell_setup setup = {
-	    5, 24, {16000, 64000, 0, 0, 0}, 0, 0, 0, 0, 0, 0};
-	struct pool_cell *cell = pool_cell_begin(&setup);
-	size_t large = 0;
-	int i;
-
 	(void)state;
-	for (i = 0; i < 300; i++) {
-		if (i == 40) {
-			pool_cell_step(
-			    cell, 60, 4000, 3 * GB_SEC, GB_STEP_GANG, -1);
-			large = pool_cell_submit(cell, "rebuild", "ms=3000");
-		}
-		if (i % 5 == 0) {
-			pool_cell_step(
-			    cell, 8, 4000, 3 * GB_SEC, GB_STEP_GANG, -1);
-			pool_cell_submit(cell, "rebuild", "ms=3000");
-		}
-		pool_cell_run(cell, 100 * GB_MSEC);
-	}
-	assert_int_equal(cell->flows[large].status, GB_FLOW_SUCCEEDED);
-	assert_true(cell->flows[large].over - cell->flows[large].submitted <=
-		    3 * OBJECTIVE);
-	pool_cell_assert_unharmed(cell);
-	pool_cell_free(cell);
+	large_gang_is_done(5);
 }
 
 int
--- a/tests/test_world.c
+++ b/tests/test_world.c
@@ -100,6 +100,17 @@
 	assert_int_equal(gang_view(gang).running, 0);
 }
 
+/** Members fail in turn, as often as their gang may; returns the next run. */
+static uint64_t
+gang_use_up(struct gang_world *gang)
+{
+	uint64_t run;
+
+	for (run = 1; run <= ATTEMPTS; run++)
+		gang_fail(gang, run, (unsigned int)run % MEMBERS);
+	return run;
+}
+
 /** Members that fail in turn make one count: a gang that is shown as failed
  * after as many runs as it may have has failed with cause. */
 static void
@@ -124,13 +135,10 @@
 test_a_gang_has_one_budget(void **state)
 {
 	struct gang_world gang;
-	uint64_t run;
 
 	(void)state;
 	gang_world_init(&gang);
-	for (run = 1; run <= ATTEMPTS; run++)
-		gang_fail(&gang, run, (unsigned int)run % MEMBERS);
-	gang_start(&gang, run);
+	gang_start(&gang, gang_use_up(&gang));
 	assert_int_equal(world_faults(gang.world)->budget, MEMBERS);
 	world_free(gang.world);
 }
@@ -145,8 +153,7 @@
 
 	(void)state;
 	gang_world_init(&gang);
-	for (run = 1; run <= ATTEMPTS; run++)
-		gang_fail(&gang, run, (unsigned int)run % MEMBERS);
+	run = gang_use_up(&gang);
 	world_worker_crash(gang.world, 1);
 	world_worker_reborn(gang.world, 1);
 	assert_true(gang_view(&gang).failed);
