--- a/libgooseberry/gen/proto.c
+++ b/libgooseberry/gen/proto.c
@@ -916,6 +916,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->steps.steps_val, (u_int *) &objp->steps.steps_len, GB_STEPS_MAX,
 		sizeof (gb_step), (xdrproc_t) xdr_gb_step))
 		 return FALSE;
+	 if (!xdr_gb_name (xdrs, &objp->org))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -1052,6 +1054,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->crashes.crashes_val, (u_int *) &objp->crashes.crashes_len, GB_TASKS_MAX,
 		sizeof (gb_task_crashes), (xdrproc_t) xdr_gb_task_crashes))
 		 return FALSE;
+	 if (!xdr_gb_name (xdrs, &objp->org))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -1107,12 +1111,26 @@
 }
 
 bool_t
-xdr_gb_flow_submit (XDR *xdrs, gb_flow_submit *objp)
+xdr_gb_flow_caller (XDR *xdrs, gb_flow_caller *objp)
 {
 	register int32_t *buf;
 
 	 if (!xdr_uint64_t (xdrs, &objp->config))
 		 return FALSE;
+	 if (!xdr_gb_name (xdrs, &objp->org))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->key.key_val, (u_int *) &objp->key.key_len, GB_KEY_DIGEST))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_gb_flow_submit (XDR *xdrs, gb_flow_submit *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_gb_flow_caller (xdrs, &objp->caller))
+		 return FALSE;
 	 if (!xdr_gb_flow (xdrs, &objp->flow))
 		 return FALSE;
 	return TRUE;
@@ -1137,6 +1155,8 @@
 		 return FALSE;
 	 if (!xdr_gb_name (xdrs, &objp->id))
 		 return FALSE;
+	 if (!xdr_gb_flow_caller (xdrs, &objp->caller))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/libgooseberry/gen/proto.h
+++ b/libgooseberry/gen/proto.h
@@ -528,6 +528,7 @@
 		u_int steps_len;
 		gb_step *steps_val;
 	} steps;
+	gb_name org;
 };
 typedef struct gb_flow gb_flow;
 
@@ -593,6 +594,7 @@
 		u_int crashes_len;
 		gb_task_crashes *crashes_val;
 	} crashes;
+	gb_name org;
 };
 typedef struct gb_flow_state gb_flow_state;
 
@@ -618,6 +620,7 @@
 	} list;
 };
 typedef struct gb_worker_set gb_worker_set;
+#define GB_KEY_DIGEST 32
 
 enum gb_flow_verdict {
 	GB_FLOW_ACCEPTED = 0,
@@ -626,11 +629,22 @@
 	GB_FLOW_NOT_OWNER = 3,
 	GB_FLOW_BEHIND = 4,
 	GB_FLOW_CANT_STORE = 5,
+	GB_FLOW_DENIED = 6,
 };
 typedef enum gb_flow_verdict gb_flow_verdict;
 
-struct gb_flow_submit {
+struct gb_flow_caller {
 	uint64_t config;
+	gb_name org;
+	struct {
+		u_int key_len;
+		char *key_val;
+	} key;
+};
+typedef struct gb_flow_caller gb_flow_caller;
+
+struct gb_flow_submit {
+	gb_flow_caller caller;
 	gb_flow flow;
 };
 typedef struct gb_flow_submit gb_flow_submit;
@@ -645,6 +659,7 @@
 struct gb_flow_ask {
 	gb_flow_op op;
 	gb_name id;
+	gb_flow_caller caller;
 };
 typedef struct gb_flow_ask gb_flow_ask;
 
@@ -796,6 +811,7 @@
 extern  bool_t xdr_gb_worker_ref (XDR *, gb_worker_ref*);
 extern  bool_t xdr_gb_worker_set (XDR *, gb_worker_set*);
 extern  bool_t xdr_gb_flow_verdict (XDR *, gb_flow_verdict*);
+extern  bool_t xdr_gb_flow_caller (XDR *, gb_flow_caller*);
 extern  bool_t xdr_gb_flow_submit (XDR *, gb_flow_submit*);
 extern  bool_t xdr_gb_flow_op (XDR *, gb_flow_op*);
 extern  bool_t xdr_gb_flow_ask (XDR *, gb_flow_ask*);
@@ -868,6 +884,7 @@
 extern bool_t xdr_gb_worker_ref ();
 extern bool_t xdr_gb_worker_set ();
 extern bool_t xdr_gb_flow_verdict ();
+extern bool_t xdr_gb_flow_caller ();
 extern bool_t xdr_gb_flow_submit ();
 extern bool_t xdr_gb_flow_op ();
 extern bool_t xdr_gb_flow_ask ();
--- a/libgooseberry/gen/proto.x
+++ b/libgooseberry/gen/proto.x
@@ -441,6 +441,7 @@
 	int64_t submitted_us;	/* wall clock of the node that took it */
 	string spec<GB_SPEC_MAX>;
 	gb_step steps<GB_STEPS_MAX>;
+	gb_name org;		/* organisation it belongs to, empty: none */
 };
 
 enum gb_flow_status {
@@ -484,7 +485,8 @@
 	gb_worker_away away<GB_AWAY_MAX>;
 };
 
-/* What has become of a flow.  Rows of older programs end before `crashes`. */
+/* What has become of a flow.  Rows of older programs end before `crashes` or
+ * before `org`. */
 struct gb_flow_state {
 	gb_flow_status status;
 	bool cancelled;
@@ -492,6 +494,7 @@
 	gb_body done<GB_STEPS_MAX>;	/* a bit for each task of a step */
 	gb_task_state tasks<GB_TASKS_MAX>;
 	gb_task_crashes crashes<GB_TASKS_MAX>;
+	gb_name org;		/* organisation it belongs to, empty: none */
 };
 
 /* Who owns the pool.  One copy in each part, so that every transaction of a
@@ -515,17 +518,27 @@
 	gb_worker_ref list<GB_LIST_MAX>;
 };
 
+const GB_KEY_DIGEST = 32;	/* bytes of an API key's SHA-256 digest */
+
 enum gb_flow_verdict {
 	GB_FLOW_ACCEPTED = 0,
 	GB_FLOW_REFUSED = 1,	/* never runs */
 	GB_FLOW_MAYBE = 2,	/* may have been accepted */
 	GB_FLOW_NOT_OWNER = 3,	/* ask another node; nothing was done */
 	GB_FLOW_BEHIND = 4,	/* has an older configuration */
-	GB_FLOW_CANT_STORE = 5	/* not taken: the store refuses this owner */
+	GB_FLOW_CANT_STORE = 5,	/* not taken: the store refuses this owner */
+	GB_FLOW_DENIED = 6	/* the caller's key is not known; never runs */
+};
+
+/* Who calls, as the node that took the call found by its configuration. */
+struct gb_flow_caller {
+	uint64_t config;	/* version of that configuration */
+	gb_name org;		/* empty: the queue asks for no key */
+	opaque key<GB_KEY_DIGEST>;	/* digest of the key, empty: none */
 };
 
 struct gb_flow_submit {
-	uint64_t config;	/* version by which the caller found the queue */
+	gb_flow_caller caller;
 	gb_flow flow;
 };
 
@@ -538,6 +551,7 @@
 struct gb_flow_ask {
 	gb_flow_op op;
 	gb_name id;		/* of the flow, or name of the queue */
+	gb_flow_caller caller;
 };
 
 struct gb_flow_answer {
--- a/libgooseberry/node/intake.c
+++ b/libgooseberry/node/intake.c
@@ -43,7 +43,7 @@
 		xdr_free((xdrproc_t)xdr_gb_flow_submit, (char *)in->submit);
 		free(in->submit);
 	}
-	free(in->ask.id);
+	xdr_free((xdrproc_t)xdr_gb_flow_ask, (char *)&in->ask);
 	free(in);
 }
 
@@ -107,14 +107,16 @@
 
 /* At the store, without the owner ----------------------------------------- */
 
+/** State of a stored flow, as callers of an organisation are told. */
 static gb_flow_status
-state_status(const struct gb_pool_row *row)
+state_status(const struct gb_pool_row *row, const char *org)
 {
 	gb_flow_state state = {0};
 	gb_flow_status status = GB_FLOW_QUEUED;
 
 	if (gb_flow_state_decode(&row->value, &state))
-		status = state.status;
+		status = gb_flow_visible(state.org, org) ? state.status
+							 : GB_FLOW_UNKNOWN;
 	xdr_free((xdrproc_t)xdr_gb_flow_state, (char *)&state);
 	return status;
 }
@@ -135,8 +137,9 @@
 		return;
 	}
 	answer.verdict = GB_FLOW_ACCEPTED;
-	answer.status =
-	    res->row_count == 0 ? GB_FLOW_UNKNOWN : state_status(&res->rows[0]);
+	answer.status = res->row_count == 0
+			    ? GB_FLOW_UNKNOWN
+			    : state_status(&res->rows[0], in->ask.caller.org);
 	intake_finish(in, &answer);
 }
 
@@ -215,6 +218,7 @@
 	struct gb_pool_row puts[3] = {0};
 	struct gb_pool_txn txn = {gb_pool_part(id), &cond, 1, puts, 3};
 
+	state.org = in->submit->flow.org;
 	cond.table = GB_POOL_STATES;
 	cond.key = id;
 	puts[0].table = GB_POOL_STATES;
@@ -294,6 +298,7 @@
 		intake_owner_cant_store(in, answer);
 		return;
 	case GB_FLOW_REFUSED:
+	case GB_FLOW_DENIED:
 		intake_refused(in, answer);
 		return;
 	default:
@@ -450,7 +455,6 @@
 	struct intake *in = intake_new(node, timeout, answer, data);
 
 	in->submit = gb_calloc(1, sizeof(*in->submit));
-	in->ask.id = gb_strdup("");
 	if (!gb_xdr_copy((xdrproc_t)xdr_gb_flow_submit, submit, in->submit,
 		sizeof(*in->submit))) {
 		intake_give_up(in);
@@ -465,7 +469,10 @@
 {
 	struct intake *in = intake_new(node, timeout, answer, data);
 
-	in->ask.op = ask->op;
-	in->ask.id = gb_strdup(ask->id);
+	if (!gb_xdr_copy(
+		(xdrproc_t)xdr_gb_flow_ask, ask, &in->ask, sizeof(in->ask))) {
+		intake_give_up(in);
+		return;
+	}
 	intake_try(in, in->began);
 }
--- a/libgooseberry/node/node.c
+++ b/libgooseberry/node/node.c
@@ -318,12 +318,30 @@
 
 /* News -------------------------------------------------------------------- */
 
+/** Organisations and keys that can't be used, by reason. */
+static void
+org_faults_tell(struct gb_node *node, const struct gb_pool_config *config)
+{
+	unsigned int i;
+
+	for (i = GB_POOL_ORG_SOUND + 1; i < GB_POOL_ORG_FAULTS; i++) {
+		if (config->org_faults[i] == 0)
+			continue;
+		node->org_faults[i] += config->org_faults[i];
+		gb_event(node->events, GB_EVENT_ALWAYS, "config_org_bad",
+		    "{s:I, s:s, s:I}", "version", (json_int_t)config->version,
+		    "why", gb_pool_org_fault_name(i), "count",
+		    (json_int_t)config->org_faults[i]);
+	}
+}
+
 void
 gb_node_config_seen(struct gb_node *node, const char *text, size_t len)
 {
 	struct gb_pool_config *config = node->platform.config_decode(text, len);
 
 	if (config == NULL) {
+		node->configs_unreadable++;
 		gb_event(node->events, GB_EVENT_ALWAYS, "config_unreadable",
 		    "{s:I}", "bytes", (json_int_t)len);
 		return;
@@ -332,10 +350,17 @@
 		gb_pool_config_unref(config);
 		return;
 	}
+	/* Without its list of organisations it must not open all queues. */
+	if (node->config != NULL && node->config->keyed)
+		config->keyed = true;
 	gb_event(node->events, GB_EVENT_ALWAYS, "config_taken",
-	    "{s:I, s:I, s:I}", "version", (json_int_t)config->version, "before",
+	    "{s:I, s:I, s:I, s:b, s:I, s:I}", "version",
+	    (json_int_t)config->version, "before",
 	    (json_int_t)(node->config == NULL ? 0 : node->config->version),
-	    "queues", (json_int_t)config->queue_count);
+	    "queues", (json_int_t)config->queue_count, "keyed", config->keyed,
+	    "orgs", (json_int_t)config->org_count, "keys",
+	    (json_int_t)gb_pool_config_keys(config));
+	org_faults_tell(node, config);
 	gb_pool_config_unref(node->config);
 	node->config = config;
 	free(node->config_text);
--- a/libgooseberry/node/node_state.h
+++ b/libgooseberry/node/node_state.h
@@ -105,6 +105,8 @@
 	struct gb_pool_config *config;
 	char *config_text;
 	size_t config_len;
+	uint64_t configs_unreadable;
+	uint64_t org_faults[GB_POOL_ORG_FAULTS];
 	gb_time push_at; /**< no configuration is sent to a member before */
 	struct node_member *members; /**< the owner's: those that say hello */
 	uint64_t members_vers;	     /**< grows when one comes or goes */
--- a/libgooseberry/pool.h
+++ b/libgooseberry/pool.h
@@ -35,8 +35,45 @@
 	double stretch;	   /**< objective over the longest chain of work */
 	gb_time target_us; /**< added to it */
 	struct gb_pool_advice advice;
+	bool anonymous; /**< callers need no key */
 };
 
+/** Room of many workers together. */
+struct gb_pool_amount {
+	int64_t cpu;   /**< thousandths of a processor */
+	int64_t mem;   /**< MiB */
+	int64_t accel; /**< accelerators */
+};
+
+/** Why an organisation of a configuration can't be used.  What holds for the
+ * others stands. */
+enum gb_pool_org_fault {
+	GB_POOL_ORG_SOUND,
+	GB_POOL_ORG_UNNAMED,	/**< no name, or one that is too long */
+	GB_POOL_ORG_TWICE,	/**< another one has its name */
+	GB_POOL_ORG_RANGE,	/**< a weight or quota that cannot be */
+	GB_POOL_ORG_KEY,	/**< a key that is no text, or empty */
+	GB_POOL_ORG_KEY_SHARED, /**< a key that another one has */
+	GB_POOL_ORG_FAULTS
+};
+
+/** Text for logs and metrics. */
+const char *gb_pool_org_fault_name(enum gb_pool_org_fault);
+
+/** An organisation: whose callers share keys, a quota and a weight. */
+struct gb_pool_org {
+	char name[GB_NAME_MAX + 1];
+	uint32_t weight;	     /**< its share when all is full */
+	struct gb_pool_amount quota; /**< it may run at once, 0: no limit */
+};
+
+/** Digest of an API key; the key itself is not kept. */
+struct gb_pool_key_digest {
+	unsigned char bytes[GB_KEY_DIGEST];
+};
+
+struct gb_pool_key;
+
 /** One version of the operator's configuration. */
 struct gb_pool_config {
 	unsigned int refs;
@@ -45,11 +82,36 @@
 	size_t queue_count;
 	char (*services)[GB_NAME_MAX + 1]; /**< pools of workers */
 	size_t service_count;
+	/** It names organisations: callers need keys.  Deployments without
+	 * organisations have none. */
+	bool keyed;
+	struct gb_pool_org *orgs; /**< in the order in which they were added */
+	size_t org_count;
+	struct gb_pool_key *keys; /**< by digest */
+	unsigned int org_faults[GB_POOL_ORG_FAULTS];
 };
 
 struct gb_pool_config *gb_pool_config_new(size_t queues, size_t services);
 /** All queues are filled in: make them ready to be found. */
 void gb_pool_config_seal(struct gb_pool_config *);
+/** Add an organisation; one that can't be is left out.  There is room for as
+ * many as were announced. */
+void gb_pool_config_orgs(struct gb_pool_config *, size_t most);
+enum gb_pool_org_fault gb_pool_config_org_add(
+    struct gb_pool_config *, const struct gb_pool_org *);
+/** Give the organisation that was added last a key. */
+enum gb_pool_org_fault gb_pool_config_key_add(
+    struct gb_pool_config *, const char *key);
+void gb_pool_key_digest(const char *key, struct gb_pool_key_digest *);
+/** Organisation that has a key, or null. */
+const struct gb_pool_org *gb_pool_config_key_org(
+    const struct gb_pool_config *, const struct gb_pool_key_digest *);
+const struct gb_pool_org *gb_pool_config_org(
+    const struct gb_pool_config *, const char *name);
+/** Keys of all organisations. */
+size_t gb_pool_config_keys(const struct gb_pool_config *);
+/** Free what the functions above have added. */
+void gb_pool_config_orgs_free(struct gb_pool_config *);
 struct gb_pool_config *gb_pool_config_ref(struct gb_pool_config *);
 void gb_pool_config_unref(struct gb_pool_config *);
 const struct gb_pool_queue *gb_pool_config_queue(
@@ -372,6 +434,14 @@
 /** Whether a flow can be taken in at all: its shape is served. */
 bool gb_flow_check(const gb_flow *, struct gb_error *);
 
+/** Whether a flow may be seen and cancelled by callers of an organisation: by
+ * its own, and by all where one of the two belongs to none. */
+bool gb_flow_visible(const char *flow_org, const char *caller_org);
+
+/** Read a row of the table of submitted flows, also of older programs; free the
+ * flow with xdr_free.  False when it can't be read. */
+bool gb_flow_decode(const gb_body *row, gb_flow *);
+
 /** Read a row of the table of states, also of older programs; free the state
  * with xdr_free.  False when it can't be read. */
 bool gb_flow_state_decode(const gb_body *row, gb_flow_state *);
--- a/libgooseberry/pool/admit.c
+++ b/libgooseberry/pool/admit.c
@@ -18,6 +18,8 @@
 /** Time to come back after a refusal: as long as a burst drains for the
  * queues that wait least. */
 #define ADMIT_RETRY_US (2 * GB_SEC)
+/** The same of what no quota admits: until the operator raises it. */
+#define ADMIT_RETRY_QUOTA (30 * GB_SEC)
 /** Starts that wait for the link for less than this hold nobody up. */
 #define ADMIT_LINK_LEAST (500 * GB_MSEC)
 
@@ -37,6 +39,26 @@
 	return queue->target_us + (gb_time)(queue->stretch * (double)work);
 }
 
+/** Whether a step asks for more at one moment than its organisation may ever
+ * have. */
+static bool
+admit_over_quota(const struct gb_pool *pool, const gb_flow *flow)
+{
+	const struct gb_pool_org *org =
+	    gb_pool_config_org(pool->config, flow->org);
+	u_int i;
+
+	for (i = 0; org != NULL && i < flow->steps.steps_len; i++) {
+		const gb_step *step = &flow->steps.steps_val[i];
+		bool gang = (step->flags & GB_STEP_GANG) != 0;
+
+		if (!pool_quota_admits(
+			&org->quota, &step->res, gang ? step->count : 1))
+			return true;
+	}
+	return false;
+}
+
 bool
 pool_admit(struct gb_pool *pool, const gb_flow *flow, gb_time *retry_after,
     const char **why)
@@ -44,6 +66,11 @@
 	gb_time wait = pool_pace_wait(pool);
 
 	*retry_after = ADMIT_RETRY_US;
+	if (admit_over_quota(pool, flow)) {
+		*why = "a step needs more than its organisation may have";
+		*retry_after = ADMIT_RETRY_QUOTA;
+		return false;
+	}
 	if (pool->open_count >= ADMIT_FLOWS_MOST) {
 		*why = "too many flows are open";
 		return false;
--- a/libgooseberry/pool/config.c
+++ b/libgooseberry/pool/config.c
@@ -54,6 +54,7 @@
 		return;
 	free(config->queues);
 	free(config->services);
+	gb_pool_config_orgs_free(config);
 	free(config);
 }
 
--- a/libgooseberry/pool/dispatch.c
+++ b/libgooseberry/pool/dispatch.c
@@ -242,6 +242,17 @@
 	pool_advice_ask(pool, flow, number, NULL, 0);
 }
 
+/** The quota of its organisation does not admit the step now: it keeps no
+ * room from others meanwhile. */
+static void
+step_quota_waits(
+    struct gb_pool *pool, struct pool_flow *flow, struct pool_step *step)
+{
+	flow->org->quota_waits++;
+	flow->wait = 0;
+	pool_advice_claims_drop(pool, step);
+}
+
 /** Returns whether the step waits for want of room. */
 static bool
 step_dispatch(struct gb_pool *pool, struct pool_flow *flow, uint32_t number)
@@ -250,12 +261,19 @@
 	bool gang = (step->spec->flags & GB_STEP_GANG) != 0;
 	bool advice = POOL_ADVICE_NEEDED(flow);
 	uint32_t wanted = pool_flow_waiting(pool, flow, step);
+	uint32_t allowed;
 	uint32_t started;
 	uint32_t placed = 0;
 	uint32_t *workers;
 
 	if (wanted == 0 || step_claims_wait(pool, step))
 		return false;
+	allowed = pool_quota_fits(pool, flow->org, &step->spec->res, wanted);
+	if (allowed == 0 || (gang && allowed < wanted)) {
+		step_quota_waits(pool, flow, step);
+		return false;
+	}
+	wanted = allowed;
 	pool->waiting_bytes += pool_pace_bytes(flow, wanted);
 	if (!pool_pace_starts(pool)) {
 		pool->work_changed = true;
@@ -370,7 +388,9 @@
 		    (double)(pool->now - run->started) <
 			DISPATCH_STRAGGLER * (double)usual)
 			continue;
-		if (pool_fit_place(pool, flow, step, 1, true, &worker) == 0 ||
+		if (pool_quota_fits(pool, flow->org, &step->spec->res, 1) ==
+			0 ||
+		    pool_fit_place(pool, flow, step, 1, true, &worker) == 0 ||
 		    pool->workers[worker] == run->worker)
 			continue;
 		pool_run_start(pool, flow, number, i,
@@ -430,6 +450,7 @@
 		flows[count++] = flow;
 	}
 	crowd_count(pool, flows, count);
+	pool_quota_doubt(pool);
 	qsort(flows, count, sizeof(*flows), flow_compare);
 	pool_book_clear(pool);
 	pool->waiting_bytes = 0;
--- a/libgooseberry/pool/flow.c
+++ b/libgooseberry/pool/flow.c
@@ -86,6 +86,7 @@
 	flow->submitted = pool->now - age;
 	flow->change = 1;
 	flow->queue = gb_pool_config_queue(pool->config, flow->spec.queue);
+	flow->org = pool_org_get(pool, flow->spec.org);
 	HASH_ADD_KEYPTR(
 	    hh, pool->flows, flow->spec.id, strlen(flow->spec.id), flow);
 	TAILQ_INSERT_TAIL(&pool->open, flow, open_next);
@@ -255,8 +256,10 @@
 	memset(&flow->spec, 0, sizeof(flow->spec));
 	flow->spec.id = rest.id;
 	flow->spec.queue = rest.queue;
+	flow->spec.org = rest.org;
 	rest.id = NULL;
 	rest.queue = NULL;
+	rest.org = NULL;
 	xdr_free((xdrproc_t)xdr_gb_flow, (char *)&rest);
 }
 
--- a/libgooseberry/pool/flow_state.c
+++ b/libgooseberry/pool/flow_state.c
@@ -8,6 +8,10 @@
 #include "crash.h"
 #include "state.h"
 
+/** Fields at the end of the types that the first programs did not write. */
+#define STATE_FIELDS_LATER 2
+#define FLOW_FIELDS_LATER 1
+
 static bool
 task_has_state(const struct pool_task *task)
 {
@@ -76,6 +80,7 @@
 	state->status = flow->status;
 	state->cancelled = flow->cancelled;
 	state->owned = true;
+	state->org = gb_strdup(flow->spec.org);
 	if (flow->status >= GB_FLOW_SUCCEEDED)
 		return;
 	for (i = 0; i < flow->step_count; i++) {
@@ -96,18 +101,25 @@
 	}
 }
 
-/** A state that ends before its last list, as older programs wrote it. */
+/** Decode a row that ends before the last fields of its type, as older programs
+ * wrote it: each that is missing reads as empty. */
 static bool
-state_decode_older(const gb_body *row, gb_flow_state *state)
+row_decode(xdrproc_t proc, const gb_body *row, void *out, size_t size,
+    unsigned int missing_most)
 {
-	gb_body longer = {0};
-	bool ok;
+	gb_body longer = *row;
+	bool ok = false;
+	unsigned int i;
 
-	longer.gb_body_len = row->gb_body_len + BYTES_PER_XDR_UNIT;
-	longer.gb_body_val = gb_calloc(1, longer.gb_body_len);
+	longer.gb_body_val =
+	    gb_calloc(1, row->gb_body_len + missing_most * BYTES_PER_XDR_UNIT);
 	if (row->gb_body_len > 0)
 		memcpy(longer.gb_body_val, row->gb_body_val, row->gb_body_len);
-	ok = gb_xdr_decode((xdrproc_t)xdr_gb_flow_state, &longer, state);
+	for (i = 0; i <= missing_most && !ok; i++) {
+		memset(out, 0, size);
+		ok = gb_xdr_decode(proc, &longer, out);
+		longer.gb_body_len += BYTES_PER_XDR_UNIT;
+	}
 	free(longer.gb_body_val);
 	return ok;
 }
@@ -115,11 +127,15 @@
 bool
 gb_flow_state_decode(const gb_body *row, gb_flow_state *state)
 {
-	memset(state, 0, sizeof(*state));
-	if (gb_xdr_decode((xdrproc_t)xdr_gb_flow_state, row, state))
-		return true;
-	memset(state, 0, sizeof(*state));
-	return state_decode_older(row, state);
+	return row_decode((xdrproc_t)xdr_gb_flow_state, row, state,
+	    sizeof(*state), STATE_FIELDS_LATER);
+}
+
+bool
+gb_flow_decode(const gb_body *row, gb_flow *flow)
+{
+	return row_decode((xdrproc_t)xdr_gb_flow, row, flow, sizeof(*flow),
+	    FLOW_FIELDS_LATER);
 }
 
 void
--- a/libgooseberry/pool/load.c
+++ b/libgooseberry/pool/load.c
@@ -55,6 +55,7 @@
 	spec.queue = gb_strdup("");
 	spec.service = gb_strdup("");
 	spec.spec = gb_strdup("");
+	spec.org = gb_strdup(state.org);
 	spec.submitted_us = pool->wall;
 	flow = pool_flow_new(pool, &spec);
 	flow->created = true;
@@ -76,7 +77,7 @@
 
 	if (stub == NULL || stub->loading == NULL)
 		return;
-	if (!gb_xdr_decode((xdrproc_t)xdr_gb_flow, &row->value, &spec)) {
+	if (!gb_flow_decode(&row->value, &spec)) {
 		row_unreadable(pool, "flows", row);
 		return;
 	}
@@ -252,8 +253,7 @@
 
 	if (res->row_count == 0 || pool_flow_find(pool, res->rows[0].key))
 		return;
-	if (!gb_xdr_decode(
-		(xdrproc_t)xdr_gb_flow, &res->rows[0].value, &spec)) {
+	if (!gb_flow_decode(&res->rows[0].value, &spec)) {
 		row_unreadable(pool, "flows", &res->rows[0]);
 		return;
 	}
--- /dev/null
+++ b/libgooseberry/pool/org.c
@@ -0,0 +1,91 @@
+/**
+ * @file org.c
+ * Organisations as the owner of the pool knows them.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "state.h"
+
+/** Take over what the configuration says; one that it no longer names keeps
+ * what it had, since its flows go on. */
+static void
+org_configure(const struct gb_pool *pool, struct pool_org *org)
+{
+	const struct gb_pool_org *entry =
+	    gb_pool_config_org(pool->config, org->name);
+
+	if (entry == NULL)
+		return;
+	org->weight = entry->weight;
+	org->quota = entry->quota;
+}
+
+struct pool_org *
+pool_org_get(struct gb_pool *pool, const char *name)
+{
+	struct pool_org *org;
+
+	if (name[0] == '\0')
+		return NULL;
+	HASH_FIND_STR(pool->orgs, name, org);
+	if (org != NULL)
+		return org;
+	org = gb_calloc(1, sizeof(*org));
+	snprintf(org->name, sizeof(org->name), "%s", name);
+	HASH_ADD_STR(pool->orgs, name, org);
+	org_configure(pool, org);
+	return org;
+}
+
+void
+pool_orgs_configure(struct gb_pool *pool)
+{
+	struct pool_org *org;
+	struct pool_org *next;
+
+	HASH_ITER(hh, pool->orgs, org, next)
+	{
+		org_configure(pool, org);
+	}
+}
+
+void
+pool_orgs_free(struct gb_pool *pool)
+{
+	struct pool_org *org;
+	struct pool_org *next;
+
+	HASH_ITER(hh, pool->orgs, org, next)
+	{
+		HASH_DEL(pool->orgs, org);
+		free(org);
+	}
+}
+
+gb_flow_verdict
+pool_org_judge(const struct gb_pool *pool, const gb_flow_caller *caller)
+{
+	struct gb_pool_key_digest digest;
+	const struct gb_pool_org *org;
+
+	if (pool->config == NULL || pool->config->version < caller->config)
+		return GB_FLOW_BEHIND;
+	if (pool->config->version == caller->config ||
+	    caller->key.key_len != sizeof(digest.bytes))
+		return GB_FLOW_ACCEPTED;
+	memcpy(digest.bytes, caller->key.key_val, sizeof(digest.bytes));
+	org = gb_pool_config_key_org(pool->config, &digest);
+	if (org == NULL)
+		return GB_FLOW_DENIED;
+	/* The key went to another organisation: its node will know soon. */
+	return strcmp(org->name, caller->org) == 0 ? GB_FLOW_ACCEPTED
+						   : GB_FLOW_REFUSED;
+}
+
+bool
+gb_flow_visible(const char *flow_org, const char *caller_org)
+{
+	return flow_org[0] == '\0' || caller_org[0] == '\0' ||
+	       strcmp(flow_org, caller_org) == 0;
+}
--- /dev/null
+++ b/libgooseberry/pool/org.h
@@ -0,0 +1,48 @@
+/**
+ * @file org.h
+ * Organisations as the owner of the pool sees them: what they run, and what
+ * they may.
+ */
+#ifndef GB_POOL_ORG_H
+#define GB_POOL_ORG_H
+
+#include "pool.h"
+
+struct gb_pool;
+struct pool_flow;
+
+struct pool_org {
+	UT_hash_handle hh;
+	char name[GB_NAME_MAX + 1];
+	uint32_t weight;
+	struct gb_pool_amount quota; /**< 0: no limit */
+	struct gb_pool_amount used;  /**< by all that may run */
+	uint64_t runs;
+	uint64_t accepted; /**< flows */
+	uint64_t refused;
+	uint64_t quota_waits; /**< dispatches that left a step for its quota */
+};
+
+/* org.c */
+/** Organisation of a name, known or new; null for the empty name. */
+struct pool_org *pool_org_get(struct gb_pool *, const char *name);
+/** The configuration has changed. */
+void pool_orgs_configure(struct gb_pool *);
+void pool_orgs_free(struct gb_pool *);
+/** What a caller may do by the newer of its configuration and the owner's. */
+gb_flow_verdict pool_org_judge(const struct gb_pool *, const gb_flow_caller *);
+
+/* quota.c */
+/** A run takes room of its organisation, or gives it back. */
+void pool_quota_take(struct pool_org *, const gb_res *);
+void pool_quota_give(struct pool_org *, const gb_res *);
+/** How many of so many tasks an organisation may start now. */
+uint32_t pool_quota_fits(const struct gb_pool *, const struct pool_org *,
+    const gb_res *each, uint32_t wanted);
+/** Whether the quota admits so many tasks at once, were nothing else to run. */
+bool pool_quota_admits(
+    const struct gb_pool_amount *quota, const gb_res *each, uint32_t count);
+/** Work out anew what earlier owners may have left running out of sight. */
+void pool_quota_doubt(struct gb_pool *);
+
+#endif
--- /dev/null
+++ b/libgooseberry/pool/org_config.c
@@ -0,0 +1,152 @@
+/**
+ * @file org_config.c
+ * Organisations of a configuration, with their keys and quotas.
+ *
+ * Load: each request carries a key, and there may be 10,000 of them.  A key is
+ * found by its digest in one step, however many there are, and stands nowhere
+ * in clear.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include <openssl/sha.h>
+#include <uthash.h>
+
+#include "pool.h"
+
+struct gb_pool_key {
+	UT_hash_handle hh;
+	struct gb_pool_key_digest digest;
+	size_t org; /**< its place in the list */
+};
+
+void
+gb_pool_key_digest(const char *key, struct gb_pool_key_digest *digest)
+{
+	_Static_assert(
+	    SHA256_DIGEST_LENGTH == GB_KEY_DIGEST, "a digest fills its room");
+	SHA256((const unsigned char *)key, strlen(key), digest->bytes);
+}
+
+const char *
+gb_pool_org_fault_name(enum gb_pool_org_fault fault)
+{
+	static const char *const names[GB_POOL_ORG_FAULTS] = {
+	    [GB_POOL_ORG_SOUND] = "sound",
+	    [GB_POOL_ORG_UNNAMED] = "unnamed",
+	    [GB_POOL_ORG_TWICE] = "named_twice",
+	    [GB_POOL_ORG_RANGE] = "out_of_range",
+	    [GB_POOL_ORG_KEY] = "key_unreadable",
+	    [GB_POOL_ORG_KEY_SHARED] = "key_shared"};
+
+	return names[fault];
+}
+
+void
+gb_pool_config_orgs(struct gb_pool_config *config, size_t most)
+{
+	config->keyed = true;
+	config->orgs = gb_calloc(most, sizeof(*config->orgs));
+}
+
+const struct gb_pool_org *
+gb_pool_config_org(const struct gb_pool_config *config, const char *name)
+{
+	size_t i;
+
+	for (i = 0; config != NULL && i < config->org_count; i++) {
+		if (strcmp(config->orgs[i].name, name) == 0)
+			return &config->orgs[i];
+	}
+	return NULL;
+}
+
+static enum gb_pool_org_fault
+org_check(const struct gb_pool_config *config, const struct gb_pool_org *org)
+{
+	if (org->name[0] == '\0')
+		return GB_POOL_ORG_UNNAMED;
+	if (org->quota.cpu < 0 || org->quota.mem < 0 || org->quota.accel < 0)
+		return GB_POOL_ORG_RANGE;
+	if (gb_pool_config_org(config, org->name) != NULL)
+		return GB_POOL_ORG_TWICE;
+	return GB_POOL_ORG_SOUND;
+}
+
+enum gb_pool_org_fault
+gb_pool_config_org_add(
+    struct gb_pool_config *config, const struct gb_pool_org *org)
+{
+	enum gb_pool_org_fault fault = org_check(config, org);
+
+	config->org_faults[fault]++;
+	if (fault == GB_POOL_ORG_SOUND)
+		config->orgs[config->org_count++] = *org;
+	return fault;
+}
+
+static const struct gb_pool_key *
+key_find(const struct gb_pool_config *config,
+    const struct gb_pool_key_digest *digest)
+{
+	struct gb_pool_key *key;
+
+	HASH_FIND(hh, config->keys, digest, sizeof(*digest), key);
+	return key;
+}
+
+enum gb_pool_org_fault
+gb_pool_config_key_add(struct gb_pool_config *config, const char *text)
+{
+	enum gb_pool_org_fault fault = GB_POOL_ORG_SOUND;
+	struct gb_pool_key_digest digest;
+	const struct gb_pool_key *other;
+	struct gb_pool_key *key;
+
+	if (text == NULL || text[0] == '\0') {
+		config->org_faults[GB_POOL_ORG_KEY]++;
+		return GB_POOL_ORG_KEY;
+	}
+	gb_pool_key_digest(text, &digest);
+	other = key_find(config, &digest);
+	if (other != NULL) {
+		if (other->org + 1 != config->org_count)
+			fault = GB_POOL_ORG_KEY_SHARED;
+		config->org_faults[fault]++;
+		return fault;
+	}
+	key = gb_calloc(1, sizeof(*key));
+	key->digest = digest;
+	key->org = config->org_count - 1;
+	HASH_ADD(hh, config->keys, digest, sizeof(key->digest), key);
+	return fault;
+}
+
+const struct gb_pool_org *
+gb_pool_config_key_org(const struct gb_pool_config *config,
+    const struct gb_pool_key_digest *digest)
+{
+	const struct gb_pool_key *key = key_find(config, digest);
+
+	return key == NULL ? NULL : &config->orgs[key->org];
+}
+
+size_t
+gb_pool_config_keys(const struct gb_pool_config *config)
+{
+	return HASH_COUNT(config->keys);
+}
+
+void
+gb_pool_config_orgs_free(struct gb_pool_config *config)
+{
+	struct gb_pool_key *key;
+	struct gb_pool_key *next;
+
+	HASH_ITER(hh, config->keys, key, next)
+	{
+		HASH_DEL(config->keys, key);
+		free(key);
+	}
+	free(config->orgs);
+}
--- a/libgooseberry/pool/pool.c
+++ b/libgooseberry/pool/pool.c
@@ -73,6 +73,7 @@
 		HASH_DEL(pool->queues, stat);
 		free(stat);
 	}
+	pool_orgs_free(pool);
 	gb_pool_config_unref(pool->config);
 	free(pool->lanes);
 	free(pool->candidates);
@@ -196,6 +197,7 @@
 	{
 		flow->queue = gb_pool_config_queue(config, flow->spec.queue);
 	}
+	pool_orgs_configure(pool);
 	pool_workers_served(pool);
 	pool->work_changed = true;
 }
@@ -282,6 +284,7 @@
 gb_pool_submit(struct gb_pool *pool, gb_time now, uint64_t token,
     const gb_flow_submit *submit)
 {
+	gb_flow_verdict judged;
 	struct pool_flow *flow;
 	gb_time retry_after = 0;
 	const char *why = "";
@@ -292,11 +295,14 @@
 		pool_answer(pool, token, GB_FLOW_NOT_OWNER, 0);
 		return;
 	}
-	if (pool->config == NULL || pool->config->version < submit->config) {
-		pool_answer(pool, token, GB_FLOW_BEHIND, 0);
+	judged = pool_org_judge(pool, &submit->caller);
+	flow = pool_flow_find(pool, submit->flow.id);
+	if (flow != NULL && !gb_flow_visible(flow->spec.org, submit->flow.org))
+		judged = GB_FLOW_REFUSED;
+	if (judged != GB_FLOW_ACCEPTED) {
+		pool_answer(pool, token, judged, GB_SEC);
 		return;
 	}
-	flow = pool_flow_find(pool, submit->flow.id);
 	if (flow != NULL) {
 		pool->stats.repeated++;
 		pool_flow_wait(pool, flow, token, 1, pool_flow_shown(flow));
@@ -342,6 +348,7 @@
     struct gb_pool *pool, gb_time now, uint64_t token, const gb_flow_ask *ask)
 {
 	gb_flow_answer answer = {0};
+	gb_flow_verdict judged = pool_org_judge(pool, &ask->caller);
 	struct pool_flow *flow;
 
 	pool->now = now;
@@ -349,10 +356,18 @@
 		pool_answer(pool, token, GB_FLOW_NOT_OWNER, 0);
 		return;
 	}
+	/* A node with a newer configuration has judged by that. */
+	if (judged != GB_FLOW_ACCEPTED && judged != GB_FLOW_BEHIND) {
+		pool_answer(pool, token, judged, GB_SEC);
+		return;
+	}
 	if (ask->op != GB_FLOW_OP_PENDING &&
 	    !pool_part_answers(pool, token, ask->id))
 		return;
 	flow = pool_flow_find(pool, ask->id);
+	/* Others are not told that there is such a flow. */
+	if (flow != NULL && !gb_flow_visible(flow->spec.org, ask->caller.org))
+		flow = NULL;
 	answer.verdict = GB_FLOW_ACCEPTED;
 	if (ask->op == GB_FLOW_OP_PENDING) {
 		answer.pending = pool_pending(pool, ask->id);
--- a/libgooseberry/pool/run.c
+++ b/libgooseberry/pool/run.c
@@ -46,6 +46,7 @@
 	TAILQ_INSERT_TAIL(&worker->runs, run, of_worker);
 	worker->run_count++;
 	gb_res_add(&worker->used, &run->res);
+	pool_quota_take(flow->org, &run->res);
 	if (number > s->run_number)
 		s->run_number = number;
 	flow->runs++;
@@ -71,6 +72,7 @@
 	run->worker->run_count--;
 	run->worker->suspect_runs -= run->suspect;
 	gb_res_sub(&run->worker->used, &run->res);
+	pool_quota_give(run->flow->org, &run->res);
 	run->flow->runs--;
 	pool->stats.running--;
 	pool->work_changed = true;
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -5,9 +5,9 @@
  * Calls go one way, from the top of this list to its end: pool.c, owner.c,
  * load.c, dispatch.c, advice.c, worker.c, flow.c, report.c and run.c (which
  * meet over the ends of runs), crash.c, health.c, worker_set.c, writer.c,
- * flow_state.c, call.c; then the decisions without side effects: rank.c, fit.c,
- * book.c, admit.c. preempt.c stands between: it decides, and stops runs by way
- * of run.c.  pace.c asks the node how busy its link is.
+ * flow_state.c, call.c, org.c; then the decisions without side effects: rank.c,
+ * fit.c, book.c, quota.c, admit.c. preempt.c stands between: it decides, and
+ * stops runs by way of run.c.  pace.c asks the node how busy its link is.
  */
 #ifndef GB_POOL_STATE_H
 #define GB_POOL_STATE_H
@@ -16,6 +16,7 @@
 
 #include <uthash.h>
 
+#include "org.h"
 #include "pool.h"
 
 struct pool_flow;
@@ -155,6 +156,7 @@
 	uint32_t part; /**< of the tables that its rows stand in */
 	/** Its queue in the configuration in force, or null. */
 	const struct gb_pool_queue *queue;
+	struct pool_org *org; /**< null: it belongs to none */
 	struct pool_step *steps;
 	uint32_t step_count;
 	gb_flow_status status;
@@ -413,6 +415,9 @@
 	uint32_t open_count;
 	struct gb_pool_config *config;
 	struct pool_queue_stat *queues;
+	struct pool_org *orgs;
+	/** Room in which something may run that this owner does not know of. */
+	struct gb_pool_amount doubt;
 	struct pool_part parts[GB_POOL_PARTS];
 	/* Workers */
 	struct pool_worker *workers_by_id;
--- a/standin/emulator.c
+++ b/standin/emulator.c
@@ -262,6 +262,7 @@
 	flow.id = gb_strdup(id);
 	flow.queue = gb_strdup("");
 	flow.service = gb_strdup("");
+	flow.org = gb_strdup("");
 	world_submitted(emu->world, &flow, query_number(call, "attempts"));
 	xdr_free((xdrproc_t)xdr_gb_flow, (char *)&flow);
 	emu_answer(call, 200, json_object());
--- a/standin/world.c
+++ b/standin/world.c
@@ -79,6 +79,7 @@
 		free(flow);
 	}
 	world_rows_free(world);
+	world_orgs_free(world);
 	free(world);
 }
 
--- a/standin/world.h
+++ b/standin/world.h
@@ -19,6 +19,7 @@
 				  went on crashing workers */
 	unsigned int alone;  /**< a gang was never complete */
 	unsigned int ticket; /**< a start without a ticket that holds */
+	unsigned int quota;  /**< an organisation was given more than it may */
 	char text[200];	     /**< of the first */
 };
 
@@ -71,6 +72,11 @@
 /** Tell the oracle what was submitted: what runs is compared with it. */
 void world_submitted(
     struct world *, const gb_flow *, unsigned int max_attempts);
+/** What an organisation may have running from now on, 0: no limit. */
+void world_org_quota(
+    struct world *, const char *org, const struct gb_pool_amount *);
+/** Processors that an organisation has running, in thousandths. */
+int64_t world_org_cpu(const struct world *, const char *org);
 /** What the workers have seen of a flow. */
 struct world_flow_view {
 	unsigned int starts;
--- a/standin/world_oracle.c
+++ b/standin/world_oracle.c
@@ -193,6 +193,9 @@
 	if (worker_is_over(world, worker))
 		world_fault(world, &world->faults.limit, "over its capacity",
 		    run->flow);
+	if (!world_org_take(world, flow->spec.org, &step->res))
+		world_fault(
+		    world, &world->faults.quota, "over its quota", run->flow);
 	task->running++;
 	flow->starts++;
 }
@@ -208,6 +211,8 @@
 	if (task == NULL)
 		return;
 	task->running--;
+	world_org_give(
+	    world, flow->spec.org, &flow->spec.steps.steps_val[run->step].res);
 	if (lost)
 		return;
 	if (how == GB_POOL_DONE) {
--- a/standin/world_state.h
+++ b/standin/world_state.h
@@ -93,6 +93,14 @@
 	struct world_task *tasks;
 };
 
+/** What an organisation has running. */
+struct world_org {
+	UT_hash_handle hh;
+	char name[GB_NAME_MAX + 1];
+	struct gb_pool_amount quota;
+	struct gb_pool_amount used;
+};
+
 struct world_row {
 	TAILQ_ENTRY(world_row) next;
 	UT_hash_handle hh;
@@ -112,6 +120,7 @@
 	struct world_worker **workers;
 	unsigned int worker_count;
 	struct world_flow *flows;
+	struct world_org *orgs;
 	bool tickets;		/**< starts need one */
 	gb_time shrunk_known;	/**< owners know of less room so much later */
 	struct world_rows rows; /**< in the order of their keys */
@@ -122,6 +131,12 @@
 
 void world_rows_free(struct world *);
 
+/* world_org.c */
+/** A run of an organisation begins: whether it is within its quota. */
+bool world_org_take(struct world *, const char *org, const gb_res *);
+void world_org_give(struct world *, const char *org, const gb_res *);
+void world_orgs_free(struct world *);
+
 /* world_oracle.c */
 /** Something happened that must not; keeps the first text. */
 void world_fault(
--- a/tests/pool_cell.c
+++ b/tests/pool_cell.c
@@ -576,6 +576,20 @@
 	gb_pool_configure(cell->nodes[node], cell->now, cell->config);
 }
 
+static void
+orgs_make(const struct pool_cell *cell, struct gb_pool_config *config)
+{
+	size_t i;
+
+	if (cell->org_count == 0)
+		return;
+	gb_pool_config_orgs(config, cell->org_count);
+	for (i = 0; i < cell->org_count; i++) {
+		gb_pool_config_org_add(config, &cell->orgs[i]);
+		gb_pool_config_key_add(config, cell->orgs[i].name);
+	}
+}
+
 static void
 config_make(struct pool_cell *cell)
 {
@@ -585,7 +599,8 @@
 	struct gb_pool_config *config = gb_pool_config_new(3, 0);
 	size_t i;
 
-	config->version = 1;
+	config->version = cell->config == NULL ? 1 : cell->config->version + 1;
+	orgs_make(cell, config);
 	for (i = 0; i < 3; i++) {
 		struct gb_pool_queue *queue = &config->queues[i];
 
@@ -600,9 +615,40 @@
 		queue->advice.per_item_us = cell->setup.per_item_us;
 	}
 	gb_pool_config_seal(config);
+	gb_pool_config_unref(cell->config);
 	cell->config = config;
 }
 
+void
+pool_cell_configure(struct pool_cell *cell)
+{
+	size_t i;
+
+	config_make(cell);
+	for (i = 0; i < CELL_NODES; i++)
+		gb_pool_configure(cell->nodes[i], cell->now, cell->config);
+}
+
+void
+pool_cell_quota(
+    struct pool_cell *cell, const char *name, int64_t cpu, int64_t mem)
+{
+	struct gb_pool_org *org = &cell->orgs[0];
+
+	while (
+	    org < &cell->orgs[cell->org_count] && strcmp(org->name, name) != 0)
+		org++;
+	if (org == &cell->orgs[cell->org_count])
+		cell->org_count++;
+	assert_true(cell->org_count <= CELL_ORGS);
+	snprintf(org->name, sizeof(org->name), "%s", name);
+	org->weight = 1;
+	org->quota.cpu = cpu;
+	org->quota.mem = mem;
+	world_org_quota(cell->world, name, &org->quota);
+	pool_cell_configure(cell);
+}
+
 struct pool_cell *
 pool_cell_new(const struct pool_cell_setup *setup)
 {
@@ -826,13 +872,14 @@
 flow_send(struct pool_cell *cell, struct pool_cell_flow *flow)
 {
 	unsigned int owner = pool_cell_owner(cell);
-	gb_flow_submit submit;
+	gb_flow_submit submit = {0};
 
 	flow->token = ++cell->next_token;
 	flow->answered = false;
 	if (owner == CELL_NODES)
 		return;
-	submit.config = 1;
+	submit.caller.config = cell->config->version;
+	submit.caller.org = flow->spec.org;
 	submit.flow = flow->spec;
 	gb_pool_submit(cell->nodes[owner], cell->now, flow->token, &submit);
 }
@@ -848,6 +895,7 @@
 	flow->spec.queue = gb_strdup(queue);
 	flow->spec.service = gb_strdup("svc");
 	flow->spec.spec = gb_strdup(spec);
+	flow->spec.org = gb_strdup(cell->org);
 	flow->spec.max_attempts = 3;
 	flow->spec.submitted_us = cell->now;
 	flow->submitted = cell->now;
@@ -870,13 +918,15 @@
 	unsigned int owner = pool_cell_owner(cell);
 	struct pool_cell_flow before = *flow;
 	gb_flow_answer answer = {0};
-	gb_flow_ask ask;
+	gb_flow_ask ask = {0};
 
 	answer.status = GB_FLOW_UNKNOWN;
 	if (owner == CELL_NODES)
 		return answer;
 	ask.op = op;
 	ask.id = flow->spec.id;
+	ask.caller.config = cell->config->version;
+	ask.caller.org = flow->spec.org;
 	flow->token = ++cell->next_token;
 	flow->answered = false;
 	gb_pool_ask(cell->nodes[owner], cell->now, flow->token, &ask);
@@ -929,6 +979,7 @@
 	assert_int_equal(faults->limit, 0);
 	assert_int_equal(faults->order, 0);
 	assert_int_equal(faults->budget, 0);
+	assert_int_equal(faults->quota, 0);
 }
 
 size_t
--- a/tests/pool_cell.h
+++ b/tests/pool_cell.h
@@ -9,6 +9,7 @@
 #include "world.h"
 
 #define CELL_NODES 3
+#define CELL_ORGS 8
 
 /** Faults in force, in percent of the calls they concern. */
 struct pool_cell_faults {
@@ -71,6 +72,9 @@
 	size_t event_count;
 	size_t event_size;
 	struct gb_pool_config *config;
+	char org[GB_NAME_MAX + 1]; /**< of the flows that are submitted next */
+	struct gb_pool_org orgs[CELL_ORGS];
+	size_t org_count;
 	unsigned int starts;
 	unsigned int advice_calls;
 	gb_time listed_at;
@@ -100,6 +104,12 @@
 struct pool_cell *pool_cell_begin(const struct pool_cell_setup *);
 /** The oracle has seen no promise broken. */
 void pool_cell_assert_unharmed(const struct pool_cell *);
+/** Give an organisation a quota of processors, in thousandths, and of memory;
+ * known to all nodes as a new version.  Its key is its name. */
+void pool_cell_quota(
+    struct pool_cell *, const char *org, int64_t cpu, int64_t mem);
+/** Tell all nodes a new version. */
+void pool_cell_configure(struct pool_cell *);
 /** Submit two tasks of a second to the queue of lookups. */
 size_t pool_cell_submit_lookup(struct pool_cell *);
 
--- a/tests/test_crash.c
+++ b/tests/test_crash.c
@@ -371,25 +371,31 @@
 	}
 }
 
-/** Rows that an older program wrote end before the crashes. */
+/** Rows that older programs wrote end before the organisation, and before the
+ * crashes; no others are read. */
 static void
 test_older_states_are_read(void **state)
 {
-	gb_flow_state written = {0};
+	char none[] = "";
+	gb_flow_state written = {.org = none};
 	gb_flow_state read;
 	gb_body row;
+	unsigned int missing;
 
 	(void)state;
 	written.status = GB_FLOW_RUNNING;
 	written.owned = TRUE;
 	assert_true(
 	    gb_xdr_encode((xdrproc_t)xdr_gb_flow_state, &written, &row));
-	row.gb_body_len -= BYTES_PER_XDR_UNIT;
-	assert_true(gb_flow_state_decode(&row, &read));
-	assert_int_equal(read.status, GB_FLOW_RUNNING);
-	assert_true(read.owned);
-	assert_int_equal(read.crashes.crashes_len, 0);
-	row.gb_body_len -= BYTES_PER_XDR_UNIT;
+	for (missing = 0; missing <= 2; missing++) {
+		assert_true(gb_flow_state_decode(&row, &read));
+		assert_int_equal(read.status, GB_FLOW_RUNNING);
+		assert_true(read.owned);
+		assert_int_equal(read.crashes.crashes_len, 0);
+		assert_string_equal(read.org, "");
+		xdr_free((xdrproc_t)xdr_gb_flow_state, (char *)&read);
+		row.gb_body_len -= BYTES_PER_XDR_UNIT;
+	}
 	assert_false(gb_flow_state_decode(&row, &read));
 	free(row.gb_body_val);
 }
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -275,7 +275,9 @@
 
 	step.count = 1;
 	step.label = step.rack = none;
-	submit.config = 1;
+	submit.caller.config = 1;
+	submit.caller.org = none;
+	submit.flow.org = none;
 	submit.flow.id = (char *)id;
 	submit.flow.queue = (char *)"lookup";
 	submit.flow.service = (char *)"svc";
--- /dev/null
+++ b/tests/test_org.c
@@ -0,0 +1,252 @@
+/**
+ * @file test_org.c
+ * Organisations of a configuration: how they are read, and who calls.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "node/caller.h"
+#include "platform.h"
+
+#define KEYS_MANY 10000
+#define MUTATIONS 20000
+
+static const char config_text[] =
+    "{\"Version\":7,\"Routes\":["
+    "{\"Name\":\"open\",\"Host\":\"h\",\"Prefix\":\"/o/\",\"Service\":\"s\","
+    "\"AllowAnonymous\":true},"
+    "{\"Name\":\"keyed\",\"Host\":\"h\",\"Prefix\":\"/k/\",\"Service\":\"s\"}],"
+    "\"Services\":[{\"Name\":\"s\"}],\"Tenants\":["
+    "{\"Name\":\"one\",\"ApiKeys\":[\"k1\",\"k2\"],\"Weight\":46,"
+    "\"MaxCount\":{\"Cpu\":2000,\"MemMb\":4000,\"Gpus\":0}},"
+    "{\"Name\":\"two\",\"ApiKeys\":[\"k3\"],\"Weight\":2}]}";
+
+static struct gb_pool_config *
+decode(const char *text)
+{
+	return plat_config_decode(text, strlen(text));
+}
+
+static enum gb_caller_verdict
+identify(const struct gb_pool_config *config, const char *queue,
+    const char *key, struct gb_caller *caller)
+{
+	return gb_caller_identify(
+	    config, gb_pool_config_queue(config, queue), key, caller);
+}
+
+static void
+test_callers_are_known_by_their_keys(void **state)
+{
+	struct gb_pool_config *config = decode(config_text);
+	struct gb_caller caller;
+	gb_flow_caller told;
+
+	(void)state;
+	assert_int_equal(
+	    identify(config, "keyed", "k2", &caller), GB_CALLER_KNOWN);
+	assert_string_equal(caller.org->name, "one");
+	assert_int_equal(caller.org->weight, 46);
+	assert_int_equal(caller.org->quota.cpu, 2000);
+	assert_int_equal(caller.org->quota.mem, 4000);
+	gb_caller_fill(&caller, config, &told);
+	assert_int_equal(told.config, 7);
+	assert_string_equal(told.org, "one");
+	assert_int_equal(told.key.key_len, GB_KEY_DIGEST);
+	assert_int_equal(
+	    identify(config, "keyed", "k3", &caller), GB_CALLER_KNOWN);
+	assert_string_equal(caller.org->name, "two");
+	assert_int_equal(caller.org->quota.cpu, 0);
+	gb_pool_config_unref(config);
+}
+
+static void
+test_unknown_keys_are_turned_away(void **state)
+{
+	struct gb_pool_config *config = decode(config_text);
+	struct gb_caller caller;
+
+	(void)state;
+	assert_int_equal(
+	    identify(config, "keyed", "k4", &caller), GB_CALLER_UNKNOWN);
+	assert_int_equal(
+	    identify(config, "keyed", "", &caller), GB_CALLER_UNKNOWN);
+	assert_int_equal(
+	    identify(config, "keyed", NULL, &caller), GB_CALLER_UNKNOWN);
+	assert_int_equal(
+	    identify(config, "open", "k4", &caller), GB_CALLER_UNKNOWN);
+	gb_pool_config_unref(config);
+}
+
+static void
+test_anonymous_queues_need_no_key(void **state)
+{
+	struct gb_pool_config *config = decode(config_text);
+	struct gb_caller caller;
+	gb_flow_caller told;
+
+	(void)state;
+	assert_int_equal(
+	    identify(config, "open", NULL, &caller), GB_CALLER_ANONYMOUS);
+	gb_caller_fill(&caller, config, &told);
+	assert_string_equal(told.org, "");
+	assert_int_equal(told.key.key_len, 0);
+	assert_int_equal(
+	    identify(config, "open", "k1", &caller), GB_CALLER_KNOWN);
+	gb_pool_config_unref(config);
+}
+
+/** A deployment without organisations asks nobody for a key. */
+static void
+test_without_organisations_nobody_needs_a_key(void **state)
+{
+	struct gb_pool_config *config =
+	    decode("{\"Version\":1,\"Routes\":[{\"Name\":\"q\",\"Host\":\"h\","
+		   "\"Prefix\":\"/q/\",\"Service\":\"s\"}]}");
+	struct gb_caller caller;
+
+	(void)state;
+	assert_false(config->keyed);
+	assert_int_equal(
+	    identify(config, "q", NULL, &caller), GB_CALLER_ANONYMOUS);
+	assert_int_equal(
+	    identify(config, "q", "x", &caller), GB_CALLER_ANONYMOUS);
+	gb_pool_config_unref(config);
+}
+
+/** Each organisation that can't be read is left out, and the others hold. */
+static void
+test_bad_organisations_harm_no_other(void **state)
+{
+	static const struct {
+		const char *entry;
+		enum gb_pool_org_fault fault;
+	} cases[] = {
+	    {"{\"ApiKeys\":[\"b\"]}", GB_POOL_ORG_UNNAMED},
+	    {"{\"Name\":7,\"ApiKeys\":[\"b\"]}", GB_POOL_ORG_UNNAMED},
+	    {"17", GB_POOL_ORG_UNNAMED},
+	    {"{\"Name\":\"good\",\"ApiKeys\":[\"b\"]}", GB_POOL_ORG_TWICE},
+	    {"{\"Name\":\"x\",\"ApiKeys\":[\"b\"],\"MaxCount\":{\"Cpu\":-1}}",
+		GB_POOL_ORG_RANGE},
+	    {"{\"Name\":\"x\",\"ApiKeys\":[\"b\"],\"MaxCount\":{\"Cpu\":\"9\"}"
+	     "}",
+		GB_POOL_ORG_RANGE},
+	    {"{\"Name\":\"x\",\"ApiKeys\":[\"b\"],\"MaxCount\":[]}",
+		GB_POOL_ORG_RANGE},
+	    {"{\"Name\":\"x\",\"ApiKeys\":[7]}", GB_POOL_ORG_KEY},
+	    {"{\"Name\":\"x\",\"ApiKeys\":[\"\"]}", GB_POOL_ORG_KEY},
+	    {"{\"Name\":\"x\",\"ApiKeys\":[\"g\"]}", GB_POOL_ORG_KEY_SHARED},
+	};
+	struct gb_pool_config *config;
+	struct gb_caller caller;
+	char text[512];
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		snprintf(text, sizeof(text),
+		    "{\"Version\":2,\"Routes\":[{\"Name\":\"q\"}],\"Tenants\":["
+		    "{\"Name\":\"good\",\"ApiKeys\":[\"g\"]},%s]}",
+		    cases[i].entry);
+		config = decode(text);
+		assert_non_null(config);
+		assert_int_equal(config->org_faults[cases[i].fault], 1);
+		assert_int_equal(
+		    identify(config, "q", "g", &caller), GB_CALLER_KNOWN);
+		assert_string_equal(caller.org->name, "good");
+		assert_int_equal(
+		    identify(config, "q", "b", &caller), GB_CALLER_UNKNOWN);
+		gb_pool_config_unref(config);
+	}
+}
+
+/** What has no version is none. */
+static void
+test_versions_that_cannot_be_read(void **state)
+{
+	(void)state;
+	assert_null(decode("{\"Tenants\":[]}"));
+	assert_null(decode("{\"Version\":\"7\",\"Tenants\":[]}"));
+	assert_null(decode("{\"Version\":7,\"Tenants\":["));
+}
+
+/** Load: 140 organisations with 10,000 keys. */
+static void
+test_many_keys_are_found(void **state)
+{
+	struct gb_pool_config *config = gb_pool_config_new(0, 0);
+	struct gb_pool_key_digest digest;
+	struct gb_pool_org org = {0};
+	char text[32];
+	int i;
+
+	(void)state;
+	gb_pool_config_orgs(config, 140);
+	for (i = 0; i < KEYS_MANY; i++) {
+		if (i % (KEYS_MANY / 140 + 1) == 0) {
+			snprintf(org.name, sizeof(org.name), "org%d", i);
+			assert_int_equal(gb_pool_config_org_add(config, &org),
+			    GB_POOL_ORG_SOUND);
+		}
+		snprintf(text, sizeof(text), "key%d", i);
+		assert_int_equal(
+		    gb_pool_config_key_add(config, text), GB_POOL_ORG_SOUND);
+	}
+	assert_int_equal(gb_pool_config_keys(config), KEYS_MANY);
+	for (i = 0; i < KEYS_MANY; i++) {
+		snprintf(text, sizeof(text), "key%d", i);
+		gb_pool_key_digest(text, &digest);
+		assert_non_null(gb_pool_config_key_org(config, &digest));
+	}
+	gb_pool_key_digest("key", &digest);
+	assert_null(gb_pool_config_key_org(config, &digest));
+	gb_pool_config_unref(config);
+}
+
+/** Bytes that are changed at random make at worst a version that is not read,
+ * or one whose organisations are checked. */
+static void
+test_mutated_configurations(void **state)
+{
+	uint64_t seed = 3;
+	char text[sizeof(config_text)];
+	struct gb_pool_config *config;
+	size_t i;
+	int n;
+
+	(void)state;
+	for (n = 0; n < MUTATIONS; n++) {
+		memcpy(text, config_text, sizeof(text));
+		for (i = 0; i <= gb_random_next(&seed) % 4; i++)
+			text[gb_random_next(&seed) % (sizeof(text) - 1)] =
+			    (char)(1 + gb_random_next(&seed) % 255);
+		config = decode(text);
+		for (i = 0; config != NULL && i < config->org_count; i++) {
+			assert_true(config->orgs[i].name[0] != '\0');
+			assert_true(config->orgs[i].quota.cpu >= 0);
+			assert_true(config->orgs[i].quota.mem >= 0);
+		}
+		gb_pool_config_unref(config);
+	}
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_callers_are_known_by_their_keys),
+	    cmocka_unit_test(test_unknown_keys_are_turned_away),
+	    cmocka_unit_test(test_anonymous_queues_need_no_key),
+	    cmocka_unit_test(test_without_organisations_nobody_needs_a_key),
+	    cmocka_unit_test(test_bad_organisations_harm_no_other),
+	    cmocka_unit_test(test_versions_that_cannot_be_read),
+	    cmocka_unit_test(test_many_keys_are_found),
+	    cmocka_unit_test(test_mutated_configurations),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -825,7 +825,7 @@
 static void
 store_without_owner(struct pool_cell *cell, const gb_flow *spec)
 {
-	gb_flow_state state = {0};
+	gb_flow_state state = {.org = spec->org};
 	struct gb_pool_row cond = {0};
 	struct gb_pool_row puts[3] = {0};
 	struct gb_pool_txn txn = {gb_pool_part(spec->id), &cond, 1, puts, 3};
@@ -868,6 +868,7 @@
 		spec.queue = (char *)"lookup";
 		spec.service = (char *)"svc";
 		spec.spec = (char *)"ms=1000";
+		spec.org = label;
 		spec.max_attempts = 3;
 		spec.steps.steps_len = 1;
 		spec.steps.steps_val = &step;
@@ -897,7 +898,7 @@
 {
 	struct pool_cell_flow *f = &cell->flows[flow];
 	struct world_flow_view view = {0};
-	gb_flow_ask ask = {GB_FLOW_OP_STATE, f->spec.id};
+	gb_flow_ask ask = {GB_FLOW_OP_STATE, f->spec.id, {1, f->spec.org, {0}}};
 
 	while (!view.done) {
 		pool_cell_run(cell, 5 * GB_MSEC);
--- /dev/null
+++ b/tests/test_quota.c
@@ -0,0 +1,406 @@
+/**
+ * @file test_quota.c
+ * Organisations at the owner of the pool: quotas at every start, and flows that
+ * belong to one of them.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "pool_cell.h"
+
+#define QUOTA_CPU 40000
+#define SEEDS 60
+
+static const struct pool_cell_setup plain = {
+    1, 16, {16000, 64000, 0, 0, 0}, 0, 0, 0, 0, 0, 0};
+
+static void
+submit_as(struct pool_cell *cell, const char *org)
+{
+	snprintf(cell->org, sizeof(cell->org), "%s", org);
+}
+
+/** Ten submissions that ask for eight times the quota. */
+static void
+submit_imports(struct pool_cell *cell, uint32_t flags)
+{
+	int i;
+
+	for (i = 0; i < 10; i++) {
+		pool_cell_step(cell, 16, 2000, GB_SEC, flags, -1);
+		pool_cell_submit(cell, "import", "ms=1000");
+	}
+}
+
+static void
+assert_all_done(const struct pool_cell *cell)
+{
+	size_t i;
+
+	for (i = 0; i < cell->flow_count; i++)
+		assert_int_equal(cell->flows[i].status, GB_FLOW_SUCCEEDED);
+	pool_cell_assert_unharmed(cell);
+}
+
+/** The quota is used to its end, and never more; another organisation is not
+ * held up. */
+static void
+test_quota_is_kept_and_used(void **state)
+{
+	struct pool_cell *cell = pool_cell_begin(&plain);
+	size_t other;
+
+	(void)state;
+	pool_cell_quota(cell, "large", QUOTA_CPU, 0);
+	pool_cell_quota(cell, "small", 0, 0);
+	submit_as(cell, "large");
+	submit_imports(cell, 0);
+	pool_cell_run(cell, 500 * GB_MSEC);
+	assert_int_equal(world_org_cpu(cell->world, "large"), QUOTA_CPU);
+	submit_as(cell, "small");
+	other = pool_cell_submit_lookup(cell);
+	pool_cell_run(cell, 1500 * GB_MSEC);
+	assert_int_equal(cell->flows[other].status, GB_FLOW_SUCCEEDED);
+	pool_cell_run(cell, 15 * GB_SEC);
+	assert_all_done(cell);
+	pool_cell_free(cell);
+}
+
+/** Gangs start whole within the quota, or wait. */
+static void
+test_gangs_wait_for_their_quota(void **state)
+{
+	struct pool_cell *cell = pool_cell_begin(&plain);
+
+	(void)state;
+	pool_cell_quota(cell, "large", QUOTA_CPU, 0);
+	submit_as(cell, "large");
+	submit_imports(cell, GB_STEP_GANG);
+	pool_cell_run(cell, 25 * GB_SEC);
+	assert_all_done(cell);
+	pool_cell_free(cell);
+}
+
+/** Memory is bounded like processors. */
+static void
+test_quota_of_memory(void **state)
+{
+	struct pool_cell *cell = pool_cell_begin(&plain);
+	int i;
+
+	(void)state;
+	pool_cell_quota(cell, "large", 0, 20000);
+	submit_as(cell, "large");
+	for (i = 0; i < 10; i++) {
+		pool_cell_step(cell, 4, 500, GB_SEC, 0, -1);
+		cell->flows[cell->flow_count].spec.steps.steps_val[0].res.mem =
+		    4000;
+		pool_cell_submit(cell, "import", "ms=1000");
+	}
+	pool_cell_run(cell, 15 * GB_SEC);
+	assert_all_done(cell);
+	pool_cell_free(cell);
+}
+
+/** Lowered far below what runs, nothing starts and nothing is stopped; raised
+ * again, all goes on. */
+static void
+test_quota_that_is_lowered_stops_nothing(void **state)
+{
+	struct pool_cell *cell = pool_cell_begin(&plain);
+	unsigned int starts;
+
+	(void)state;
+	pool_cell_quota(cell, "large", QUOTA_CPU, 0);
+	submit_as(cell, "large");
+	submit_imports(cell, 0);
+	pool_cell_run(cell, 300 * GB_MSEC);
+	starts = cell->starts;
+	pool_cell_quota(cell, "large", 2000, 0);
+	pool_cell_run(cell, 300 * GB_MSEC);
+	assert_int_equal(cell->starts, starts);
+	assert_int_equal(world_org_cpu(cell->world, "large"), QUOTA_CPU);
+	pool_cell_run(cell, 4 * GB_SEC);
+	assert_true(world_org_cpu(cell->world, "large") <= 2000);
+	assert_true(cell->starts > starts);
+	pool_cell_quota(cell, "large", 0, 0);
+	pool_cell_run(cell, 8 * GB_SEC);
+	assert_all_done(cell);
+	pool_cell_free(cell);
+}
+
+/** What no quota will ever admit is turned away at once. */
+static void
+test_what_never_fits_is_refused(void **state)
+{
+	struct pool_cell *cell = pool_cell_begin(&plain);
+	size_t flow;
+
+	(void)state;
+	pool_cell_quota(cell, "large", QUOTA_CPU, 0);
+	submit_as(cell, "large");
+	pool_cell_step(cell, 21, 2000, GB_SEC, GB_STEP_GANG, -1);
+	flow = pool_cell_submit(cell, "import", "ms=1000");
+	assert_true(cell->flows[flow].answered);
+	assert_int_equal(cell->flows[flow].answer.verdict, GB_FLOW_REFUSED);
+	assert_true(cell->flows[flow].answer.retry_after_us > 0);
+	/* The same without a gang runs in waves. */
+	pool_cell_step(cell, 21, 2000, GB_SEC, 0, -1);
+	flow = pool_cell_submit(cell, "import", "ms=1000");
+	pool_cell_run(cell, 5 * GB_SEC);
+	assert_int_equal(cell->flows[flow].status, GB_FLOW_SUCCEEDED);
+	pool_cell_assert_unharmed(cell);
+	pool_cell_free(cell);
+}
+
+/** Load: an organisation stands at its quota while orders and holds are lost or
+ * come late, workers die, and owners are killed. */
+static void
+test_quota_through_faults_and_takeovers(void **state)
+{
+	unsigned int number;
+	uint64_t seed;
+	int i;
+
+	(void)state;
+	for (seed = 1; seed <= SEEDS; seed++) {
+		struct pool_cell_setup setup = plain;
+		struct pool_cell *cell;
+
+		setup.seed = seed;
+		cell = pool_cell_begin(&setup);
+		pool_cell_quota(cell, "large", QUOTA_CPU, 0);
+		pool_cell_quota(cell, "small", 6000, 0);
+		cell->faults.order_lost = (unsigned int)(seed % 3) * 20;
+		cell->faults.order_late = (unsigned int)(seed % 2) * 20;
+		cell->faults.order_dropped = (unsigned int)(seed % 5) * 10;
+		cell->faults.hold_lost = (unsigned int)(seed % 4) * 10;
+		for (i = 0; i < 5; i++) {
+			submit_as(cell, "large");
+			submit_imports(cell, i % 2 == 0 ? 0 : GB_STEP_GANG);
+			submit_as(cell, "small");
+			pool_cell_submit_lookup(cell);
+			pool_cell_run(
+			    cell, (gb_time)(gb_random_next(&cell->seed) % 900) *
+				      GB_MSEC);
+			pool_cell_cancel(cell,
+			    gb_random_next(&cell->seed) % cell->flow_count);
+			pool_cell_run(cell, 100 * GB_MSEC);
+			number = (unsigned int)(gb_random_next(&cell->seed) %
+						CELL_NODES);
+			world_worker_crash(cell->world, number);
+			if (i == 2)
+				pool_cell_quota(
+				    cell, "large", QUOTA_CPU / 2, 0);
+			pool_cell_replace_owner(cell, number);
+		}
+		pool_cell_run(cell, 2 * GB_SEC);
+		pool_cell_assert_unharmed(cell);
+		pool_cell_free(cell);
+	}
+}
+
+/** Load: half of the workers do not answer a new owner at once.  What runs
+ * there counts, though it is not known whose it is. */
+static void
+test_runs_that_are_not_known_yet(void **state)
+{
+	uint64_t seed;
+
+	(void)state;
+	for (seed = 1; seed <= 10; seed++) {
+		struct pool_cell_setup setup = plain;
+		struct pool_cell *cell;
+
+		setup.seed = seed;
+		cell = pool_cell_begin(&setup);
+		pool_cell_quota(cell, "large", QUOTA_CPU, 0);
+		submit_as(cell, "large");
+		pool_cell_step(cell, 20, 2000, 3 * GB_SEC, 0, -1);
+		pool_cell_submit(cell, "import", "ms=3000");
+		pool_cell_run(cell, 500 * GB_MSEC);
+		cell->faults.hold_lost = 60;
+		pool_cell_replace_owner(cell, 1);
+		while (pool_cell_owner(cell) != 1)
+			pool_cell_run(cell, 5 * GB_MSEC);
+		submit_imports(cell, 0);
+		pool_cell_run(cell, 800 * GB_MSEC);
+		cell->faults.hold_lost = 0;
+		pool_cell_run(cell, 20 * GB_SEC);
+		assert_all_done(cell);
+		pool_cell_free(cell);
+	}
+}
+
+/** Load: a cancelled flow's orders to stop come late.  It counts until its runs
+ * have ended. */
+static void
+test_runs_that_are_being_stopped(void **state)
+{
+	struct pool_cell *cell = pool_cell_begin(&plain);
+	size_t flow;
+
+	(void)state;
+	pool_cell_quota(cell, "large", QUOTA_CPU, 0);
+	submit_as(cell, "large");
+	pool_cell_step(cell, 20, 2000, 3 * GB_SEC, 0, -1);
+	flow = pool_cell_submit(cell, "import", "ms=3000");
+	pool_cell_run(cell, 500 * GB_MSEC);
+	cell->faults.order_late = 100;
+	pool_cell_cancel(cell, flow);
+	pool_cell_run(cell, 100 * GB_MSEC);
+	cell->faults.order_late = 0;
+	submit_imports(cell, 0);
+	pool_cell_run(cell, 15 * GB_SEC);
+	assert_int_equal(cell->flows[flow].status, GB_FLOW_CANCELLED);
+	pool_cell_assert_unharmed(cell);
+	pool_cell_free(cell);
+}
+
+/* Whose a flow is --------------------------------------------------------- */
+
+static gb_flow_answer
+ask_as(struct pool_cell *cell, size_t number, gb_flow_op op, const char *org,
+    uint64_t config)
+{
+	struct pool_cell_flow *flow = &cell->flows[number];
+	struct gb_pool_key_digest digest;
+	gb_flow_ask ask = {0};
+
+	gb_pool_key_digest(org, &digest);
+	ask.op = op;
+	ask.id = flow->spec.id;
+	ask.caller.config = config;
+	ask.caller.org = (char *)org;
+	ask.caller.key.key_len = sizeof(digest.bytes);
+	ask.caller.key.key_val = (char *)digest.bytes;
+	flow->token = ++cell->next_token;
+	flow->answered = false;
+	gb_pool_ask(
+	    cell->nodes[pool_cell_owner(cell)], cell->now, flow->token, &ask);
+	pool_cell_run(cell, 200 * GB_MSEC);
+	assert_true(flow->answered);
+	return flow->answer;
+}
+
+/** Others neither see nor cancel it, also once it is over and after a takeover
+ * that read it from the store. */
+static void
+test_a_flow_is_shown_to_its_own(void **state)
+{
+	struct pool_cell *cell = pool_cell_begin(&plain);
+	uint64_t version;
+	size_t flow;
+	int i;
+
+	(void)state;
+	pool_cell_quota(cell, "large", 0, 0);
+	pool_cell_quota(cell, "small", 0, 0);
+	version = cell->config->version;
+	submit_as(cell, "large");
+	pool_cell_step(cell, 2, 1000, 3 * GB_SEC, 0, -1);
+	flow = pool_cell_submit(cell, "import", "ms=3000");
+	pool_cell_run(cell, 300 * GB_MSEC);
+	for (i = 0; i < 3; i++) {
+		assert_int_equal(
+		    ask_as(cell, flow, GB_FLOW_OP_CANCEL, "small", version)
+			.status,
+		    GB_FLOW_UNKNOWN);
+		assert_int_equal(
+		    ask_as(cell, flow, GB_FLOW_OP_STATE, "small", version)
+			.status,
+		    GB_FLOW_UNKNOWN);
+		assert_int_not_equal(
+		    ask_as(cell, flow, GB_FLOW_OP_STATE, "large", version)
+			.status,
+		    GB_FLOW_UNKNOWN);
+		if (i == 0)
+			pool_cell_run(cell, 4 * GB_SEC);
+		else
+			pool_cell_replace_owner(cell, 1);
+		pool_cell_run(cell, 2 * GB_SEC);
+	}
+	assert_int_equal(
+	    ask_as(cell, flow, GB_FLOW_OP_STATE, "large", version).status,
+	    GB_FLOW_SUCCEEDED);
+	pool_cell_assert_unharmed(cell);
+	pool_cell_free(cell);
+}
+
+/** The owner judges by the newer of its own and the sender's version; what was
+ * accepted before a key was taken away goes on. */
+static void
+test_the_newer_version_judges(void **state)
+{
+	struct pool_cell *cell = pool_cell_begin(&plain);
+	uint64_t version;
+	size_t flow;
+
+	(void)state;
+	pool_cell_quota(cell, "large", 0, 0);
+	pool_cell_quota(cell, "small", 0, 0);
+	version = cell->config->version;
+	submit_as(cell, "small");
+	flow = pool_cell_submit_lookup(cell);
+	/* The last organisation goes, and its key with it. */
+	cell->org_count--;
+	pool_cell_configure(cell);
+	assert_int_equal(
+	    ask_as(cell, flow, GB_FLOW_OP_STATE, "small", version).verdict,
+	    GB_FLOW_DENIED);
+	assert_int_equal(
+	    ask_as(cell, flow, GB_FLOW_OP_CANCEL, "small", version).verdict,
+	    GB_FLOW_DENIED);
+	pool_cell_run(cell, 2 * GB_SEC);
+	assert_int_equal(cell->flows[flow].status, GB_FLOW_SUCCEEDED);
+	pool_cell_assert_unharmed(cell);
+	pool_cell_free(cell);
+}
+
+/** What older programs stored belongs to nobody. */
+static void
+test_older_flows_are_read(void **state)
+{
+	char none[] = "";
+	char name[] = "x";
+	gb_flow written = {
+	    .id = name, .queue = name, .service = name, .spec = none};
+	gb_flow read;
+	gb_body row;
+
+	(void)state;
+	written.org = none;
+	assert_true(gb_xdr_encode((xdrproc_t)xdr_gb_flow, &written, &row));
+	row.gb_body_len -= BYTES_PER_XDR_UNIT;
+	assert_true(gb_flow_decode(&row, &read));
+	assert_string_equal(read.id, "x");
+	assert_string_equal(read.org, "");
+	xdr_free((xdrproc_t)xdr_gb_flow, (char *)&read);
+	row.gb_body_len -= BYTES_PER_XDR_UNIT;
+	assert_false(gb_flow_decode(&row, &read));
+	free(row.gb_body_val);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_quota_is_kept_and_used),
+	    cmocka_unit_test(test_gangs_wait_for_their_quota),
+	    cmocka_unit_test(test_quota_of_memory),
+	    cmocka_unit_test(test_quota_that_is_lowered_stops_nothing),
+	    cmocka_unit_test(test_what_never_fits_is_refused),
+	    cmocka_unit_test(test_quota_through_faults_and_takeovers),
+	    cmocka_unit_test(test_runs_that_are_not_known_yet),
+	    cmocka_unit_test(test_runs_that_are_being_stopped),
+	    cmocka_unit_test(test_a_flow_is_shown_to_its_own),
+	    cmocka_unit_test(test_the_newer_version_judges),
+	    cmocka_unit_test(test_older_flows_are_read),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/test_world.c
+++ b/tests/test_world.c
@@ -44,6 +44,7 @@
 	gang->flow.id = "gang";
 	gang->flow.queue = "q";
 	gang->flow.service = "svc";
+	gang->flow.org = "";
 	gang->flow.spec = "ms=500";
 	gang->flow.steps.steps_len = 1;
 	gang->flow.steps.steps_val = &gang->step;
