--- a/libgooseberry/node/metrics.c
+++ b/libgooseberry/node/metrics.c
@@ -10,6 +10,8 @@
 #include "node_state.h"
 
 #define METRICS_BODY_MOST 1024
+/** Organisations that are named: the number of series is bounded. */
+#define METRICS_ORGS_MOST 200
 
 /** Messages of all kinds that there were. */
 static void
@@ -31,6 +33,29 @@
 	}
 }
 
+/** Organisations, as the owner of the pool sees them. */
+static void
+orgs_print(const struct gb_pool *pool, struct gb_text *out)
+{
+	struct gb_pool_org_stat *orgs =
+	    gb_calloc(METRICS_ORGS_MOST, sizeof(*orgs));
+	size_t count = gb_pool_orgs(pool, orgs, METRICS_ORGS_MOST);
+	size_t i;
+
+	for (i = 0; i < count; i++)
+		gb_text_add(out,
+		    "gooseberry_org_cpu_milli{org=\"%s\"} %" PRId64
+		    "\ngooseberry_org_cpu_quota_milli{org=\"%s\"} %" PRId64
+		    "\ngooseberry_org_flows_accepted{org=\"%s\"} %" PRIu64
+		    "\ngooseberry_org_flows_over_share{org=\"%s\"} %" PRIu64
+		    "\ngooseberry_org_quota_waits{org=\"%s\"} %" PRIu64 "\n",
+		    orgs[i].name, orgs[i].used.cpu, orgs[i].name,
+		    orgs[i].quota.cpu, orgs[i].name, orgs[i].accepted,
+		    orgs[i].name, orgs[i].over_share, orgs[i].name,
+		    orgs[i].quota_waits);
+	free(orgs);
+}
+
 void
 gb_node_metrics(struct gb_node *node, struct gb_text *out)
 {
@@ -88,6 +113,12 @@
 	    {"gooseberry_flows_open", "Flows that are not over.", s->flows},
 	    {"gooseberry_runs_open", "Runs that are not over.", s->running},
 	    {"gooseberry_workers", "Workers known.", s->workers},
+	    {"gooseberry_configs_unreadable",
+		"Versions of the configuration that could not be read.",
+		node->configs_unreadable},
+	    {"gooseberry_orgs_bad",
+		"Organisations and keys of versions that were left out.",
+		node->orgs_bad},
 	    {"gooseberry_entries_unreadable",
 		"Entries of workers that are no object.",
 		s->entry_faults[GB_POOL_ENTRY_UNREADABLE]},
@@ -117,6 +148,8 @@
 	    out, "gooseberry_start_us", "Orders to start.", &s->start_us);
 	gb_histogram_print(out, "gooseberry_takeover_us",
 	    "Decision to ownership.", &s->takeover_us);
+	if (gb_pool_owns(node->pool))
+		orgs_print(node->pool, out);
 	if (gb_env_link(node->env) != NULL)
 		traffic_print(node->env->link, out);
 }
--- a/libgooseberry/node/node.c
+++ b/libgooseberry/node/node.c
@@ -327,7 +327,7 @@
 	for (i = GB_POOL_ORG_SOUND + 1; i < GB_POOL_ORG_FAULTS; i++) {
 		if (config->org_faults[i] == 0)
 			continue;
-		node->org_faults[i] += config->org_faults[i];
+		node->orgs_bad += config->org_faults[i];
 		gb_event(node->events, GB_EVENT_ALWAYS, "config_org_bad",
 		    "{s:I, s:s, s:I}", "version", (json_int_t)config->version,
 		    "why", gb_pool_org_fault_name(i), "count",
--- a/libgooseberry/node/node_state.h
+++ b/libgooseberry/node/node_state.h
@@ -106,8 +106,8 @@
 	char *config_text;
 	size_t config_len;
 	uint64_t configs_unreadable;
-	uint64_t org_faults[GB_POOL_ORG_FAULTS];
-	gb_time push_at; /**< no configuration is sent to a member before */
+	uint64_t orgs_bad; /**< organisations and keys that were left out */
+	gb_time push_at;   /**< no configuration is sent to a member before */
 	struct node_member *members; /**< the owner's: those that say hello */
 	uint64_t members_vers;	     /**< grows when one comes or goes */
 	gb_time members_at;	     /**< the list is looked through then */
--- a/libgooseberry/pool.h
+++ b/libgooseberry/pool.h
@@ -465,6 +465,20 @@
 
 const struct gb_pool_stats *gb_pool_stats(struct gb_pool *);
 
+/** An organisation as this owner of the pool sees it. */
+struct gb_pool_org_stat {
+	char name[GB_NAME_MAX + 1];
+	struct gb_pool_amount used;
+	struct gb_pool_amount quota; /**< 0: no limit */
+	uint64_t accepted;	     /**< flows */
+	uint64_t over_share;	     /**< of these, beyond its share */
+	uint64_t quota_waits;	     /**< flows that waited for its quota */
+};
+
+/** Fills in so many organisations at the most; returns how many. */
+size_t gb_pool_orgs(
+    const struct gb_pool *, struct gb_pool_org_stat *out, size_t most);
+
 /* Events ------------------------------------------------------------------ */
 
 /** Structured log: a JSON object a line, bounded, never blocking. */
--- a/libgooseberry/pool/dispatch.c
+++ b/libgooseberry/pool/dispatch.c
@@ -6,6 +6,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <jansson.h>
+
 #include "crash.h"
 #include "state.h"
 
@@ -279,8 +281,19 @@
 step_quota_waits(
     struct gb_pool *pool, struct pool_flow *flow, struct pool_step *step)
 {
-	flow->org->quota_waits++;
 	flow->wait = 0;
+	if (!flow->quota_waited) {
+		flow->quota_waited = true;
+		flow->org->quota_waits++;
+		gb_event(pool->cfg.events, GB_EVENT_NORMAL, "quota_wait",
+		    "{s:s, s:s, s:I, s:I, s:I, s:I, s:I}", "flow",
+		    flow->spec.id, "org", flow->org->name, "cpu",
+		    (json_int_t)flow->org->used.cpu, "cpu_quota",
+		    (json_int_t)flow->org->quota.cpu, "mem",
+		    (json_int_t)flow->org->used.mem, "mem_quota",
+		    (json_int_t)flow->org->quota.mem, "cpu_unknown",
+		    (json_int_t)pool->doubt.cpu);
+	}
 	pool_advice_claims_drop(pool, step);
 }
 
--- a/libgooseberry/pool/org.c
+++ b/libgooseberry/pool/org.c
@@ -63,6 +63,36 @@
 	}
 }
 
+void
+pool_org_count(struct pool_org *org, bool over_share)
+{
+	if (org == NULL)
+		return;
+	org->accepted++;
+	org->over_share += over_share;
+}
+
+size_t
+gb_pool_orgs(
+    const struct gb_pool *pool, struct gb_pool_org_stat *out, size_t most)
+{
+	const struct pool_org *org;
+	size_t count = 0;
+
+	for (org = pool->orgs; org != NULL && count < most;
+	     org = org->hh.next) {
+		struct gb_pool_org_stat *stat = &out[count++];
+
+		snprintf(stat->name, sizeof(stat->name), "%s", org->name);
+		stat->used = org->used;
+		stat->quota = org->quota;
+		stat->accepted = org->accepted;
+		stat->over_share = org->over_share;
+		stat->quota_waits = org->quota_waits;
+	}
+	return count;
+}
+
 gb_flow_verdict
 pool_org_judge(const struct gb_pool *pool, const gb_flow_caller *caller)
 {
--- a/libgooseberry/pool/org.h
+++ b/libgooseberry/pool/org.h
@@ -22,10 +22,10 @@
 	uint64_t runs;
 	/** Submissions that it may still send now as its share. */
 	double share_left;
-	gb_time share_at;  /**< when that was worked out */
-	uint64_t accepted; /**< flows */
-	uint64_t refused;
-	uint64_t quota_waits; /**< dispatches that left a step for its quota */
+	gb_time share_at;     /**< when that was worked out */
+	uint64_t accepted;    /**< flows */
+	uint64_t over_share;  /**< of these, beyond its share */
+	uint64_t quota_waits; /**< flows that waited for its quota */
 };
 
 /* org.c */
@@ -34,6 +34,8 @@
 /** The configuration has changed. */
 void pool_orgs_configure(struct gb_pool *);
 void pool_orgs_free(struct gb_pool *);
+/** A flow of an organisation was accepted. */
+void pool_org_count(struct pool_org *, bool over_share);
 /** What a caller may do by the newer of its configuration and the owner's. */
 gb_flow_verdict pool_org_judge(const struct gb_pool *, const gb_flow_caller *);
 
--- a/libgooseberry/pool/pool.c
+++ b/libgooseberry/pool/pool.c
@@ -273,11 +273,13 @@
 	flow->fresh = true;
 	flow->spec.over_share = pool_share_take(flow->org, pool->now);
 	pool->stats.accepted++;
+	pool_org_count(flow->org, flow->spec.over_share);
 	pool_writer_dirty(pool, flow, true);
 	pool_flow_wait(pool, flow, token, flow->change, GB_FLOW_QUEUED);
 	gb_event(pool->cfg.events, GB_EVENT_NORMAL, "flow_accepted",
-	    "{s:s, s:s, s:I, s:I}", "flow", flow->spec.id, "queue",
-	    flow->spec.queue, "steps", (json_int_t)flow->step_count,
+	    "{s:s, s:s, s:s, s:b, s:I, s:I}", "flow", flow->spec.id, "queue",
+	    flow->spec.queue, "org", flow->spec.org, "over_share",
+	    flow->spec.over_share, "steps", (json_int_t)flow->step_count,
 	    "open_flows", (json_int_t)pool->open_count);
 }
 
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -179,8 +179,9 @@
 	/** Earlier owners may have started it on workers that were lost: starts
 	 * are stored before they are sent. */
 	bool watched;
-	uint64_t change;  /**< grows with each change that must be stored */
-	uint64_t stored;  /**< change that the store has */
+	bool quota_waited; /**< its organisation's quota held it up */
+	uint64_t change;   /**< grows with each change that must be stored */
+	uint64_t stored;   /**< change that the store has */
 	uint64_t sending; /**< change that is being written, 0: none ever was */
 	bool write_lost; /**< a write of it got no answer and may have landed */
 	uint32_t runs;
