Planned starts are sent as soon as they are stored, in the room that is kept for them

Cause: task_start_planned ran only when the search for room had found another place. Change: dispatch sends the stored ones first, whatever else finds room; one that its worker, ticket or quota no longer admits is dropped and planned anew. test_one_place_after_a_takeover (failed before) and all of test_crash, test_pool, test_quota pass.

--- a/libgooseberry/pool/dispatch.c
+++ b/libgooseberry/pool/dispatch.c
@@ -48,30 +48,42 @@
 	return a == NULL ? NULL : a->ticket;
 }
 
-/** Start a task whose start must be stored first: where it was planned, if that
- * is stored and there is still room; else it is planned on this worker. */
+/** Send a start that is stored, unless its worker can't take it any more. */
 static void
 task_start_planned(struct gb_pool *pool, struct pool_flow *flow,
-    uint32_t number, uint32_t index, struct pool_worker *found)
+    uint32_t number, uint32_t index)
 {
 	struct pool_step *step = &flow->steps[number];
 	struct pool_worker *worker = pool_crash_plan_room(pool, step, index);
-	bool advice = POOL_ADVICE_NEEDED(flow);
-	gb_res room;
-
-	if (worker != NULL) {
-		room = pool_fit_free(worker);
-		if (pool_fit_usable(pool, worker, flow->part) &&
-		    gb_res_fits(&step->spec->res, &room) &&
-		    (!advice ||
-			pool_fit_ticket(pool, step, worker->handle) != NULL)) {
-			pool_run_start(pool, flow, number, index,
-			    run_number_next(pool, step), worker,
-			    ticket_of(pool, step, worker->handle));
-			return;
-		}
+	gb_res room = pool_fit_free(worker);
+
+	if (pool_fit_usable(pool, worker, flow->part) &&
+	    gb_res_fits(&step->spec->res, &room) &&
+	    pool_quota_fits(pool, flow->org, &step->spec->res, 1) == 1 &&
+	    (!POOL_ADVICE_NEEDED(flow) ||
+		pool_fit_ticket(pool, step, worker->handle) != NULL))
+		pool_run_start(pool, flow, number, index,
+		    run_number_next(pool, step), worker,
+		    ticket_of(pool, step, worker->handle));
+	else
+		pool_crash_plan_drop(pool, step, index);
+}
+
+/** Send the starts that are stored: their room is kept for them. */
+static void
+step_start_planned(
+    struct gb_pool *pool, struct pool_flow *flow, uint32_t number)
+{
+	struct pool_step *step = &flow->steps[number];
+	uint32_t i;
+
+	for (i = 0; step->plans > 0 && i < step->spec->count; i++) {
+		const struct pool_task *task = &step->tasks[i];
+
+		if (task->plan != NULL && !task->done &&
+		    TAILQ_EMPTY(&task->runs) && !pool_crash_held(flow, task))
+			task_start_planned(pool, flow, number, i);
 	}
-	pool_crash_plan(pool, flow, number, index, found);
 }
 
 /** Start the next waiting tasks on the workers that were found for them. */
@@ -92,7 +104,7 @@
 		    pool_crash_held(flow, task))
 			continue;
 		if (pool_crash_plans(flow, step)) {
-			task_start_planned(pool, flow, number, i,
+			pool_crash_plan(pool, flow, number, i,
 			    pool->workers[workers[placed++]]);
 			continue;
 		}
@@ -501,6 +513,7 @@
 	for (i = 0; i < count; i++) {
 		for (j = 0; j < flows[i]->step_count; j++) {
 			step_mend(pool, flows[i], j);
+			step_start_planned(pool, flows[i], j);
 			step_foresee(pool, flows[i], j);
 			if (misses < DISPATCH_MISSES &&
 			    step_dispatch(pool, flows[i], j))
