--- a/tests/test_org.c
+++ b/tests/test_org.c
@@ -174,6 +174,50 @@
 	assert_null(decode("{\"Version\":7,\"Tenants\":["));
 }
 
+/** A configuration is kept and passed on between nodes as a text, which must
+ * name no key, and mean the same. */
+static void
+test_no_key_is_kept_in_clear(void **state)
+{
+	static const char text[] =
+	    "{\"Version\":7,\"Routes\":[{\"Name\":\"keyed\"}],\"Tenants\":["
+	    "{\"Name\":\"one\",\"ApiKeys\":[\"gkcuyj8pjbvk\",\"ex5wa5xwyhks\"],"
+	    "\"Weight\":46},"
+	    "{\"Name\":\"two\",\"ApiKeys\":[\"m68k7b2pjbvk\",\"gkcuyj8pjbvk\","
+	    "\"\",7]},{\"Name\":\"one\",\"ApiKeys\":[\"nobodyskey12\"]}]}";
+	struct gb_pool_config *plain = decode(text);
+	struct gb_pool_config *config;
+	struct gb_caller caller;
+	size_t len;
+	char *concealed = plat_config_conceal(text, strlen(text), &len);
+	int i;
+
+	(void)state;
+	assert_non_null(concealed);
+	assert_null(strstr(concealed, "gkcuyj8pjbvk"));
+	assert_null(strstr(concealed, "ex5wa5xwyhks"));
+	assert_null(strstr(concealed, "m68k7b2pjbvk"));
+	assert_null(strstr(concealed, "nobodyskey12"));
+	config = plat_config_decode(concealed, len);
+	assert_non_null(config);
+	assert_int_equal(identify(config, "keyed", "ex5wa5xwyhks", &caller),
+	    GB_CALLER_KNOWN);
+	assert_string_equal(caller.org->name, "one");
+	assert_int_equal(caller.org->weight, 46);
+	assert_int_equal(identify(config, "keyed", "m68k7b2pjbvk", &caller),
+	    GB_CALLER_KNOWN);
+	assert_string_equal(caller.org->name, "two");
+	assert_int_equal(identify(config, "keyed", "nobodyskey12", &caller),
+	    GB_CALLER_UNKNOWN);
+	assert_int_equal(
+	    gb_pool_config_keys(config), gb_pool_config_keys(plain));
+	for (i = 0; i < GB_POOL_ORG_FAULTS; i++)
+		assert_int_equal(config->org_faults[i], plain->org_faults[i]);
+	free(concealed);
+	gb_pool_config_unref(config);
+	gb_pool_config_unref(plain);
+}
+
 /** Load: 140 organisations with 10,000 keys. */
 static void
 test_many_keys_are_found(void **state)
@@ -244,6 +288,7 @@
 	    cmocka_unit_test(test_without_organisations_nobody_needs_a_key),
 	    cmocka_unit_test(test_bad_organisations_harm_no_other),
 	    cmocka_unit_test(test_versions_that_cannot_be_read),
+	    cmocka_unit_test(test_no_key_is_kept_in_clear),
 	    cmocka_unit_test(test_many_keys_are_found),
 	    cmocka_unit_test(test_mutated_configurations),
 	};
