Digests in place of keys in the text of a configuration that a node keeps and passes on

The adapter conceals the keys before the node sees the text; both forms are decoded, so that a member of an older program can pass on its own.

--- a/libgooseberry/pool.h
+++ b/libgooseberry/pool.h
@@ -72,6 +72,9 @@
 	unsigned char bytes[GB_KEY_DIGEST];
 };
 
+/** Room for a digest as text: two digits a byte. */
+#define GB_KEY_DIGEST_TEXT (2 * GB_KEY_DIGEST + 1)
+
 struct gb_pool_key;
 
 /** One version of the operator's configuration. */
@@ -102,7 +105,14 @@
 /** Give the organisation that was added last a key. */
 enum gb_pool_org_fault gb_pool_config_key_add(
     struct gb_pool_config *, const char *key);
+/** The same by its digest. */
+enum gb_pool_org_fault gb_pool_config_digest_add(
+    struct gb_pool_config *, const struct gb_pool_key_digest *);
 void gb_pool_key_digest(const char *key, struct gb_pool_key_digest *);
+/** A digest as text, and back; false when it is none. */
+void gb_pool_key_digest_text(
+    const struct gb_pool_key_digest *, char out[GB_KEY_DIGEST_TEXT]);
+bool gb_pool_key_digest_parse(const char *, struct gb_pool_key_digest *);
 /** Organisation that has a key, or null. */
 const struct gb_pool_org *gb_pool_config_key_org(
     const struct gb_pool_config *, const struct gb_pool_key_digest *);
--- a/libgooseberry/pool/org_config.c
+++ b/libgooseberry/pool/org_config.c
@@ -6,6 +6,7 @@
  * found by its digest in one step, however many there are, and stands nowhere
  * in clear.
  */
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -28,6 +29,32 @@
 	SHA256((const unsigned char *)key, strlen(key), digest->bytes);
 }
 
+void
+gb_pool_key_digest_text(
+    const struct gb_pool_key_digest *digest, char out[GB_KEY_DIGEST_TEXT])
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(digest->bytes); i++)
+		snprintf(&out[2 * i], 3, "%02x", digest->bytes[i]);
+}
+
+bool
+gb_pool_key_digest_parse(const char *text, struct gb_pool_key_digest *digest)
+{
+	unsigned int byte;
+	size_t i;
+
+	if (strlen(text) != GB_KEY_DIGEST_TEXT - 1 ||
+	    strspn(text, "0123456789abcdef") != GB_KEY_DIGEST_TEXT - 1)
+		return false;
+	for (i = 0; i < sizeof(digest->bytes); i++) {
+		sscanf(&text[2 * i], "%2x", &byte);
+		digest->bytes[i] = (unsigned char)byte;
+	}
+	return true;
+}
+
 const char *
 gb_pool_org_fault_name(enum gb_pool_org_fault fault)
 {
@@ -98,17 +125,24 @@
 enum gb_pool_org_fault
 gb_pool_config_key_add(struct gb_pool_config *config, const char *text)
 {
-	enum gb_pool_org_fault fault = GB_POOL_ORG_SOUND;
 	struct gb_pool_key_digest digest;
-	const struct gb_pool_key *other;
-	struct gb_pool_key *key;
 
 	if (text == NULL || text[0] == '\0') {
 		config->org_faults[GB_POOL_ORG_KEY]++;
 		return GB_POOL_ORG_KEY;
 	}
 	gb_pool_key_digest(text, &digest);
-	other = key_find(config, &digest);
+	return gb_pool_config_digest_add(config, &digest);
+}
+
+enum gb_pool_org_fault
+gb_pool_config_digest_add(
+    struct gb_pool_config *config, const struct gb_pool_key_digest *digest)
+{
+	enum gb_pool_org_fault fault = GB_POOL_ORG_SOUND;
+	const struct gb_pool_key *other = key_find(config, digest);
+	struct gb_pool_key *key;
+
 	if (other != NULL) {
 		if (other->org + 1 != config->org_count)
 			fault = GB_POOL_ORG_KEY_SHARED;
@@ -116,7 +150,7 @@
 		return fault;
 	}
 	key = gb_calloc(1, sizeof(*key));
-	key->digest = digest;
+	key->digest = *digest;
 	key->org = config->org_count - 1;
 	HASH_ADD(hh, config->keys, digest, sizeof(key->digest), key);
 	return fault;
--- a/tests/test_org.c
+++ b/tests/test_org.c
@@ -251,6 +251,29 @@
 	gb_pool_config_unref(config);
 }
 
+/** A text and its concealed form mean the same keys. */
+static void
+assert_conceals(const char *text, const struct gb_pool_config *plain)
+{
+	struct gb_pool_config *config;
+	size_t len;
+	char *concealed = plat_config_conceal(text, strlen(text), &len);
+
+	if (concealed == NULL) {
+		assert_null(plain);
+		return;
+	}
+	config = plat_config_decode(concealed, len);
+	free(concealed);
+	assert_int_equal(config == NULL, plain == NULL);
+	if (config == NULL)
+		return;
+	assert_int_equal(
+	    gb_pool_config_keys(config), gb_pool_config_keys(plain));
+	assert_int_equal(config->org_count, plain->org_count);
+	gb_pool_config_unref(config);
+}
+
 /** Bytes that are changed at random make at worst a version that is not read,
  * or one whose organisations are checked. */
 static void
@@ -274,6 +297,7 @@
 			assert_true(config->orgs[i].quota.cpu >= 0);
 			assert_true(config->orgs[i].quota.mem >= 0);
 		}
+		assert_conceals(text, config);
 		gb_pool_config_unref(config);
 	}
 }
