Gangs of watched flows are stored before they are sent, all members or none

Cause: only single tasks were planned after a takeover that lost workers unseen, so that crashes under a gang were forgotten with each owner. Change: members are planned with their workers and started together once that is stored; if one no longer holds, all are dropped and placed anew. Whether a plan holds is one function for both. test_owners_go_right_after_starts_of_a_gang (red before) and all of test_crash, test_pool, test_quota, test_capacity pass.

--- a/libgooseberry/pool/crash.c
+++ b/libgooseberry/pool/crash.c
@@ -293,12 +293,6 @@
 	}
 }
 
-bool
-pool_crash_plans(const struct pool_flow *flow, const struct pool_step *step)
-{
-	return flow->watched && (step->spec->flags & GB_STEP_GANG) == 0;
-}
-
 void
 pool_crash_plan(struct gb_pool *pool, struct pool_flow *flow, uint32_t step,
     uint32_t index, struct pool_worker *worker)
@@ -318,18 +312,22 @@
 }
 
 struct pool_worker *
+pool_crash_plan_worker(const struct gb_pool *pool, const struct pool_task *task)
+{
+	return pool_worker_get(pool, task->plan->worker);
+}
+
+void
 pool_crash_plan_room(
     struct gb_pool *pool, struct pool_step *step, uint32_t index)
 {
-	struct pool_plan *plan = step->tasks[index].plan;
-	struct pool_worker *worker;
+	struct pool_task *task = &step->tasks[index];
 
-	if (plan == NULL || !plan->room)
-		return NULL;
-	worker = pool_worker_get(pool, plan->worker);
-	plan->room = false;
-	gb_res_sub(&worker->claimed, &step->spec->res);
-	return worker;
+	if (!task->plan->room)
+		return;
+	task->plan->room = false;
+	gb_res_sub(
+	    &pool_crash_plan_worker(pool, task)->claimed, &step->spec->res);
 }
 
 void
--- a/libgooseberry/pool/crash.h
+++ b/libgooseberry/pool/crash.h
@@ -40,15 +40,14 @@
 /** A part is settled: flows that may have been started on workers which were
  * lost meanwhile are watched from now on. */
 void pool_crash_watch(struct gb_pool *, uint32_t part);
-/** Whether starts of a step must be stored before they are sent. */
-bool pool_crash_plans(const struct pool_flow *, const struct pool_step *);
 /** Store the start of a task on a worker, and keep its room. */
 void pool_crash_plan(struct gb_pool *, struct pool_flow *, uint32_t step,
     uint32_t index, struct pool_worker *);
-/** Give back the room of a start that was planned; returns its worker, or null
- * when there was none. */
-struct pool_worker *pool_crash_plan_room(
-    struct gb_pool *, struct pool_step *, uint32_t index);
+/** Worker of a start that was planned. */
+struct pool_worker *pool_crash_plan_worker(
+    const struct gb_pool *, const struct pool_task *);
+/** Give back the room of a start that was planned, before it is sent. */
+void pool_crash_plan_room(struct gb_pool *, struct pool_step *, uint32_t index);
 /** Forget the start: it was not sent, or its run is over. */
 void pool_crash_plan_drop(struct gb_pool *, struct pool_step *, uint32_t index);
 /** Starts of a step that are planned on a worker and not sent. */
--- a/libgooseberry/pool/dispatch.c
+++ b/libgooseberry/pool/dispatch.c
@@ -48,25 +48,68 @@
 	return a == NULL ? NULL : a->ticket;
 }
 
-/** Send a start that is stored, unless its worker can't take it any more. */
+/** Whether the worker of a start that is stored still takes it; its room is
+ * kept, but the worker may have shrunk. */
+static bool
+plan_holds(const struct gb_pool *pool, const struct pool_flow *flow,
+    const struct pool_step *step, uint32_t index)
+{
+	const struct pool_worker *worker =
+	    pool_crash_plan_worker(pool, &step->tasks[index]);
+	gb_res room = pool_fit_free(worker);
+
+	return pool_fit_usable(pool, worker, flow->part) && room.cpu >= 0 &&
+	       room.mem >= 0 && room.accel >= 0 &&
+	       (!POOL_ADVICE_NEEDED(flow) ||
+		   pool_fit_ticket(pool, step, worker->handle) != NULL);
+}
+
 static void
-task_start_planned(struct gb_pool *pool, struct pool_flow *flow,
-    uint32_t number, uint32_t index)
+plan_start(struct gb_pool *pool, struct pool_flow *flow, uint32_t number,
+    uint32_t index, uint64_t run)
 {
 	struct pool_step *step = &flow->steps[number];
-	struct pool_worker *worker = pool_crash_plan_room(pool, step, index);
-	gb_res room = pool_fit_free(worker);
+	struct pool_worker *worker =
+	    pool_crash_plan_worker(pool, &step->tasks[index]);
 
-	if (pool_fit_usable(pool, worker, flow->part) &&
-	    gb_res_fits(&step->spec->res, &room) &&
-	    pool_quota_fits(pool, flow->org, &step->spec->res, 1) == 1 &&
-	    (!POOL_ADVICE_NEEDED(flow) ||
-		pool_fit_ticket(pool, step, worker->handle) != NULL))
-		pool_run_start(pool, flow, number, index,
-		    run_number_next(pool, step), worker,
-		    ticket_of(pool, step, worker->handle));
-	else
-		pool_crash_plan_drop(pool, step, index);
+	pool_crash_plan_room(pool, step, index);
+	pool_run_start(pool, flow, number, index, run, worker,
+	    ticket_of(pool, step, worker->handle));
+}
+
+/** Whether a start waits only for its order. */
+static bool
+plan_due(const struct pool_flow *flow, const struct pool_task *task)
+{
+	return task->plan != NULL && !task->done && TAILQ_EMPTY(&task->runs) &&
+	       !pool_crash_held(flow, task);
+}
+
+/** Send the starts of a gang that are stored, all or none. */
+static void
+gang_start_planned(
+    struct gb_pool *pool, struct pool_flow *flow, uint32_t number)
+{
+	struct pool_step *step = &flow->steps[number];
+	uint32_t count = step->spec->count;
+	bool holds;
+	uint64_t run;
+	uint32_t i;
+
+	if (step->active > 0 || step->plans == 0 ||
+	    pool_crash_held_count(flow, step) > 0)
+		return;
+	holds = step->plans == count && pool_quota_fits(pool, flow->org,
+					    &step->spec->res, count) == count;
+	for (i = 0; i < count && holds; i++)
+		holds = plan_holds(pool, flow, step, i);
+	if (!holds) {
+		pool_crash_plans_drop(pool, step);
+		return;
+	}
+	run = run_number_next(pool, step);
+	for (i = 0; i < count; i++)
+		plan_start(pool, flow, number, i, run);
 }
 
 /** Send the starts that are stored: their room is kept for them. */
@@ -77,12 +120,19 @@
 	struct pool_step *step = &flow->steps[number];
 	uint32_t i;
 
+	if ((step->spec->flags & GB_STEP_GANG) != 0) {
+		gang_start_planned(pool, flow, number);
+		return;
+	}
 	for (i = 0; step->plans > 0 && i < step->spec->count; i++) {
-		const struct pool_task *task = &step->tasks[i];
-
-		if (task->plan != NULL && !task->done &&
-		    TAILQ_EMPTY(&task->runs) && !pool_crash_held(flow, task))
-			task_start_planned(pool, flow, number, i);
+		if (!plan_due(flow, &step->tasks[i]))
+			continue;
+		if (plan_holds(pool, flow, step, i) &&
+		    pool_quota_fits(pool, flow->org, &step->spec->res, 1) == 1)
+			plan_start(
+			    pool, flow, number, i, run_number_next(pool, step));
+		else
+			pool_crash_plan_drop(pool, step, i);
 	}
 }
 
@@ -103,7 +153,7 @@
 		if (task->done || !TAILQ_EMPTY(&task->runs) ||
 		    pool_crash_held(flow, task))
 			continue;
-		if (pool_crash_plans(flow, step)) {
+		if (flow->watched) {
 			pool_crash_plan(pool, flow, number, i,
 			    pool->workers[workers[placed++]]);
 			continue;
