--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -138,9 +138,10 @@
 {
 	struct gb_pool_config *config = gb_pool_config_new(1, 0);
 
-	(void)text;
-	(void)len;
-	config->version = 1;
+	/* The text is the version; a word behind it names organisations. */
+	config->version = strtoull(text, NULL, 10);
+	if (memchr(text, ' ', len) != NULL)
+		gb_pool_config_orgs(config, 0);
 	snprintf(config->queues[0].name, GB_NAME_MAX, "lookup");
 	snprintf(config->queues[0].service, GB_NAME_MAX, "svc");
 	config->queues[0].max_attempts = 3;
@@ -294,6 +295,25 @@
 	assert_true(cell->answered);
 }
 
+/** A version that is older than one seen changes nothing, whoever sends it, and
+ * one without organisations does not open the queues. */
+static void
+test_versions_only_rise(void **state)
+{
+	struct cell *cell = cell_begin();
+	struct gb_node *node = cell->nodes[1];
+
+	(void)state;
+	gb_node_config_seen(node, "3 orgs", 6);
+	assert_int_equal(gb_node_config(node)->version, 3);
+	assert_true(gb_node_config(node)->keyed);
+	gb_node_config_seen(node, "2", 1);
+	assert_int_equal(gb_node_config(node)->version, 3);
+	gb_node_config_seen(node, "4", 1);
+	assert_int_equal(gb_node_config(node)->version, 4);
+	assert_true(gb_node_config(node)->keyed);
+}
+
 /** Load: the store turns the owner away and serves the others.  A flow that
  * reaches another node is stored by that one, until the pool is taken over. */
 static void
@@ -446,6 +466,7 @@
 main(void)
 {
 	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_versions_only_rise),
 	    cmocka_unit_test(test_node_stores_what_the_owner_cannot),
 	    cmocka_unit_test(test_nobody_can_store),
 	    cmocka_unit_test(test_leaving_owner_serves_until_it_is_succeeded),
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -13,6 +13,7 @@
 #include "pool_cell.h"
 
 #define QUOTA_CPU 40000
+#define QUOTA_SMALL 6000
 #define SEEDS 60
 
 static const struct pool_cell_setup plain = {
@@ -36,6 +37,18 @@
 	}
 }
 
+/** The organisation that was added last goes, with its key and its quota. */
+static void
+hide_organisation(struct pool_cell *cell, const char *name)
+{
+	static const struct gb_pool_amount none;
+
+	cell->org_count--;
+	assert_string_equal(cell->orgs[cell->org_count].name, name);
+	world_org_quota(cell->world, name, &none);
+	pool_cell_configure(cell);
+}
+
 static void
 assert_all_done(const struct pool_cell *cell)
 {
@@ -157,51 +170,68 @@
 	pool_cell_free(cell);
 }
 
-/** Load: an organisation stands at its quota while orders and holds are lost or
- * come late, workers die, and owners are killed. */
+/** What happens to the cell in one round of a random run. */
 static void
-test_quota_through_faults_and_takeovers(void **state)
+random_round(struct pool_cell *cell, int round)
 {
 	unsigned int number;
-	uint64_t seed;
+
+	submit_as(cell, "large");
+	submit_imports(cell, round % 2 == 0 ? 0 : GB_STEP_GANG);
+	submit_as(cell, "small");
+	pool_cell_submit_lookup(cell);
+	pool_cell_run(
+	    cell, (gb_time)(gb_random_next(&cell->seed) % 900) * GB_MSEC);
+	pool_cell_cancel(
+	    cell, gb_random_next(&cell->seed) % cell->flow_count);
+	pool_cell_run(cell, 100 * GB_MSEC);
+	if (round % 2 == 0)
+		hide_organisation(cell, "small");
+	else
+		pool_cell_quota(cell, "small", QUOTA_SMALL, 0);
+	number = (unsigned int)(gb_random_next(&cell->seed) % CELL_NODES);
+	world_worker_crash(cell->world, number);
+	if (round == 2)
+		pool_cell_quota(cell, "large", QUOTA_CPU / 2, 0);
+	pool_cell_replace_owner(cell, number);
+}
+
+static void
+random_run(uint64_t seed)
+{
+	struct pool_cell_setup setup = plain;
+	struct pool_cell *cell;
 	int i;
 
-	(void)state;
-	for (seed = 1; seed <= SEEDS; seed++) {
-		struct pool_cell_setup setup = plain;
-		struct pool_cell *cell;
+	setup.seed = seed;
+	cell = pool_cell_begin(&setup);
+	pool_cell_quota(cell, "large", QUOTA_CPU, 0);
+	pool_cell_quota(cell, "small", QUOTA_SMALL, 0);
+	cell->faults.order_lost = (unsigned int)(seed % 3) * 20;
+	cell->faults.order_late = (unsigned int)(seed % 2) * 20;
+	cell->faults.order_dropped = (unsigned int)(seed % 5) * 10;
+	cell->faults.hold_lost = (unsigned int)(seed % 4) * 10;
+	for (i = 0; i < 5; i++)
+		random_round(cell, i);
+	pool_cell_run(cell, 2 * GB_SEC);
+	pool_cell_assert_unharmed(cell);
+	pool_cell_free(cell);
+}
 
-		setup.seed = seed;
-		cell = pool_cell_begin(&setup);
-		pool_cell_quota(cell, "large", QUOTA_CPU, 0);
-		pool_cell_quota(cell, "small", 6000, 0);
-		cell->faults.order_lost = (unsigned int)(seed % 3) * 20;
-		cell->faults.order_late = (unsigned int)(seed % 2) * 20;
-		cell->faults.order_dropped = (unsigned int)(seed % 5) * 10;
-		cell->faults.hold_lost = (unsigned int)(seed % 4) * 10;
-		for (i = 0; i < 5; i++) {
-			submit_as(cell, "large");
-			submit_imports(cell, i % 2 == 0 ? 0 : GB_STEP_GANG);
-			submit_as(cell, "small");
-			pool_cell_submit_lookup(cell);
-			pool_cell_run(
-			    cell, (gb_time)(gb_random_next(&cell->seed) % 900) *
-				      GB_MSEC);
-			pool_cell_cancel(cell,
-			    gb_random_next(&cell->seed) % cell->flow_count);
-			pool_cell_run(cell, 100 * GB_MSEC);
-			number = (unsigned int)(gb_random_next(&cell->seed) %
-						CELL_NODES);
-			world_worker_crash(cell->world, number);
-			if (i == 2)
-				pool_cell_quota(
-				    cell, "large", QUOTA_CPU / 2, 0);
-			pool_cell_replace_owner(cell, number);
-		}
-		pool_cell_run(cell, 2 * GB_SEC);
-		pool_cell_assert_unharmed(cell);
-		pool_cell_free(cell);
-	}
+/** Load: an organisation stands at its quota while orders and holds are lost or
+ * come late, workers die, owners are killed, a quota is cut and keys come and
+ * go.  GB_POOL_SEED and GB_POOL_RUNS play other seeds. */
+static void
+test_quota_through_faults_and_takeovers(void **state)
+{
+	const char *from = getenv("GB_POOL_SEED");
+	const char *runs = getenv("GB_POOL_RUNS");
+	uint64_t seed = from == NULL ? 1 : strtoull(from, NULL, 10);
+	uint64_t last = seed + (runs == NULL ? SEEDS : strtoull(runs, NULL, 10));
+
+	(void)state;
+	for (; seed < last; seed++)
+		random_run(seed);
 }
 
 /** Load: half of the workers do not answer a new owner at once.  What runs
@@ -337,24 +367,30 @@
 test_the_newer_version_judges(void **state)
 {
 	struct pool_cell *cell = pool_cell_begin(&plain);
+	struct gb_pool_config *older;
 	uint64_t version;
 	size_t flow;
 
 	(void)state;
 	pool_cell_quota(cell, "large", 0, 0);
 	pool_cell_quota(cell, "small", 0, 0);
-	version = cell->config->version;
+	older = gb_pool_config_ref(cell->config);
+	version = older->version;
 	submit_as(cell, "small");
 	flow = pool_cell_submit_lookup(cell);
-	/* The last organisation goes, and its key with it. */
-	cell->org_count--;
-	pool_cell_configure(cell);
+	hide_organisation(cell, "small");
 	assert_int_equal(
 	    ask_as(cell, flow, GB_FLOW_OP_STATE, "small", version).verdict,
 	    GB_FLOW_DENIED);
 	assert_int_equal(
 	    ask_as(cell, flow, GB_FLOW_OP_CANCEL, "small", version).verdict,
 	    GB_FLOW_DENIED);
+	/* An older version that comes late changes nothing. */
+	gb_pool_configure(cell->nodes[0], cell->now, older);
+	assert_int_equal(
+	    ask_as(cell, flow, GB_FLOW_OP_STATE, "small", version).verdict,
+	    GB_FLOW_DENIED);
+	gb_pool_config_unref(older);
 	pool_cell_run(cell, 2 * GB_SEC);
 	assert_int_equal(cell->flows[flow].status, GB_FLOW_SUCCEEDED);
 	pool_cell_assert_unharmed(cell);
