--- a/standin/emulator.c
+++ b/standin/emulator.c
@@ -274,9 +274,10 @@
 	const struct world_faults *faults = world_faults(emu->world);
 
 	emu_answer(call, 200,
-	    json_pack("{s:i, s:i, s:i, s:i, s:i, s:i, s:s}", "twice",
+	    json_pack("{s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:s}", "twice",
 		(int)faults->twice, "limit", (int)faults->limit, "order",
-		(int)faults->order, "budget", (int)faults->budget, "alone",
+		(int)faults->order, "budget", (int)faults->budget, "spread",
+		(int)faults->spread, "quota", (int)faults->quota, "alone",
 		(int)faults->alone, "ticket", (int)faults->ticket, "first",
 		faults->text));
 }
