--- a/libgooseberry/node/intake.c
+++ b/libgooseberry/node/intake.c
@@ -131,15 +131,16 @@
 		intake_again(in);
 		return;
 	}
-	if (in->ask.op == GB_FLOW_OP_CANCEL && res->row_count > 0) {
-		/* It is there: the owner must hear of it. */
-		intake_again(in);
-		return;
-	}
 	answer.verdict = GB_FLOW_ACCEPTED;
 	answer.status = res->row_count == 0
 			    ? GB_FLOW_UNKNOWN
 			    : state_status(&res->rows[0], in->ask.caller.org);
+	if (in->ask.op == GB_FLOW_OP_CANCEL &&
+	    answer.status != GB_FLOW_UNKNOWN) {
+		/* It is there: the owner must hear of it. */
+		intake_again(in);
+		return;
+	}
 	intake_finish(in, &answer);
 }
 
