Soak: two organisations with keys that come and go, quotas cut and raised

Each version of the operator's brings a key to each organisation and takes one away, and changes a quota; callers, probes with keys that are gone or that nobody ever had; the workers' oracle counts quotas and tasks of a step on one worker.

--- a/soak/bites.sh
+++ b/soak/bites.sh
@@ -69,3 +69,7 @@
     's/return suspect->crashes >= (sure.*/return sure || suspect->crashes > 0;/'
 breakage "room that has shrunk is not looked at" $P/worker.c \
     '/"worker_draining"/,/listed = true/s/worker->entry = \*entry;/entry->capacity = worker->entry.capacity; &/'
+breakage "keys are not looked at" libgooseberry/node/caller.c \
+    's/return out->org == NULL ? GB_CALLER_UNKNOWN : GB_CALLER_KNOWN;/return GB_CALLER_KNOWN;/'
+breakage "quotas are not looked at" $P/dispatch.c \
+    's/allowed = pool_quota_fits(pool, flow->org, \&step->spec->res, wanted);/allowed = wanted;/'
--- a/soak/caller.c
+++ b/soak/caller.c
@@ -44,6 +44,7 @@
 struct job {
 	TAILQ_ENTRY(job) next;
 	char id[17];
+	unsigned int org; /**< its organisation, by number */
 	const char *queue;
 	char *body;
 	size_t body_len;
@@ -162,6 +163,7 @@
 static void
 job_call(struct job *job, const char *method, plat_http_done done)
 {
+	char header[128];
 	char path[64];
 	bool post = strcmp(method, "POST") == 0;
 
@@ -170,10 +172,11 @@
 	job->life = job->node->started;
 	job->sent = soak_now();
 	job->out = true;
+	snprintf(header, sizeof(header),
+	    "X-Gooseberrycart-Timeout-Ms: 3000\r\n%s", operator_key(job->org));
 	plat_http_call(soak.http, GB_TRAFFIC_CALLER, job->node->front, method,
-	    path, "X-Gooseberrycart-Timeout-Ms: 3000\r\n",
-	    post ? job->body : NULL, post ? job->body_len : 0, CALL_TIMEOUT,
-	    done, job);
+	    path, header, post ? job->body : NULL, post ? job->body_len : 0,
+	    CALL_TIMEOUT, done, job);
 }
 
 /* Submitting -------------------------------------------------------------- */
@@ -197,8 +200,10 @@
 	}
 	if (res->status == 404)
 		soak_broken("the queue of %s is not known", job->id);
+	if (res->status == 401)
+		operator_key_refused(job->node, job->sent);
 	/* Where nothing was sent, nobody can have taken it in. */
-	if (res->status != 429 && res->status != 503 &&
+	if (res->status != 429 && res->status != 503 && res->status != 401 &&
 	    (res->status != 0 || res->sent))
 		job->unanswered = true;
 	if (job->tries < TRIES_MOST) {
@@ -237,10 +242,12 @@
 
 	snprintf(job->id, sizeof(job->id), "%08x%08x", ++counts.sent,
 	    soak_random(1U << 31));
+	job->org = counts.sent;
 	job->last = last;
 	job_shape(job);
 	TAILQ_INSERT_TAIL(&jobs, job, next);
-	snprintf(path, sizeof(path), "/flow/%s?attempts=4", job->id);
+	snprintf(path, sizeof(path), "/flow/%s?attempts=4&org=%s", job->id,
+	    operator_org(job->org));
 	job->out = true;
 	plat_http_call(soak.http, GB_TRAFFIC_CALLER, soak.control, "POST", path,
 	    "", job->body, job->body_len, CONTROL_TIMEOUT, told, job);
@@ -435,7 +442,7 @@
 reported(void *data, const struct plat_http_res *res)
 {
 	static const char *const promises[] = {
-	    "twice", "limit", "order", "budget"};
+	    "twice", "limit", "order", "budget", "spread", "quota"};
 	json_t *root = json_loadb(res->body, res->body_len, 0, NULL);
 	size_t i;
 
--- a/soak/operator.c
+++ b/soak/operator.c
@@ -16,18 +16,74 @@
 #define PROBE_EVERY (250 * GB_MSEC)
 #define PROBE_TIMEOUT (2 * GB_SEC)
 
+/** What the second organisation may have running, in versions by turns: its
+ * largest job asks for 18,000. */
+#define QUOTA_LOW 20000
+#define QUOTA_HIGH 40000
+/** Submissions a second of each that are not beyond its share. */
+#define ORG_WEIGHT 4
+#define ORGS 2
+#define KEY_HEADER 64
+/** No version has this number. */
+#define KEY_OF_NOBODY 1000000
+
+static const char *const org_names[ORGS] = {"north", "south"};
 static unsigned int version;
 static gb_time changed_at;
 
-/** A question for a route of one version, put to one life of a node. */
+enum probe_kind {
+	PROBE_NEW,	   /**< a route that has come */
+	PROBE_GONE,	   /**< a route that has been removed */
+	PROBE_KEY_GONE,	   /**< a key that has been taken away */
+	PROBE_KEY_UNKNOWN, /**< a key that no version held */
+	PROBES
+};
+
+/** A question about one version, put to one life of a node. */
 struct probe {
 	struct soak_node *node;
 	gb_time life;
 	gb_time sent;
 	unsigned int version;
-	bool gone; /**< the route has been removed */
+	enum probe_kind kind;
 };
 
+/** A key, as a header.  Keys of an organisation are numbered by the versions
+ * that brought them. */
+static void
+key_header(char out[KEY_HEADER], unsigned int org, unsigned int of)
+{
+	snprintf(out, KEY_HEADER, "Api-Key: %s-key-%u\r\n", org_names[org], of);
+}
+
+/** Each version brings a key and takes the last but one away. */
+static json_t *
+keys_of(unsigned int org)
+{
+	json_t *keys = json_array();
+	unsigned int of;
+
+	for (of = version - 1; of <= version; of++)
+		json_array_append_new(
+		    keys, json_sprintf("%s-key-%u", org_names[org], of));
+	return keys;
+}
+
+const char *
+operator_org(unsigned int number)
+{
+	return org_names[number % ORGS];
+}
+
+const char *
+operator_key(unsigned int number)
+{
+	static char header[KEY_HEADER];
+
+	key_header(header, number % ORGS, version - 1);
+	return header;
+}
+
 static void
 route_add(json_t *routes, const char *name, const char *prefix, int priority)
 {
@@ -56,9 +112,14 @@
 	snprintf(name, sizeof(name), "probe-%u", version);
 	snprintf(prefix, sizeof(prefix), "/probe-%u/", version);
 	route_add(routes, name, prefix, 1);
-	text = plat_json_text(json_pack("{s:i, s:o, s:[{s:s, s:b}]}", "Version",
-				  (int)version, "Routes", routes, "Services",
-				  "Name", "pool", "EnforcesCapacity", 0),
+	text = plat_json_text(
+	    json_pack("{s:i, s:o, s:[{s:s, s:b}], s:[{s:s, s:o, s:i}, {s:s, "
+		      "s:o, s:i, s:{s:i}}]}",
+		"Version", (int)version, "Routes", routes, "Services", "Name",
+		"pool", "EnforcesCapacity", 0, "Tenants", "Name", org_names[0],
+		"ApiKeys", keys_of(0), "Weight", ORG_WEIGHT, "Name",
+		org_names[1], "ApiKeys", keys_of(1), "Weight", ORG_WEIGHT,
+		"MaxCount", "Cpu", version % 2 == 0 ? QUOTA_LOW : QUOTA_HIGH),
 	    &len);
 	changed_at = soak_now();
 	plat_http_call(soak.http, GB_TRAFFIC_CALLER, soak.control, "POST",
@@ -75,13 +136,35 @@
 	       soak_now() - soak.unplanned > CONTACT;
 }
 
+void
+operator_key_refused(const struct soak_node *node, gb_time sent)
+{
+	if (node_calm(node) && sent - changed_at > CONFIG_BOUND)
+		soak_broken(
+		    "n%u turns a key away that is in force", node->number);
+}
+
 /** What an answer says about the node's configuration; 503 says nothing. */
 static void
 probe_check(const struct probe *probe, unsigned int status)
 {
 	struct soak_node *node = probe->node;
 
-	if (probe->gone) {
+	if (probe->kind == PROBE_KEY_UNKNOWN) {
+		if (status == 200)
+			soak_broken(
+			    "n%u serves a key that nobody has", node->number);
+		return;
+	}
+	if (probe->kind == PROBE_KEY_GONE) {
+		if (status == 200 && node_calm(node))
+			soak_broken("n%u serves the key of version %u",
+			    node->number, probe->version);
+		return;
+	}
+	if (status == 401)
+		operator_key_refused(node, probe->sent);
+	if (probe->kind == PROBE_GONE) {
 		if (status == 200 && node_calm(node))
 			soak_broken("n%u still knows the route of version %u",
 			    node->number, probe->version);
@@ -112,19 +195,26 @@
 }
 
 static void
-probe_send(struct soak_node *node, unsigned int of, bool gone)
+probe_send(struct soak_node *node, unsigned int of, enum probe_kind kind)
 {
 	struct probe *probe = gb_calloc(1, sizeof(*probe));
+	char key[KEY_HEADER];
 	char path[64];
 
 	probe->node = node;
 	probe->life = node->started;
 	probe->sent = soak_now();
 	probe->version = of;
-	probe->gone = gone;
-	snprintf(path, sizeof(path), "/probe-%u/", of);
+	probe->kind = kind;
+	if (kind == PROBE_KEY_GONE || kind == PROBE_KEY_UNKNOWN) {
+		snprintf(path, sizeof(path), "/lookup/");
+		key_header(key, 0, of);
+	} else {
+		snprintf(path, sizeof(path), "/probe-%u/", of);
+		key_header(key, 0, version - 1);
+	}
 	plat_http_call(soak.http, GB_TRAFFIC_CALLER, node->direct, "GET", path,
-	    "", NULL, 0, PROBE_TIMEOUT, probed, probe);
+	    key, NULL, 0, PROBE_TIMEOUT, probed, probe);
 }
 
 void
@@ -141,8 +231,11 @@
 
 		if (node->pid == 0 || node->stopping > 0)
 			continue;
-		probe_send(node, version, false);
-		if (version > 1 && soak_now() - changed_at > CONFIG_BOUND)
-			probe_send(node, version - 1, true);
+		probe_send(node, version, PROBE_NEW);
+		probe_send(node, KEY_OF_NOBODY, PROBE_KEY_UNKNOWN);
+		if (version > 1 && soak_now() - changed_at > CONFIG_BOUND) {
+			probe_send(node, version - 1, PROBE_GONE);
+			probe_send(node, version - 2, PROBE_KEY_GONE);
+		}
 	}
 }
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -118,8 +118,14 @@
 /* operator.c */
 /** Write the next version of the configuration. */
 void operator_change(void);
-/** Ask nodes for routes that are new or gone. */
+/** Ask nodes for routes that are new or gone, by keys that are. */
 void operator_tick(void);
+/** Organisation of a caller, by number, and a key that the two newest versions
+ * give it, as a header. */
+const char *operator_org(unsigned int number);
+const char *operator_key(unsigned int number);
+/** A call with such a key was turned away for it. */
+void operator_key_refused(const struct soak_node *, gb_time sent);
 
 /* caller.c */
 /** Send new jobs; look after those that are open. */
--- a/standin/emulator.c
+++ b/standin/emulator.c
@@ -22,6 +22,9 @@
 /** What a worker says of its room is known to the owner after this: the
  * platform's bound on a calm store, and a heartbeat. */
 #define SHRUNK_KNOWN (4500 * GB_MSEC)
+/** A version is in force at the owner after this, with the store away for some
+ * seconds. */
+#define QUOTA_KNOWN (8 * GB_SEC)
 
 struct emulator emulator = {
     .approved_percent = 60, .ticket_valid = 2 * GB_SEC, .decide_ms = 20};
@@ -175,6 +178,19 @@
 	emu_answer(call, 200, json_object());
 }
 
+/** Tell the oracle what organisations may have. */
+static void
+control_quotas(struct emulator *emu, const char *text)
+{
+	struct gb_pool_config *config = plat_config_decode(text, strlen(text));
+	size_t i;
+
+	for (i = 0; config != NULL && i < config->org_count; i++)
+		world_org_quota(
+		    emu->world, config->orgs[i].name, &config->orgs[i].quota);
+	gb_pool_config_unref(config);
+}
+
 static void
 control_config(struct emulator *emu, struct http_call *call)
 {
@@ -182,6 +198,7 @@
 
 	memcpy(text, call->body, call->body_len);
 	emu_store_put(emu, "op", "config", text);
+	control_quotas(emu, text);
 	free(text);
 	emu_answer(call, 200, json_object());
 }
@@ -238,6 +255,7 @@
 static void
 control_flow(struct emulator *emu, struct http_call *call, const char *id)
 {
+	char org[GB_NAME_MAX + 1];
 	struct world_flow_view view;
 	struct gb_error err = {0};
 	gb_flow flow = {0};
@@ -262,7 +280,8 @@
 	flow.id = gb_strdup(id);
 	flow.queue = gb_strdup("");
 	flow.service = gb_strdup("");
-	flow.org = gb_strdup("");
+	emu_query(call, "org", org, sizeof(org));
+	flow.org = gb_strdup(org);
 	world_submitted(emu->world, &flow, query_number(call, "attempts"));
 	xdr_free((xdrproc_t)xdr_gb_flow, (char *)&flow);
 	emu_answer(call, 200, json_object());
@@ -368,6 +387,7 @@
 	emu->began = gb_clock_boot();
 	emu->world = world_new(emu->seed);
 	world_shrunk_known(emu->world, SHRUNK_KNOWN);
+	world_quota_known(emu->world, QUOTA_KNOWN);
 	if (!workers_listen(emu, err))
 		return false;
 	if (http_server_new(emu->loop, options.store, BODY_MOST,
--- a/standin/world.h
+++ b/standin/world.h
@@ -77,6 +77,8 @@
 /** What an organisation may have running from now on, 0: no limit. */
 void world_org_quota(
     struct world *, const char *org, const struct gb_pool_amount *);
+/** From then on after a quota was lowered, starts beyond it count. */
+void world_quota_known(struct world *, gb_time after);
 /** Processors that an organisation has running, in thousandths. */
 int64_t world_org_cpu(const struct world *, const char *org);
 /** What the workers have seen of a flow. */
--- a/standin/world_state.h
+++ b/standin/world_state.h
@@ -98,6 +98,8 @@
 	UT_hash_handle hh;
 	char name[GB_NAME_MAX + 1];
 	struct gb_pool_amount quota;
+	struct gb_pool_amount before; /**< the largest until before_until */
+	gb_time before_until;
 	struct gb_pool_amount used;
 };
 
@@ -123,6 +125,7 @@
 	struct world_org *orgs;
 	bool tickets;		/**< starts need one */
 	gb_time shrunk_known;	/**< owners know of less room so much later */
+	gb_time quota_known;	/**< and of a lower quota */
 	struct world_rows rows; /**< in the order of their keys */
 	struct world_row *by_name;
 	uint64_t vers;
