Failing test: a flow is given up for starts that met another lifetime of their workers

A run is lost with its worker, and started again on workers whose lifetimes are over as well; each start is answered by the next lifetime, so that nothing began, but counts as a crash, and the fourth gives the flow up, which is shown as failed without cause. Log: run_lost 0 ms and 3 ms after run_start, answered 1,071 ms ago. test_starts_on_earlier_lifetimes_fail_nobody fails in the same way.

--- a/tests/test_crash.c
+++ b/tests/test_crash.c
@@ -371,6 +371,40 @@
 	}
 }
 
+/** Load: all workers are lost and back at once, which the owner sees first of
+ * those that were busy.  What it starts on the others goes to lifetimes that
+ * are over: nothing has crashed them. */
+static void
+test_starts_on_earlier_lifetimes_fail_nobody(void **state)
+{
+	struct pool_cell *cell;
+	uint64_t seed;
+	unsigned int i;
+
+	(void)state;
+	for (seed = 1; seed <= 20; seed++) {
+		struct pool_cell_setup setup = pool24;
+
+		setup.seed = seed;
+		setup.workers = 12;
+		cell = pool_cell_begin(&setup);
+		cell->faults.workers_dark = true;
+		for (i = 0; i < 3; i++)
+			submit_crasher(cell, "ms=4000");
+		pool_cell_run(cell, (1000 + 25 * (gb_time)seed) * GB_MSEC);
+		/* The list of workers is out for a while. */
+		cell->listed_at = cell->now + 3 * GB_SEC;
+		for (i = 0; i < setup.workers; i++)
+			world_worker_crash(cell->world, i);
+		pool_cell_run(cell, 200 * GB_MSEC);
+		for (i = 0; i < setup.workers; i++)
+			world_worker_reborn(cell->world, i);
+		pool_cell_run(cell, 30 * GB_SEC);
+		assert_only_crashers_fail(cell);
+		pool_cell_free(cell);
+	}
+}
+
 /** Rows that older programs wrote end before the organisation, and before the
  * crashes; no others are read. */
 static void
@@ -414,6 +448,7 @@
 	    cmocka_unit_test(test_lost_racks_fail_nobody),
 	    cmocka_unit_test(test_starts_on_dead_workers_fail_nobody),
 	    cmocka_unit_test(test_owners_go_while_workers_are_away),
+	    cmocka_unit_test(test_starts_on_earlier_lifetimes_fail_nobody),
 	    cmocka_unit_test(test_older_states_are_read),
 	};
 
