Failing test: a store that takes 0.44 s for a read counts as out

The look whether it answers is a read, and a read counts as lost after 0.4 s while the store was quick before; at 4 ms times a hundred it never comes.

The model's reads are given up after 0.4 s as the client's are; test_slow_store_is_not_out fails, all others of the pool pass.

--- a/tests/pool_cell.c
+++ b/tests/pool_cell.c
@@ -20,6 +20,9 @@
 #define CELL_WIRE GB_MSEC
 #define CELL_TXN (10 * GB_MSEC)
 #define CELL_READ_FAILS (400 * GB_MSEC)
+/** Reads are given up after this, as the platform's client does while the store
+ * was quick before. */
+#define CELL_READ_TIMEOUT (400 * GB_MSEC)
 #define CELL_TIMEOUT (300 * GB_MSEC)
 #define CELL_HOLD_MARGIN (200 * GB_MSEC)
 #define CELL_LATE (2 * GB_SEC)
@@ -56,7 +59,8 @@
 	struct gb_pool_read read;
 	bool stop;
 	bool fails;
-	bool silent; /**< a hold whose answer was lost */
+	bool given_up; /**< a read that takes too long */
+	bool silent;   /**< a hold whose answer was lost */
 };
 
 /** What a core's operations are handed: the cell and the node's number. */
@@ -276,11 +280,17 @@
 	bool fails = read->table == GB_POOL_OWNERS && read->limit > 1 &&
 		     (from->cell->faults.set_reads_fail >> read->part & 1) != 0;
 	gb_time wait = link_wait(from, GB_TRAFFIC_STORE_READ, CELL_HEAD);
-	struct pool_event *event = event_add(from, EVENT_READ, call,
-	    wait + (fails ? CELL_READ_FAILS
-			  : CELL_TXN + from->cell->faults.store_slow));
+	gb_time takes = CELL_TXN + from->cell->faults.store_slow;
+	bool given_up = takes > CELL_READ_TIMEOUT;
+	struct pool_event *event;
 
+	if (fails)
+		takes = CELL_READ_FAILS;
+	else if (given_up)
+		takes = CELL_READ_TIMEOUT;
+	event = event_add(from, EVENT_READ, call, wait + takes);
 	event->fails = fails;
+	event->given_up = given_up;
 	event->read = *read;
 	event->read.from = copy(read->from);
 	event->read.to = copy(read->to);
@@ -461,7 +471,7 @@
 
 	if (pool == NULL)
 		return;
-	if (cell->faults.store_resets)
+	if (cell->faults.store_resets || event->given_up)
 		res.status = GB_STORE_UNKNOWN;
 	else if (event->fails || part_is_out(cell, event->read.part))
 		res.status = GB_STORE_REFUSED;
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -687,17 +687,15 @@
 	pool_cell_free(cell);
 }
 
-/** Load: the store takes a hundred times its usual time, 0.4 s for a read and
- * 0.8 s for a write.  Callers have three seconds: what they send is still taken
- * in, and nobody is told that the store does not answer. */
+/** Callers have three seconds: what they send to a slow store is still taken
+ * in, and nobody is told that it does not answer. */
 static void
-test_slow_store_still_takes_work_in(void **state)
+assert_slow_store_takes_work_in(gb_time slow)
 {
 	struct pool_cell *cell = pool_cell_begin(&plain);
 	size_t i;
 
-	(void)state;
-	cell->faults.store_slow = 390 * GB_MSEC;
+	cell->faults.store_slow = slow;
 	for (i = 0; i < 30; i++) {
 		pool_cell_submit_lookup(cell);
 		pool_cell_run(cell, 50 * GB_MSEC);
@@ -710,6 +708,26 @@
 	pool_cell_free(cell);
 }
 
+/** Load: the store takes a hundred times its usual time, 0.4 s for a read and
+ * 0.8 s for a write. */
+static void
+test_slow_store_still_takes_work_in(void **state)
+{
+	(void)state;
+	assert_slow_store_takes_work_in(390 * GB_MSEC);
+}
+
+/** Load: the same with 0.44 s for a read, which is longer than reads are waited
+ * for while the store is quick.  The look whether it answers at all was given
+ * up with them, and all that waited for a write was turned away ("the store
+ * does not take writes", 0.53 s after it had become slow). */
+static void
+test_slow_store_is_not_out(void **state)
+{
+	(void)state;
+	assert_slow_store_takes_work_in(430 * GB_MSEC);
+}
+
 /** Load: the store resets every connection for 4 s while 20 flows a second are
  * submitted.  Whoever comes meanwhile is told at once to come back; only those
  * whose write was lost as it began wait, and are taken in when it is over. */
@@ -1139,6 +1157,7 @@
 	    cmocka_unit_test(test_gang_asks_several_lanes),
 	    cmocka_unit_test(test_room_of_a_part_that_is_not_read_counts),
 	    cmocka_unit_test(test_slow_store_still_takes_work_in),
+	    cmocka_unit_test(test_slow_store_is_not_out),
 	    cmocka_unit_test(test_store_that_resets_turns_away_at_once),
 	    cmocka_unit_test(test_refused_writes_are_turned_away),
 	    cmocka_unit_test(test_owner_serves_until_its_successor_claims),
