The look whether a store answers is waited for as long as it may take

Hypothesis: a store that is slow passes for one that is out. Cause: as the failing test shows, the look at a small row was given up after 0.4 s, with the client's usual patience, though the writer waits 0.7 s for it; at a hundred times the usual 4 ms it takes longer. Ruled out: an outage (the writes that were under way were answered), refusals by the store.

Change: a read says how long it is to be waited for at the least; the writer's look asks for its 0.7 s, all other reads are given up as before.

--- a/libgooseberry/node/intake.c
+++ b/libgooseberry/node/intake.c
@@ -152,7 +152,7 @@
 	struct gb_node *node = in->node;
 	char to[GB_KEY_MAX + 1];
 	const struct gb_pool_read read = {
-	    gb_pool_part(id), GB_POOL_STATES, id, to, 1};
+	    gb_pool_part(id), GB_POOL_STATES, id, to, 1, 0};
 
 	snprintf(to, sizeof(to), "%.200s0", id);
 	in->out = true;
--- a/libgooseberry/node/node.c
+++ b/libgooseberry/node/node.c
@@ -230,7 +230,7 @@
 store_probe(struct gb_node *node)
 {
 	const struct gb_pool_read read = {node->part_asked++ % GB_POOL_PARTS,
-	    GB_POOL_OWNERS, GB_POOL_OWNER_KEY, GB_POOL_OWNER_KEY "0", 1};
+	    GB_POOL_OWNERS, GB_POOL_OWNER_KEY, GB_POOL_OWNER_KEY "0", 1, 0};
 
 	if (!node_store_out(node) || node->store_probing ||
 	    node->store_probe_at > node_now())
@@ -410,7 +410,7 @@
 owner_row_ask(struct gb_node *node)
 {
 	const struct gb_pool_read read = {node->part_asked++ % GB_POOL_PARTS,
-	    GB_POOL_OWNERS, GB_POOL_OWNER_KEY, GB_POOL_OWNER_KEY "0", 1};
+	    GB_POOL_OWNERS, GB_POOL_OWNER_KEY, GB_POOL_OWNER_KEY "0", 1, 0};
 
 	watch_reading(&node->watch, node_now());
 	node->platform.read(node->platform.data,
--- a/libgooseberry/pool.h
+++ b/libgooseberry/pool.h
@@ -300,6 +300,8 @@
 	const char *from; /**< empty: from the first */
 	const char *to;	  /**< empty: to the last */
 	uint32_t limit;
+	/** The least time for its answer, 0: as long as reads usually take. */
+	gb_time patience;
 };
 
 struct gb_pool_read_res {
--- a/libgooseberry/pool/load.c
+++ b/libgooseberry/pool/load.c
@@ -21,7 +21,7 @@
     enum gb_pool_table table, const char *from, const char *to, uint32_t limit)
 {
 	struct pool_call *call = pool_call_new(pool, kind);
-	const struct gb_pool_read read = {part, table, from, to, limit};
+	const struct gb_pool_read read = {part, table, from, to, limit, 0};
 
 	call->part = part;
 	call->round = pool->parts[part].round;
--- a/libgooseberry/pool/owner.c
+++ b/libgooseberry/pool/owner.c
@@ -180,7 +180,7 @@
 {
 	struct pool_call *call = pool_call_new(pool, POOL_CALL_OWNER_READ);
 	const struct gb_pool_read read = {number, GB_POOL_OWNERS,
-	    GB_POOL_OWNER_KEY, GB_POOL_OWNER_KEY "0", 1};
+	    GB_POOL_OWNER_KEY, GB_POOL_OWNER_KEY "0", 1, 0};
 
 	pool->parts[number].attach = POOL_ATTACH_READING;
 	call->part = number;
--- a/libgooseberry/pool/writer.c
+++ b/libgooseberry/pool/writer.c
@@ -277,8 +277,9 @@
 part_probe(struct gb_pool *pool, uint32_t number)
 {
 	struct pool_part *part = &pool->parts[number];
+	/* Given up any earlier, a slow store would pass for one that is out. */
 	const struct gb_pool_read read = {number, GB_POOL_OWNERS,
-	    GB_POOL_OWNER_KEY, GB_POOL_OWNER_KEY "0", 1};
+	    GB_POOL_OWNER_KEY, GB_POOL_OWNER_KEY "0", 1, WRITER_PROBE_SILENT};
 	struct pool_call *call;
 
 	if (part->probe != 0 && pool->now - part->probed > WRITER_PROBE_SILENT)
