New flows go first into a write that does not hold all

Hypothesis: on a slow store new flows wait behind ends. Cause: a transaction holds 46 flows in the order in which they changed, and in a slow spell 20 to 104 are left over. Ruled out: writes beside each other (the store takes a part's one after another).

Change: first what is new, or was adopted and begins only when it is marked; then what is over; then what nobody waits for.

--- a/libgooseberry/pool/writer.c
+++ b/libgooseberry/pool/writer.c
@@ -231,29 +231,66 @@
 	part_send(pool, number, &draft, POOL_PART_SEALING);
 }
 
+static bool
+draft_full(const struct draft *draft)
+{
+	return draft->txn.cond_count + draft->txn.put_count +
+		       WRITER_FLOW_ENTRIES >
+		   WRITER_ENTRIES_MOST ||
+	       draft->bytes >= WRITER_BYTES_MOST;
+}
+
+/** Order in which flows get into a transaction that does not hold them all:
+ * while the store is slow, new ones would wait behind ends and be told too
+ * late. */
+enum write_turn {
+	WRITE_NEW, /**< a caller waits for its answer, or it begins only then */
+	WRITE_OVER, /**< a caller looks for its end */
+	WRITE_REST, /**< nobody waits */
+	WRITE_TURNS
+};
+
+static enum write_turn
+write_turn(const struct pool_flow *flow)
+{
+	if (flow->stored == 0 || !flow->owned)
+		return WRITE_NEW;
+	return flow->status >= GB_FLOW_SUCCEEDED ? WRITE_OVER : WRITE_REST;
+}
+
+/** Add a flow to the transaction that is being put together. */
+static void
+part_take(struct pool_part *part, struct pool_flow *flow, struct draft *draft)
+{
+	TAILQ_REMOVE(&part->dirty, flow, dirty_next);
+	flow->dirty = false;
+	flow->sending = flow->change;
+	flow->removing = false;
+	draft_flow(draft, flow);
+	part->sent_flows[part->sent_count++] = flow;
+}
+
 static void
 part_write(struct gb_pool *pool, uint32_t number)
 {
 	struct pool_part *part = &pool->parts[number];
 	struct draft draft = {0};
 	struct pool_flow *flow;
+	struct pool_flow *next;
+	unsigned int turn;
 
 	draft_cond(&draft, GB_POOL_OWNERS, GB_POOL_OWNER_KEY, part->owner_vers);
 	part->sent_flows =
 	    gb_calloc(WRITER_ENTRIES_MOST, sizeof(struct pool_flow *));
 	part->sent_count = 0;
 	part->urgent = false;
-	while (
-	    (flow = TAILQ_FIRST(&part->dirty)) != NULL &&
-	    draft.txn.cond_count + draft.txn.put_count + WRITER_FLOW_ENTRIES <=
-		WRITER_ENTRIES_MOST &&
-	    draft.bytes < WRITER_BYTES_MOST) {
-		TAILQ_REMOVE(&part->dirty, flow, dirty_next);
-		flow->dirty = false;
-		flow->sending = flow->change;
-		flow->removing = false;
-		draft_flow(&draft, flow);
-		part->sent_flows[part->sent_count++] = flow;
+	for (turn = 0; turn < WRITE_TURNS; turn++) {
+		for (flow = TAILQ_FIRST(&part->dirty);
+		     flow != NULL && !draft_full(&draft); flow = next) {
+			next = TAILQ_NEXT(flow, dirty_next);
+			if (write_turn(flow) == turn)
+				part_take(part, flow, &draft);
+		}
 	}
 	part->renew_sent = part->renew;
 	if (part->renew)
