--- a/cli/ctl.c
+++ b/cli/ctl.c
@@ -36,6 +36,9 @@
     "  drain WORKER, undrain WORKER\n"
     "  instances, shards, status [--watch]\n"
     "  metrics              counters of a scheduler\n"
+    "  organisations        share, quota, use and waiting flows by "
+    "organisation\n"
+    "                       (--server: where the pool's owner shows counters)\n"
     "  home JOB             home shard of a job (--shards)\n"
     "  trace ID             one trace as a tree (--trace-file)\n\n"
     "Examples:\n"
@@ -552,6 +555,7 @@
     {"status", 0, false, run_status},
     {"trace", 1, false, run_trace},
     {"metrics", 0, false, run_metrics},
+    {"organisations", 0, false, ctl_show_orgs},
     {"home", 1, true, run_home},
 };
 
--- a/cli/ctl.h
+++ b/cli/ctl.h
@@ -66,6 +66,11 @@
 /** Print the life of a flow out of log files, or standard input. */
 enum ctl_exit ctl_trace_flow(
     const char *flow, const char *const *files, unsigned int count);
+/** Organisations out of the text of an instance's counters, as a list. */
+json_t *ctl_orgs_read(const char *metrics);
+/** Print the organisations that the instance at the server's address, that of
+ * its counters, sees as the pool's owner. */
+enum ctl_exit ctl_show_orgs(const struct ctl *);
 /** Check a settings file or a document without a server. */
 enum ctl_exit ctl_check(const struct ctl *, const char *file);
 /** Lines that differ between two texts. */
--- a/libgooseberry/node/metrics.c
+++ b/libgooseberry/node/metrics.c
@@ -33,6 +33,15 @@
 	}
 }
 
+/** One figure of an organisation. */
+static void
+org_print(
+    struct gb_text *out, const char *figure, const char *org, int64_t value)
+{
+	gb_text_add(out, "gooseberry_org_%s{org=\"%s\"} %" PRId64 "\n", figure,
+	    org, value);
+}
+
 /** Organisations, as the owner of the pool sees them. */
 static void
 orgs_print(const struct gb_pool *pool, struct gb_text *out)
@@ -42,17 +51,24 @@
 	size_t count = gb_pool_orgs(pool, orgs, METRICS_ORGS_MOST);
 	size_t i;
 
-	for (i = 0; i < count; i++)
-		gb_text_add(out,
-		    "gooseberry_org_cpu_milli{org=\"%s\"} %" PRId64
-		    "\ngooseberry_org_cpu_quota_milli{org=\"%s\"} %" PRId64
-		    "\ngooseberry_org_flows_accepted{org=\"%s\"} %" PRIu64
-		    "\ngooseberry_org_flows_over_share{org=\"%s\"} %" PRIu64
-		    "\ngooseberry_org_quota_waits{org=\"%s\"} %" PRIu64 "\n",
-		    orgs[i].name, orgs[i].used.cpu, orgs[i].name,
-		    orgs[i].quota.cpu, orgs[i].name, orgs[i].accepted,
-		    orgs[i].name, orgs[i].over_share, orgs[i].name,
-		    orgs[i].quota_waits);
+	for (i = 0; i < count; i++) {
+		const struct gb_pool_org_stat *org = &orgs[i];
+
+		org_print(out, "weight", org->name, org->weight);
+		org_print(out, "cpu_milli", org->name, org->used.cpu);
+		org_print(out, "cpu_quota_milli", org->name, org->quota.cpu);
+		org_print(out, "mem_mb", org->name, org->used.mem);
+		org_print(out, "mem_quota_mb", org->name, org->quota.mem);
+		org_print(out, "flows_waiting", org->name, org->waiting);
+		org_print(
+		    out, "flows_accepted", org->name, (int64_t)org->accepted);
+		org_print(out, "flows_over_share", org->name,
+		    (int64_t)org->over_share);
+		org_print(
+		    out, "flows_refused", org->name, (int64_t)org->refused);
+		org_print(
+		    out, "quota_waits", org->name, (int64_t)org->quota_waits);
+	}
 	free(orgs);
 }
 
--- a/libgooseberry/pool.h
+++ b/libgooseberry/pool.h
@@ -480,10 +480,13 @@
 /** An organisation as this owner of the pool sees it. */
 struct gb_pool_org_stat {
 	char name[GB_NAME_MAX + 1];
+	uint32_t weight;
 	struct gb_pool_amount used;
 	struct gb_pool_amount quota; /**< 0: no limit */
 	uint64_t accepted;	     /**< flows */
 	uint64_t over_share;	     /**< of these, beyond its share */
+	uint64_t refused;	     /**< submissions that were not admitted */
+	uint32_t waiting;	     /**< flows that have not begun */
 	uint64_t quota_waits;	     /**< flows that waited for its quota */
 };
 
--- a/libgooseberry/pool/org.c
+++ b/libgooseberry/pool/org.c
@@ -72,6 +72,31 @@
 	org->over_share += over_share;
 }
 
+void
+pool_org_refused(struct gb_pool *pool, const char *name)
+{
+	struct pool_org *org = pool_org_get(pool, name);
+
+	if (org != NULL)
+		org->refused++;
+}
+
+/** Count the flows of each organisation that have not begun. */
+static void
+orgs_waiting(const struct gb_pool *pool)
+{
+	const struct pool_flow *flow;
+	struct pool_org *org;
+
+	for (org = pool->orgs; org != NULL; org = org->hh.next)
+		org->waiting = 0;
+	TAILQ_FOREACH(flow, &pool->open, open_next)
+	{
+		if (flow->org != NULL && !flow->begun)
+			flow->org->waiting++;
+	}
+}
+
 size_t
 gb_pool_orgs(
     const struct gb_pool *pool, struct gb_pool_org_stat *out, size_t most)
@@ -79,15 +104,20 @@
 	const struct pool_org *org;
 	size_t count = 0;
 
+	orgs_waiting(pool);
+
 	for (org = pool->orgs; org != NULL && count < most;
 	     org = org->hh.next) {
 		struct gb_pool_org_stat *stat = &out[count++];
 
 		snprintf(stat->name, sizeof(stat->name), "%s", org->name);
+		stat->weight = org->weight;
 		stat->used = org->used;
 		stat->quota = org->quota;
 		stat->accepted = org->accepted;
 		stat->over_share = org->over_share;
+		stat->refused = org->refused;
+		stat->waiting = org->waiting;
 		stat->quota_waits = org->quota_waits;
 	}
 	return count;
--- a/libgooseberry/pool/org.h
+++ b/libgooseberry/pool/org.h
@@ -25,7 +25,9 @@
 	gb_time share_at;     /**< when that was worked out */
 	uint64_t accepted;    /**< flows */
 	uint64_t over_share;  /**< of these, beyond its share */
+	uint64_t refused;     /**< submissions that were not admitted */
 	uint64_t quota_waits; /**< flows that waited for its quota */
+	uint32_t waiting; /**< flows that have not begun, when last counted */
 };
 
 /* org.c */
@@ -36,6 +38,8 @@
 void pool_orgs_free(struct gb_pool *);
 /** A flow of an organisation was accepted. */
 void pool_org_count(struct pool_org *, bool over_share);
+/** A submission of an organisation was not admitted. */
+void pool_org_refused(struct gb_pool *, const char *name);
 /** What a caller may do by the newer of its configuration and the owner's. */
 gb_flow_verdict pool_org_judge(const struct gb_pool *, const gb_flow_caller *);
 
--- a/libgooseberry/pool/pool.c
+++ b/libgooseberry/pool/pool.c
@@ -320,6 +320,7 @@
 	}
 	if (!pool_admit(pool, &submit->flow, &retry_after, &why)) {
 		pool->stats.refused++;
+		pool_org_refused(pool, submit->flow.org);
 		gb_event(pool->cfg.events, GB_EVENT_NORMAL, "flow_refused",
 		    "{s:s, s:s, s:s, s:I, s:I}", "flow", submit->flow.id,
 		    "queue", submit->flow.queue, "why", why, "open_flows",
--- a/tests/run-organisations.sh
+++ b/tests/run-organisations.sh
@@ -117,6 +117,14 @@
     >"$DIR/metrics"
 expect "counted by organisation" 1 \
     "$(grep -c 'gooseberry_org_flows_accepted{org="one"} 1' "$DIR/metrics")"
+for n in 1 2; do
+	"$BUILD/gooseberryctl" --server "http://127.0.0.1:$((PORT + 20 + n))" \
+	    organisations
+done >"$DIR/orgs"
+expect "a table of organisations, from the owner" "one 9 8000" \
+    "$(awk '$1 == "one" { print $1, $2, $4 }' "$DIR/orgs")"
+expect "an instance that is not the owner says so" 1 \
+    "$(grep -c 'does not own the pool' "$DIR/orgs")"
 expect "the version that can't be read is counted" 2 \
     "$(grep -c '^gooseberry_configs_unreadable [1-9]' "$DIR/metrics")"
 expect "keys in logs and counters" 0 \
