Failing test: an owner that misses a version is not told it by members

Members answer their callers by the version they have, and an owner that has an older one keeps their flows waiting (verdict behind) until it reads the new one itself.

--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -314,6 +314,32 @@
 	assert_true(gb_node_config(node)->keyed);
 }
 
+/** Load: an owner is cut from the operator's table, or reads an old copy of it,
+ * while the others are told a new version.  Flows of callers who were judged by
+ * that version wait until the owner has it: a member sends it over. */
+static void
+test_owner_learns_a_version_from_a_member(void **state)
+{
+	struct cell *cell = cell_begin();
+	struct gb_node *owner;
+	unsigned int i;
+	int round;
+
+	(void)state;
+	cell_settle(cell);
+	owner = cell->nodes[cell_owner(cell)];
+	for (i = 0; i < NODES; i++) {
+		if (cell->nodes[i] != owner)
+			gb_node_config_seen(cell->nodes[i], "5 orgs", 6);
+	}
+	for (round = 0;
+	     round < ROUNDS_MOST && gb_node_config(owner)->version < 5; round++)
+		uv_run(&cell->loop, UV_RUN_ONCE);
+	assert_int_equal(gb_node_config(owner)->version, 5);
+	assert_true(gb_node_config(owner)->keyed);
+	assert_ptr_equal(owner, cell->nodes[cell_owner(cell)]);
+}
+
 /** Load: the store turns the owner away and serves the others.  A flow that
  * reaches another node is stored by that one, until the pool is taken over. */
 static void
@@ -467,6 +493,7 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_versions_only_rise),
+	    cmocka_unit_test(test_owner_learns_a_version_from_a_member),
 	    cmocka_unit_test(test_node_stores_what_the_owner_cannot),
 	    cmocka_unit_test(test_nobody_can_store),
 	    cmocka_unit_test(test_leaving_owner_serves_until_it_is_succeeded),
