A member sends its newer configuration to an owner that has not got it

Ruled out: that the owner reads it soon enough by itself (cut from the operator's table it never does, and it is succeeded only when the store turns its writes away too).

Change: who hears in the owner's hello that it is behind sends it the version after 0.5 s and 0.1 s more for each member before it in the order of succession, so that one message does, and at most 1.5 s, within the 3 s that a version has.

--- a/libgooseberry/connection/rpc_method.c
+++ b/libgooseberry/connection/rpc_method.c
@@ -25,4 +25,5 @@
     METHOD(GB_PROC_HELLO, "hello", gb_hello, gb_hello_res),
     METHOD(GB_PROC_ADVISE, "advise", gb_advice_ask, gb_advice_res),
     METHOD(GB_PROC_SUCCEED, "succeed", gb_succeed, gb_succeed_res),
+    METHOD(GB_PROC_CONFIG, "config", gb_config_news, gb_config_news_res),
 };
--- a/libgooseberry/gen/proto.c
+++ b/libgooseberry/gen/proto.c
@@ -1352,6 +1352,26 @@
 	return TRUE;
 }
 
+bool_t
+xdr_gb_config_news (XDR *xdrs, gb_config_news *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_gb_body (xdrs, &objp->text))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_gb_config_news_res (XDR *xdrs, gb_config_news_res *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_uint64_t (xdrs, &objp->config))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_gb_advice_ask (XDR *xdrs, gb_advice_ask *objp)
 {
--- a/libgooseberry/gen/proto.h
+++ b/libgooseberry/gen/proto.h
@@ -719,6 +719,16 @@
 };
 typedef struct gb_succeed_res gb_succeed_res;
 
+struct gb_config_news {
+	gb_body text;
+};
+typedef struct gb_config_news gb_config_news;
+
+struct gb_config_news_res {
+	uint64_t config;
+};
+typedef struct gb_config_news_res gb_config_news_res;
+
 struct gb_advice_ask {
 	gb_name step;
 	struct {
@@ -821,6 +831,8 @@
 extern  bool_t xdr_gb_hello_res (XDR *, gb_hello_res*);
 extern  bool_t xdr_gb_succeed (XDR *, gb_succeed*);
 extern  bool_t xdr_gb_succeed_res (XDR *, gb_succeed_res*);
+extern  bool_t xdr_gb_config_news (XDR *, gb_config_news*);
+extern  bool_t xdr_gb_config_news_res (XDR *, gb_config_news_res*);
 extern  bool_t xdr_gb_advice_ask (XDR *, gb_advice_ask*);
 extern  bool_t xdr_gb_ticket (XDR *, gb_ticket*);
 extern  bool_t xdr_gb_advice_status (XDR *, gb_advice_status*);
@@ -894,6 +906,8 @@
 extern bool_t xdr_gb_hello_res ();
 extern bool_t xdr_gb_succeed ();
 extern bool_t xdr_gb_succeed_res ();
+extern bool_t xdr_gb_config_news ();
+extern bool_t xdr_gb_config_news_res ();
 extern bool_t xdr_gb_advice_ask ();
 extern bool_t xdr_gb_ticket ();
 extern bool_t xdr_gb_advice_status ();
--- a/libgooseberry/gen/proto.x
+++ b/libgooseberry/gen/proto.x
@@ -605,6 +605,15 @@
 	bool begun;		/* it has begun to take the pool over */
 };
 
+/* A member sends the owner a configuration that is newer than the owner's. */
+struct gb_config_news {
+	gb_body text;
+};
+
+struct gb_config_news_res {
+	uint64_t config;	/* version that the owner has now */
+};
+
 struct gb_advice_ask {
 	gb_name step;
 	gb_name workers<100>;
--- a/libgooseberry/gooseberry.h
+++ b/libgooseberry/gooseberry.h
@@ -512,6 +512,7 @@
 	GB_PROC_HELLO,
 	GB_PROC_ADVISE,
 	GB_PROC_SUCCEED,
+	GB_PROC_CONFIG,
 	GB_PROCS
 };
 
--- a/libgooseberry/node/node_state.h
+++ b/libgooseberry/node/node_state.h
@@ -108,6 +108,8 @@
 	uint64_t configs_unreadable;
 	uint64_t orgs_bad; /**< organisations and keys that were left out */
 	gb_time push_at;   /**< no configuration is sent to a member before */
+	gb_time owner_behind; /**< since then the owner's is older, 0 */
+	bool owner_told;      /**< this node's is on its way to the owner */
 	struct node_member *members; /**< the owner's: those that say hello */
 	uint64_t members_vers;	     /**< grows when one comes or goes */
 	gb_time members_at;	     /**< the list is looked through then */
--- a/libgooseberry/node/peers.c
+++ b/libgooseberry/node/peers.c
@@ -16,6 +16,10 @@
 /** A member that is behind with its configuration for this long is sent it; the
  * bound for all of them is 2 s. */
 #define PUSH_AFTER (500 * GB_MSEC)
+/** An owner that is behind is sent it by the first member in the order of
+ * succession, unless that has not got it: each waits for those before it. */
+#define PUSH_RANK (100 * GB_MSEC)
+#define PUSH_RANK_MOST GB_SEC
 /** What a node spends on that: a tenth of its link, and a third of one of
  * 10 Mbit/s where its bandwidth is not known. */
 #define PUSH_SHARE 10
@@ -78,6 +82,46 @@
 	return place;
 }
 
+static void
+config_told(void *data, gb_verdict verdict, void *arg)
+{
+	struct gb_node *node = data;
+	const gb_config_news_res *res = arg;
+
+	node->owner_told = false;
+	node->owner_behind = 0;
+	gb_event(node->events, GB_EVENT_ALWAYS, "config_sent_to_owner",
+	    "{s:s, s:i, s:I}", "owner", node->watch.owner, "verdict",
+	    (int)verdict, "version",
+	    (json_int_t)(verdict == GB_RUN ? res->config : 0));
+}
+
+/** An owner that is cut from the operator's table, or reads an old copy of it,
+ * would keep the flows of newer members waiting: it is sent what they have, by
+ * the first in the order of succession that has it. */
+static void
+config_tell(struct gb_node *node, const gb_hello_res *res, unsigned int rank)
+{
+	gb_time now = node_now();
+	gb_time wait = PUSH_RANK * (gb_time)rank;
+	gb_config_news news;
+
+	if (node->config == NULL || res->config >= node->config->version) {
+		node->owner_behind = 0;
+		return;
+	}
+	if (node->owner_behind == 0)
+		node->owner_behind = now;
+	wait = PUSH_AFTER + (wait < PUSH_RANK_MOST ? wait : PUSH_RANK_MOST);
+	if (node->owner_told || now - node->owner_behind < wait)
+		return;
+	node->owner_told = true;
+	news.text.gb_body_val = node->config_text;
+	news.text.gb_body_len = (u_int)node->config_len;
+	gb_rpc_client_call(gb_rpc_pool_get(node->peers, node->watch.owner),
+	    GB_PROC_CONFIG, &news, HELLO_TIMEOUT, config_told, node);
+}
+
 static void
 hello_done(void *data, gb_verdict verdict, void *arg)
 {
@@ -106,6 +150,7 @@
 	news.store_silent = res->store_silent_us;
 	news.largest_milli = res->largest_milli;
 	news.place = place_learn(node, res);
+	config_tell(node, res, res->rank);
 	watch_heard(&node->watch, now, &news);
 }
 
@@ -236,6 +281,18 @@
 	free(res.members.members_val);
 }
 
+static void
+serve_config(
+    struct gb_node *node, struct gb_rpc_call *call, const gb_config_news *news)
+{
+	gb_config_news_res res = {0};
+
+	gb_node_config_seen(
+	    node, news->text.gb_body_val, news->text.gb_body_len);
+	res.config = node->config == NULL ? 0 : node->config->version;
+	gb_rpc_call_reply(call, &res);
+}
+
 static struct node_caller *
 caller_new(struct gb_node *node, struct gb_rpc_call *call)
 {
@@ -271,6 +328,9 @@
 	case GB_PROC_SUCCEED:
 		node_serve_succeed(node, call, arg);
 		break;
+	case GB_PROC_CONFIG:
+		serve_config(node, call, arg);
+		break;
 	default:
 		gb_rpc_call_refuse(call);
 		break;
