Keys are judged by an unconfirmed configuration, or not, as the operator sets it

What a node does that can't know whether its version is the newest: by default it serves by the version that it has; with strict_keys_ms set (the platform's StrictRevocation and RevokeMs) it answers calls with a key 503, with a time to come back, once the store has not confirmed the version for so long. Queues without keys are served either way. Confirmed means that the watch of the operator's row, which answers each 1.2 s, said that there is no newer one.

--- a/libgooseberry/node/node.h
+++ b/libgooseberry/node/node.h
@@ -47,7 +47,7 @@
 	char orders[GB_NAME_MAX + 1];
 	char off[GB_KEY_MAX + 1]; /**< mechanisms that are switched off */
 	int64_t lease_ms, stop_ms, keep_s;
-	int64_t log_lines, log_level, grace_s, files;
+	int64_t log_lines, log_level, grace_s, files, strict_keys_ms;
 };
 
 extern const struct gb_setting gb_node_settings_table[];
--- a/libgooseberry/node/node_settings.c
+++ b/libgooseberry/node/node_settings.c
@@ -38,6 +38,10 @@
 	"Longest lease that a worker grants.", NODE(lease_ms)},
     {"stop_ms", GB_SET_INT, "ms", 1, 60000, "200",
 	"A stop of a task takes at most this long.", NODE(stop_ms)},
+    {"strict_keys_ms", GB_SET_INT, "ms", 0, 3600000, "0",
+	"Keys are not judged by a configuration that the store has not "
+	"confirmed for longer; 0: they always are.",
+	NODE(strict_keys_ms)},
     {"keep_s", GB_SET_INT, "s", 1, 86400, "120",
 	"How long the state of a finished flow is answered.", NODE(keep_s)},
     {"files", GB_SET_INT, "descriptors", 0, 1000000, "0",
--- a/tests/test_org.c
+++ b/tests/test_org.c
@@ -36,7 +36,7 @@
     const char *key, struct gb_caller *caller)
 {
 	return gb_caller_identify(
-	    config, gb_pool_config_queue(config, queue), key, caller);
+	    config, gb_pool_config_queue(config, queue), key, true, caller);
 }
 
 static void
@@ -82,6 +82,42 @@
 	gb_pool_config_unref(config);
 }
 
+/** Load: a node is cut from the store while keys are taken away and added.  By
+ * default it serves by the version that it has; where the operator is strict it
+ * judges no key once that has not been confirmed for the time set, and still
+ * serves who needs none. */
+static void
+test_strict_keys_are_not_judged_by_an_old_version(void **state)
+{
+	struct gb_pool_config *config = decode(config_text);
+	const struct gb_pool_queue *keyed =
+	    gb_pool_config_queue(config, "keyed");
+	const struct gb_pool_queue *open = gb_pool_config_queue(config, "open");
+	const gb_time strict = 5 * GB_SEC;
+	struct gb_caller caller;
+	bool current;
+
+	(void)state;
+	assert_true(gb_caller_current(3600 * GB_SEC, 0));
+	assert_true(gb_caller_current(strict, strict));
+	current = gb_caller_current(strict + 1, strict);
+	assert_false(current);
+	assert_int_equal(
+	    gb_caller_identify(config, keyed, "k2", current, &caller),
+	    GB_CALLER_UNSURE);
+	assert_null(caller.org);
+	assert_int_equal(
+	    gb_caller_identify(config, keyed, "k4", current, &caller),
+	    GB_CALLER_UNSURE);
+	assert_int_equal(
+	    gb_caller_identify(config, keyed, NULL, current, &caller),
+	    GB_CALLER_UNKNOWN);
+	assert_int_equal(
+	    gb_caller_identify(config, open, NULL, current, &caller),
+	    GB_CALLER_ANONYMOUS);
+	gb_pool_config_unref(config);
+}
+
 static void
 test_anonymous_queues_need_no_key(void **state)
 {
@@ -308,6 +344,7 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_callers_are_known_by_their_keys),
 	    cmocka_unit_test(test_unknown_keys_are_turned_away),
+	    cmocka_unit_test(test_strict_keys_are_not_judged_by_an_old_version),
 	    cmocka_unit_test(test_anonymous_queues_need_no_key),
 	    cmocka_unit_test(test_without_organisations_nobody_needs_a_key),
 	    cmocka_unit_test(test_bad_organisations_harm_no_other),
