Failing test: an owner that can't take a version is sent it again and again

Found in reading: two members send an owner whose program can't read the version 11 copies in 4 s; 43 members on links of 10 Mbit/s would send 30 KB each every 0.5 to 1.5 s.

--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -133,11 +133,17 @@
 	(void)on;
 }
 
+/** Versions can't be read, as by a program that is too old for them. */
+static bool config_unreadable;
+
 static struct gb_pool_config *
 config_decode(const char *text, size_t len)
 {
-	struct gb_pool_config *config = gb_pool_config_new(1, 0);
+	struct gb_pool_config *config;
 
+	if (config_unreadable)
+		return NULL;
+	config = gb_pool_config_new(1, 0);
 	/* The text is the version; a word behind it names organisations. */
 	config->version = strtoull(text, NULL, 10);
 	if (memchr(text, ' ', len) != NULL)
@@ -340,6 +346,33 @@
 	assert_ptr_equal(owner, cell->nodes[cell_owner(cell)]);
 }
 
+/** Load: an owner can't take the version that members have, since its program
+ * is older.  Each member sends it once and then leaves it for seconds: 43
+ * members that try again each second would fill a thin link with it. */
+static void
+test_owner_is_not_told_again_and_again(void **state)
+{
+	struct cell *cell = cell_begin();
+	struct gb_node *owner;
+	gb_time until;
+	unsigned int i;
+
+	(void)state;
+	cell_settle(cell);
+	owner = cell->nodes[cell_owner(cell)];
+	for (i = 0; i < NODES; i++) {
+		if (cell->nodes[i] != owner)
+			gb_node_config_seen(cell->nodes[i], "5 orgs", 6);
+	}
+	config_unreadable = true;
+	until = gb_clock_boot() + 4 * GB_SEC;
+	while (gb_clock_boot() < until)
+		uv_run(&cell->loop, UV_RUN_ONCE);
+	config_unreadable = false;
+	assert_int_equal(gb_node_config(owner)->version, 1);
+	assert_in_range(owner->configs_unreadable, 1, NODES - 1);
+}
+
 /** Load: the store turns the owner away and serves the others.  A flow that
  * reaches another node is stored by that one, until the pool is taken over. */
 static void
@@ -494,6 +527,7 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_versions_only_rise),
 	    cmocka_unit_test(test_owner_learns_a_version_from_a_member),
+	    cmocka_unit_test(test_owner_is_not_told_again_and_again),
 	    cmocka_unit_test(test_node_stores_what_the_owner_cannot),
 	    cmocka_unit_test(test_nobody_can_store),
 	    cmocka_unit_test(test_leaving_owner_serves_until_it_is_succeeded),
