An owner that can't take a version is sent it once in ten seconds by ten members at most

Cause: as the failing test shows, a member forgot that it had sent the version as soon as the answer was there, and those that have no place in the order of succession sent it too. Ruled out: that the owner's answers end it (one whose program is too old never has it).

--- a/libgooseberry/node/node_state.h
+++ b/libgooseberry/node/node_state.h
@@ -110,6 +110,9 @@
 	gb_time push_at;   /**< no configuration is sent to a member before */
 	gb_time owner_behind; /**< since then the owner's is older, 0 */
 	bool owner_told;      /**< this node's is on its way to the owner */
+	uint64_t told_epoch;  /**< owner that it was last sent to */
+	uint64_t told_config; /**< version that was */
+	gb_time tell_at;      /**< the same is not sent again before */
 	struct node_member *members; /**< the owner's: those that say hello */
 	uint64_t members_vers;	     /**< grows when one comes or goes */
 	gb_time members_at;	     /**< the list is looked through then */
--- a/libgooseberry/node/peers.c
+++ b/libgooseberry/node/peers.c
@@ -17,9 +17,13 @@
  * bound for all of them is 2 s. */
 #define PUSH_AFTER (500 * GB_MSEC)
 /** An owner that is behind is sent it by the first member in the order of
- * succession, unless that has not got it: each waits for those before it. */
+ * succession, unless that has not got it: each waits for those before it, and
+ * those that are far behind leave it. */
 #define PUSH_RANK (100 * GB_MSEC)
-#define PUSH_RANK_MOST GB_SEC
+#define PUSH_RANKS 10
+/** An owner that has not taken it is left alone for this long: its program may
+ * be too old for it. */
+#define PUSH_AGAIN (10 * GB_SEC)
 /** What a node spends on that: a tenth of its link, and a third of one of
  * 10 Mbit/s where its bandwidth is not known. */
 #define PUSH_SHARE 10
@@ -89,13 +93,22 @@
 	const gb_config_news_res *res = arg;
 
 	node->owner_told = false;
-	node->owner_behind = 0;
+	node->tell_at = node_now() + PUSH_AGAIN;
 	gb_event(node->events, GB_EVENT_ALWAYS, "config_sent_to_owner",
 	    "{s:s, s:i, s:I}", "owner", node->watch.owner, "verdict",
 	    (int)verdict, "version",
 	    (json_int_t)(verdict == GB_RUN ? res->config : 0));
 }
 
+/** Whether this owner was sent this version a short while ago. */
+static bool
+owner_just_told(const struct gb_node *node, const gb_hello_res *res)
+{
+	return node->told_epoch == res->epoch &&
+	       node->told_config == node->config->version &&
+	       node_now() < node->tell_at;
+}
+
 /** An owner that is cut from the operator's table, or reads an old copy of it,
  * would keep the flows of newer members waiting: it is sent what they have, by
  * the first in the order of succession that has it. */
@@ -103,7 +116,6 @@
 config_tell(struct gb_node *node, const gb_hello_res *res, unsigned int rank)
 {
 	gb_time now = node_now();
-	gb_time wait = PUSH_RANK * (gb_time)rank;
 	gb_config_news news;
 
 	if (node->config == NULL || res->config >= node->config->version) {
@@ -112,10 +124,13 @@
 	}
 	if (node->owner_behind == 0)
 		node->owner_behind = now;
-	wait = PUSH_AFTER + (wait < PUSH_RANK_MOST ? wait : PUSH_RANK_MOST);
-	if (node->owner_told || now - node->owner_behind < wait)
+	if (node->owner_told || owner_just_told(node, res) ||
+	    rank >= PUSH_RANKS ||
+	    now - node->owner_behind < PUSH_AFTER + PUSH_RANK * (gb_time)rank)
 		return;
 	node->owner_told = true;
+	node->told_epoch = res->epoch;
+	node->told_config = node->config->version;
 	news.text.gb_body_val = node->config_text;
 	news.text.gb_body_len = (u_int)node->config_len;
 	gb_rpc_client_call(gb_rpc_pool_get(node->peers, node->watch.owner),
