--- a/tests/pool_cell.c
+++ b/tests/pool_cell.c
@@ -935,6 +935,21 @@
 	flow_send(cell, &cell->flows[flow]);
 }
 
+void
+pool_cell_ask(struct pool_cell *cell, size_t number, const gb_flow_ask *ask,
+    gb_time how_long)
+{
+	struct pool_cell_flow *flow = &cell->flows[number];
+	gb_flow_ask named = *ask;
+
+	named.id = flow->spec.id;
+	flow->token = ++cell->next_token;
+	flow->answered = false;
+	gb_pool_ask(
+	    cell->nodes[pool_cell_owner(cell)], cell->now, flow->token, &named);
+	pool_cell_run(cell, how_long);
+}
+
 static gb_flow_answer
 cell_ask(struct pool_cell *cell, size_t number, gb_flow_op op)
 {
--- a/tests/pool_cell.h
+++ b/tests/pool_cell.h
@@ -125,6 +125,10 @@
 /** Submit it once more, as a caller without an answer does. */
 void pool_cell_submit_again(struct pool_cell *, size_t flow);
 void pool_cell_cancel(struct pool_cell *, size_t flow);
+/** Ask the owner about a flow as the caller that the question names, and let
+ * time pass; the answer, if there is one by then, stands in the flow. */
+void pool_cell_ask(
+    struct pool_cell *, size_t flow, const gb_flow_ask *, gb_time how_long);
 /** Whether the owner answers at all when it is asked for a state. */
 gb_flow_verdict pool_cell_verdict(struct pool_cell *, size_t flow);
 /** State as the owner shows it. */
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -320,6 +320,18 @@
 	assert_true(gb_node_config(node)->keyed);
 }
 
+/** All but the owner are told a newer version. */
+static void
+members_configure(struct cell *cell, const struct gb_node *owner)
+{
+	unsigned int i;
+
+	for (i = 0; i < NODES; i++) {
+		if (cell->nodes[i] != owner)
+			gb_node_config_seen(cell->nodes[i], "5 orgs", 6);
+	}
+}
+
 /** Load: an owner is cut from the operator's table, or reads an old copy of it,
  * while the others are told a new version.  Flows of callers who were judged by
  * that version wait until the owner has it: a member sends it over. */
@@ -328,16 +340,12 @@
 {
 	struct cell *cell = cell_begin();
 	struct gb_node *owner;
-	unsigned int i;
 	int round;
 
 	(void)state;
 	cell_settle(cell);
 	owner = cell->nodes[cell_owner(cell)];
-	for (i = 0; i < NODES; i++) {
-		if (cell->nodes[i] != owner)
-			gb_node_config_seen(cell->nodes[i], "5 orgs", 6);
-	}
+	members_configure(cell, owner);
 	for (round = 0;
 	     round < ROUNDS_MOST && gb_node_config(owner)->version < 5; round++)
 		uv_run(&cell->loop, UV_RUN_ONCE);
@@ -355,15 +363,11 @@
 	struct cell *cell = cell_begin();
 	struct gb_node *owner;
 	gb_time until;
-	unsigned int i;
 
 	(void)state;
 	cell_settle(cell);
 	owner = cell->nodes[cell_owner(cell)];
-	for (i = 0; i < NODES; i++) {
-		if (cell->nodes[i] != owner)
-			gb_node_config_seen(cell->nodes[i], "5 orgs", 6);
-	}
+	members_configure(cell, owner);
 	config_unreadable = true;
 	until = gb_clock_boot() + 4 * GB_SEC;
 	while (gb_clock_boot() < until)
