--- a/libgooseberry/pool/rank.c
+++ b/libgooseberry/pool/rank.c
@@ -13,9 +13,12 @@
  * be in time.  What a flow is worth grows by less than its size, and the room
  * of one large gang is that of several small ones, which find it sooner.  So
  * the more gangs wait for room, the further a flow that is larger than others
- * of its queue goes behind them, and a smaller one before them.  Small ones
- * that its booking holds up count as waiting: where they keep five eighths of
- * the pool busy, a gang of two thirds of it waits until they stop.
+ * of its queue goes behind them, and a smaller one before them.
+ *
+ * Load: small gangs keep five eighths of the pool busy, and one comes that
+ * needs two thirds of it.  Such a gang starts only in room that is kept for it,
+ * and the small ones that this holds up must not be taken for a crowd: it keeps
+ * its place by time.
  */
 #include <string.h>
 
@@ -36,6 +39,9 @@
 #define RANK_SIZE_SHARE 0.5
 #define RANK_CROWDED 0.5
 #define RANK_SIZE_MOST 3.0
+/** Share of the pool that others leave free by chance, at most.  A gang that
+ * needs more never starts unless room is kept for it. */
+#define RANK_BY_CHANCE 0.25
 /** Weight of the newest flow in the size of its queue's. */
 #define RANK_SIZE_WEIGHT 0.02
 
@@ -104,14 +110,16 @@
 rank_yields(
     const struct gb_pool *pool, const struct pool_flow *flow, gb_time spare)
 {
-	double others = pool->gangs_wait - pool_rank_gangs_wait(pool, flow);
+	double own = pool_rank_gangs_wait(pool, flow);
+	double others = pool->gangs_wait - own;
 	struct pool_queue_stat *stat;
 	double crowded;
 	double size;
 
 	HASH_FIND_STR(pool->queues, flow->spec.queue, stat);
 	if (!POOL_USES(pool, GB_MECH_SIZE) || stat == NULL ||
-	    stat->cores <= 0 || pool->capacity <= 0 || others <= 0)
+	    stat->cores <= 0 || pool->capacity <= 0 || others <= 0 ||
+	    own > RANK_BY_CHANCE * pool->capacity)
 		return 0;
 	crowded = others / (RANK_CROWDED * pool->capacity);
 	if (crowded > 1)
--- a/tests/test_large_gang.c
+++ b/tests/test_large_gang.c
@@ -1,8 +1,6 @@
 /**
  * @file test_large_gang.c
  * A large gang beside small ones that keep coming, on a pool that is not full.
- * Listed in KNOWN-RED.txt: by time alone the gang is done, with flows ordered
- * by size as well it waits until the small ones stop.
  */
 #include <setjmp.h>
 #include <stdarg.h>
