--- a/libgooseberry/gen/proto.c
+++ b/libgooseberry/gen/proto.c
@@ -918,6 +918,8 @@
 		 return FALSE;
 	 if (!xdr_gb_name (xdrs, &objp->org))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->over_share))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/libgooseberry/gen/proto.h
+++ b/libgooseberry/gen/proto.h
@@ -529,6 +529,7 @@
 		gb_step *steps_val;
 	} steps;
 	gb_name org;
+	bool_t over_share;
 };
 typedef struct gb_flow gb_flow;
 
--- a/libgooseberry/gen/proto.x
+++ b/libgooseberry/gen/proto.x
@@ -442,6 +442,7 @@
 	string spec<GB_SPEC_MAX>;
 	gb_step steps<GB_STEPS_MAX>;
 	gb_name org;		/* organisation it belongs to, empty: none */
+	bool over_share;	/* beyond what that may send, as it came */
 };
 
 enum gb_flow_status {
--- a/libgooseberry/pool.h
+++ b/libgooseberry/pool.h
@@ -356,8 +356,9 @@
 	GB_MECH_WITHOUT_OWNER, /**< nodes store flows while there is no owner */
 	GB_MECH_FOR_OWNER,     /**< and those that the owner can't store */
 	GB_MECH_QUICK_ONLY,    /**< but only while the store is quick */
-	GB_MECH_PACE, /**< what can wait is sent as the link takes it */
-	GB_MECH_SIZE, /**< large flows go behind small ones */
+	GB_MECH_PACE,  /**< what can wait is sent as the link takes it */
+	GB_MECH_SIZE,  /**< large flows go behind small ones */
+	GB_MECH_SHARE, /**< what is over an organisation's share goes behind */
 	GB_MECHANISMS
 };
 
--- a/libgooseberry/pool/flow_state.c
+++ b/libgooseberry/pool/flow_state.c
@@ -10,7 +10,7 @@
 
 /** Fields at the end of the types that the first programs did not write. */
 #define STATE_FIELDS_LATER 2
-#define FLOW_FIELDS_LATER 1
+#define FLOW_FIELDS_LATER 2
 
 static bool
 task_has_state(const struct pool_task *task)
--- a/libgooseberry/pool/mechanism.c
+++ b/libgooseberry/pool/mechanism.c
@@ -25,6 +25,7 @@
     [GB_MECH_QUICK_ONLY] = "quick-only",
     [GB_MECH_PACE] = "pace",
     [GB_MECH_SIZE] = "size",
+    [GB_MECH_SHARE] = "share",
 };
 
 static int
--- a/libgooseberry/pool/org.h
+++ b/libgooseberry/pool/org.h
@@ -6,6 +6,8 @@
 #ifndef GB_POOL_ORG_H
 #define GB_POOL_ORG_H
 
+#include <uthash.h>
+
 #include "pool.h"
 
 struct gb_pool;
@@ -18,6 +20,9 @@
 	struct gb_pool_amount quota; /**< 0: no limit */
 	struct gb_pool_amount used;  /**< by all that may run */
 	uint64_t runs;
+	/** Submissions that it may still send now as its share. */
+	double share_left;
+	gb_time share_at;  /**< when that was worked out */
 	uint64_t accepted; /**< flows */
 	uint64_t refused;
 	uint64_t quota_waits; /**< dispatches that left a step for its quota */
@@ -32,6 +37,10 @@
 /** What a caller may do by the newer of its configuration and the owner's. */
 gb_flow_verdict pool_org_judge(const struct gb_pool *, const gb_flow_caller *);
 
+/* share.c */
+/** A submission has come: whether it is beyond the organisation's share. */
+bool pool_share_take(struct pool_org *, gb_time now);
+
 /* quota.c */
 /** A run takes room of its organisation, or gives it back. */
 void pool_quota_take(struct pool_org *, const gb_res *);
--- a/libgooseberry/pool/pool.c
+++ b/libgooseberry/pool/pool.c
@@ -271,6 +271,7 @@
 	}
 	flow = pool_flow_new(pool, &copy);
 	flow->fresh = true;
+	flow->spec.over_share = pool_share_take(flow->org, pool->now);
 	pool->stats.accepted++;
 	pool_writer_dirty(pool, flow, true);
 	pool_flow_wait(pool, flow, token, flow->change, GB_FLOW_QUEUED);
--- a/libgooseberry/pool/rank.c
+++ b/libgooseberry/pool/rank.c
@@ -15,6 +15,9 @@
  * the more gangs wait for room, the further a flow that is larger than others
  * of its queue goes behind them, and a smaller one before them.
  *
+ * Load: an organisation sends several times its usual on a full pool.  What is
+ * beyond its weight goes behind all of others that still earns.
+ *
  * Load: small gangs keep five eighths of the pool busy, and one comes that
  * needs two thirds of it.  Such a gang starts only in room that is kept for it,
  * and the small ones that this holds up must not be taken for a crowd: it keeps
@@ -45,7 +48,7 @@
 /** Weight of the newest flow in the size of its queue's. */
 #define RANK_SIZE_WEIGHT 0.02
 
-enum rank_tier { RANK_ON_TIME, RANK_LATE, RANK_TOO_LATE };
+enum rank_tier { RANK_ON_TIME, RANK_LATE, RANK_OVER_SHARE, RANK_TOO_LATE };
 
 struct pool_queue_stat *
 pool_rank_queue(struct gb_pool *pool, const char *name)
@@ -213,6 +216,9 @@
 		flow->tier = RANK_LATE;
 	else
 		flow->tier = RANK_TOO_LATE;
+	if (flow->spec.over_share && POOL_USES(pool, GB_MECH_SHARE) &&
+	    flow->tier < RANK_OVER_SHARE)
+		flow->tier = RANK_OVER_SHARE;
 	if (!POOL_USES(pool, GB_MECH_ORDER)) {
 		flow->tier = RANK_ON_TIME;
 		flow->start_by = flow->submitted;
--- a/tests/pool_cell.h
+++ b/tests/pool_cell.h
@@ -10,6 +10,8 @@
 
 #define CELL_NODES 3
 #define CELL_ORGS 8
+/** Submissions a second that each organisation may send when all is full. */
+#define CELL_WEIGHT 6
 
 /** Faults in force, in percent of the calls they concern. */
 struct pool_cell_faults {
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -367,6 +367,7 @@
 {
 	char none[] = "";
 	char name[] = "x";
+	unsigned int missing;
 	gb_flow written = {
 	    .id = name, .queue = name, .service = name, .spec = none};
 	gb_flow read;
@@ -375,12 +376,14 @@
 	(void)state;
 	written.org = none;
 	assert_true(gb_xdr_encode((xdrproc_t)xdr_gb_flow, &written, &row));
-	row.gb_body_len -= BYTES_PER_XDR_UNIT;
-	assert_true(gb_flow_decode(&row, &read));
-	assert_string_equal(read.id, "x");
-	assert_string_equal(read.org, "");
-	xdr_free((xdrproc_t)xdr_gb_flow, (char *)&read);
-	row.gb_body_len -= BYTES_PER_XDR_UNIT;
+	for (missing = 0; missing <= 2; missing++) {
+		assert_true(gb_flow_decode(&row, &read));
+		assert_string_equal(read.id, "x");
+		assert_string_equal(read.org, "");
+		assert_false(read.over_share);
+		xdr_free((xdrproc_t)xdr_gb_flow, (char *)&read);
+		row.gb_body_len -= BYTES_PER_XDR_UNIT;
+	}
 	assert_false(gb_flow_decode(&row, &read));
 	free(row.gb_body_val);
 }
--- /dev/null
+++ b/tests/test_share.c
@@ -0,0 +1,98 @@
+/**
+ * @file test_share.c
+ * Shares of organisations when all is full.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "pool_cell.h"
+
+/** Time in which an import of a second is to be done. */
+#define OBJECTIVE (7 * GB_SEC)
+#define ROUNDS 60
+
+/** Load: one organisation sends five imports each 0.1 s, another one each 0.2
+ * s, on a pool that can do half of that for 6 s.  Returns how many of the
+ * other's are in time. */
+static unsigned int
+hot_play(uint32_t off, bool takeover)
+{
+	struct pool_cell_setup setup = {
+	    7, 12, {16000, 64000, 0, 0, 0}, 0, 0, 0, 0, 0, off};
+	struct pool_cell *cell = pool_cell_begin(&setup);
+	unsigned int count = 0;
+	size_t i;
+	int n;
+
+	pool_cell_quota(cell, "hot", 0, 0);
+	pool_cell_quota(cell, "other", 0, 0);
+	for (n = 0; n < ROUNDS; n++) {
+		for (i = 0; i < 5; i++) {
+			snprintf(cell->org, sizeof(cell->org), "hot");
+			pool_cell_step(cell, 8, 2000, GB_SEC, 0, -1);
+			pool_cell_submit(cell, "import", "ms=1000");
+		}
+		if (n % 2 == 0) {
+			snprintf(cell->org, sizeof(cell->org), "other");
+			pool_cell_step(cell, 8, 2000, GB_SEC, 0, -1);
+			pool_cell_submit(cell, "import", "ms=1000");
+		}
+		pool_cell_run(cell, 100 * GB_MSEC);
+		if (takeover && n == ROUNDS / 2)
+			pool_cell_replace_owner(cell, 1);
+	}
+	pool_cell_run(cell, 60 * GB_SEC);
+	for (i = 0; i < cell->flow_count; i++) {
+		const struct pool_cell_flow *flow = &cell->flows[i];
+
+		if (flow->accepted)
+			assert_int_equal(flow->status, GB_FLOW_SUCCEEDED);
+		if (strcmp(flow->spec.org, "other") == 0)
+			count += flow->over != 0 &&
+				 flow->over - flow->submitted <= OBJECTIVE;
+	}
+	pool_cell_assert_unharmed(cell);
+	pool_cell_free(cell);
+	return count;
+}
+
+/** The other organisation, which stays within its share, is served in time; all
+ * that was accepted is done in the end. */
+static void
+test_others_are_served_beside_a_hot_one(void **state)
+{
+	unsigned int with = hot_play(0, false);
+	unsigned int without = hot_play(UINT32_C(1) << GB_MECH_SHARE, false);
+
+	(void)state;
+	print_message("in time: %u with shares, %u without, of %d\n", with,
+	    without, ROUNDS / 2);
+	assert_true(with >= ROUNDS / 2 - 2);
+	assert_true(with > without);
+}
+
+/** A new owner knows what was beyond a share. */
+static void
+test_shares_outlive_an_owner(void **state)
+{
+	unsigned int count = hot_play(0, true);
+
+	(void)state;
+	print_message("in time: %u of %d\n", count, ROUNDS / 2);
+	assert_true(count >= ROUNDS / 2 - 6);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_others_are_served_beside_a_hot_one),
+	    cmocka_unit_test(test_shares_outlive_an_owner),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
