Lines and a counter tell the lives of workers under one id

The logs could not tell whether a worker had started again under its id, which number of ends was acknowledged before, and how many runs ended without a word. Entries and reports are now read with the time of the worker's start (life); worker_life and worker_entry_life are written when it changes, run_gone has it too, and gooseberry_runs_gone counts. No logic changes.

--- a/bench/pool.c
+++ b/bench/pool.c
@@ -280,7 +280,7 @@
 event_answer(struct play *play, struct event *event)
 {
 	const struct gb_pool_order_res done = {
-	    GB_POOL_ORDER_DONE, play->now / GB_MSEC};
+	    .status = GB_POOL_ORDER_DONE, .clock_ms = play->now / GB_MSEC};
 	struct gb_pool *pool = play->pool;
 
 	switch (event->kind) {
--- a/libgooseberry/pool.h
+++ b/libgooseberry/pool.h
@@ -155,7 +155,10 @@
 /** An entry of the platform's list of workers.  Of one with a fault the id
  * alone is told. */
 struct gb_pool_entry {
-	char id[GB_NAME_MAX + 1]; /**< of this lifetime of the worker */
+	char id[GB_NAME_MAX + 1];
+	/** Tells the lifetimes under one id apart, 0: not told.  A start's time
+	 * of day, which jumps: it says nothing of which one came first. */
+	int64_t life;
 	enum gb_pool_entry_fault fault;
 	char addr[GB_NAME_MAX + 1];
 	char dc[GB_NAME_MAX + 1];
@@ -177,7 +180,7 @@
 
 /** An order for a worker: start or stop a run. */
 struct gb_pool_order {
-	const char *worker; /**< lifetime that is meant */
+	const char *worker; /**< id of the one that is meant */
 	const char *addr;
 	struct gb_pool_run_id id;
 	uint64_t token; /**< fencing token */
@@ -196,7 +199,7 @@
 	GB_POOL_ORDER_NO_ROOM,
 	GB_POOL_ORDER_NO_TICKET,
 	GB_POOL_ORDER_REFUSED, /**< unhealthy worker; nothing was done */
-	GB_POOL_ORDER_REBORN,  /**< another lifetime answered */
+	GB_POOL_ORDER_REBORN,  /**< a worker with another id answered */
 	GB_POOL_ORDER_MALFORMED,
 	GB_POOL_ORDER_LOST /**< no answer; may be done, also later */
 };
@@ -204,6 +207,7 @@
 struct gb_pool_order_res {
 	enum gb_pool_order_status status;
 	int64_t clock_ms; /**< the worker's, 0: not told */
+	int64_t life;	  /**< of the worker that answered, 0: not told */
 };
 
 /** Renew a worker's lease and ask what it runs. */
@@ -241,6 +245,7 @@
 struct gb_pool_report {
 	enum gb_pool_order_status status;
 	int64_t clock_ms;
+	int64_t life; /**< of the worker that answered, 0: not told */
 	struct gb_pool_seen *running;
 	size_t running_count;
 	struct gb_pool_seen *ended;
@@ -487,6 +492,7 @@
 	uint64_t starts, starts_refused, starts_lost, stops, preempted, holds;
 	uint64_t done, failed, stopped, lapsed, broken, alone;
 	uint64_t crashed;      /**< runs lost with a worker that is over */
+	uint64_t gone;	       /**< runs that a worker no longer lists */
 	uint64_t workers_over; /**< lifetimes of workers that ended */
 	uint64_t given_up;     /**< flows that crash their workers */
 	uint64_t advice_calls, advice_busy, advice_lost;
--- a/libgooseberry/pool/report.c
+++ b/libgooseberry/pool/report.c
@@ -259,10 +259,15 @@
 		if (i < report->running_count)
 			continue;
 		gb_event(pool->cfg.events, GB_EVENT_NORMAL, "run_gone",
-		    "{s:s, s:I, s:I, s:I, s:s, s:i}", "flow",
+		    "{s:s, s:I, s:I, s:I, s:s, s:I, s:I, s:I, s:i}", "flow",
 		    run->flow->spec.id, "step", (json_int_t)run->step, "index",
 		    (json_int_t)run->index, "run", (json_int_t)run->number,
-		    "worker", worker->entry.id, "state", (int)run->state);
+		    "worker", worker->entry.id, "life",
+		    (json_int_t)worker->life, "acked",
+		    (json_int_t)worker->acked, "started_ms_ago",
+		    (json_int_t)((pool->now - run->started) / GB_MSEC), "state",
+		    (int)run->state);
+		pool->stats.gone++;
 		pool_run_free(pool, run);
 	}
 }
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -242,6 +242,7 @@
 	gb_res booked;	    /**< kept for gangs that wait for room */
 	gb_time booked_at;  /**< when the first of them wants it, 0: none */
 	bool was_booked;    /**< in the dispatch before this one */
+	int64_t life;	    /**< that answered last, 0: not told */
 	bool listed;	    /**< by the platform */
 	bool served;	    /**< the configuration names its service */
 	bool fenced;	    /**< has answered this owner */
--- a/libgooseberry/pool/worker.c
+++ b/libgooseberry/pool/worker.c
@@ -227,6 +227,21 @@
 	return pool_pace_look(pool, ended == 0 ? GB_MSEC : HOLD_GAP);
 }
 
+/** What is held against the worker of before is told with its new life. */
+static void
+life_event(struct gb_pool *pool, const struct pool_worker *worker,
+    const struct gb_pool_report *report)
+{
+	gb_event(pool->cfg.events, GB_EVENT_NORMAL, "worker_life",
+	    "{s:s, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I}", "worker",
+	    worker->entry.id, "life", (json_int_t)report->life, "before",
+	    (json_int_t)worker->life, "runs", (json_int_t)worker->run_count,
+	    "running", (json_int_t)report->running_count, "seen",
+	    (json_int_t)worker->seen, "acked", (json_int_t)worker->acked,
+	    "clock_ms", (json_int_t)report->clock_ms, "clock_before_ms",
+	    (json_int_t)worker->clock_ms);
+}
+
 void
 pool_worker_hold_done(struct gb_pool *pool, const struct pool_call *call,
     const struct gb_pool_report *report)
@@ -259,6 +274,9 @@
 		    "{s:s, s:I}", "worker", worker->entry.id, "silent",
 		    (json_int_t)worker->silent);
 	}
+	if (report->life != worker->life)
+		life_event(pool, worker, report);
+	worker->life = report->life;
 	pool_worker_clock(pool, worker, report->clock_ms);
 	worker->answered = pool->now;
 	worker->silent = 0;
@@ -527,9 +545,9 @@
 		 * newer one: only the worker's own answer proves it over. */
 		worker = pool_worker_new(pool, entry);
 		gb_event(pool->cfg.events, GB_EVENT_NORMAL, "worker_listed",
-		    "{s:s, s:s, s:s, s:I}", "worker", entry->id, "addr",
-		    entry->addr, "dc", entry->dc, "cpu",
-		    (json_int_t)entry->capacity.cpu);
+		    "{s:s, s:I, s:s, s:s, s:I}", "worker", entry->id, "life",
+		    (json_int_t)entry->life, "addr", entry->addr, "dc",
+		    entry->dc, "cpu", (json_int_t)entry->capacity.cpu);
 	} else if (entry->removed) {
 		worker->listed = false;
 		gb_event(pool->cfg.events, GB_EVENT_ALWAYS, "worker_unlisted",
@@ -541,6 +559,12 @@
 		gb_event(pool->cfg.events, GB_EVENT_ALWAYS, "worker_draining",
 		    "{s:s, s:I}", "worker", entry->id, "runs",
 		    (json_int_t)worker->run_count);
+	if (entry->life != worker->entry.life)
+		gb_event(pool->cfg.events, GB_EVENT_NORMAL, "worker_entry_life",
+		    "{s:s, s:I, s:I, s:I}", "worker", entry->id, "life",
+		    (json_int_t)entry->life, "before",
+		    (json_int_t)worker->entry.life, "runs",
+		    (json_int_t)worker->run_count);
 	worker->entry = *entry;
 	worker->listed = true;
 	worker->served = worker_served(pool, worker);
--- a/standin/emulator_worker.c
+++ b/standin/emulator_worker.c
@@ -182,7 +182,8 @@
 static void
 hold_answer(struct http_call *call, const struct gb_pool_report *report)
 {
-	struct gb_pool_order_res res = {report->status, report->clock_ms};
+	const struct gb_pool_order_res res = {
+	    .status = report->status, .clock_ms = report->clock_ms};
 	json_t *running;
 	json_t *ended;
 	size_t i;
--- a/tests/pool_cell.c
+++ b/tests/pool_cell.c
@@ -499,7 +499,7 @@
 event_lost(struct pool_cell *cell, const struct pool_event *event)
 {
 	struct gb_pool *pool = event_pool(cell, event);
-	struct gb_pool_order_res order = {GB_POOL_ORDER_LOST, 0};
+	struct gb_pool_order_res order = {.status = GB_POOL_ORDER_LOST};
 	struct gb_pool_txn_res txn = {0};
 
 	if (pool == NULL)
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -17,7 +17,8 @@
     "{\"Service\":\"svc\",\"Address\":\"10.1.0.9:8080\",\"Zone\":\"a\","
     "\"Version\":\"v1\",\"Slots\":8,\"State\":\"ready\","
     "\"ColdRemainingMs\":0,\"Capacity\":{\"Cpu\":16000,\"MemMb\":32768,"
-    "\"Gpus\":0},\"Labels\":[\"a\",\"r1-3\"],\"ClockMs\":482113,\"Seq\":4}";
+    "\"Gpus\":0},\"Labels\":[\"a\",\"r1-3\"],\"ClockMs\":482113,\"Seq\":4,"
+    "\"born\":1778839491459}";
 
 static enum gb_pool_entry_fault
 fault_of(const char *text)
@@ -60,9 +61,11 @@
 	assert_string_equal(entry.service, "svc");
 	assert_int_equal(entry.capacity.cpu, 16000);
 	assert_int_equal(entry.label_count, 2);
+	assert_int_equal(entry.life, 1778839491459);
 	assert_false(entry.draining);
 	assert_int_equal(
 	    fault_with("State", "\"draining\""), GB_POOL_ENTRY_SOUND);
+	assert_int_equal(fault_with("born", NULL), GB_POOL_ENTRY_SOUND);
 }
 
 static void
@@ -94,7 +97,8 @@
 	    {"Capacity", "{\"Cpu\":-1,\"MemMb\":1,\"Gpus\":0}"},
 	    {"Capacity", "{\"Cpu\":1e18,\"MemMb\":1,\"Gpus\":0}"},
 	    {"Labels", "\"a\""}, {"Labels", "[1]"}, {"Seq", "\"4\""},
-	    {"Seq", "4.5"}};
+	    {"Seq", "4.5"}, {"born", "\"1778839491459\""},
+	    {"born", "1778839491.5"}, {"born", "-1"}, {"born", "null"}};
 	size_t i;
 
 	(void)state;
