--- a/standin/emulator.c
+++ b/standin/emulator.c
@@ -221,6 +221,8 @@
 		world_worker_crash(emu->world, worker->number);
 	} else if (strcmp(what, "reborn") == 0) {
 		world_worker_reborn(emu->world, worker->number);
+	} else if (strcmp(what, "restart") == 0) {
+		world_worker_restart(emu->world, worker->number);
 	} else if (strcmp(what, "drain") == 0) {
 		world_worker_drain(emu->world, worker->number);
 	} else if (strcmp(what, "shrunk") == 0) {
--- a/standin/emulator_worker.c
+++ b/standin/emulator_worker.c
@@ -25,6 +25,7 @@
 	char lifetime[GB_NAME_MAX + 1];
 	struct gb_pool_hold hold;
 	gb_time deadline;
+	unsigned int process; /**< that has taken it in */
 };
 
 TAILQ_HEAD(hold_list, waiting_hold);
@@ -214,7 +215,8 @@
 			seen->checkpoint));
 	}
 	emu_answer(call, 200,
-	    json_pack("{s:I, s:o, s:o}", "ClockMs", (json_int_t)res.clock_ms,
+	    json_pack("{s:I, s:I, s:o, s:o}", "ClockMs",
+		(json_int_t)res.clock_ms, "born", (json_int_t)report->life,
 		"Running", running, "Finished", ended));
 }
 
@@ -229,6 +231,10 @@
 	worker_addr(wait->worker->number, addr, sizeof(addr));
 	wait->hold.worker = wait->lifetime;
 	wait->hold.addr = addr;
+	/* The process that took it in has gone, and its connections with it:
+	 * nobody answers. */
+	if (wait->process != world_worker_process(emu->world, addr))
+		return true;
 	world_hold(emu->world, &wait->hold, &report);
 	/* The lease was renewed when the call came. */
 	wait->hold.lease_end_ms = 0;
@@ -246,6 +252,7 @@
 {
 	json_t *root = json_loadb(call->body, call->body_len, 0, NULL);
 	struct waiting_hold *wait = gb_calloc(1, sizeof(*wait));
+	char addr[GB_NAME_MAX + 1];
 	int64_t ms = plat_json_int(root, "WaitMs");
 
 	wait->worker = worker;
@@ -258,6 +265,8 @@
 	wait->deadline =
 	    emu_now(emu) + (ms < WAIT_MOST_MS ? ms : WAIT_MOST_MS) * GB_MSEC;
 	json_decref(root);
+	worker_addr(worker->number, addr, sizeof(addr));
+	wait->process = world_worker_process(emu->world, addr);
 	if (hold_try(emu, wait))
 		free(wait);
 	else
@@ -333,13 +342,14 @@
 
 	world_worker_entry(emu->world, number, &entry);
 	snprintf(addr, sizeof(addr), "127.0.0.1:%u", emu->listed_port + number);
-	json = json_pack("{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:i, s:[s], "
+	json = json_pack("{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:i, s:I, s:[s], "
 			 "s:{s:i, s:i, s:i}}",
 	    "Service", entry.service, "Address", addr, "Zone", entry.dc,
 	    "Version", "1", "Slots", 8, "State",
 	    entry.draining ? "draining" : "ready", "ColdRemainingMs", 0, "Seq",
-	    1, "Labels", entry.label[0], "Capacity", "Cpu", entry.capacity.cpu,
-	    "MemMb", entry.capacity.mem, "Gpus", entry.capacity.accel);
+	    1, "born", (json_int_t)entry.life, "Labels", entry.label[0],
+	    "Capacity", "Cpu", entry.capacity.cpu, "MemMb", entry.capacity.mem,
+	    "Gpus", entry.capacity.accel);
 	if (spoiled > 0)
 		entry_spoil(json, spoiled);
 	return plat_json_text(json, &len);
--- a/standin/world.c
+++ b/standin/world.c
@@ -14,6 +14,10 @@
 
 /** A worker's clock begins at some other time than the world's. */
 #define CLOCK_OFFSET_MS 500000
+/** Reading of the clock of a worker that has started again. */
+#define CLOCK_RESTART_MS 40
+/** Time of day at which the world's own clock stands at 0. */
+#define WORLD_EPOCH_MS INT64_C(1790000000000)
 /** Members of a gang wait this long for each other. */
 #define GANG_WAIT (3 * GB_SEC)
 /** A checkpoint is made after each of these of work. */
@@ -90,6 +94,23 @@
 
 /* Workers ----------------------------------------------------------------- */
 
+/** A new process: nothing of the one before counts any more. */
+static void
+worker_begin(struct world *world, struct world_worker *worker)
+{
+	worker->life++;
+	worker->born_ms =
+	    WORLD_EPOCH_MS + world->clock_step_ms + world->now / GB_MSEC;
+	worker->up = true;
+	worker->back_at = 0;
+	worker->draining = false;
+	worker->token = 0;
+	worker->ended = 0;
+	worker->acked = 0;
+	worker->lease_end_ms = 0;
+}
+
+/** Under an id that was never used. */
 static void
 worker_name(struct world *world, struct world_worker *worker)
 {
@@ -97,10 +118,6 @@
 	    worker->life);
 	worker->offset_ms =
 	    CLOCK_OFFSET_MS + (int64_t)(gb_random_next(&world->seed) % 100000);
-	worker->token = 0;
-	worker->ended = 0;
-	worker->acked = 0;
-	worker->lease_end_ms = 0;
 }
 
 unsigned int
@@ -110,7 +127,6 @@
 	struct world_worker *worker = gb_calloc(1, sizeof(*worker));
 
 	worker->number = world->worker_count;
-	worker->up = true;
 	worker->capacity = *capacity;
 	worker->speed = speed;
 	snprintf(worker->service, sizeof(worker->service), "%s", service);
@@ -121,6 +137,7 @@
 	TAILQ_INIT(&worker->runs);
 	TAILQ_INIT(&worker->ends);
 	worker_name(world, worker);
+	worker_begin(world, worker);
 	world->workers = gb_realloc(world->workers,
 	    (world->worker_count + 1) * sizeof(struct world_worker *));
 	world->workers[world->worker_count] = worker;
@@ -157,6 +174,7 @@
 
 	memset(entry, 0, sizeof(*entry));
 	snprintf(entry->id, sizeof(entry->id), "%s", worker->id);
+	entry->life = worker->born_ms;
 	snprintf(entry->addr, sizeof(entry->addr), "%s", worker->addr);
 	snprintf(entry->dc, sizeof(entry->dc), "%s", worker->dc);
 	snprintf(entry->service, sizeof(entry->service), "%s", worker->service);
@@ -215,13 +233,26 @@
 	struct world_worker *worker = world->workers[number];
 
 	worker_lose_runs(world, worker);
-	worker->up = true;
-	worker->back_at = 0;
-	worker->draining = false;
-	worker->life++;
+	worker_begin(world, worker);
 	worker_name(world, worker);
 }
 
+void
+world_worker_restart(struct world *world, unsigned int number)
+{
+	struct world_worker *worker = world->workers[number];
+
+	worker_lose_runs(world, worker);
+	worker_begin(world, worker);
+	worker->offset_ms = CLOCK_RESTART_MS - world->now / GB_MSEC;
+}
+
+void
+world_clock_step(struct world *world, gb_time step)
+{
+	world->clock_step_ms += step / GB_MSEC;
+}
+
 void
 world_worker_resize(
     struct world *world, unsigned int number, const gb_res *capacity)
@@ -257,7 +288,7 @@
 }
 
 static struct world_worker *
-worker_at(struct world *world, const char *addr)
+worker_at(const struct world *world, const char *addr)
 {
 	unsigned int i;
 
@@ -268,6 +299,14 @@
 	return NULL;
 }
 
+unsigned int
+world_worker_process(const struct world *world, const char *addr)
+{
+	const struct world_worker *worker = worker_at(world, addr);
+
+	return worker == NULL || !worker->up ? 0 : worker->life;
+}
+
 static int64_t
 worker_clock(const struct world *world, const struct world_worker *worker)
 {
@@ -639,6 +678,7 @@
 		&report->status, &report->clock_ms))
 		return;
 	report->status = GB_POOL_ORDER_DONE;
+	report->life = worker->born_ms;
 	lease_renew(world, worker, hold->lease_end_ms);
 	ends_forget(world, worker, hold->cursor);
 	TAILQ_FOREACH(run, &worker->runs, next)
--- a/standin/world.h
+++ b/standin/world.h
@@ -50,8 +50,16 @@
 void world_worker_crash(struct world *, unsigned int number);
 /** Its data centre, as it is listed from now on. */
 void world_worker_dc(struct world *, unsigned int number, const char *dc);
-/** A new lifetime at the same address. */
+/** A new lifetime at the same address, under another id. */
 void world_worker_reborn(struct world *, unsigned int number);
+/** The worker starts again under its id: it knows nothing of before, and its
+ * counts and its clock begin anew. */
+void world_worker_restart(struct world *, unsigned int number);
+/** Set the time of day forward or back, by which workers tell their start. */
+void world_clock_step(struct world *, gb_time);
+/** Number of the process that serves an address; a connection to one ends with
+ * it.  0 when nobody is there. */
+unsigned int world_worker_process(const struct world *, const char *addr);
 /** The worker has more or less room from now on; what runs goes on. */
 void world_worker_resize(
     struct world *, unsigned int number, const gb_res *capacity);
--- a/standin/world_state.h
+++ b/standin/world_state.h
@@ -46,7 +46,8 @@
 
 struct world_worker {
 	unsigned int number;
-	unsigned int life;
+	unsigned int life; /**< grows with each start of the process */
+	int64_t born_ms;   /**< time of day of the start */
 	bool up;
 	gb_time back_at; /**< a crashed one has a new lifetime then, 0: never */
 	bool draining;
@@ -118,6 +119,7 @@
 
 struct world {
 	gb_time now;
+	int64_t clock_step_ms; /**< the time of day is off by so much */
 	uint64_t seed;
 	struct world_worker **workers;
 	unsigned int worker_count;
--- a/tests/pool_cell.c
+++ b/tests/pool_cell.c
@@ -59,8 +59,9 @@
 	struct gb_pool_read read;
 	bool stop;
 	bool fails;
-	bool given_up; /**< a read that takes too long */
-	bool silent;   /**< a hold whose answer was lost */
+	bool given_up;	      /**< a read that takes too long */
+	bool silent;	      /**< a hold whose answer was lost */
+	unsigned int process; /**< of the worker that has taken the hold in */
 };
 
 /** What a core's operations are handed: the cell and the node's number. */
@@ -405,6 +406,25 @@
 	return true;
 }
 
+/** What the worker says to a hold; the connection ends with the process that
+ * has taken it in. */
+static void
+hold_receive(const struct pool_cell *cell, struct pool_event *event,
+    struct gb_pool_report *report)
+{
+	unsigned int process =
+	    world_worker_process(cell->world, event->hold.addr);
+
+	if (event->process == 0)
+		event->process = process;
+	if (event->process == process) {
+		world_hold(cell->world, &event->hold, report);
+		return;
+	}
+	memset(report, 0, sizeof(*report));
+	report->status = GB_POOL_ORDER_LOST;
+}
+
 /** False when the hold waits on. */
 static bool
 event_hold(struct pool_cell *cell, struct pool_event *event)
@@ -417,7 +437,7 @@
 		return true;
 	if (event->silent)
 		return event_hold_silent(cell, event);
-	world_hold(cell->world, &event->hold, &report);
+	hold_receive(cell, event, &report);
 	wait = report.status == GB_POOL_ORDER_DONE && report.ended_count == 0 &&
 	       cell->now < event->expires;
 	if (!wait && chance(cell, cell->faults.hold_lost))
@@ -554,6 +574,7 @@
 		if (!event_run(cell, &event)) {
 			cell->events[i].due = cell->now + CELL_STEP;
 			cell->events[i].silent = event.silent;
+			cell->events[i].process = event.process;
 			continue;
 		}
 		event_clear(&event);
