Nothing of one life of a worker is held against the next one under its id

Cause: what an owner knew of a worker was kept by its id. The number of acknowledged ends went out with each hold, so that the new life forgot as many of its own ends before it had told them; ends that it told were skipped as seen. Class: an identifier that is used again, without an incarnation in what is kept by it.

Change: reports and entries tell a worker's start. A report from another life ends the one before: its runs are lost with it, its numbers, clock, lease, health and tickets count no more. A worker that was silent, or whose entry or clock does not fit, is asked without a cursor and a lease, and given nothing until it has answered. Fencing tokens grow with each silence and each new life, so that copies of earlier orders and holds that are still on their way are refused by the life that comes next. Stored sets of workers and suspects name lives, so that a takeover sees a crash that the owner before it has not; rows of older programs are read.

Ruled out: lost answers (no worker_silent before a run_gone in the record).

--- a/libgooseberry/gen/proto.h
+++ b/libgooseberry/gen/proto.h
@@ -602,6 +602,10 @@
 		gb_task_crashes *crashes_val;
 	} crashes;
 	gb_name org;
+	struct {
+		u_int away_lives_len;
+		int64_t *away_lives_val;
+	} away_lives;
 };
 typedef struct gb_flow_state gb_flow_state;
 
@@ -625,6 +629,10 @@
 		u_int list_len;
 		gb_worker_ref *list_val;
 	} list;
+	struct {
+		u_int lives_len;
+		int64_t *lives_val;
+	} lives;
 };
 typedef struct gb_worker_set gb_worker_set;
 #define GB_KEY_DIGEST 32
--- a/libgooseberry/gooseberry.h
+++ b/libgooseberry/gooseberry.h
@@ -596,6 +596,11 @@
 /** Encode a message into a body; the caller frees it. */
 bool gb_xdr_encode(xdrproc_t, const void *, gb_body *);
 bool gb_xdr_decode(xdrproc_t, const gb_body *, void *);
+/** The same of a row that ends before the last fields of its type, as older
+ * programs wrote it: each that is missing, at most so many units, reads as
+ * empty. */
+bool gb_xdr_decode_older(xdrproc_t, const gb_body *row, void *out, size_t,
+    unsigned int missing_most);
 /** Deep copy of a message. */
 bool gb_xdr_copy(xdrproc_t, const void *from, void *to, size_t size);
 char *gb_strdup(const char *);
--- a/libgooseberry/pool/advice.c
+++ b/libgooseberry/pool/advice.c
@@ -344,7 +344,7 @@
 
 static void
 approval_set(struct gb_pool *pool, struct pool_step *step,
-    const gb_ticket *ticket, gb_time expires)
+    const gb_ticket *ticket, gb_time asked, gb_time expires)
 {
 	struct pool_worker *worker = pool_worker_find(pool, ticket->worker);
 	struct pool_approval *a = NULL;
@@ -362,7 +362,8 @@
 		a = &step->approved[step->approved_count++];
 		a->worker = worker->handle;
 	}
-	a->expires = expires;
+	a->life = worker->life;
+	a->expires = worker->life_since > asked ? 0 : expires;
 	snprintf(a->ticket, sizeof(a->ticket), "%s", ticket->ticket);
 }
 
@@ -385,8 +386,8 @@
 
 	step->advice = POOL_ADVICE_KNOWN;
 	for (i = 0; i < res->approved.approved_len; i++)
-		approval_set(
-		    pool, step, &res->approved.approved_val[i], expires);
+		approval_set(pool, step, &res->approved.approved_val[i],
+		    call->sent, expires);
 	if (step->approved_count == 0 && step->asks_out == 0) {
 		step->advice = POOL_ADVICE_NONE;
 		step->advice_retry_at = pool->now + ADVICE_AGAIN;
--- a/libgooseberry/pool/crash.c
+++ b/libgooseberry/pool/crash.c
@@ -57,6 +57,7 @@
 /** A worker that is away and may have crashed under a task. */
 struct pool_away {
 	char worker[GB_NAME_MAX + 1]; /**< its id */
+	int64_t life;		      /**< that it had then, 0: unknown */
 	bool begun;		      /**< it had said that it runs the task */
 	bool soon;		      /**< fell silent soon after that */
 	bool alone;  /**< and no other flow's start was as new */
@@ -81,6 +82,7 @@
 struct pool_plan {
 	uint32_t worker; /**< handle */
 	char worker_id[GB_NAME_MAX + 1];
+	int64_t life;	 /**< of the worker */
 	uint64_t change; /**< of the flow, with which it is stored */
 	bool room;	 /**< its room is kept */
 };
@@ -186,6 +188,8 @@
 	struct pool_away *away =
 	    away_add(run->flow, run->step, run->index, run->worker->entry.id);
 
+	if (away != NULL)
+		away->life = run->worker->life;
 	if (away != NULL && !away->linked)
 		away_link(run->flow, run->step, run->index, away, run->worker);
 	return away;
@@ -194,8 +198,8 @@
 /* Stored form ------------------------------------------------------------- */
 
 void
-pool_crash_load(
-    struct gb_pool *pool, struct pool_flow *flow, const gb_task_crashes *stored)
+pool_crash_load(struct gb_pool *pool, struct pool_flow *flow,
+    const gb_task_crashes *stored, const int64_t *lives, u_int known)
 {
 	struct pool_suspect *suspect =
 	    suspect_get(flow, stored->step, stored->index);
@@ -213,6 +217,7 @@
 		away = away_add(flow, stored->step, stored->index, row->worker);
 		if (away == NULL)
 			break;
+		away->life = i < known ? lives[i] : 0;
 		away->begun = row->begun;
 		away->soon = row->soon;
 		away->alone = row->alone;
@@ -266,6 +271,24 @@
 	plan_fill(task->plan, out);
 }
 
+/** The lives of the workers that pool_crash_fill names, in the same order. */
+void
+pool_crash_fill_lives(const struct pool_task *task, gb_flow_state *out)
+{
+	const struct pool_suspect *suspect = task->suspect;
+	uint32_t count = suspect == NULL ? 0 : suspect->away_count;
+	u_int at = out->away_lives.away_lives_len;
+	uint32_t i;
+
+	out->away_lives.away_lives_val = gb_realloc(
+	    out->away_lives.away_lives_val, (at + count + 1) * sizeof(int64_t));
+	for (i = 0; i < count; i++)
+		out->away_lives.away_lives_val[at++] = suspect->away[i].life;
+	if (task->plan != NULL && count < GB_AWAY_MAX)
+		out->away_lives.away_lives_val[at++] = task->plan->life;
+	out->away_lives.away_lives_len = at;
+}
+
 /* Starts that are stored first -------------------------------------------- */
 
 void
@@ -273,7 +296,7 @@
 {
 	uint32_t i;
 
-	if (worker->entry.draining || worker->fenced)
+	if (worker->leaving || worker->fenced)
 		return;
 	for (i = 0; i < GB_POOL_PARTS; i++) {
 		if (!pool->parts[i].settled)
@@ -301,6 +324,7 @@
 
 	pool_crash_plan_drop(pool, &flow->steps[step], index);
 	plan->worker = worker->handle;
+	plan->life = worker->life;
 	snprintf(
 	    plan->worker_id, sizeof(plan->worker_id), "%s", worker->entry.id);
 	plan->room = true;
@@ -513,8 +537,7 @@
 
 	TAILQ_FOREACH(run, &worker->runs, of_worker)
 	{
-		if (!run_counts(run) || !run_is_new(run) ||
-		    worker->entry.draining)
+		if (!run_counts(run) || !run_is_new(run) || worker->leaving)
 			continue;
 		away = away_add_run(run);
 		if (away == NULL)
@@ -546,7 +569,7 @@
 {
 	struct pool_away how = {0};
 
-	if (!run_counts(run) || run->worker->entry.draining)
+	if (!run_counts(run) || run->worker->leaving)
 		return;
 	away_remove(task_of(run)->suspect, run->worker->entry.id, &how);
 	how.begun = run_begun(run);
@@ -560,7 +583,7 @@
 {
 	struct pool_away *away;
 
-	if (!run_counts(run) || run->worker->entry.draining)
+	if (!run_counts(run) || run->worker->leaving)
 		return;
 	away = away_add_run(run);
 	if (away != NULL) {
@@ -583,6 +606,8 @@
 	if (!away_remove(task->suspect, worker->entry.id, &away))
 		return;
 	pool->work_changed = true;
+	crashed = crashed || (away.life != 0 && worker->life != 0 &&
+				 away.life != worker->life);
 	if (!crashed || task->done) {
 		suspect_clear(flow, step, index);
 		pool_flow_changed(pool, flow, false);
@@ -613,8 +638,7 @@
 
 	while ((loss = STAILQ_FIRST(&worker->losses)) != NULL) {
 		STAILQ_REMOVE_HEAD(&worker->losses, next);
-		loss_resolve(
-		    pool, worker, loss, crashed && !worker->entry.draining);
+		loss_resolve(pool, worker, loss, crashed && !worker->leaving);
 		free(loss);
 	}
 }
--- a/libgooseberry/pool/flow_state.c
+++ b/libgooseberry/pool/flow_state.c
@@ -10,7 +10,7 @@
 
 /** Units of the fields at the end of the types that the first programs did not
  * write. */
-#define STATE_FIELDS_LATER 2
+#define STATE_FIELDS_LATER 3
 #define FLOW_FIELDS_LATER 4
 
 static bool
@@ -67,6 +67,7 @@
 		out->step = number;
 		out->index = i;
 		pool_crash_fill(&step->tasks[i], out);
+		pool_crash_fill_lives(&step->tasks[i], state);
 	}
 }
 
@@ -103,41 +104,18 @@
 	}
 }
 
-/** Decode a row that ends before the last fields of its type, as older programs
- * wrote it: each that is missing reads as empty. */
-static bool
-row_decode(xdrproc_t proc, const gb_body *row, void *out, size_t size,
-    unsigned int missing_most)
-{
-	gb_body longer = *row;
-	bool ok = false;
-	unsigned int i;
-
-	longer.gb_body_val =
-	    gb_calloc(1, row->gb_body_len + missing_most * BYTES_PER_XDR_UNIT);
-	if (row->gb_body_len > 0)
-		memcpy(longer.gb_body_val, row->gb_body_val, row->gb_body_len);
-	for (i = 0; i <= missing_most && !ok; i++) {
-		memset(out, 0, size);
-		ok = gb_xdr_decode(proc, &longer, out);
-		longer.gb_body_len += BYTES_PER_XDR_UNIT;
-	}
-	free(longer.gb_body_val);
-	return ok;
-}
-
 bool
 gb_flow_state_decode(const gb_body *row, gb_flow_state *state)
 {
-	return row_decode((xdrproc_t)xdr_gb_flow_state, row, state,
+	return gb_xdr_decode_older((xdrproc_t)xdr_gb_flow_state, row, state,
 	    sizeof(*state), STATE_FIELDS_LATER);
 }
 
 bool
 gb_flow_decode(const gb_body *row, gb_flow_row *flow)
 {
-	return row_decode((xdrproc_t)xdr_gb_flow_row, row, flow, sizeof(*flow),
-	    FLOW_FIELDS_LATER);
+	return gb_xdr_decode_older((xdrproc_t)xdr_gb_flow_row, row, flow,
+	    sizeof(*flow), FLOW_FIELDS_LATER);
 }
 
 void
@@ -223,15 +201,21 @@
 flow_crashes_load(
     struct gb_pool *pool, struct pool_flow *flow, const gb_flow_state *state)
 {
+	const int64_t *lives = state->away_lives.away_lives_val;
+	u_int left = state->away_lives.away_lives_len;
 	uint32_t i;
 
 	for (i = 0; i < state->crashes.crashes_len; i++) {
 		const gb_task_crashes *stored = &state->crashes.crashes_val[i];
+		u_int known =
+		    stored->away.away_len < left ? stored->away.away_len : left;
 
 		if (stored->step >= flow->step_count ||
 		    stored->index >= flow->steps[stored->step].spec->count)
 			return false;
-		pool_crash_load(pool, flow, stored);
+		pool_crash_load(pool, flow, stored, lives, known);
+		lives += known;
+		left -= known;
 		flow->begun = true;
 	}
 	return true;
--- /dev/null
+++ b/libgooseberry/pool/life.c
@@ -0,0 +1,311 @@
+/**
+ * @file life.c
+ * Lives of workers.  A worker may start again under its id: it then runs
+ * nothing, has seen no fencing token, and its clock and the numbers of its ends
+ * begin anew, so that nothing that is known of one life holds for another.
+ *
+ * A life is told by the time of day of its start, which jumps: two numbers say
+ * that two lives differ, not which of them came first.  Reports tell that, since
+ * only one hold is out at a time: what answers a hold was alive after what
+ * answered the one before it.  Entries of the list and answers to orders may be
+ * older than that, and only make the owner ask.
+ */
+#include <stdlib.h>
+
+#include <jansson.h>
+
+#include "crash.h"
+#include "state.h"
+
+/** Readings of one clock differ from what is expected by the time that answers
+ * are on their way. */
+#define LIFE_CLOCK_SLACK_MS 2000
+
+uint64_t
+pool_life_token(const struct gb_pool *pool, const struct pool_worker *worker)
+{
+	return pool->epoch * POOL_FENCES_PER_EPOCH + worker->fence;
+}
+
+void
+pool_life_fence(struct pool_worker *worker)
+{
+	if (worker->fence + 1 < POOL_FENCES_PER_EPOCH)
+		worker->fence++;
+}
+
+bool
+pool_life_fenced_off(struct gb_pool *pool, const struct pool_call *call,
+    enum gb_pool_order_status status)
+{
+	const struct pool_worker *worker = pool_worker_get(pool, call->worker);
+
+	if (status != GB_POOL_ORDER_FENCED)
+		return false;
+	if (worker != NULL && call->token < pool_life_token(pool, worker))
+		return false;
+	pool_owner_lose(pool, "a worker knows a newer owner", 0);
+	return true;
+}
+
+bool
+pool_life_sure(const struct pool_worker *worker)
+{
+	return worker->life == 0 || (worker->silent == 0 && !worker->doubt);
+}
+
+bool
+pool_life_listed(const struct pool_worker *worker)
+{
+	return worker->life == 0 || worker->entry.life == 0 ||
+	       worker->entry.life == worker->life;
+}
+
+static void
+life_doubt(struct gb_pool *pool, struct pool_worker *worker, const char *why)
+{
+	if (worker->doubt)
+		return;
+	worker->doubt = true;
+	worker->hold_at = pool->now;
+	gb_event(pool->cfg.events, GB_EVENT_NORMAL, "worker_doubted",
+	    "{s:s, s:s, s:I, s:I, s:I}", "worker", worker->entry.id, "why", why,
+	    "life", (json_int_t)worker->life, "listed",
+	    (json_int_t)worker->entry.life, "runs",
+	    (json_int_t)worker->run_count);
+}
+
+/* Clocks ------------------------------------------------------------------ */
+
+/** Whether a reading can be of the clock that was read before. */
+static bool
+clock_fits(const struct gb_pool *pool, const struct pool_worker *worker,
+    int64_t clock_ms)
+{
+	int64_t passed = (pool->now - worker->clock_at) / GB_MSEC;
+
+	return worker->life == 0 || worker->clock_ms == 0 ||
+	       (clock_ms >= worker->clock_ms - LIFE_CLOCK_SLACK_MS &&
+		   clock_ms <=
+		       worker->clock_ms + passed + LIFE_CLOCK_SLACK_MS);
+}
+
+static void
+clock_take(struct gb_pool *pool, struct pool_worker *worker, int64_t clock_ms)
+{
+	if (clock_ms <= 0)
+		return;
+	worker->clock_ms = clock_ms;
+	worker->clock_at = pool->now;
+}
+
+void
+pool_life_order_answered(struct gb_pool *pool, const struct pool_call *call,
+    const struct gb_pool_order_res *res)
+{
+	struct pool_worker *worker = pool_worker_get(pool, call->worker);
+
+	/* The life before this one may have answered. */
+	if (worker == NULL || worker->over || call->sent <= worker->life_since)
+		return;
+	if ((res->life == 0 || res->life == worker->life) &&
+	    clock_fits(pool, worker, res->clock_ms)) {
+		clock_take(pool, worker, res->clock_ms);
+		return;
+	}
+	if (res->clock_ms <= 0)
+		return;
+	worker->lease_doubt = true;
+	life_doubt(pool, worker, "the answer to an order");
+}
+
+/* A new life -------------------------------------------------------------- */
+
+static void
+life_event(struct gb_pool *pool, const struct pool_worker *worker, int64_t life,
+    const struct gb_pool_report *report)
+{
+	gb_event(pool->cfg.events, GB_EVENT_ALWAYS, "worker_life",
+	    "{s:s, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I}", "worker",
+	    worker->entry.id, "life", (json_int_t)life, "before",
+	    (json_int_t)worker->life, "runs", (json_int_t)worker->run_count,
+	    "running",
+	    (json_int_t)(report == NULL ? 0 : report->running_count), "seen",
+	    (json_int_t)worker->seen, "acked", (json_int_t)worker->acked,
+	    "clock_ms", (json_int_t)(report == NULL ? 0 : report->clock_ms),
+	    "clock_before_ms", (json_int_t)worker->clock_ms);
+}
+
+/** Whether a run was surely one of the life before: its start was answered
+ * before the new life told what it runs, and that is not among it. */
+static bool
+run_of_life_before(
+    const struct pool_run *run, gb_time sent, const struct gb_pool_report *report)
+{
+	return run->start_call == 0 && run->confirmed != 0 &&
+	       run->confirmed < sent &&
+	       (report == NULL || !pool_report_names(report, run));
+}
+
+/** Runs of the life before are lost with it.  Others may have reached the new
+ * one; copies of their orders that are still on their way are fenced off. */
+static void
+life_runs_lost(struct gb_pool *pool, struct pool_worker *worker, gb_time sent,
+    const struct gb_pool_report *report)
+{
+	struct pool_run *run;
+	struct pool_run *next;
+
+	if (worker->silent == 0)
+		worker->missed = pool->now;
+	pool_crash_classify(pool, worker);
+	for (run = TAILQ_FIRST(&worker->runs); run != NULL; run = next) {
+		next = TAILQ_NEXT(run, of_worker);
+		if (run_of_life_before(run, sent, report))
+			pool_worker_run_lost(pool, run, true);
+		else if (run->confirmed == 0 && run->start_call == 0)
+			run->lapse_at = pool->now;
+	}
+}
+
+/** A lease that was counted on the clock of the life before lies anywhere on
+ * the new one, and never shortens. */
+static void
+life_lease_begin(struct gb_pool *pool, struct pool_worker *worker,
+    const struct pool_call *call, const struct gb_pool_report *report)
+{
+	bool reached = call->lease || worker->lease_doubt ||
+		       report->running_count > 0 || report->ended_count > 0;
+	int64_t left = worker->lease_end_ms - report->clock_ms;
+
+	worker->lapse_at = pool->now;
+	if (reached && left > 0)
+		worker->lapse_at +=
+		    left * GB_MSEC * 1000 / POOL_CLOCK_SLOWEST +
+		    POOL_LEASE_MARGIN;
+	else
+		worker->lease_end_ms = 0;
+}
+
+/** Nothing is known of a life. */
+static void
+life_clear(struct pool_worker *worker)
+{
+	pool_report_life_over(worker);
+	worker->seen = 0;
+	worker->acked = 0;
+	worker->clock_ms = 0;
+	worker->doubt = false;
+	worker->lease_doubt = false;
+	worker->failures = 0;
+	worker->failed_flow = 0;
+	worker->aside_until = 0;
+	worker->aside_for = 0;
+	worker->slowness = 1.0;
+}
+
+static void
+life_begin(struct gb_pool *pool, struct pool_worker *worker, int64_t life)
+{
+	life_clear(worker);
+	worker->life = life;
+	worker->life_since = pool->now;
+	worker->leaving = worker->entry.draining && pool_life_listed(worker);
+	pool_life_fence(worker);
+	/* A successor compares the life that answers it with the stored one. */
+	pool_worker_set_mark(pool, worker);
+	pool->work_changed = true;
+}
+
+/** The first answer to this owner. */
+static void
+life_first(struct gb_pool *pool, struct pool_worker *worker, int64_t life)
+{
+	worker->life = life;
+	worker->life_since = pool->now;
+	worker->leaving = worker->entry.draining && pool_life_listed(worker);
+	if (life != 0 && worker->recorded_life != 0 &&
+	    life != worker->recorded_life)
+		pool_crash_unseen(pool, worker);
+	if (life != worker->recorded_life)
+		pool_worker_set_mark(pool, worker);
+}
+
+void
+pool_life_report(struct gb_pool *pool, struct pool_worker *worker,
+    const struct pool_call *call, const struct gb_pool_report *report)
+{
+	if (!worker->fenced) {
+		life_first(pool, worker, report->life);
+	} else if (report->life != worker->life) {
+		life_event(pool, worker, report->life, report);
+		pool->stats.workers_over++;
+		life_runs_lost(pool, worker, call->sent, report);
+		life_lease_begin(pool, worker, call, report);
+		life_begin(pool, worker, report->life);
+	}
+	worker->doubt = false;
+	clock_take(pool, worker, report->clock_ms);
+}
+
+/* Entries ----------------------------------------------------------------- */
+
+/** Reports don't tell lives, entries do: these come in the order in which they
+ * were written. */
+static void
+entry_begins(struct gb_pool *pool, struct pool_worker *worker,
+    const struct gb_pool_entry *entry)
+{
+	if (!worker->fenced || worker->life != 0 || worker->entry.life == 0 ||
+	    entry->life == worker->entry.life)
+		return;
+	life_event(pool, worker, entry->life, NULL);
+	pool->stats.workers_over++;
+	life_runs_lost(pool, worker, pool->now, NULL);
+	pool_crash_worker_known(pool, worker, true);
+	life_begin(pool, worker, 0);
+}
+
+/** The life that was over is not the one that is listed. */
+static void
+entry_revives(struct gb_pool *pool, struct pool_worker *worker,
+    const struct gb_pool_entry *entry)
+{
+	life_clear(worker);
+	worker->over = false;
+	worker->fenced = false;
+	worker->life = 0;
+	worker->recorded_life = 0;
+	worker->life_since = pool->now;
+	worker->silent = 0;
+	worker->missed = 0;
+	worker->hold_at = pool->now;
+	pool_life_fence(worker);
+	snprintf(worker->entry.addr, sizeof(worker->entry.addr), "%s",
+	    entry->addr);
+}
+
+void
+pool_life_entry(struct gb_pool *pool, struct pool_worker *worker,
+    const struct gb_pool_entry *entry)
+{
+	if (entry->life == 0)
+		return;
+	if (worker->over) {
+		if (entry->life != worker->over_life)
+			entry_revives(pool, worker, entry);
+		return;
+	}
+	entry_begins(pool, worker, entry);
+	if (worker->life != 0 && entry->life != worker->life)
+		life_doubt(pool, worker, "its entry");
+}
+
+bool
+pool_life_may_move(const struct gb_pool *pool, const struct pool_worker *worker,
+    const struct gb_pool_entry *entry)
+{
+	return entry->life != 0 && entry->life != worker->life &&
+	       worker->silent > 0 && worker->run_count == 0 &&
+	       worker->lapse_at < pool->now;
+}
--- a/libgooseberry/pool/load.c
+++ b/libgooseberry/pool/load.c
@@ -13,6 +13,8 @@
 
 /** Rows read at once; the store returns at most 500. */
 #define LOAD_PAGE 500
+/** Units of the stored set of workers that older programs did not write. */
+#define SET_FIELDS_LATER 1
 /** More were found in the inbox: look again after this. */
 #define INBOX_SOON (250 * GB_MSEC)
 
@@ -138,12 +140,14 @@
 	gb_worker_set set = {0};
 	u_int i;
 
-	if (!gb_xdr_decode((xdrproc_t)xdr_gb_worker_set, &row->value, &set)) {
+	if (!gb_xdr_decode_older((xdrproc_t)xdr_gb_worker_set, &row->value,
+		&set, sizeof(set), SET_FIELDS_LATER)) {
 		row_unreadable(pool, "owners", row);
 		return;
 	}
 	for (i = 0; i < set.list.list_len; i++)
-		pool_worker_recorded(pool, part, &set.list.list_val[i]);
+		pool_worker_recorded(pool, part, &set.list.list_val[i],
+		    i < set.lives.lives_len ? set.lives.lives_val[i] : 0);
 	xdr_free((xdrproc_t)xdr_gb_worker_set, (char *)&set);
 	pool_worker_set_read(pool, part, row->key);
 }
--- a/libgooseberry/pool/report.c
+++ b/libgooseberry/pool/report.c
@@ -113,11 +113,12 @@
 	end_of_flow(end, flow);
 }
 
-/** Take in the ends that have not been seen. */
-static void
+/** Take in the ends that have not been seen; returns how many. */
+static size_t
 worker_ends(struct gb_pool *pool, struct pool_worker *worker,
     const struct gb_pool_report *report)
 {
+	size_t taken = 0;
 	size_t i;
 
 	for (i = 0; i < report->ended_count; i++) {
@@ -127,7 +128,9 @@
 			continue;
 		worker->seen = seen->number;
 		end_take(pool, worker, end_add(worker, seen->number), seen);
+		taken++;
 	}
+	return taken;
 }
 
 void
@@ -165,7 +168,8 @@
 	order.id.step = seen->step;
 	order.id.index = seen->index;
 	order.id.run = seen->run;
-	order.token = pool->epoch;
+	order.token = pool_life_token(pool, worker);
+	call->token = order.token;
 	gb_event(pool->cfg.events, GB_EVENT_ALWAYS, "stray_run_stopped",
 	    "{s:s, s:I, s:I, s:I, s:s}", "flow", seen->flow, "step",
 	    (json_int_t)seen->step, "index", (json_int_t)seen->index, "run",
@@ -227,6 +231,29 @@
 	    run->checkpoint, sizeof(run->checkpoint), "%s", seen->checkpoint);
 }
 
+static bool
+list_names(
+    const struct gb_pool_seen *list, size_t count, const struct pool_run *run)
+{
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		if (list[i].run == run->number && list[i].step == run->step &&
+		    list[i].index == run->index &&
+		    strcmp(list[i].flow, run->flow->spec.id) == 0)
+			return true;
+	}
+	return false;
+}
+
+bool
+pool_report_names(
+    const struct gb_pool_report *report, const struct pool_run *run)
+{
+	return list_names(report->running, report->running_count, run) ||
+	       list_names(report->ended, report->ended_count, run);
+}
+
 /** Runs that the worker should list and does not have ended without a word;
  * only what was settled before the hold was sent counts. */
 static void
@@ -235,7 +262,6 @@
 {
 	struct pool_run *run;
 	struct pool_run *next;
-	size_t i;
 
 	for (run = TAILQ_FIRST(&worker->runs); run != NULL; run = next) {
 		gb_time settled =
@@ -247,16 +273,7 @@
 			settled = run->lapse_at;
 		if (settled == 0 || settled >= sent)
 			continue;
-		for (i = 0; i < report->running_count; i++) {
-			const struct gb_pool_seen *seen = &report->running[i];
-
-			if (seen->run == run->number &&
-			    seen->step == run->step &&
-			    seen->index == run->index &&
-			    strcmp(seen->flow, run->flow->spec.id) == 0)
-				break;
-		}
-		if (i < report->running_count)
+		if (list_names(report->running, report->running_count, run))
 			continue;
 		gb_event(pool->cfg.events, GB_EVENT_NORMAL, "run_gone",
 		    "{s:s, s:I, s:I, s:I, s:s, s:I, s:I, s:I, s:i}", "flow",
@@ -305,14 +322,35 @@
 	}
 }
 
-void
+size_t
 pool_report_take(struct gb_pool *pool, struct pool_worker *worker, gb_time sent,
     const struct gb_pool_report *report)
 {
-	worker_ends(pool, worker, report);
+	size_t taken = worker_ends(pool, worker, report);
+
 	worker_running(pool, worker, report);
 	if (report->ended_count < ENDS_LISTED_MOST)
 		worker_missing(pool, worker, sent, report);
+	return taken;
+}
+
+void
+pool_report_life_over(struct pool_worker *worker)
+{
+	struct pool_ends held = STAILQ_HEAD_INITIALIZER(held);
+	struct pool_end *end;
+
+	/* What was told stands, also of flows that are not known yet. */
+	while ((end = STAILQ_FIRST(&worker->ends)) != NULL) {
+		STAILQ_REMOVE_HEAD(&worker->ends, next);
+		if (end->held == NULL) {
+			end_free(end);
+			continue;
+		}
+		end->number = 0;
+		STAILQ_INSERT_TAIL(&held, end, next);
+	}
+	STAILQ_CONCAT(&worker->ends, &held);
 }
 
 void
--- a/libgooseberry/pool/run.c
+++ b/libgooseberry/pool/run.c
@@ -96,7 +96,7 @@
 	order->id.step = run->step;
 	order->id.index = run->index;
 	order->id.run = run->number;
-	order->token = pool->epoch;
+	order->token = pool_life_token(pool, run->worker);
 }
 
 /** Send the order to start a run; the worker takes the same order twice as
@@ -120,6 +120,8 @@
 	    pool_worker_lease(pool, run->worker, &run->lapse_at);
 	order.checkpoint = step->tasks[gang ? 0 : run->index].checkpoint;
 	order.ticket = ticket;
+	call->token = order.token;
+	call->lease = order.lease_end_ms != 0;
 	pool->stats.starts++;
 	pool->ops.start(pool->ops.data, call->id, &order);
 }
@@ -162,6 +164,7 @@
 	run->stop_call = call->id;
 	run->stop_at = pool->now + STOP_RETRY;
 	run_order(pool, run, &order);
+	call->token = order.token;
 	pool->stats.stops++;
 	pool->ops.stop(pool->ops.data, call->id, &order);
 }
@@ -232,6 +235,7 @@
 worker_takes_again(const struct pool_worker *worker)
 {
 	return pool_worker_offered(worker) && !worker->entry.draining &&
+	       pool_life_listed(worker) &&
 	       gb_res_fits(&worker->used, &worker->entry.capacity);
 }
 
@@ -242,7 +246,10 @@
 	const struct pool_approval *a =
 	    pool_fit_ticket(pool, step, run->worker->handle);
 
-	run->again = false;
+	/* Another life might take it: wait until the worker has answered. */
+	run->again = !pool_life_sure(run->worker);
+	if (run->again)
+		return;
 	if (run->confirmed != 0)
 		return;
 	if (run->tries < START_TRIES && worker_takes_again(run->worker) &&
@@ -286,7 +293,7 @@
 		run->confirmed = pool->now;
 	if (res->status == GB_POOL_ORDER_DONE ||
 	    res->status == GB_POOL_ORDER_LOST)
-		pool_worker_run_lost(pool, run);
+		pool_worker_run_lost(pool, run, run->worker->over);
 	else
 		run_refused(pool, run, res);
 }
@@ -299,13 +306,13 @@
 {
 	struct pool_worker *worker = pool_worker_get(pool, call->worker);
 
-	if (res->status == GB_POOL_ORDER_REBORN && worker != NULL) {
+	if (res->status == GB_POOL_ORDER_REBORN && worker != NULL &&
+	    call->sent > worker->life_since) {
 		pool_worker_over(pool, worker, "another lifetime answered");
 		return NULL;
 	}
-	if (worker != NULL)
-		pool_worker_clock(pool, worker, res->clock_ms);
-	if (pool_worker_fenced_off(pool, res->status))
+	pool_life_order_answered(pool, call, res);
+	if (pool_life_fenced_off(pool, call, res->status))
 		return NULL;
 	return call->run;
 }
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -3,12 +3,12 @@
  * State of a pool core, shared by the files that make it up.
  *
  * Calls go one way, from the top of this list to its end: pool.c, owner.c,
- * load.c, dispatch.c, advice.c, worker.c, flow.c, report.c and run.c (which
- * meet over the ends of runs), crash.c, health.c, worker_set.c, writer.c,
- * flow_state.c, call.c, org.c; then the decisions without side effects: rank.c,
- * fit.c, book.c, quota.c, contest.c, admit.c. preempt.c stands between: it
- * decides, and stops runs by way of run.c.  pace.c asks the node how busy its
- * link is.
+ * load.c, dispatch.c, advice.c, worker.c and life.c, flow.c, report.c and run.c
+ * (which meet over the ends of runs), crash.c, health.c, worker_set.c,
+ * writer.c, flow_state.c, call.c, org.c; then the decisions without side
+ * effects: rank.c, fit.c, book.c, quota.c, contest.c, admit.c. preempt.c stands
+ * between: it decides, and stops runs by way of run.c.  pace.c asks the node
+ * how busy its link is.
  */
 #ifndef GB_POOL_STATE_H
 #define GB_POOL_STATE_H
@@ -23,7 +23,7 @@
 struct pool_flow;
 struct pool_worker;
 
-/** Workers in one row of the stored set: 40 bytes each, of the 64 KB that a row
+/** Workers in one row of the stored set: 48 bytes each, of the 64 KB that a row
  * may have; and rows, enough for 32,000. */
 #define POOL_SET_WORKERS 500
 #define POOL_SET_ROWS 64
@@ -34,6 +34,12 @@
  * rise over owners without being stored. */
 #define POOL_RUNS_PER_EPOCH 100000
 
+/** Fencing tokens of one owner: its epoch times this, and up from there for
+ * each worker whose earlier orders must count no more. */
+#define POOL_FENCES_PER_EPOCH (UINT64_C(1) << 20)
+/** Added to the end of a lease: coarse clocks, and a kill that takes time. */
+#define POOL_LEASE_MARGIN (300 * GB_MSEC)
+
 /** The owner's row is written this often, so that an owner that has lost it, or
  * the store, learns so, and members see it at work. */
 #define POOL_OWNER_RENEW (500 * GB_MSEC)
@@ -100,6 +106,7 @@
 /** A worker that may run a step, with the ticket that proves it. */
 struct pool_approval {
 	uint32_t worker; /**< handle */
+	int64_t life;	 /**< of the worker, for which the ticket holds */
 	gb_time expires;
 	char ticket[GB_NAME_MAX + 1];
 };
@@ -237,17 +244,23 @@
 	uint32_t handle;
 	struct gb_pool_entry entry;
 	char rack[GB_NAME_MAX + 1];
-	gb_res used;	    /**< by runs */
-	gb_res claimed;	    /**< kept for gangs whose tickets are renewed */
-	gb_res booked;	    /**< kept for gangs that wait for room */
-	gb_time booked_at;  /**< when the first of them wants it, 0: none */
-	bool was_booked;    /**< in the dispatch before this one */
-	int64_t life;	    /**< that answered last, 0: not told */
-	bool listed;	    /**< by the platform */
-	bool served;	    /**< the configuration names its service */
-	bool fenced;	    /**< has answered this owner */
-	bool over;	    /**< its lifetime has ended, or its lease lapsed */
-	uint32_t recorded;  /**< parts in whose stored set it stands, as bits */
+	gb_res used;	       /**< by runs */
+	gb_res claimed;	       /**< kept for gangs whose tickets are renewed */
+	gb_res booked;	       /**< kept for gangs that wait for room */
+	gb_time booked_at;     /**< when the first of them wants it, 0: none */
+	bool was_booked;       /**< in the dispatch before this one */
+	int64_t life;	       /**< that answered last, 0: not told */
+	gb_time life_since;    /**< when it first answered */
+	int64_t over_life;     /**< that is over, when over is set */
+	int64_t recorded_life; /**< in the stored sets as they were read */
+	bool doubt;	       /**< may have started again since it answered */
+	bool leaving;	       /**< this life has said that it leaves */
+	uint64_t fence;	   /**< grows when orders on their way must not count */
+	bool listed;	   /**< by the platform */
+	bool served;	   /**< the configuration names its service */
+	bool fenced;	   /**< has answered this owner */
+	bool over;	   /**< its lifetime has ended, or its lease lapsed */
+	uint32_t recorded; /**< parts in whose stored set it stands, as bits */
 	uint32_t recording; /**< the same of the sets that are being written */
 	bool foreign;	    /**< runs something whose size is unknown */
 	gb_time reported;   /**< when the newest hold with an answer was sent */
@@ -260,6 +273,7 @@
 	int64_t clock_ms;     /**< its clock in the last answer */
 	gb_time clock_at;     /**< when that answer came */
 	int64_t lease_end_ms; /**< latest end of a lease that was sent */
+	bool lease_doubt;     /**< that may have reached another life */
 	gb_time lapse_at;     /**< surely over by then */
 	uint64_t seen;	      /**< number of the last end taken in */
 	uint64_t acked;	      /**< ends up to it are stored */
@@ -394,6 +408,8 @@
 	uint32_t part;
 	uint32_t round; /**< of reading the part */
 	uint32_t worker;
+	uint64_t token;	      /**< fencing token of an order */
+	bool lease;	      /**< the order renews the worker's lease */
 	uint64_t config;      /**< of a flow that is read from the inbox */
 	struct pool_run *run; /**< null once the run has gone */
 };
@@ -643,8 +659,9 @@
 bool pool_task_failed_once(struct pool_task *, uint64_t run);
 
 /* report.c */
-/** Take in what a worker answered to a hold; `sent` is when it was asked. */
-void pool_report_take(struct gb_pool *, struct pool_worker *, gb_time sent,
+/** Take in what a worker answered to a hold; `sent` is when it was asked.
+ * Returns how many ends were news. */
+size_t pool_report_take(struct gb_pool *, struct pool_worker *, gb_time sent,
     const struct gb_pool_report *);
 /** Work out up to which end all that a worker told is stored. */
 void pool_report_ack(struct gb_pool *, struct pool_worker *);
@@ -653,20 +670,47 @@
 /** Forget the ends that are not stored. */
 void pool_report_clear(struct pool_worker *);
 
+/** Whether a report names a run, as one that goes on or has ended. */
+bool pool_report_names(const struct gb_pool_report *, const struct pool_run *);
+/** A life is over: no more of its ends can be acknowledged. */
+void pool_report_life_over(struct pool_worker *);
+
+/* life.c */
+/** Fencing token of orders to a worker. */
+uint64_t pool_life_token(const struct gb_pool *, const struct pool_worker *);
+/** Orders to a worker that are still on their way must not be carried out once
+ * it has seen the next one. */
+void pool_life_fence(struct pool_worker *);
+/** Whether the worker of a call knows a newer owner; then the ownership is
+ * lost.  False when it was just overtaken by a newer order of this one. */
+bool pool_life_fenced_off(
+    struct gb_pool *, const struct pool_call *, enum gb_pool_order_status);
+/** Whether what is sent to a worker now reaches the life that is known. */
+bool pool_life_sure(const struct pool_worker *);
+/** Whether the entry of a worker is that of the life that answers. */
+bool pool_life_listed(const struct pool_worker *);
+/** Take in what the answer to an order tells of the worker's clock. */
+void pool_life_order_answered(struct gb_pool *, const struct pool_call *,
+    const struct gb_pool_order_res *);
+/** A hold was answered, perhaps by a new life. */
+void pool_life_report(struct gb_pool *, struct pool_worker *,
+    const struct pool_call *, const struct gb_pool_report *);
+/** A sound entry of a known worker has come, before it is taken in. */
+void pool_life_entry(
+    struct gb_pool *, struct pool_worker *, const struct gb_pool_entry *);
+/** Whether a worker may be looked for at the address of a new entry. */
+bool pool_life_may_move(const struct gb_pool *, const struct pool_worker *,
+    const struct gb_pool_entry *);
+
 /* worker.c */
-/** A reading of the worker's clock has come; 0 tells nothing. */
-void pool_worker_clock(
-    struct gb_pool *, struct pool_worker *, int64_t clock_ms);
 /** End of a lease that begins now, on the worker's clock; 0 while the clock is
  * not known.  Tells by when it is surely over. */
 int64_t pool_worker_lease(
     struct gb_pool *, struct pool_worker *, gb_time *lapse);
-/** A run is lost with its worker. */
-void pool_worker_run_lost(struct gb_pool *, struct pool_run *);
+/** A run is lost with its worker, which has crashed or was waited out. */
+void pool_worker_run_lost(struct gb_pool *, struct pool_run *, bool crashed);
 /** The worker's lifetime has ended. */
 void pool_worker_over(struct gb_pool *, struct pool_worker *, const char *why);
-/** Whether the worker knows a newer owner; then the ownership is lost. */
-bool pool_worker_fenced_off(struct gb_pool *, enum gb_pool_order_status);
 struct pool_worker *pool_worker_get(const struct gb_pool *, uint32_t handle);
 struct pool_worker *pool_worker_find(struct gb_pool *, const char *id);
 /** Longest lease that owners give. */
@@ -698,7 +742,7 @@
 void pool_worker_set_stored(struct gb_pool *, uint32_t part, bool stored);
 /** A worker of the stored set, of whom nothing else may be known. */
 void pool_worker_recorded(
-    struct gb_pool *, uint32_t part, const gb_worker_ref *);
+    struct gb_pool *, uint32_t part, const gb_worker_ref *, int64_t life);
 void pool_workers_reset(struct gb_pool *);
 void pool_workers_free(struct gb_pool *);
 
--- a/libgooseberry/pool/worker.c
+++ b/libgooseberry/pool/worker.c
@@ -18,8 +18,6 @@
  * longer than this: what a lost worker runs can start anew only after it, and
  * a takeover must come well before it (about 1.5 s). */
 #define LEASE_MOST (3500 * GB_MSEC)
-/** Added to the end of a lease: coarse clocks, and a kill that takes time. */
-#define LEASE_MARGIN (300 * GB_MSEC)
 /** Longest wait of a hold for an end: of a worker with work, so that progress
  * is seen and a lost answer is missed soon, and without. */
 #define HOLD_WAIT_BUSY (400 * GB_MSEC)
@@ -64,16 +62,6 @@
 	return worker;
 }
 
-void
-pool_worker_clock(
-    struct gb_pool *pool, struct pool_worker *worker, int64_t clock_ms)
-{
-	if (clock_ms <= 0)
-		return;
-	worker->clock_ms = clock_ms;
-	worker->clock_at = pool->now;
-}
-
 gb_time
 pool_worker_lease_most(const struct gb_pool *pool)
 {
@@ -90,23 +78,26 @@
 {
 	gb_time lease = pool_worker_lease_most(pool);
 	gb_time since = pool->now - worker->clock_at;
+	int64_t end_ms = worker->clock_ms + (since + lease) / GB_MSEC;
 	gb_time over;
 
 	if (worker->clock_ms == 0)
 		return 0;
 	over = worker->clock_at + (since + lease) * 1000 / POOL_CLOCK_SLOWEST +
-	       LEASE_MARGIN;
+	       POOL_LEASE_MARGIN;
 	if (over > worker->lapse_at)
 		worker->lapse_at = over;
 	if (lapse != NULL)
 		*lapse = over;
-	return worker->clock_ms + (since + lease) / GB_MSEC;
+	if (end_ms > worker->lease_end_ms)
+		worker->lease_end_ms = end_ms;
+	return end_ms;
 }
 
 /** Which task was lost with which worker, and how long it had run: tells a task
  * that crashes its workers from one that was on a worker that crashed. */
 static void
-run_lost_event(struct gb_pool *pool, const struct pool_run *run)
+run_lost_event(struct gb_pool *pool, const struct pool_run *run, bool crashed)
 {
 	const struct pool_worker *worker = run->worker;
 
@@ -118,17 +109,17 @@
 	    (json_int_t)((pool->now - run->started) / GB_MSEC),
 	    "answered_ms_ago",
 	    (json_int_t)((pool->now - worker->answered) / GB_MSEC), "crashed",
-	    worker->over);
+	    crashed);
 }
 
 void
-pool_worker_run_lost(struct gb_pool *pool, struct pool_run *run)
+pool_worker_run_lost(struct gb_pool *pool, struct pool_run *run, bool crashed)
 {
 	struct pool_flow *flow = run->flow;
 	uint32_t number = run->step;
 
-	run_lost_event(pool, run);
-	if (run->worker->over) {
+	run_lost_event(pool, run, crashed);
+	if (crashed) {
 		pool->stats.crashed++;
 		pool_crash_run_over(pool, run);
 	} else {
@@ -158,7 +149,7 @@
 	for (run = TAILQ_FIRST(&worker->runs); run != NULL; run = next) {
 		next = TAILQ_NEXT(run, of_worker);
 		if (!worker->over || !pool_run_start_open(run))
-			pool_worker_run_lost(pool, run);
+			pool_worker_run_lost(pool, run, worker->over);
 	}
 }
 
@@ -169,6 +160,8 @@
 	if (worker->over)
 		return;
 	worker->over = true;
+	worker->over_life =
+	    worker->life != 0 ? worker->life : worker->entry.life;
 	pool_crash_unseen(pool, worker);
 	if (worker->silent == 0)
 		worker->missed = pool->now;
@@ -178,15 +171,6 @@
 	pool_crash_worker_known(pool, worker, true);
 }
 
-bool
-pool_worker_fenced_off(struct gb_pool *pool, enum gb_pool_order_status status)
-{
-	if (status != GB_POOL_ORDER_FENCED)
-		return false;
-	pool_owner_lose(pool, "a worker knows a newer owner", 0);
-	return true;
-}
-
 static void
 worker_silent(struct gb_pool *pool, struct pool_worker *worker)
 {
@@ -194,6 +178,7 @@
 
 	if (worker->silent++ == 0) {
 		worker->missed = pool->now;
+		pool_life_fence(worker);
 		pool_crash_worker_missed(pool, worker);
 	}
 	pause = HOLD_RETRY * (gb_time)(worker->silent - 1);
@@ -227,26 +212,12 @@
 	return pool_pace_look(pool, ended == 0 ? GB_MSEC : HOLD_GAP);
 }
 
-/** What is held against the worker of before is told with its new life. */
-static void
-life_event(struct gb_pool *pool, const struct pool_worker *worker,
-    const struct gb_pool_report *report)
-{
-	gb_event(pool->cfg.events, GB_EVENT_NORMAL, "worker_life",
-	    "{s:s, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I}", "worker",
-	    worker->entry.id, "life", (json_int_t)report->life, "before",
-	    (json_int_t)worker->life, "runs", (json_int_t)worker->run_count,
-	    "running", (json_int_t)report->running_count, "seen",
-	    (json_int_t)worker->seen, "acked", (json_int_t)worker->acked,
-	    "clock_ms", (json_int_t)report->clock_ms, "clock_before_ms",
-	    (json_int_t)worker->clock_ms);
-}
-
 void
 pool_worker_hold_done(struct gb_pool *pool, const struct pool_call *call,
     const struct gb_pool_report *report)
 {
 	struct pool_worker *worker = pool_worker_get(pool, call->worker);
+	size_t ended;
 
 	if (worker == NULL || worker->hold_call != call->id)
 		return;
@@ -258,8 +229,13 @@
 		worker_silent(pool, worker);
 		return;
 	}
-	if (pool_worker_fenced_off(pool, report->status))
+	if (pool_life_fenced_off(pool, call, report->status))
+		return;
+	if (report->status == GB_POOL_ORDER_REBORN &&
+	    call->sent <= worker->life_since) {
+		worker->hold_at = pool->now;
 		return;
+	}
 	if (report->status == GB_POOL_ORDER_REBORN) {
 		pool_worker_over(pool, worker, "another lifetime answered");
 		return;
@@ -274,21 +250,17 @@
 		    "{s:s, s:I}", "worker", worker->entry.id, "silent",
 		    (json_int_t)worker->silent);
 	}
-	if (report->life != worker->life)
-		life_event(pool, worker, report);
-	worker->life = report->life;
-	pool_worker_clock(pool, worker, report->clock_ms);
+	pool_life_report(pool, worker, call, report);
 	worker->answered = pool->now;
 	worker->silent = 0;
 	pool_crash_worker_known(pool, worker, false);
-	pool_report_take(pool, worker, call->sent, report);
+	ended = pool_report_take(pool, worker, call->sent, report);
 	pool_health_check(pool, worker);
 	if (!worker->fenced)
 		pool->work_changed = true;
 	worker->fenced = true;
 	worker->reported = call->sent;
-	worker->hold_at =
-	    pool->now + hold_pause(pool, worker, report->ended_count);
+	worker->hold_at = pool->now + hold_pause(pool, worker, ended);
 }
 
 /** How long a hold may wait for an end. */
@@ -325,13 +297,18 @@
 	worker->hold_sent = pool->now;
 	hold.worker = worker->entry.id;
 	hold.addr = worker->entry.addr;
-	hold.token = pool->epoch;
+	hold.token = pool_life_token(pool, worker);
 	/* A hold without answer may still renew the lease: a worker that stays
 	 * silent is asked without doing so, or its runs would never lapse. */
-	if (worker->silent < HOLD_RENEW_TRIES)
+	if (pool_life_sure(worker) && worker->silent < HOLD_RENEW_TRIES)
 		hold.lease_end_ms = pool_worker_lease(pool, worker, NULL);
-	hold.cursor = worker->acked;
-	if (worker->fenced && worker->silent == 0 && !holds_are_short(pool))
+	/* Another life would forget ends that it has not told. */
+	if (pool_life_sure(worker))
+		hold.cursor = worker->acked;
+	call->token = hold.token;
+	call->lease = hold.lease_end_ms != 0;
+	if (worker->fenced && worker->silent == 0 && !worker->doubt &&
+	    !holds_are_short(pool))
 		hold.wait_us = hold_wait(pool, worker);
 	pool->stats.holds++;
 	pool->ops.hold(pool->ops.data, call->id, &hold);
@@ -506,7 +483,8 @@
 entry_moved(struct gb_pool *pool, struct pool_worker *worker,
     struct gb_pool_entry *entry)
 {
-	bool believed = !worker->fenced && pool_owner_settled(pool);
+	bool believed = (!worker->fenced && pool_owner_settled(pool)) ||
+			pool_life_may_move(pool, worker, entry);
 
 	if (strcmp(worker->entry.addr, entry->addr) == 0)
 		return;
@@ -538,8 +516,10 @@
 	}
 	if (worker == NULL && entry->removed)
 		return;
-	if (worker != NULL && !entry->removed)
+	if (worker != NULL && !entry->removed) {
+		pool_life_entry(pool, worker, entry);
 		entry_moved(pool, worker, entry);
+	}
 	if (worker == NULL) {
 		/* An older lifetime at this address may be listed later than a
 		 * newer one: only the worker's own answer proves it over. */
@@ -566,6 +546,8 @@
 		    (json_int_t)worker->entry.life, "runs",
 		    (json_int_t)worker->run_count);
 	worker->entry = *entry;
+	if (pool_life_listed(worker))
+		worker->leaving = entry->draining;
 	worker->listed = true;
 	worker->served = worker_served(pool, worker);
 	pool_worker_set_want(pool, worker);
@@ -585,6 +567,12 @@
 		pool_report_clear(worker);
 		pool_crash_worker_forget(worker);
 		worker->fenced = false;
+		worker->life = 0;
+		worker->recorded_life = 0;
+		worker->doubt = false;
+		worker->fence = 0;
+		worker->lease_end_ms = 0;
+		worker->lease_doubt = false;
 		worker->recorded = 0;
 		worker->recording = 0;
 		worker->reported = 0;
--- a/libgooseberry/process/xdr.c
+++ b/libgooseberry/process/xdr.c
@@ -42,6 +42,27 @@
 	return ok;
 }
 
+bool
+gb_xdr_decode_older(xdrproc_t proc, const gb_body *row, void *out, size_t size,
+    unsigned int missing_most)
+{
+	gb_body longer = *row;
+	bool ok = false;
+	unsigned int i;
+
+	longer.gb_body_val =
+	    gb_calloc(1, row->gb_body_len + missing_most * BYTES_PER_XDR_UNIT);
+	if (row->gb_body_len > 0)
+		memcpy(longer.gb_body_val, row->gb_body_val, row->gb_body_len);
+	for (i = 0; i <= missing_most && !ok; i++) {
+		memset(out, 0, size);
+		ok = gb_xdr_decode(proc, &longer, out);
+		longer.gb_body_len += BYTES_PER_XDR_UNIT;
+	}
+	free(longer.gb_body_val);
+	return ok;
+}
+
 bool
 gb_xdr_copy(xdrproc_t proc, const void *from, void *to, size_t size)
 {
--- a/tests/test_crash.c
+++ b/tests/test_crash.c
@@ -449,8 +449,8 @@
 	}
 }
 
-/** Rows that older programs wrote end before the organisation, and before the
- * crashes; no others are read. */
+/** Rows that older programs wrote end before the lives of workers, before the
+ * organisation, and before the crashes; no others are read. */
 static void
 test_older_states_are_read(void **state)
 {
@@ -465,7 +465,7 @@
 	written.owned = TRUE;
 	assert_true(
 	    gb_xdr_encode((xdrproc_t)xdr_gb_flow_state, &written, &row));
-	for (missing = 0; missing <= 2; missing++) {
+	for (missing = 0; missing <= 3; missing++) {
 		assert_true(gb_flow_state_decode(&row, &read));
 		assert_int_equal(read.status, GB_FLOW_RUNNING);
 		assert_true(read.owned);
