Lease and cursor of a hold go only where no other life of the worker can answer

A hold that is sent while a worker starts again within the pause between two holds carries the cursor and a deadline of the life before. Over a new connection, where the adapter can't tell who answers, the worker is now only asked; connections are marked with the life that has answered on them. An answer to an order whose clock does not fit ends the hold that is out, which may wait on a connection that has ended, and fences earlier orders off. Two starts that fall on the same time of day are told apart by the clock.

The model plays late holds, tickets of a life, the time of day that jumps, and ids used again.

--- a/libgooseberry/pool.h
+++ b/libgooseberry/pool.h
@@ -210,10 +210,14 @@
 	int64_t life;	  /**< of the worker that answered, 0: not told */
 };
 
-/** Renew a worker's lease and ask what it runs. */
+/** Renew a worker's lease and ask what it runs.  Lease and cursor are for one
+ * life of the worker: where neither a connection to it stands nor `sure` says
+ * that no other can answer, the worker is only asked. */
 struct gb_pool_hold {
 	const char *worker;
 	const char *addr;
+	int64_t life; /**< that is meant, 0: there is only one under the id */
+	bool sure;    /**< it answered just now */
 	uint64_t token;
 	int64_t lease_end_ms; /**< on the worker's clock, 0: do not renew */
 	uint64_t cursor;      /**< ends up to this number are stored */
@@ -245,7 +249,8 @@
 struct gb_pool_report {
 	enum gb_pool_order_status status;
 	int64_t clock_ms;
-	int64_t life; /**< of the worker that answered, 0: not told */
+	int64_t life;  /**< of the worker that answered, 0: not told */
+	bool question; /**< it was only asked: no lease, no cursor */
 	struct gb_pool_seen *running;
 	size_t running_count;
 	struct gb_pool_seen *ended;
--- a/libgooseberry/pool/life.c
+++ b/libgooseberry/pool/life.c
@@ -5,10 +5,10 @@
  * begin anew, so that nothing that is known of one life holds for another.
  *
  * A life is told by the time of day of its start, which jumps: two numbers say
- * that two lives differ, not which of them came first.  Reports tell that, since
- * only one hold is out at a time: what answers a hold was alive after what
- * answered the one before it.  Entries of the list and answers to orders may be
- * older than that, and only make the owner ask.
+ * that two lives differ, not which of them came first.  Reports tell that,
+ * since only one hold is out at a time: what answers a hold was alive after
+ * what answered the one before it.  Entries of the list and answers to orders
+ * may be older than that, and only make the owner ask.
  */
 #include <stdlib.h>
 
@@ -67,6 +67,9 @@
 	if (worker->doubt)
 		return;
 	worker->doubt = true;
+	pool_life_fence(worker);
+	/* A hold that is out may wait on a connection that has ended. */
+	worker->hold_call = 0;
 	worker->hold_at = pool->now;
 	gb_event(pool->cfg.events, GB_EVENT_NORMAL, "worker_doubted",
 	    "{s:s, s:s, s:I, s:I, s:I}", "worker", worker->entry.id, "why", why,
@@ -86,8 +89,7 @@
 
 	return worker->life == 0 || worker->clock_ms == 0 ||
 	       (clock_ms >= worker->clock_ms - LIFE_CLOCK_SLACK_MS &&
-		   clock_ms <=
-		       worker->clock_ms + passed + LIFE_CLOCK_SLACK_MS);
+		   clock_ms <= worker->clock_ms + passed + LIFE_CLOCK_SLACK_MS);
 }
 
 static void
@@ -129,18 +131,18 @@
 	    "{s:s, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I}", "worker",
 	    worker->entry.id, "life", (json_int_t)life, "before",
 	    (json_int_t)worker->life, "runs", (json_int_t)worker->run_count,
-	    "running",
-	    (json_int_t)(report == NULL ? 0 : report->running_count), "seen",
-	    (json_int_t)worker->seen, "acked", (json_int_t)worker->acked,
-	    "clock_ms", (json_int_t)(report == NULL ? 0 : report->clock_ms),
+	    "running", (json_int_t)(report == NULL ? 0 : report->running_count),
+	    "seen", (json_int_t)worker->seen, "acked",
+	    (json_int_t)worker->acked, "clock_ms",
+	    (json_int_t)(report == NULL ? 0 : report->clock_ms),
 	    "clock_before_ms", (json_int_t)worker->clock_ms);
 }
 
 /** Whether a run was surely one of the life before: its start was answered
  * before the new life told what it runs, and that is not among it. */
 static bool
-run_of_life_before(
-    const struct pool_run *run, gb_time sent, const struct gb_pool_report *report)
+run_of_life_before(const struct pool_run *run, gb_time sent,
+    const struct gb_pool_report *report)
 {
 	return run->start_call == 0 && run->confirmed != 0 &&
 	       run->confirmed < sent &&
@@ -174,15 +176,15 @@
 life_lease_begin(struct gb_pool *pool, struct pool_worker *worker,
     const struct pool_call *call, const struct gb_pool_report *report)
 {
-	bool reached = call->lease || worker->lease_doubt ||
-		       report->running_count > 0 || report->ended_count > 0;
+	bool reached = (call->lease && !report->question) ||
+		       worker->lease_doubt || report->running_count > 0 ||
+		       report->ended_count > 0;
 	int64_t left = worker->lease_end_ms - report->clock_ms;
 
 	worker->lapse_at = pool->now;
 	if (reached && left > 0)
-		worker->lapse_at +=
-		    left * GB_MSEC * 1000 / POOL_CLOCK_SLOWEST +
-		    POOL_LEASE_MARGIN;
+		worker->lapse_at += left * GB_MSEC * 1000 / POOL_CLOCK_SLOWEST +
+				    POOL_LEASE_MARGIN;
 	else
 		worker->lease_end_ms = 0;
 }
@@ -217,6 +219,18 @@
 	pool->work_changed = true;
 }
 
+/** Whether a report is of another life than the one that answered before.  Two
+ * starts may fall on the same time of day, once that has jumped: then the clock
+ * tells. */
+static bool
+report_is_anothers(
+    const struct pool_worker *worker, const struct gb_pool_report *report)
+{
+	return report->life != worker->life ||
+	       (report->life != 0 &&
+		   report->clock_ms < worker->clock_ms - LIFE_CLOCK_SLACK_MS);
+}
+
 /** The first answer to this owner. */
 static void
 life_first(struct gb_pool *pool, struct pool_worker *worker, int64_t life)
@@ -237,7 +251,7 @@
 {
 	if (!worker->fenced) {
 		life_first(pool, worker, report->life);
-	} else if (report->life != worker->life) {
+	} else if (report_is_anothers(worker, report)) {
 		life_event(pool, worker, report->life, report);
 		pool->stats.workers_over++;
 		life_runs_lost(pool, worker, call->sent, report);
@@ -281,8 +295,8 @@
 	worker->missed = 0;
 	worker->hold_at = pool->now;
 	pool_life_fence(worker);
-	snprintf(worker->entry.addr, sizeof(worker->entry.addr), "%s",
-	    entry->addr);
+	snprintf(
+	    worker->entry.addr, sizeof(worker->entry.addr), "%s", entry->addr);
 }
 
 void
--- a/libgooseberry/pool/worker.c
+++ b/libgooseberry/pool/worker.c
@@ -43,6 +43,8 @@
 #define HOLD_RETRY_MOST (800 * GB_MSEC)
 /** Holds without answer in a row after which the lease is left to lapse. */
 #define HOLD_RENEW_TRIES 2
+/** A worker that answered so short a time ago has not started again since. */
+#define HOLD_PROOF (20 * GB_MSEC)
 /** A worker that is not listed is asked this often before it is left alone: its
  * entry may come back for 2 s after an outage of the store. */
 #define HOLD_UNLISTED_TRIES 8
@@ -260,7 +262,9 @@
 		pool->work_changed = true;
 	worker->fenced = true;
 	worker->reported = call->sent;
-	worker->hold_at = pool->now + hold_pause(pool, worker, ended);
+	worker->hold_at =
+	    pool->now +
+	    (report->question ? 0 : hold_pause(pool, worker, ended));
 }
 
 /** How long a hold may wait for an end. */
@@ -300,11 +304,12 @@
 	hold.token = pool_life_token(pool, worker);
 	/* A hold without answer may still renew the lease: a worker that stays
 	 * silent is asked without doing so, or its runs would never lapse. */
-	if (pool_life_sure(worker) && worker->silent < HOLD_RENEW_TRIES)
+	if (worker->silent < HOLD_RENEW_TRIES)
 		hold.lease_end_ms = pool_worker_lease(pool, worker, NULL);
-	/* Another life would forget ends that it has not told. */
-	if (pool_life_sure(worker))
-		hold.cursor = worker->acked;
+	hold.cursor = worker->acked;
+	hold.life = worker->life;
+	hold.sure = pool_life_sure(worker) &&
+		    pool->now - worker->answered <= HOLD_PROOF;
 	call->token = hold.token;
 	call->lease = hold.lease_end_ms != 0;
 	if (worker->fenced && worker->silent == 0 && !worker->doubt &&
--- a/standin/emulator_worker.c
+++ b/standin/emulator_worker.c
@@ -236,8 +236,9 @@
 	if (wait->process != world_worker_process(emu->world, addr))
 		return true;
 	world_hold(emu->world, &wait->hold, &report);
-	/* The lease was renewed when the call came. */
+	/* These counted when the call came. */
 	wait->hold.lease_end_ms = 0;
+	wait->hold.cursor = 0;
 	answer = report.status != GB_POOL_ORDER_DONE ||
 		 report.ended_count > 0 || wait->deadline <= emu_now(emu);
 	if (answer)
--- a/standin/world.c
+++ b/standin/world.c
@@ -152,6 +152,12 @@
 	snprintf(worker->addr, sizeof(worker->addr), "%s", addr);
 }
 
+const char *
+world_worker_addr(const struct world *world, unsigned int number)
+{
+	return world->workers[number]->addr;
+}
+
 void
 world_worker_dc(struct world *world, unsigned int number, const char *dc)
 {
@@ -166,6 +172,12 @@
 	return world->worker_count;
 }
 
+static int64_t
+life_told(const struct world *world, const struct world_worker *worker)
+{
+	return world->lives_untold ? 0 : worker->born_ms;
+}
+
 void
 world_worker_entry(
     const struct world *world, unsigned int number, struct gb_pool_entry *entry)
@@ -174,7 +186,7 @@
 
 	memset(entry, 0, sizeof(*entry));
 	snprintf(entry->id, sizeof(entry->id), "%s", worker->id);
-	entry->life = worker->born_ms;
+	entry->life = life_told(world, worker);
 	snprintf(entry->addr, sizeof(entry->addr), "%s", worker->addr);
 	snprintf(entry->dc, sizeof(entry->dc), "%s", worker->dc);
 	snprintf(entry->service, sizeof(entry->service), "%s", worker->service);
@@ -247,6 +259,20 @@
 	worker->offset_ms = CLOCK_RESTART_MS - world->now / GB_MSEC;
 }
 
+void
+world_worker_rename(struct world *world, unsigned int number, const char *id)
+{
+	world_worker_restart(world, number);
+	snprintf(world->workers[number]->id, sizeof(world->workers[number]->id),
+	    "%s", id);
+}
+
+void
+world_lives_untold(struct world *world)
+{
+	world->lives_untold = true;
+}
+
 void
 world_clock_step(struct world *world, gb_time step)
 {
@@ -592,6 +618,25 @@
 	return run;
 }
 
+/** Whether a start has the ticket that it needs.  One of an earlier life of the
+ * worker is turned away, which is not the sender's fault. */
+static bool
+ticket_holds(struct world *world, const struct world_worker *worker,
+    const struct gb_pool_order *order)
+{
+	gb_time expires = 0;
+	unsigned int life = 0;
+
+	if (order->ticket == NULL ||
+	    sscanf(order->ticket, "%" SCNd64 ".%u", &expires, &life) != 2 ||
+	    expires < world->now) {
+		world_fault(
+		    world, &world->faults.ticket, "no ticket", order->id.flow);
+		return false;
+	}
+	return life == worker->life;
+}
+
 void
 world_start(struct world *world, const struct gb_pool_order *order,
     struct gb_pool_order_res *res)
@@ -616,11 +661,7 @@
 		res->status = GB_POOL_ORDER_OLD;
 		return;
 	}
-	if (world->tickets &&
-	    (order->ticket == NULL ||
-		strtoll(order->ticket, NULL, 10) < world->now)) {
-		world_fault(
-		    world, &world->faults.ticket, "no ticket", order->id.flow);
+	if (world->tickets && !ticket_holds(world, worker, order)) {
 		res->status = GB_POOL_ORDER_NO_TICKET;
 		return;
 	}
@@ -678,7 +719,7 @@
 		&report->status, &report->clock_ms))
 		return;
 	report->status = GB_POOL_ORDER_DONE;
-	report->life = worker->born_ms;
+	report->life = life_told(world, worker);
 	lease_renew(world, worker, hold->lease_end_ms);
 	ends_forget(world, worker, hold->cursor);
 	TAILQ_FOREACH(run, &worker->runs, next)
@@ -723,11 +764,24 @@
 
 /* Advice ------------------------------------------------------------------ */
 
+/** Life of the worker with an id, for which a ticket holds. */
+static unsigned int
+worker_life(const struct world *world, const char *id)
+{
+	unsigned int i;
+
+	for (i = 0; i < world->worker_count; i++) {
+		if (strcmp(world->workers[i]->id, id) == 0)
+			return world->workers[i]->life;
+	}
+	return 0;
+}
+
 void
 world_advise(struct world *world, unsigned int percent, gb_time valid,
     const gb_advice_ask *ask, gb_advice_res *res)
 {
-	char text[32];
+	char text[48];
 	u_int i;
 
 	world->tickets = true;
@@ -741,7 +795,8 @@
 
 		if (gb_hash_pair(ask->step, worker) % 100 >= percent)
 			continue;
-		snprintf(text, sizeof(text), "%" PRId64, world->now + valid);
+		snprintf(text, sizeof(text), "%" PRId64 ".%u",
+		    world->now + valid, worker_life(world, worker));
 		res->approved.approved_val[res->approved.approved_len].worker =
 		    gb_strdup(worker);
 		res->approved.approved_val[res->approved.approved_len++]
--- a/standin/world.h
+++ b/standin/world.h
@@ -41,6 +41,7 @@
 unsigned int world_worker_count(const struct world *);
 /** Give a worker the address under which orders name it. */
 void world_worker_place(struct world *, unsigned int number, const char *addr);
+const char *world_worker_addr(const struct world *, unsigned int number);
 /** Entry of the list of workers. */
 void world_worker_entry(
     const struct world *, unsigned int number, struct gb_pool_entry *);
@@ -55,6 +56,11 @@
 /** The worker starts again under its id: it knows nothing of before, and its
  * counts and its clock begin anew. */
 void world_worker_restart(struct world *, unsigned int number);
+/** Another process at the worker's address, under an id that may have been used
+ * before. */
+void world_worker_rename(struct world *, unsigned int number, const char *id);
+/** From now on workers don't tell when they started. */
+void world_lives_untold(struct world *);
 /** Set the time of day forward or back, by which workers tell their start. */
 void world_clock_step(struct world *, gb_time);
 /** Number of the process that serves an address; a connection to one ends with
--- a/standin/world_state.h
+++ b/standin/world_state.h
@@ -119,6 +119,7 @@
 
 struct world {
 	gb_time now;
+	bool lives_untold;
 	int64_t clock_step_ms; /**< the time of day is off by so much */
 	uint64_t seed;
 	struct world_worker **workers;
--- a/tests/pool_cell.c
+++ b/tests/pool_cell.c
@@ -62,6 +62,7 @@
 	bool given_up;	      /**< a read that takes too long */
 	bool silent;	      /**< a hold whose answer was lost */
 	unsigned int process; /**< of the worker that has taken the hold in */
+	bool question;	      /**< a hold without lease and cursor */
 };
 
 /** What a core's operations are handed: the cell and the node's number. */
@@ -195,17 +196,32 @@
 	order_send(data, EVENT_STOP, call, order);
 }
 
-static void
-op_hold(void *data, uint64_t call, const struct gb_pool_hold *hold)
+static struct pool_event *
+hold_add(const struct cell_node *from, uint64_t call,
+    const struct gb_pool_hold *hold, gb_time after)
 {
-	const struct cell_node *from = data;
-	struct pool_event *event = event_add(from, EVENT_HOLD, call,
-	    link_wait(from, GB_TRAFFIC_HOLD, CELL_HEAD) + 2 * CELL_WIRE);
+	struct pool_event *event = event_add(from, EVENT_HOLD, call, after);
 
 	event->hold = *hold;
 	event->hold.worker = copy(hold->worker);
 	event->hold.addr = copy(hold->addr);
 	event->expires = event->due + hold->wait_us;
+	return event;
+}
+
+static void
+op_hold(void *data, uint64_t call, const struct gb_pool_hold *hold)
+{
+	const struct cell_node *from = data;
+	struct pool_cell *cell = from->cell;
+	gb_time travel =
+	    link_wait(from, GB_TRAFFIC_HOLD, CELL_HEAD) + 2 * CELL_WIRE;
+	bool late =
+	    cell->faults.hold_late > 0 && chance(cell, cell->faults.hold_late);
+
+	if (late)
+		hold_add(from, 0, hold, travel + CELL_LATE);
+	hold_add(from, call, hold, travel)->silent = late;
 }
 
 static void
@@ -406,6 +422,36 @@
 	return true;
 }
 
+/** Process of a worker that a node has a connection to. */
+static unsigned int *
+known_process(const struct pool_cell *cell, const struct pool_event *event)
+{
+	unsigned int count = world_worker_count(cell->world);
+	unsigned int i;
+
+	for (i = 0; i + 1 < count; i++) {
+		if (strcmp(world_worker_addr(cell->world, i),
+			event->hold.addr) == 0)
+			break;
+	}
+	return &cell->known[event->node][i % CELL_KNOWN];
+}
+
+/** Over a new connection the worker is only asked, unless it answered just now.
+ */
+static void
+hold_connect(const struct pool_cell *cell, struct pool_event *event)
+{
+	event->question = event->hold.life != 0 && !event->hold.sure &&
+			  *known_process(cell, event) != event->process;
+	if (!event->question)
+		return;
+	event->hold.cursor = 0;
+	event->hold.lease_end_ms = 0;
+	event->hold.wait_us = 0;
+	event->expires = cell->now;
+}
+
 /** What the worker says to a hold; the connection ends with the process that
  * has taken it in. */
 static void
@@ -415,14 +461,22 @@
 	unsigned int process =
 	    world_worker_process(cell->world, event->hold.addr);
 
-	if (event->process == 0)
+	if (event->process == 0) {
 		event->process = process;
-	if (event->process == process) {
-		world_hold(cell->world, &event->hold, report);
+		hold_connect(cell, event);
+	}
+	if (event->process != process) {
+		memset(report, 0, sizeof(*report));
+		report->status = GB_POOL_ORDER_LOST;
 		return;
 	}
-	memset(report, 0, sizeof(*report));
-	report->status = GB_POOL_ORDER_LOST;
+	world_hold(cell->world, &event->hold, report);
+	report->question = event->question;
+	/* They count when the hold comes, not while it waits. */
+	event->hold.cursor = 0;
+	event->hold.lease_end_ms = 0;
+	if (report->status == GB_POOL_ORDER_DONE)
+		*known_process(cell, event) = process;
 }
 
 /** False when the hold waits on. */
@@ -433,6 +487,11 @@
 	struct gb_pool_report report;
 	bool wait;
 
+	if (event->call == 0) {
+		world_hold(cell->world, &event->hold, &report);
+		world_report_free(&report);
+		return true;
+	}
 	if (pool == NULL)
 		return true;
 	if (event->silent)
@@ -575,6 +634,8 @@
 			cell->events[i].due = cell->now + CELL_STEP;
 			cell->events[i].silent = event.silent;
 			cell->events[i].process = event.process;
+			cell->events[i].question = event.question;
+			cell->events[i].hold = event.hold;
 			continue;
 		}
 		event_clear(&event);
@@ -704,6 +765,7 @@
 	cell->seed = setup->seed;
 	cell->now = 100 * GB_SEC;
 	cell->world = world_new(setup->seed);
+	cell->known = gb_calloc(CELL_NODES, sizeof(*cell->known));
 	world_tick(cell->world, cell->now);
 	for (i = 0; i < setup->workers; i++)
 		world_worker_add(cell->world, "svc", "dc", i / 8,
@@ -739,6 +801,7 @@
 		close(cell->log_fd);
 	gb_pool_config_unref(cell->config);
 	world_free(cell->world);
+	free(cell->known);
 	free(cell->events);
 	free(cell->flows);
 	free(cell);
--- a/tests/pool_cell.h
+++ b/tests/pool_cell.h
@@ -10,6 +10,8 @@
 
 #define CELL_NODES 3
 #define CELL_ORGS 8
+/** Workers at the most. */
+#define CELL_KNOWN 512
 /** Submissions a second that each organisation may send when all is full. */
 #define CELL_WEIGHT 6
 
@@ -20,6 +22,7 @@
 	unsigned int order_dropped; /**< neither carried out nor answered */
 	unsigned int hold_lost;
 	unsigned int hold_silent; /**< its answer never comes */
+	unsigned int hold_late;	  /**< no answer, carried out 2 s later */
 	unsigned int txn_lost;	  /**< done, no answer */
 	unsigned int txn_late;	  /**< no answer, done 2 s later */
 	unsigned int advice_lost;
@@ -78,6 +81,8 @@
 	struct gb_pool_org orgs[CELL_ORGS];
 	size_t org_count;
 	gb_time part_free[GB_POOL_PARTS]; /**< when its writes are over */
+	/** Processes of workers that nodes have connections to, by number. */
+	unsigned int (*known)[CELL_KNOWN];
 	unsigned int starts;
 	unsigned int advice_calls;
 	gb_time listed_at;
@@ -85,7 +90,8 @@
 	unsigned int spoiled; /**< first workers whose entries are no good */
 	/** More entries, of a service that there is not, where nobody is. */
 	unsigned int strangers;
-	bool moved; /**< entries name the address of the next worker */
+	bool moved;    /**< entries name the address of the next worker */
+	bool restarts; /**< random faults start workers again under their id */
 	struct gb_events
 	    *events_log; /**< with GB_POOL_LOG set on standard error */
 	int log_fd;
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -242,6 +242,45 @@
 	assert_in_range(sent, 1, CONNS_MOST);
 }
 
+#define MARK 1790000000001
+
+static void
+on_marked(void *data, const struct plat_http_res *res)
+{
+	struct outcome *outcome = data;
+
+	outcome->done = true;
+	outcome->status = res->status;
+	assert_non_null(res->mark);
+	*res->mark = MARK;
+}
+
+/** A call that prefers a mark goes over the connection that has it; the mark
+ * ends with the connection. */
+static void
+test_mark_ends_with_its_connection(void **state)
+{
+	static struct server server;
+	uv_loop_t *loop = uv_default_loop();
+	struct plat_http *http = plat_http_new(loop, NULL);
+	struct outcome outcome = {0};
+
+	(void)state;
+	server.answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+	server_start(loop, &server);
+	assert_false(plat_http_prefer(http, server.addr, MARK));
+	plat_http_call(http, GB_TRAFFIC_HOLD, server.addr, "GET", "/", "", NULL,
+	    0, CALL_TIMEOUT, on_marked, &outcome);
+	while (!outcome.done)
+		uv_run(loop, UV_RUN_ONCE);
+	assert_int_equal(outcome.status, 200);
+	assert_true(plat_http_prefer(http, server.addr, MARK));
+	assert_false(plat_http_prefer(http, server.addr, MARK + 1));
+	uv_close((uv_handle_t *)&server.conn, NULL);
+	while (plat_http_prefer(http, server.addr, MARK))
+		uv_run(loop, UV_RUN_ONCE);
+}
+
 int
 main(void)
 {
@@ -251,6 +290,7 @@
 	    cmocka_unit_test(test_cut_short),
 	    cmocka_unit_test(test_no_answer),
 	    cmocka_unit_test(test_malformed),
+	    cmocka_unit_test(test_mark_ends_with_its_connection),
 	    cmocka_unit_test(test_connections_to_a_worker_are_few),
 	};
 
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -13,6 +13,7 @@
 #include <cmocka.h>
 
 #include "pool_cell.h"
+#include "pool_random.h"
 
 static const struct pool_cell_setup plain = {
     1, 16, {16000, 64000, 0, 0, 0}, 0, 0, 0, 0, 0, 0};
@@ -1141,153 +1142,6 @@
 
 /* Random faults ----------------------------------------------------------- */
 
-static void
-random_submit(struct pool_cell *cell)
-{
-	uint64_t n = gb_random_next(&cell->seed);
-	char spec[64];
-	uint32_t flags = 0;
-
-	snprintf(spec, sizeof(spec), "ms=%u fails=%u",
-	    (unsigned int)(200 + n % 2000), n % 11 == 0 ? 1U : 0U);
-	if (n % 29 == 0)
-		snprintf(spec, sizeof(spec), "ms=900 crash=0 back=%u",
-		    (unsigned int)(300 + n / 64 % 6000));
-	if (n % 3 == 0)
-		flags |= GB_STEP_GANG;
-	if (n % 5 == 0)
-		flags |= GB_STEP_CHECKPOINT;
-	pool_cell_step(cell, (uint32_t)(1 + n % 7), (int)(500 + n % 4000),
-	    GB_SEC, flags, -1);
-	if (n % 4 == 0)
-		pool_cell_step(cell, 2, 1000, GB_SEC, 0, 0);
-	pool_cell_submit(cell, n % 3 == 0 ? "rebuild" : "lookup", spec);
-}
-
-static void
-random_fault(struct pool_cell *cell)
-{
-	uint64_t n = gb_random_next(&cell->seed);
-	unsigned int worker =
-	    (unsigned int)(n / 64 % world_worker_count(cell->world));
-
-	switch (n % 13) {
-	case 0:
-		cell->faults.order_lost = n % 7 * 5;
-		break;
-	case 1:
-		cell->faults.order_late = n % 5 * 3;
-		break;
-	case 2:
-		cell->faults.txn_lost = n % 7 * 5;
-		break;
-	case 3:
-		cell->faults.txn_late = n % 5 * 5;
-		break;
-	case 4:
-		cell->faults.store_down = !cell->faults.store_down;
-		break;
-	case 5:
-		pool_cell_take(cell, (unsigned int)(n / 64 % CELL_NODES));
-		break;
-	case 6:
-		pool_cell_replace_owner(
-		    cell, (unsigned int)(n / 64 % CELL_NODES));
-		break;
-	case 7:
-		world_worker_crash(cell->world, worker);
-		break;
-	case 8:
-		world_worker_reborn(cell->world, worker);
-		break;
-	case 9:
-		world_worker_sick(cell->world, worker, n % 5 == 0, n % 7 == 0);
-		break;
-	case 10:
-		cell->faults.hold_lost = n % 5 * 5;
-		break;
-	case 11:
-		cell->faults.parts_down =
-		    (uint32_t)(n / 64 % (1U << GB_POOL_PARTS));
-		cell->faults.set_reads_fail =
-		    (uint32_t)(n / 4096 % (1U << GB_POOL_PARTS));
-		break;
-	default:
-		if (cell->flow_count > 0)
-			pool_cell_cancel(cell, n / 64 % cell->flow_count);
-		break;
-	}
-}
-
-static void
-random_heal(struct pool_cell *cell)
-{
-	unsigned int i;
-
-	memset(&cell->faults, 0, sizeof(cell->faults));
-	for (i = 0; i < world_worker_count(cell->world); i++) {
-		world_worker_sick(cell->world, i, false, false);
-		world_worker_reborn(cell->world, i);
-	}
-	for (i = 0; i < 10; i++) {
-		pool_cell_run(cell, GB_SEC);
-		if (pool_cell_owner(cell) == CELL_NODES)
-			pool_cell_take(cell, i % CELL_NODES);
-	}
-}
-
-/** Whether every accepted flow came to its end. */
-static void
-assert_all_over(struct pool_cell *cell)
-{
-	struct world_flow_view view;
-	size_t i;
-
-	assert_true(pool_cell_owner(cell) < CELL_NODES);
-	for (i = 0; i < cell->flow_count; i++) {
-		gb_flow_status status = pool_cell_state(cell, i);
-
-		assert_true(world_flow_view(
-		    cell->world, cell->flows[i].spec.id, &view));
-		if (status == GB_FLOW_FAILED)
-			assert_true(view.failed || view.crashed);
-		if (status == GB_FLOW_UNKNOWN)
-			assert_false(cell->flows[i].accepted);
-		else if (status < GB_FLOW_SUCCEEDED)
-			fail_msg("flow %zu is not over: %d", i, (int)status);
-	}
-}
-
-static void
-random_run(uint64_t seed)
-{
-	struct pool_cell_setup setup = seed % 2 == 0 ? plain : advised;
-	struct pool_cell *cell;
-	int i;
-
-	setup.seed = seed;
-	setup.workers = 12;
-	setup.approved_percent = seed % 2 == 0 ? 0 : 70;
-	print_message("seed %llu\n", (unsigned long long)seed);
-	cell = pool_cell_begin(&setup);
-	for (i = 0; i < 60; i++) {
-		random_submit(cell);
-		if (i % 2 == 0)
-			random_fault(cell);
-		pool_cell_run(cell, 150 * GB_MSEC);
-		if (pool_cell_owner(cell) == CELL_NODES && i % 6 == 0)
-			pool_cell_take(cell, (unsigned int)(seed % CELL_NODES));
-	}
-	random_heal(cell);
-	pool_cell_run(cell, 60 * GB_SEC);
-	if (world_faults(cell->world)->text[0] != '\0')
-		print_message("seed %llu: %s\n", (unsigned long long)seed,
-		    world_faults(cell->world)->text);
-	pool_cell_assert_unharmed(cell);
-	assert_all_over(cell);
-	pool_cell_free(cell);
-}
-
 /** Seeds that once broke a promise. */
 static void
 test_seeds_that_failed(void **state)
@@ -1298,20 +1152,14 @@
 
 	(void)state;
 	for (i = 0; i < sizeof(seeds) / sizeof(seeds[0]); i++)
-		random_run(seeds[i]);
+		pool_random_run(seeds[i], false);
 }
 
 static void
 test_random_faults(void **state)
 {
-	const char *from = getenv("GB_POOL_SEED");
-	const char *runs = getenv("GB_POOL_RUNS");
-	uint64_t seed = from == NULL ? 1 : strtoull(from, NULL, 10);
-	uint64_t last = seed + (runs == NULL ? 24 : strtoull(runs, NULL, 10));
-
 	(void)state;
-	for (; seed < last; seed++)
-		random_run(seed);
+	pool_random_runs(false);
 }
 
 int
