--- a/soak/bites.sh
+++ b/soak/bites.sh
@@ -80,3 +80,6 @@
 breakage "an owner at work is taken for one that is gone" libgooseberry/node/renewal.c \
     's/r->read_at != 0 && serial == r->serial/r->read_at != 0/' \
     "--only owner_cut,member_cut"
+breakage "a worker's next life is not noticed" $P/life.c \
+    's/return report->life != worker->life ||/return false \&\&/' \
+    "--only worker_restart,rack_restart,worker_clock"
--- a/soak/fault.c
+++ b/soak/fault.c
@@ -22,6 +22,8 @@
 #define FAULT_LENGTH_MS 300
 #define FAULT_LENGTH_SPREAD_MS 3500
 #define DELAY_MS 400
+/** The time of day of workers jumps by some of these. */
+#define WORKER_CLOCK_STEP_MS 2500
 /** How long cuts between nodes and pauses again and again last. */
 #define CUT_LEAST_MS 5000
 #define CUT_MOST_MS 40000
@@ -244,6 +246,38 @@
 		soak_control("/worker/%u/reborn", i);
 }
 
+/** The worker starts again under its id; its connections went with the process
+ * before. */
+static void
+host_restart_one(unsigned int worker)
+{
+	proxy_reset(soak.worker_proxies[worker]);
+	soak_control("/worker/%u/restart", worker);
+}
+
+static void
+host_restart(struct fault *fault)
+{
+	host_restart_one(fault->worker);
+}
+
+static void
+rack_restart(struct fault *fault)
+{
+	unsigned int i;
+
+	for (i = fault->worker / 8 * 8;
+	     i < fault->worker / 8 * 8 + 8 && i < soak.worker_count; i++)
+		host_restart_one(i);
+}
+
+static void
+host_clock_begin(struct fault *fault)
+{
+	soak_control("/clock?step_ms=%d",
+	    ((int)(fault->random % 9) - 4) * WORKER_CLOCK_STEP_MS);
+}
+
 /* Users ------------------------------------------------------------------- */
 
 static void
@@ -359,13 +393,18 @@
     PAUSES("owner_paused", owner_paused_step, true),
     PAUSES("all_paused", all_paused_step, true),
     PAUSES("node_starved", node_starved_step, false),
-    PAUSES("all_starved", all_starved_step, true)};
+    PAUSES("all_starved", all_starved_step, true),
+    KIND("worker_restart", host_crash, host_restart),
+    KIND("rack_restart", rack_crash, rack_restart),
+    KIND("worker_clock", host_clock_begin, NULL)};
 
 #define KIND_COUNT (sizeof(kinds) / sizeof(kinds[0]))
 /** Kinds of the seeds from before workers shrank and tasks crashed them. */
 #define KINDS_BEFORE_CRASHES 51
 /** And from before cuts between nodes and pauses again and again. */
 #define KINDS_BEFORE_LASTING 52
+/** And from before workers started again under their ids. */
+#define KINDS_BEFORE_RESTARTS 64
 /** One worker in so many is shrunk when all else is calm. */
 #define SHRUNK_WORKERS 3
 
@@ -381,6 +420,7 @@
 static unsigned int kind_counts[KIND_COUNT];
 
 _Static_assert(KIND_COUNT > KINDS_BEFORE_LASTING, "new kinds stand last");
+_Static_assert(KIND_COUNT > KINDS_BEFORE_RESTARTS, "new kinds stand last");
 
 /** Kinds that are drawn from. */
 static const struct fault_kind *drawn[KIND_COUNT];
--- a/standin/emulator.c
+++ b/standin/emulator.c
@@ -178,6 +178,17 @@
 	emu_answer(call, 200, json_object());
 }
 
+/** Move the time of day, by which workers tell when they started. */
+static void
+control_clock(struct emulator *emu, struct http_call *call)
+{
+	char value[32];
+
+	emu_query(call, "step_ms", value, sizeof(value));
+	world_clock_step(emu->world, strtoll(value, NULL, 10) * GB_MSEC);
+	emu_answer(call, 200, json_object());
+}
+
 /** Tell the oracle what organisations may have. */
 static void
 control_quotas(struct emulator *emu, const char *text)
@@ -316,6 +327,8 @@
 		control_store(emu, call);
 	else if (strcmp(call->path, "/orders") == 0)
 		control_orders(emu, call);
+	else if (strcmp(call->path, "/clock") == 0)
+		control_clock(emu, call);
 	else if (strcmp(call->path, "/config") == 0)
 		control_config(emu, call);
 	else if (strcmp(call->path, "/report") == 0)
--- a/tests/pool_random.c
+++ b/tests/pool_random.c
@@ -51,8 +51,8 @@
 		return;
 	}
 	if (n / 512 % 3 == 0)
-		world_clock_step(cell->world,
-		    ((gb_time)(n / 2048 % 9) - 4) * GB_SEC);
+		world_clock_step(
+		    cell->world, ((gb_time)(n / 2048 % 9) - 4) * GB_SEC);
 	cell->faults.hold_late = (unsigned int)(n / 65536 % 4) * 4;
 	world_worker_restart(cell->world, worker);
 }
