Workers that started again while owners changed are lost together too

Workers whose stored life is not the one that answers count now. Tokens grow only for workers that tell their lives, and entries that alone tell them are played.

--- a/libgooseberry/pool/life.c
+++ b/libgooseberry/pool/life.c
@@ -30,7 +30,9 @@
 void
 pool_life_fence(struct pool_worker *worker)
 {
-	if (worker->fence + 1 < POOL_FENCES_PER_EPOCH)
+	bool told = worker->life != 0 || worker->entry.life != 0;
+
+	if (told && worker->fence + 1 < POOL_FENCES_PER_EPOCH)
 		worker->fence++;
 }
 
@@ -239,8 +241,10 @@
 	worker->life_since = pool->now;
 	worker->leaving = worker->entry.draining && pool_life_listed(worker);
 	if (life != 0 && worker->recorded_life != 0 &&
-	    life != worker->recorded_life)
+	    life != worker->recorded_life) {
+		worker->missed = pool->now;
 		pool_crash_unseen(pool, worker);
+	}
 	if (life != worker->recorded_life)
 		pool_worker_set_mark(pool, worker);
 }
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -679,7 +679,7 @@
 /** Fencing token of orders to a worker. */
 uint64_t pool_life_token(const struct gb_pool *, const struct pool_worker *);
 /** Orders to a worker that are still on their way must not be carried out once
- * it has seen the next one. */
+ * it has seen the next one; not where each life has an id of its own. */
 void pool_life_fence(struct pool_worker *);
 /** Whether the worker of a call knows a newer owner; then the ownership is
  * lost.  False when it was just overtaken by a newer order of this one. */
--- a/standin/world.c
+++ b/standin/world.c
@@ -172,12 +172,6 @@
 	return world->worker_count;
 }
 
-static int64_t
-life_told(const struct world *world, const struct world_worker *worker)
-{
-	return world->lives_untold ? 0 : worker->born_ms;
-}
-
 void
 world_worker_entry(
     const struct world *world, unsigned int number, struct gb_pool_entry *entry)
@@ -186,7 +180,7 @@
 
 	memset(entry, 0, sizeof(*entry));
 	snprintf(entry->id, sizeof(entry->id), "%s", worker->id);
-	entry->life = life_told(world, worker);
+	entry->life = world->entries_untold ? 0 : worker->born_ms;
 	snprintf(entry->addr, sizeof(entry->addr), "%s", worker->addr);
 	snprintf(entry->dc, sizeof(entry->dc), "%s", worker->dc);
 	snprintf(entry->service, sizeof(entry->service), "%s", worker->service);
@@ -268,9 +262,10 @@
 }
 
 void
-world_lives_untold(struct world *world)
+world_lives_untold(struct world *world, bool reports, bool entries)
 {
-	world->lives_untold = true;
+	world->reports_untold = reports;
+	world->entries_untold = entries;
 }
 
 void
@@ -719,7 +714,7 @@
 		&report->status, &report->clock_ms))
 		return;
 	report->status = GB_POOL_ORDER_DONE;
-	report->life = life_told(world, worker);
+	report->life = world->reports_untold ? 0 : worker->born_ms;
 	lease_renew(world, worker, hold->lease_end_ms);
 	ends_forget(world, worker, hold->cursor);
 	TAILQ_FOREACH(run, &worker->runs, next)
--- a/standin/world_state.h
+++ b/standin/world_state.h
@@ -119,7 +119,8 @@
 
 struct world {
 	gb_time now;
-	bool lives_untold;
+	bool reports_untold;   /**< reports don't tell when a worker started */
+	bool entries_untold;   /**< nor do entries */
 	int64_t clock_step_ms; /**< the time of day is off by so much */
 	uint64_t seed;
 	struct world_worker **workers;
--- a/tests/test_restarts.c
+++ b/tests/test_restarts.c
@@ -261,7 +261,7 @@
 
 	(void)state;
 	cell = pool_cell_begin(&plain);
-	world_lives_untold(cell->world);
+	world_lives_untold(cell->world, true, true);
 	for (i = 0; i < 4; i++) {
 		lookups(cell, 30);
 		world_worker_reborn(cell->world, i);
@@ -271,6 +271,29 @@
 	pool_cell_free(cell);
 }
 
+/** Where reports don't tell a worker's start, its entry does, a little later.
+ */
+static void
+test_entries_alone_tell_of_a_restart(void **state)
+{
+	struct pool_cell *cell = pool_cell_new(&plain);
+	unsigned int i;
+
+	(void)state;
+	world_lives_untold(cell->world, true, false);
+	pool_cell_take(cell, 0);
+	pool_cell_run(cell, GB_SEC);
+	lookups(cell, 60);
+	pool_cell_run(cell, 2 * GB_SEC);
+	for (i = 0; i < 4; i++)
+		world_worker_restart(cell->world, i);
+	pool_cell_run(cell, GB_SEC);
+	lookups(cell, 60);
+	pool_cell_run(cell, 4 * GB_SEC);
+	assert_done_once(cell);
+	pool_cell_free(cell);
+}
+
 /** Workers start again under their ids while orders and holds are lost, come
  * late, owners die and the time of day jumps. */
 static void
@@ -294,6 +317,7 @@
 	    cmocka_unit_test(test_crashes_are_counted_over_restarts_and_owners),
 	    cmocka_unit_test(test_an_id_that_was_over_is_used_again),
 	    cmocka_unit_test(test_workers_that_do_not_tell_their_start),
+	    cmocka_unit_test(test_entries_alone_tell_of_a_restart),
 	    cmocka_unit_test(test_random_faults_and_restarts),
 	};
 
