A successor behind a thin link reads what is stored as its link takes it

Callers saw nothing served, and what was accepted lost: owners followed each other without end, and none of them got to know what is stored.

Cause: a new owner asked for all parts at once, in pages of 500 rows. The answers shared the link, came after 0.4 to 1.5 s, in which a read counts as lost, and were asked for again from the first page; what members asked meanwhile waited behind them for over the 4 s that they wait for an owner that reads.

First looks at workers, which are all answered at once, are bounded by what their answers take.

--- a/libgooseberry/pool/pace.c
+++ b/libgooseberry/pool/pace.c
@@ -29,6 +29,10 @@
 /** A look at a worker is put off by this many times as long as the link is
  * busy: ends are told in fewer, longer answers. */
 #define PACE_LOOKS 2
+/** Answers to first looks take the link for this long, each with a connection
+ * and a few runs. */
+#define PACE_FIRST_TIME (150 * GB_MSEC)
+#define PACE_FIRST_BYTES 700
 /** Bytes of a start beside its specification: names, lease, ticket, headers. */
 #define PACE_START_BYTES 520
 /** A link that is used less than this is not what starts wait for. */
@@ -46,6 +50,12 @@
 	return link;
 }
 
+uint64_t
+pool_pace_rate(const struct gb_pool *pool)
+{
+	return pace_link(pool).bytes_per_s;
+}
+
 bool
 pool_pace_starts(const struct gb_pool *pool)
 {
@@ -64,6 +74,17 @@
 	return pace_link(pool).queued <= PACE_LOOKS_MOST;
 }
 
+uint32_t
+pool_pace_first(const struct gb_pool *pool)
+{
+	uint64_t rate = pool_pace_rate(pool);
+	uint64_t most = rate * PACE_FIRST_TIME / GB_SEC / PACE_FIRST_BYTES;
+
+	if (rate == 0 || most > UINT32_MAX)
+		return UINT32_MAX;
+	return most == 0 ? 1 : (uint32_t)most;
+}
+
 gb_time
 pool_pace_look(const struct gb_pool *pool, gb_time pause)
 {
--- a/libgooseberry/pool/pool.c
+++ b/libgooseberry/pool/pool.c
@@ -33,6 +33,8 @@
 	pool->now = now;
 	pool->seed = settings->seed;
 	TAILQ_INIT(&pool->open);
+	TAILQ_INIT(&pool->pages);
+	TAILQ_INIT(&pool->pages_sent);
 	pool_writer_reset(pool);
 	return pool;
 }
@@ -60,6 +62,7 @@
 	{
 		pool_flow_free(pool, flow);
 	}
+	pool_load_reset(pool);
 	pool_advice_reset(pool);
 	pool_writer_reset(pool);
 	pool_workers_free(pool);
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -316,6 +316,7 @@
 	unsigned int attach_failures; /**< tries in a row without success */
 	uint32_t round;	    /**< of reading; answers of earlier ones are old */
 	uint32_t loads_out; /**< reads that are out */
+	uint32_t inbox_out; /**< of flows that were stored without an owner */
 	uint64_t row_epoch; /**< in the owner's row as it was read, 0: none */
 	struct contest_row row_contest;
 	bool row_vacant;
@@ -408,6 +409,7 @@
 	uint32_t part;
 	uint32_t round; /**< of reading the part */
 	uint32_t worker;
+	bool first;	      /**< first look at a worker */
 	uint64_t token;	      /**< fencing token of an order */
 	bool lease;	      /**< the order renews the worker's lease */
 	uint64_t config;      /**< of a flow that is read from the inbox */
@@ -424,6 +426,9 @@
 	uint32_t waiting; /**< flows that have not begun */
 };
 
+struct pool_page;
+TAILQ_HEAD(pool_pages, pool_page);
+
 /** An owner's row that another node wrote. */
 struct pool_rival {
 	char addr[GB_NAME_MAX + 1]; /**< empty: it was left vacant */
@@ -467,15 +472,21 @@
 	/** Room in which something may run that this owner does not know of. */
 	struct gb_pool_amount doubt;
 	struct pool_part parts[GB_POOL_PARTS];
+	/* Reading what is stored */
+	struct pool_pages pages; /**< that are to be read */
+	struct pool_pages pages_sent;
+	uint32_t pages_out;
+	uint32_t row_bytes[GB_POOL_TABLES]; /**< of rows read last, 0: none */
 	/* Workers */
 	struct pool_worker *workers_by_id;
 	struct pool_worker **workers;
 	uint32_t worker_count;
 	uint32_t worker_size;
-	gb_time answer_lost; /**< when a worker last came back that had not
-				  been away, 0: never */
-	uint32_t tick_from;  /**< worker that the next tick begins with */
-	bool listed;	     /**< the list of workers has been read */
+	gb_time answer_lost;  /**< when a worker last came back that had not
+				   been away, 0: never */
+	uint32_t first_looks; /**< first looks at workers that are out */
+	uint32_t tick_from;   /**< worker that the next tick begins with */
+	bool listed;	      /**< the list of workers has been read */
 	/* Advice */
 	struct pool_lane *lanes;
 	size_t lane_count;
@@ -576,8 +587,12 @@
 bool pool_pace_advice(const struct gb_pool *);
 /** Whether the link takes a look at a worker. */
 bool pool_pace_looks(const struct gb_pool *);
+/** First looks at workers that may be out: they are all answered at once. */
+uint32_t pool_pace_first(const struct gb_pool *);
 /** Pause before the next look at a worker. */
 gb_time pool_pace_look(const struct gb_pool *, gb_time pause);
+/** Bytes a second that the link carries, 0: it does not matter. */
+uint64_t pool_pace_rate(const struct gb_pool *);
 /** Bytes that starting tasks of a flow takes. */
 uint64_t pool_pace_bytes(const struct pool_flow *, uint32_t tasks);
 /** How long the starts that wait will keep the link busy. */
@@ -825,6 +840,8 @@
 /* load.c */
 enum pool_load { POOL_LOAD_GOES_ON, POOL_LOAD_DONE, POOL_LOAD_FAILED };
 
+/** Nothing that was to be read is read any more. */
+void pool_load_reset(struct gb_pool *);
 /** Read what is stored of a part. */
 void pool_load_begin(struct gb_pool *, uint32_t part);
 enum pool_load pool_load_done(struct gb_pool *, const struct pool_call *,
--- a/libgooseberry/pool/worker.c
+++ b/libgooseberry/pool/worker.c
@@ -221,6 +221,7 @@
 	struct pool_worker *worker = pool_worker_get(pool, call->worker);
 	size_t ended;
 
+	pool->first_looks -= call->first;
 	if (worker == NULL || worker->hold_call != call->id)
 		return;
 	worker->hold_call = 0;
@@ -297,6 +298,8 @@
 
 	pool_report_ack(pool, worker);
 	call->worker = worker->handle;
+	call->first = !worker->fenced;
+	pool->first_looks += call->first;
 	worker->hold_call = call->id;
 	worker->hold_sent = pool->now;
 	hold.worker = worker->entry.id;
@@ -364,7 +367,8 @@
 	if (worker->hold_call != 0 || worker->hold_at > pool->now ||
 	    !worker_held(pool, worker))
 		return true;
-	if (!pool_pace_looks(pool))
+	if (!pool_pace_looks(pool) ||
+	    (!worker->fenced && pool->first_looks >= pool_pace_first(pool)))
 		return false;
 	worker_hold(pool, worker);
 	return true;
@@ -566,6 +570,7 @@
 {
 	uint32_t i;
 
+	pool->first_looks = 0;
 	for (i = 0; i < pool->worker_count; i++) {
 		struct pool_worker *worker = pool->workers[i];
 
--- a/tests/pool_cell.c
+++ b/tests/pool_cell.c
@@ -31,6 +31,7 @@
 #define CELL_HEAD 220
 #define CELL_START 440
 #define CELL_WORKER_NAME 16
+#define CELL_ROW 60
 
 enum event_kind {
 	EVENT_START,
@@ -304,6 +305,28 @@
 		event_add(from, EVENT_TXN_LOST, call, wait + CELL_TIMEOUT);
 }
 
+/** How long an answer is on its way over the node's link. */
+static gb_time
+answer_wait(const struct cell_node *from, const struct gb_pool_read *read)
+{
+	struct pool_cell *cell = from->cell;
+	gb_time *free_at = &cell->link_in_free[from->node];
+	struct gb_pool_read_res res = {0};
+	size_t bytes = CELL_HEAD;
+	size_t i;
+
+	if (!cell->link_in || cell->setup.link == 0)
+		return 0;
+	world_read(cell->world, read, &res);
+	for (i = 0; i < res.row_count; i++)
+		bytes += CELL_ROW + res.rows[i].value.gb_body_len * 4 / 3;
+	world_read_free(&res);
+	if (*free_at < cell->now)
+		*free_at = cell->now;
+	*free_at += (gb_time)(bytes * GB_SEC / cell->setup.link);
+	return *free_at - cell->now;
+}
+
 static void
 op_read(void *data, uint64_t call, const struct gb_pool_read *read)
 {
@@ -311,7 +334,8 @@
 	bool fails = read->table == GB_POOL_OWNERS && read->limit > 1 &&
 		     (from->cell->faults.set_reads_fail >> read->part & 1) != 0;
 	gb_time wait = link_wait(from, GB_TRAFFIC_STORE_READ, CELL_HEAD);
-	gb_time takes = CELL_TXN + from->cell->faults.store_slow;
+	gb_time takes =
+	    CELL_TXN + from->cell->faults.store_slow + answer_wait(from, read);
 	bool given_up = takes > CELL_READ_TIMEOUT && takes > read->patience;
 	struct pool_event *event;
 
--- a/tests/pool_cell.h
+++ b/tests/pool_cell.h
@@ -90,7 +90,10 @@
 	unsigned int spoiled; /**< first workers whose entries are no good */
 	/** More entries, of a service that there is not, where nobody is. */
 	unsigned int strangers;
-	bool moved;    /**< entries name the address of the next worker */
+	bool moved; /**< entries name the address of the next worker */
+	/** What is read comes over links of the same bandwidth. */
+	bool link_in;
+	gb_time link_in_free[CELL_NODES]; /**< when they are free again */
 	bool restarts; /**< random faults start workers again under their id */
 	struct gb_events
 	    *events_log; /**< with GB_POOL_LOG set on standard error */
--- a/tests/test_link.c
+++ b/tests/test_link.c
@@ -154,6 +154,39 @@
 	assert_true(refused >= 40);
 }
 
+/** Load: a pool with 150 open flows is taken over by a node behind 0.5 Mbit/s,
+ * where what is stored takes seconds to read.  Reads that were all out at once
+ * were given up, and begun anew, for ever. */
+static void
+test_successor_behind_a_thin_link_reads_what_is_stored(void **state)
+{
+	struct pool_cell_setup setup = thin;
+	struct pool_cell *cell;
+	unsigned int i;
+
+	(void)state;
+	setup.link = 0;
+	setup.approved_percent = 0;
+	cell = pool_cell_begin(&setup);
+	for (i = 0; i < 150; i++) {
+		pool_cell_step(cell, 3, 3900, 20 * GB_SEC, 0, -1);
+		pool_cell_submit(cell, "import", spec_of("ms=20000", 600));
+	}
+	pool_cell_run(cell, 3 * GB_SEC);
+	cell->setup.link = THIN / 4;
+	cell->link_in = true;
+	pool_cell_kill(cell, 1);
+	pool_cell_kill(cell, 0);
+	pool_cell_take(cell, 1);
+	pool_cell_run(cell, 6 * GB_SEC);
+	assert_int_equal(pool_cell_owner(cell), 1);
+	pool_cell_run(cell, 60 * GB_SEC);
+	for (i = 0; i < 150; i++)
+		assert_int_equal(cell->flows[i].status, GB_FLOW_SUCCEEDED);
+	pool_cell_assert_unharmed(cell);
+	pool_cell_free(cell);
+}
+
 int
 main(void)
 {
@@ -162,6 +195,8 @@
 	    cmocka_unit_test(test_a_wide_link_never_waits),
 	    cmocka_unit_test(test_thin_link_serves_most_in_time),
 	    cmocka_unit_test(test_very_thin_link_keeps_promises),
+	    cmocka_unit_test(
+		test_successor_behind_a_thin_link_reads_what_is_stored),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
