Flows are kept from an owner that reads, and bounded while nobody serves

Change: once a node has known for 0.4 s that the owner reads, it stores a flow itself. Once nobody has served for 1.5 s, it stores no more than its part of half of what a link like its own carries, counted with the starts, and refuses the rest at once.

Tests: test_flows_are_kept_from_an_owner_that_reads and test_thin_link_bounds_what_is_stored_without_an_owner; each fails without its half.

--- a/libgooseberry/node/intake.c
+++ b/libgooseberry/node/intake.c
@@ -32,6 +32,12 @@
 /** A look at the store that takes longer says that it is slow for everybody: a
  * write would come too late. */
 #define LOOK_QUICK (40 * GB_MSEC)
+/** Nobody has served for so long: it is not just a takeover. */
+#define BUDGET_AFTER (1500 * GB_MSEC)
+/** What was not stored meanwhile is made up for within this. */
+#define BUDGET_MOST (2 * GB_SEC)
+/** Bytes of a start beside its specification. */
+#define FLOW_TASK_BYTES 520
 /** Time to come back after a refusal for want of an owner and the store. */
 #define RETRY_AFTER (GB_SEC)
 
@@ -361,12 +367,56 @@
 		    owner_answered, in);
 }
 
+/** Bytes that an owner sends and reads for a flow: what is stored, and a start
+ * of each task. */
+static uint64_t
+flow_bytes(const gb_flow *flow)
+{
+	uint64_t tasks = 1;
+	u_int i;
+
+	for (i = 0; i < flow->steps.steps_len; i++)
+		tasks += flow->steps.steps_val[i].count;
+	return tasks * (FLOW_TASK_BYTES + strlen(flow->spec));
+}
+
+/** Whether the next owner's link can be expected to carry what is stored for
+ * it: once nobody has served for longer than a takeover takes, this node stores
+ * no more than its part of half of what such a link carries. */
+static bool
+budget_takes(struct intake *in, gb_time now)
+{
+	struct gb_node *node = in->node;
+	uint64_t rate =
+	    gb_link_rate(gb_env_link(node->env)) / 2 / (node->known_count + 1);
+	gb_time passed = now - node->budget_at;
+	uint64_t bytes = flow_bytes(&in->submit->flow);
+
+	if (rate == 0 || watch_unserved(&node->watch, now) <= BUDGET_AFTER)
+		return true;
+	if (passed > BUDGET_MOST)
+		passed = BUDGET_MOST;
+	node->budget += (int64_t)rate * passed / GB_SEC;
+	if (node->budget > (int64_t)rate * BUDGET_MOST / GB_SEC)
+		node->budget = (int64_t)rate * BUDGET_MOST / GB_SEC;
+	node->budget_at = now;
+	if (node->budget <= 0)
+		return false;
+	node->budget -= (int64_t)bytes;
+	return true;
+}
+
 /** Nobody owns the pool.  While the store is slow the writes of all nodes would
  * hold up the claim of the next owner, by seconds with 35 nodes: it is waited
  * for. */
 static void
 intake_try_store(struct intake *in, gb_time now)
 {
+	if (!budget_takes(in, now)) {
+		in->out = false;
+		intake_give_up(in);
+		return;
+	}
 	if (NODE_USES(in->node, GB_MECH_WITHOUT_OWNER) &&
 	    (!NODE_USES(in->node, GB_MECH_QUICK_ONLY) ||
 		watch_store_quick(&in->node->watch, now))) {
@@ -386,22 +436,23 @@
 	bool silent = watch_silence(&node->watch, now) > NODE_OWNER_SILENCE ||
 		      node->watch.refused > 0;
 	bool owner = node->watch.owner[0] != '\0' && !node->watch.vacant;
+	bool reads = watch_owner_reads(&node->watch, now);
 
 	in->tries++;
 	in->out = true;
 	if (gb_pool_owns(node->pool)) {
 		intake_local(in);
-	} else if (owner && !silent) {
+	} else if (owner && !silent && !reads) {
 		intake_remote(in, in->deadline - now);
 	} else if (in->submit != NULL && node_store_out(node)) {
 		/* Neither an owner nor the store: known at once. */
 		in->out = false;
 		intake_give_up(in);
 	} else if (in->submit != NULL &&
-		   (silent || now - in->began >= WRITE_AFTER)) {
+		   (silent || reads || now - in->began >= WRITE_AFTER)) {
 		intake_try_store(in, now);
 	} else if (in->submit == NULL && in->ask.op == GB_FLOW_OP_STATE &&
-		   (silent || in->tries > 2)) {
+		   (silent || reads || in->tries > 2)) {
 		intake_read(in);
 	} else {
 		intake_again(in);
--- a/libgooseberry/node/node_state.h
+++ b/libgooseberry/node/node_state.h
@@ -102,6 +102,8 @@
 	struct watch watch;
 	struct sight sight;
 	uint64_t incarnation;
+	int64_t budget; /**< bytes of flows that may be stored for an owner */
+	gb_time budget_at;
 	uint32_t cpu_milli; /**< processor of this node */
 	gb_time owned_at;   /**< when it last gained the pool */
 	struct gb_pool_config *config;
--- a/libgooseberry/node/watch.c
+++ b/libgooseberry/node/watch.c
@@ -41,6 +41,8 @@
  * what is stored, for seconds where everything is slow.  Once owners at work
  * have been deposed, it is given this long. */
 #define WATCH_TAKING (4 * GB_SEC)
+/** A new owner has read what is stored within this, unless its link is thin. */
+#define WATCH_READS (400 * GB_MSEC)
 #define WATCH_SERIAL_CLAIM 1
 /** A node that hears nobody believes that the owner has stopped after so many
  * reads: one renewal may be late. */
@@ -100,6 +102,7 @@
 	snprintf(w->self, sizeof(w->self), "%s", self);
 	w->own_milli = own_milli;
 	w->heard = now;
+	w->served = now;
 	w->owner_since = now;
 	w->seed = seed;
 	w->place.rank = SUCCESSION_UNRANKED;
@@ -124,6 +127,18 @@
 	return now - w->heard - w->stood;
 }
 
+bool
+watch_owner_reads(const struct watch *w, gb_time now)
+{
+	return w->taking_since != 0 && now - w->taking_since > WATCH_READS;
+}
+
+gb_time
+watch_unserved(const struct watch *w, gb_time now)
+{
+	return now - w->served;
+}
+
 /** Whether the owner has not answered when it should have. */
 static bool
 watch_missed(const struct watch *w, gb_time now)
@@ -418,6 +433,8 @@
 	    now + (news->place.rank < WATCH_DOUBTERS ? WATCH_HELLO_FIRST
 						     : WATCH_HELLO_EVERY);
 	watch_trust(w, now);
+	w->served = now;
+	w->taking_since = 0;
 	if (news->epoch > w->epoch) {
 		w->epoch = news->epoch;
 		w->owner_since = now;
@@ -443,6 +460,7 @@
 	w->epoch = epoch;
 	w->vacant = false;
 	w->store_doubted = false;
+	w->taking_since = 0;
 	watch_trust(w, now);
 	w->hello_out = false;
 	w->owner_since = now;
@@ -484,6 +502,8 @@
 {
 	w->hello_out = false;
 	w->next_hello = now + WATCH_HELLO_EVERY / 4;
+	if (w->taking_since == 0)
+		w->taking_since = now;
 	watch_trust(w, now);
 }
 
--- a/libgooseberry/node/watch.h
+++ b/libgooseberry/node/watch.h
@@ -53,14 +53,16 @@
 	bool store_doubted; /**< the owner misses the store: does this node? */
 	gb_time served_since; /**< this node has the store, the owner not, 0 */
 	gb_time next_hello;
-	gb_time hello_at;	/**< when the last one was to be sent */
-	gb_time hello_took;	/**< until the last that was answered was */
-	gb_time heard;		/**< the owner's last answer */
-	gb_time stood;		/**< this process stood still since, in all */
-	gb_time looked;		/**< last call of watch_next, 0: none */
-	unsigned int missed;	/**< hellos in a row without answer */
-	unsigned int refused;	/**< hellos in a row that reached nobody */
-	uint32_t contested;	/**< as the owner's row says */
+	gb_time hello_at;     /**< when the last one was to be sent */
+	gb_time hello_took;   /**< until the last that was answered was */
+	gb_time heard;	      /**< the owner's last answer */
+	gb_time served;	      /**< the last that it gave as the owner */
+	gb_time taking_since; /**< it reads what is stored since, 0: it owns */
+	gb_time stood;	      /**< this process stood still since, in all */
+	gb_time looked;	      /**< last call of watch_next, 0: none */
+	unsigned int missed;  /**< hellos in a row without answer */
+	unsigned int refused; /**< hellos in a row that reached nobody */
+	uint32_t contested;   /**< as the owner's row says */
 	struct renewal renewal; /**< of the row, while the owner is silent */
 	gb_time take_at;	/**< not before */
 	unsigned int polled;	/**< members asked */
@@ -126,6 +128,11 @@
 void watch_unheard(struct watch *, gb_time now, bool refused);
 void watch_poll_begun(struct watch *, gb_time now, unsigned int members);
 void watch_polled(struct watch *, enum watch_word);
+/** Whether the owner is still reading what is stored, for longer than that
+ * takes where the link is no matter: it can't take anything in yet. */
+bool watch_owner_reads(const struct watch *, gb_time now);
+/** How long nobody has answered as the owner. */
+gb_time watch_unserved(const struct watch *, gb_time now);
 /** How long the owner was not heard while this process could have heard it. */
 gb_time watch_silence(const struct watch *, gb_time now);
 /** Whether the store has answered a moment ago, and as quickly as usual.  If it
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -55,6 +55,7 @@
 	struct world *world;
 	struct gb_node *nodes[NODES];
 	struct seat seats[NODES];
+	const struct gb_env *env;
 	bool store_refuses[NODES]; /**< turned away by the tables */
 	struct table_calls calls;
 	unsigned int writes[NODES];
@@ -206,7 +207,7 @@
 	settings.stop_ms = 200;
 	settings.keep_s = 60;
 	settings.grace_s = 6;
-	node = gb_node_new(&cell->loop, &env, &settings, &platform,
+	node = gb_node_new(&cell->loop, cell->env, &settings, &platform,
 	    gb_events_new(&cell->loop, fileno(cell->log), UINT32_MAX, "node"),
 	    &err);
 	if (node == NULL)
@@ -216,11 +217,12 @@
 }
 
 static struct cell *
-cell_begin(void)
+cell_begin_in(const struct gb_env *of)
 {
 	struct cell *cell = gb_calloc(1, sizeof(*cell));
 	unsigned int i;
 
+	cell->env = of;
 	uv_loop_init(&cell->loop);
 	TAILQ_INIT(&cell->calls);
 	cell->world = world_new(1);
@@ -239,6 +241,12 @@
 	return cell;
 }
 
+static struct cell *
+cell_begin(void)
+{
+	return cell_begin_in(&env);
+}
+
 static unsigned int
 cell_owner(const struct cell *cell)
 {
@@ -517,6 +525,71 @@
 	assert_int_equal(stored_version(cell, "00000000000000a1"), 1);
 }
 
+/** A node learns that the owner has read what is stored for a second, while the
+ * store is as quick as usual. */
+static void
+owner_reads(struct gb_node *node, gb_time unserved)
+{
+	gb_time now = gb_clock_boot();
+
+	node->watch.served = now - unserved;
+	node->watch.taking_since = now - GB_SEC;
+	node->watch.store_read_at = now;
+	node->watch.store_took = GB_MSEC;
+}
+
+/** A node that has known for a while that the new owner reads what is stored
+ * does not send it flows again and again, which its link carries meanwhile. */
+static void
+test_flows_are_kept_from_an_owner_that_reads(void **state)
+{
+	struct cell *cell = cell_begin();
+	unsigned int other;
+	unsigned int writes;
+
+	(void)state;
+	cell_settle(cell);
+	other = (cell_owner(cell) + 1) % NODES;
+	writes = cell->writes[other];
+	owner_reads(cell->nodes[other], 0);
+	cell_submit(cell, other, "00000000000000a5");
+	assert_int_equal(cell->answer.verdict, GB_FLOW_ACCEPTED);
+	assert_int_equal(cell->writes[other], writes + 1);
+}
+
+/** Nobody has served for long: what is stored for an owner is bounded by what a
+ * link like this one carries, and the rest is refused at once. */
+static void
+test_thin_link_bounds_what_is_stored_without_an_owner(void **state)
+{
+	static struct gb_env thin_env;
+	struct cell *cell;
+	struct gb_node *other;
+	unsigned int accepted = 0;
+	unsigned int i;
+
+	(void)state;
+	thin_env.link = gb_link_new(2000);
+	cell = cell_begin_in(&thin_env);
+	cell_settle(cell);
+	other = cell->nodes[(cell_owner(cell) + 1) % NODES];
+	for (i = 0; i < 5; i++) {
+		gb_time began = gb_clock_boot();
+		char id[32];
+
+		snprintf(id, sizeof(id), "00000000000000b%u", i);
+		owner_reads(other, 10 * GB_SEC);
+		cell_submit(cell, (cell_owner(cell) + 1) % NODES, id);
+		accepted += cell->answer.verdict == GB_FLOW_ACCEPTED;
+		if (cell->answer.verdict == GB_FLOW_ACCEPTED)
+			continue;
+		assert_int_equal(cell->answer.verdict, GB_FLOW_REFUSED);
+		assert_true(cell->answer.retry_after_us > 0);
+		assert_true(gb_clock_boot() - began < 100 * GB_MSEC);
+	}
+	assert_int_equal(accepted, 1);
+}
+
 /** When the store turns all away, a flow is refused, with a time to come back,
  * and never with an answer that leaves open whether it was taken. */
 static void
@@ -935,6 +1008,9 @@
 	    cmocka_unit_test(test_owner_learns_a_version_from_a_member),
 	    cmocka_unit_test(test_owner_is_not_told_again_and_again),
 	    cmocka_unit_test(test_node_stores_what_the_owner_cannot),
+	    cmocka_unit_test(test_flows_are_kept_from_an_owner_that_reads),
+	    cmocka_unit_test(
+		test_thin_link_bounds_what_is_stored_without_an_owner),
 	    cmocka_unit_test(test_nobody_can_store),
 	    cmocka_unit_test(test_leaving_owner_serves_until_it_is_succeeded),
 	    cmocka_unit_test(
