--- a/soak/node.c
+++ b/soak/node.c
@@ -97,6 +97,19 @@
 	node->config_seen = 0;
 }
 
+/** Tell what others may rightly take for the end of a node. */
+static void
+node_suffers(const struct soak_node *node)
+{
+	if (node->pid == 0 || node->stopping > 0 || node->restart_at > 0)
+		takeover_harm(node->number, HARM_DOWN);
+	else if (node->frozen)
+		takeover_harm(node->number, HARM_LASTING);
+	else
+		return;
+	takeover_trouble();
+}
+
 void
 node_signal(struct soak_node *node, int signum)
 {
@@ -108,22 +121,11 @@
 		node->frozen = false;
 	if (signum == SIGTERM && node->stopping == 0)
 		node->stopping = soak_now();
+	/* What comes of it may come before the next tick. */
+	node_suffers(node);
 	kill(node->pid, signum);
 }
 
-/** Tell what others may rightly take for the end of a node. */
-static void
-node_suffers(const struct soak_node *node)
-{
-	if (node->pid == 0 || node->stopping > 0 || node->restart_at > 0)
-		takeover_harm(node->number, HARM_DOWN);
-	else if (node->frozen)
-		takeover_harm(node->number, HARM_LASTING);
-	else
-		return;
-	takeover_trouble();
-}
-
 void
 node_tick(void)
 {
