--- a/libgooseberry/node/watch.c
+++ b/libgooseberry/node/watch.c
@@ -23,8 +23,8 @@
  * learn of an owner without the store. */
 #define WATCH_HELLO_EVERY (200 * GB_MSEC)
 #define WATCH_HELLO_FIRST (100 * GB_MSEC)
-/** Silence after which the owner is suspected; processor shares of a tenth of
- * a second and slow nodes stay well under it. */
+/** Silence after which the owner is suspected; pauses of processors that are
+ * shared stay well under it. */
 #define WATCH_SUSPECT (900 * GB_MSEC)
 /** The same when this node reaches no other member either. */
 #define WATCH_ALONE (3500 * GB_MSEC)
@@ -59,11 +59,10 @@
 /** An owner without the store can't accept work or record ends.  It writes each
  * 0.5 s at the least. */
 #define WATCH_STORE_SILENT (1300 * GB_MSEC)
-/** A store that answers this node within this is not what is wrong: it takes
- * 4 ms when all is well, and 240 ms and more when it is slow for everybody. */
+/** A store that answers this node within this is not what is wrong. */
 #define WATCH_STORE_QUICK (150 * GB_MSEC)
-/** A read that is as quick as usual, 4 ms and the way: at ten times that a part
- * of the tables carries out a dozen writes a second, and callers bring 50. */
+/** A read that is as quick as usual.  When it takes longer, a part of the
+ * tables carries out fewer writes than callers bring. */
 #define WATCH_STORE_USUAL (40 * GB_MSEC)
 /** What is known of the store is this old at the most. */
 #define WATCH_STORE_KNOWN (400 * GB_MSEC)
@@ -78,7 +77,7 @@
 #define WATCH_SERVED (250 * GB_MSEC)
 /** Successors that look whether they have the store when the owner has not. */
 #define WATCH_DOUBTERS 3
-/** Head start of larger nodes: a claim takes about 30 ms. */
+/** Head start of larger nodes: longer than a claim takes. */
 #define WATCH_DEFER (400 * GB_MSEC)
 #define CORE_MILLI 1000
 /** Members have this long to say whether they hear the owner. */
@@ -186,8 +185,8 @@
 	return (gb_time)(gb_random_next(&w->seed) % WATCH_SPREAD);
 }
 
-/** A small node leaves the pool to a larger one: the owner's work takes about
- * a fifth of a core at 350 workers. */
+/** A small node leaves the pool to a larger one, which has more for the owner's
+ * work. */
 static gb_time
 watch_deference(const struct watch *w)
 {
--- a/libgooseberry/pool/load.c
+++ b/libgooseberry/pool/load.c
@@ -3,10 +3,9 @@
  * Reading what is stored of a part: its states, its flows, the workers that may
  * run something of them, and flows that were stored without an owner.
  *
- * Load: a link of 0.5 Mbit/s carries forty flows a second.  The pages that are
- * asked for at once are as many and as large as the link takes in a moment, so
- * that no answer comes too late to count, and what members ask meanwhile is
- * answered.
+ * Load: a link that takes seconds for what is stored.  The pages that are asked
+ * for at once are as many and as large as it takes in a moment, so that no
+ * answer comes too late to count, and what members ask meanwhile is answered.
  */
 #include <stdio.h>
 #include <stdlib.h>
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -3,12 +3,12 @@
  * State of a pool core, shared by the files that make it up.
  *
  * Calls go one way, from the top of this list to its end: pool.c, owner.c,
- * load.c, dispatch.c, advice.c, worker.c and life.c, flow.c, report.c and run.c
- * (which meet over the ends of runs), crash.c, health.c, worker_set.c,
- * writer.c, flow_state.c, call.c, org.c; then the decisions without side
- * effects: rank.c, fit.c, book.c, quota.c, contest.c, admit.c. preempt.c stands
- * between: it decides, and stops runs by way of run.c.  pace.c asks the node
- * how busy its link is.
+ * load.c, dispatch.c, advice.c, worker.c, listing.c and life.c, flow.c,
+ * report.c and run.c (which meet over the ends of runs), crash.c, health.c,
+ * worker_set.c, writer.c, flow_state.c, call.c, org.c; then the decisions
+ * without side effects: rank.c, fit.c, book.c, quota.c, contest.c, admit.c.
+ * preempt.c stands between: it decides, and stops runs by way of run.c.  pace.c
+ * asks the node how busy its link is.
  */
 #ifndef GB_POOL_STATE_H
 #define GB_POOL_STATE_H
@@ -690,6 +690,15 @@
 /** A life is over: no more of its ends can be acknowledged. */
 void pool_report_life_over(struct pool_worker *);
 
+/* listing.c */
+/** Take in an entry that is new or has changed. */
+void pool_worker_entry(struct gb_pool *, const struct gb_pool_entry *);
+/** The configuration has changed: which services it names. */
+void pool_workers_served(struct gb_pool *);
+/** Whether the list offers a worker for new work: its newest entry is sound,
+ * and names a service that there is. */
+bool pool_worker_offered(const struct pool_worker *);
+
 /* life.c */
 /** Fencing token of orders to a worker. */
 uint64_t pool_life_token(const struct gb_pool *, const struct pool_worker *);
@@ -730,12 +739,6 @@
 struct pool_worker *pool_worker_find(struct gb_pool *, const char *id);
 /** Longest lease that owners give. */
 gb_time pool_worker_lease_most(const struct gb_pool *);
-void pool_worker_entry(struct gb_pool *, const struct gb_pool_entry *);
-/** The configuration has changed: which services it names. */
-void pool_workers_served(struct gb_pool *);
-/** Whether the list offers a worker for new work: its newest entry is sound,
- * and names a service that there is. */
-bool pool_worker_offered(const struct pool_worker *);
 /** What is due of all workers, the one first that was left last. */
 void pool_workers_tick(struct gb_pool *);
 /** Add a worker of whom nothing is known but its entry. */
--- a/libgooseberry/pool/worker.c
+++ b/libgooseberry/pool/worker.c
@@ -16,16 +16,14 @@
 
 /** Lease given with each order and hold; as long as a worker grants, but no
  * longer than this: what a lost worker runs can start anew only after it, and
- * a takeover must come well before it (about 1.5 s). */
+ * a takeover must come well before it. */
 #define LEASE_MOST (3500 * GB_MSEC)
 /** Longest wait of a hold for an end: of a worker with work, so that progress
  * is seen and a lost answer is missed soon, and without. */
 #define HOLD_WAIT_BUSY (400 * GB_MSEC)
 #define HOLD_WAIT_IDLE (1800 * GB_MSEC)
 /** Where answers of workers were lost lately, a hold of one with work ends this
- * much after the next run is expected to, but is no shorter than the least:
- * where one answer in five is lost, 14 lookups of 100 are late instead of 27,
- * for 5% more looks (mean of 40 seeds, model). */
+ * much after the next run is expected to, but is no shorter than the least. */
 #define HOLD_PAST_END (60 * GB_MSEC)
 #define HOLD_WAIT_LEAST (150 * GB_MSEC)
 /** Answers that are lost come in spells of some seconds. */
@@ -34,8 +32,8 @@
  * look at a worker is paid for, and lets the store confirm these, since the
  * worker answers at once as long as one is not acknowledged. */
 #define HOLD_GAP (60 * GB_MSEC)
-/** Where workers are asked in turn, a busy one waits this much for each worker
- * there is: at 3,000 it is asked each 0.75 s, 4,000 calls a second in all. */
+/** Where workers are asked in turn, a busy one waits this much, in
+ * microseconds, for each worker there is, which bounds the calls of all. */
 #define HOLD_TURN 250
 /** Pause after a hold without answer, times the number of those before it: the
  * first is asked again at once, since ends may wait behind a lost answer. */
@@ -393,19 +391,6 @@
 	}
 }
 
-static void
-worker_rack(struct pool_worker *worker)
-{
-	uint32_t i;
-
-	worker->rack[0] = '\0';
-	for (i = 0; i < worker->entry.label_count; i++) {
-		if (strchr(worker->entry.label[i], '-') != NULL)
-			snprintf(worker->rack, sizeof(worker->rack), "%s",
-			    worker->entry.label[i]);
-	}
-}
-
 struct pool_worker *
 pool_worker_new(struct gb_pool *pool, const struct gb_pool_entry *entry)
 {
@@ -427,143 +412,6 @@
 	return worker;
 }
 
-const char *
-gb_pool_entry_fault_name(enum gb_pool_entry_fault fault)
-{
-	static const char *const names[GB_POOL_ENTRY_FAULTS] = {
-	    [GB_POOL_ENTRY_SOUND] = "sound",
-	    [GB_POOL_ENTRY_UNREADABLE] = "unreadable",
-	    [GB_POOL_ENTRY_INCOMPLETE] = "incomplete",
-	    [GB_POOL_ENTRY_RANGE] = "out_of_range",
-	    [GB_POOL_ENTRY_STATE] = "unknown_state"};
-
-	return names[fault];
-}
-
-bool
-pool_worker_offered(const struct pool_worker *worker)
-{
-	return worker->listed && worker->served &&
-	       worker->entry.fault == GB_POOL_ENTRY_SOUND;
-}
-
-static bool
-worker_served(const struct gb_pool *pool, const struct pool_worker *worker)
-{
-	return pool->config == NULL ||
-	       gb_pool_config_serves(pool->config, worker->entry.service);
-}
-
-void
-pool_workers_served(struct gb_pool *pool)
-{
-	uint32_t i;
-
-	for (i = 0; i < pool->worker_count; i++)
-		pool->workers[i]->served =
-		    worker_served(pool, pool->workers[i]);
-}
-
-/** The entry of a worker can't be used.  What is known of the worker stands:
- * what it runs goes on under its lease, and its ends are taken note of. */
-static void
-entry_refused(struct gb_pool *pool, struct pool_worker *worker,
-    const struct gb_pool_entry *entry)
-{
-	bool news = worker == NULL || worker->entry.fault != entry->fault;
-
-	pool->stats.entry_faults[entry->fault]++;
-	if (news)
-		gb_event(pool->cfg.events, GB_EVENT_NORMAL, "worker_entry_bad",
-		    "{s:s, s:s, s:b, s:I}", "worker", entry->id, "why",
-		    gb_pool_entry_fault_name(entry->fault), "known",
-		    worker != NULL, "runs",
-		    (json_int_t)(worker == NULL ? 0 : worker->run_count));
-	if (worker == NULL)
-		return;
-	worker->entry.fault = entry->fault;
-	worker->listed = true;
-}
-
-/** One lifetime of a worker has one address: another one in its entry is
- * believed only while nothing can run there, since an answer from elsewhere
- * would say that the lifetime is over. */
-static void
-entry_moved(struct gb_pool *pool, struct pool_worker *worker,
-    struct gb_pool_entry *entry)
-{
-	bool believed = (!worker->fenced && pool_owner_settled(pool)) ||
-			pool_life_may_move(pool, worker, entry);
-
-	if (strcmp(worker->entry.addr, entry->addr) == 0)
-		return;
-	gb_event(pool->cfg.events, GB_EVENT_NORMAL, "worker_entry_moved",
-	    "{s:s, s:s, s:s, s:b}", "worker", entry->id, "from",
-	    worker->entry.addr, "to", entry->addr, "believed", believed);
-	if (!believed) {
-		snprintf(
-		    entry->addr, sizeof(entry->addr), "%s", worker->entry.addr);
-		return;
-	}
-	/* Who answered or kept silent at the other address was somebody else.
-	 */
-	worker->over = false;
-	worker->silent = 0;
-	worker->hold_at = pool->now;
-}
-
-void
-pool_worker_entry(struct gb_pool *pool, const struct gb_pool_entry *listed)
-{
-	struct pool_worker *worker = pool_worker_find(pool, listed->id);
-	struct gb_pool_entry copy = *listed;
-	struct gb_pool_entry *entry = &copy;
-
-	if (entry->fault != GB_POOL_ENTRY_SOUND) {
-		entry_refused(pool, worker, entry);
-		return;
-	}
-	if (worker == NULL && entry->removed)
-		return;
-	if (worker != NULL && !entry->removed) {
-		pool_life_entry(pool, worker, entry);
-		entry_moved(pool, worker, entry);
-	}
-	if (worker == NULL) {
-		/* An older lifetime at this address may be listed later than a
-		 * newer one: only the worker's own answer proves it over. */
-		worker = pool_worker_new(pool, entry);
-		gb_event(pool->cfg.events, GB_EVENT_NORMAL, "worker_listed",
-		    "{s:s, s:I, s:s, s:s, s:I}", "worker", entry->id, "life",
-		    (json_int_t)entry->life, "addr", entry->addr, "dc",
-		    entry->dc, "cpu", (json_int_t)entry->capacity.cpu);
-	} else if (entry->removed) {
-		worker->listed = false;
-		gb_event(pool->cfg.events, GB_EVENT_ALWAYS, "worker_unlisted",
-		    "{s:s, s:I}", "worker", entry->id, "runs",
-		    (json_int_t)worker->run_count);
-		return;
-	}
-	if (entry->draining && !worker->entry.draining)
-		gb_event(pool->cfg.events, GB_EVENT_ALWAYS, "worker_draining",
-		    "{s:s, s:I}", "worker", entry->id, "runs",
-		    (json_int_t)worker->run_count);
-	if (entry->life != worker->entry.life)
-		gb_event(pool->cfg.events, GB_EVENT_NORMAL, "worker_entry_life",
-		    "{s:s, s:I, s:I, s:I}", "worker", entry->id, "life",
-		    (json_int_t)entry->life, "before",
-		    (json_int_t)worker->entry.life, "runs",
-		    (json_int_t)worker->run_count);
-	worker->entry = *entry;
-	if (pool_life_listed(worker))
-		worker->leaving = entry->draining;
-	worker->listed = true;
-	worker->served = worker_served(pool, worker);
-	pool_worker_set_want(pool, worker);
-	worker_rack(worker);
-	pool->work_changed = true;
-}
-
 /** A new term: nothing is known of what the workers run. */
 void
 pool_workers_reset(struct gb_pool *pool)
