--- a/libgooseberry/pool/listing.c
+++ b/libgooseberry/pool/listing.c
@@ -1,7 +1,7 @@
 /**
  * @file listing.c
- * Workers as the platform's list names them: entries that are new, change, can't
- * be used, or go.
+ * Workers as the platform's list names them: entries that are new, change,
+ * can't be used, or go.
  */
 #include <stdio.h>
 #include <string.h>
--- a/libgooseberry/pool/pool.c
+++ b/libgooseberry/pool/pool.c
@@ -62,7 +62,7 @@
 	{
 		pool_flow_free(pool, flow);
 	}
-	pool_load_reset(pool);
+	pool_pages_reset(pool);
 	pool_advice_reset(pool);
 	pool_writer_reset(pool);
 	pool_workers_free(pool);
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -3,7 +3,7 @@
  * State of a pool core, shared by the files that make it up.
  *
  * Calls go one way, from the top of this list to its end: pool.c, owner.c,
- * load.c, dispatch.c, advice.c, worker.c, listing.c and life.c, flow.c,
+ * load.c, page.c, dispatch.c, advice.c, worker.c, listing.c and life.c, flow.c,
  * report.c and run.c (which meet over the ends of runs), crash.c, health.c,
  * worker_set.c, writer.c, flow_state.c, call.c, org.c; then the decisions
  * without side effects: rank.c, fit.c, book.c, quota.c, contest.c, admit.c.
@@ -840,11 +840,30 @@
 /** The rival if it is newer than this owner, else one without an epoch. */
 struct pool_rival pool_rival_newer(const struct gb_pool *);
 
+/* page.c */
+/** Read a page of a part, with from <= key < to, when the link takes it. */
+void pool_page_add(struct gb_pool *, enum pool_call_kind, uint32_t part,
+    enum gb_pool_table, const char *from, const char *to);
+/** Send what the link takes. */
+void pool_pages_next(struct gb_pool *);
+/** Take the page of an answer out of those that were sent; null if it is not
+ * among them. */
+struct pool_page *pool_page_answered(
+    struct gb_pool *, const struct pool_call *);
+/** Ask for a page without an answer again, with fewer rows, if it may just have
+ * been too large; false when it may not. */
+bool pool_page_again(
+    struct gb_pool *, struct pool_page *, const struct gb_pool_read_res *);
+void pool_page_free(struct gb_pool *, struct pool_page *);
+/** Learn how large the rows of a table are. */
+void pool_page_learn(
+    struct gb_pool *, enum gb_pool_table, const struct gb_pool_read_res *);
+/** Nothing that was to be read is read any more. */
+void pool_pages_reset(struct gb_pool *);
+
 /* load.c */
 enum pool_load { POOL_LOAD_GOES_ON, POOL_LOAD_DONE, POOL_LOAD_FAILED };
 
-/** Nothing that was to be read is read any more. */
-void pool_load_reset(struct gb_pool *);
 /** Read what is stored of a part. */
 void pool_load_begin(struct gb_pool *, uint32_t part);
 enum pool_load pool_load_done(struct gb_pool *, const struct pool_call *,
--- a/soak/bites.sh
+++ b/soak/bites.sh
@@ -68,7 +68,7 @@
     's/if (suspect->alone \&\&/if (false \&\&/; s/return suspect->crashes >= (sure.*/return sure \&\& false;/'
 breakage "whoever stands on a worker that crashes is failed" $P/crash.c \
     's/return suspect->crashes >= (sure.*/return sure || suspect->crashes > 0;/'
-breakage "room that has shrunk is not looked at" $P/worker.c \
+breakage "room that has shrunk is not looked at" $P/listing.c \
     '/"worker_draining"/,/listed = true/s/worker->entry = \*entry;/entry->capacity = worker->entry.capacity; &/'
 breakage "keys are not looked at" libgooseberry/node/caller.c \
     's/return out->org == NULL ? GB_CALLER_UNKNOWN : GB_CALLER_KNOWN;/return GB_CALLER_KNOWN;/'
