Holds reach workers whose connections end with each call

Found while reading the fix over: where a connection to a worker never stands for two calls, and the owner's process runs rarely (a tenth of a second between turns), every hold was a mere question: no lease was renewed and no end acknowledged. After two such answers in a row the next hold is sent whole. test_connections_that_end_with_each_call failed before.

--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -266,9 +266,10 @@
 	gb_time reported;   /**< when the newest hold with an answer was sent */
 	uint64_t hold_call;
 	gb_time hold_sent;
-	gb_time hold_at;      /**< next hold */
-	gb_time answered;     /**< last hold that was answered */
-	unsigned int silent;  /**< holds without answer in a row */
+	gb_time hold_at;	/**< next hold */
+	gb_time answered;	/**< last hold that was answered */
+	unsigned int silent;	/**< holds without answer in a row */
+	unsigned int questions; /**< answers in a row to mere questions */
 	gb_time missed;	      /**< when the first of the newest of these was */
 	int64_t clock_ms;     /**< its clock in the last answer */
 	gb_time clock_at;     /**< when that answer came */
--- a/libgooseberry/pool/worker.c
+++ b/libgooseberry/pool/worker.c
@@ -43,6 +43,9 @@
 #define HOLD_RENEW_TRIES 2
 /** A worker that answered so short a time ago has not started again since. */
 #define HOLD_PROOF (20 * GB_MSEC)
+/** Answers to mere questions in a row after which that is not waited for:
+ * connections to the worker may never stand for two calls. */
+#define HOLD_QUESTIONS 2
 /** A worker that is not listed is asked this often before it is left alone: its
  * entry may come back for 2 s after an outage of the store. */
 #define HOLD_UNLISTED_TRIES 8
@@ -261,6 +264,7 @@
 		pool->work_changed = true;
 	worker->fenced = true;
 	worker->reported = call->sent;
+	worker->questions = report->question ? worker->questions + 1 : 0;
 	worker->hold_at =
 	    pool->now +
 	    (report->question ? 0 : hold_pause(pool, worker, ended));
@@ -310,7 +314,8 @@
 	hold.cursor = worker->acked;
 	hold.life = worker->life;
 	hold.sure = pool_life_sure(worker) &&
-		    pool->now - worker->answered <= HOLD_PROOF;
+		    (pool->now - worker->answered <= HOLD_PROOF ||
+			worker->questions >= HOLD_QUESTIONS);
 	call->token = hold.token;
 	call->lease = hold.lease_end_ms != 0;
 	if (worker->fenced && worker->silent == 0 && !worker->doubt &&
--- a/tests/pool_cell.c
+++ b/tests/pool_cell.c
@@ -27,6 +27,7 @@
 #define CELL_HOLD_MARGIN (200 * GB_MSEC)
 #define CELL_LATE (2 * GB_SEC)
 #define CELL_LIST (500 * GB_MSEC)
+#define CELL_RARE (100 * GB_MSEC)
 /** Bytes of messages beside what varies: headers, names and numbers. */
 #define CELL_HEAD 220
 #define CELL_START 440
@@ -499,7 +500,7 @@
 	/* They count when the hold comes, not while it waits. */
 	event->hold.cursor = 0;
 	event->hold.lease_end_ms = 0;
-	if (report->status == GB_POOL_ORDER_DONE)
+	if (report->status == GB_POOL_ORDER_DONE && !cell->closes)
 		*known_process(cell, event) = process;
 }
 
@@ -913,8 +914,10 @@
 		cell_members(cell);
 	}
 	events_run(cell);
-	for (i = 0; i < CELL_NODES; i++)
-		gb_pool_tick(cell->nodes[i], cell->now, cell->now);
+	for (i = 0; i < CELL_NODES; i++) {
+		if (!cell->closes || cell->now % CELL_RARE == 0)
+			gb_pool_tick(cell->nodes[i], cell->now, cell->now);
+	}
 }
 
 void
--- a/tests/pool_cell.h
+++ b/tests/pool_cell.h
@@ -81,6 +81,8 @@
 	struct gb_pool_org orgs[CELL_ORGS];
 	size_t org_count;
 	gb_time part_free[GB_POOL_PARTS]; /**< when its writes are over */
+	/** Connections to workers end with each call, and nodes tick rarely. */
+	bool closes;
 	/** Processes of workers that nodes have connections to, by number. */
 	unsigned int (*known)[CELL_KNOWN];
 	unsigned int starts;
--- a/tests/test_restarts.c
+++ b/tests/test_restarts.c
@@ -294,6 +294,28 @@
 	pool_cell_free(cell);
 }
 
+/** Leases are renewed and ends acknowledged also where no connection to a
+ * worker stands for two calls, and the owner has little processor. */
+static void
+test_connections_that_end_with_each_call(void **state)
+{
+	struct pool_cell *cell = pool_cell_new(&plain);
+	unsigned int i;
+
+	(void)state;
+	cell->closes = true;
+	pool_cell_take(cell, 0);
+	pool_cell_run(cell, GB_SEC);
+	for (i = 0; i < 10; i++) {
+		pool_cell_step(cell, 4, 1400, 8 * GB_SEC, 0, -1);
+		pool_cell_submit(cell, "import", "ms=8000");
+	}
+	pool_cell_run(cell, 14 * GB_SEC);
+	assert_done_once(cell);
+	assert_int_equal(gb_pool_stats(cell->nodes[0])->lapsed, 0);
+	pool_cell_free(cell);
+}
+
 /** Workers start again under their ids while orders and holds are lost, come
  * late, owners die and the time of day jumps. */
 static void
@@ -318,6 +340,7 @@
 	    cmocka_unit_test(test_an_id_that_was_over_is_used_again),
 	    cmocka_unit_test(test_workers_that_do_not_tell_their_start),
 	    cmocka_unit_test(test_entries_alone_tell_of_a_restart),
+	    cmocka_unit_test(test_connections_that_end_with_each_call),
 	    cmocka_unit_test(test_random_faults_and_restarts),
 	};
 
