Members refuse what the owner's link has no room for, before they send it

Flows came over the owner's link before it refused them: with callers' retries 37 KB/s, beside 28 of the list of workers and 15 of hellos, on a link of 62. Answers to looks came too late, their connections were replaced (120 a second), leases and hellos waited, and the owner was deposed at 4.9 s, though its row was renewed.

Change: an owner that receives over 0.97 of what its link takes tells members, in its answers to hellos, a share of the new flows to refuse at once, by their ids; it grows by a quarter of what is left each 0.25 s and shrinks slowly. What the owner may have got already is sent on. The field stands last, and answers of older programs are read. What the owner itself reads does not count, since it yields to the rest.

--- a/libgooseberry/connection/rpc_method.c
+++ b/libgooseberry/connection/rpc_method.c
@@ -8,6 +8,16 @@
 	[num] = {num, label, (xdrproc_t)xdr_##in, sizeof(in), \
 	    (xdrproc_t)xdr_##out, sizeof(out)}
 
+/** Answers of programs that turn nothing away end before their last field. */
+static bool_t
+hello_res_code(XDR *xdrs, gb_hello_res *res)
+{
+	if (xdr_gb_hello_res(xdrs, res))
+		return TRUE;
+	res->shed = 0;
+	return xdrs->x_op == XDR_DECODE && xdrs->x_handy == 0;
+}
+
 const struct gb_rpc_method gb_rpc_methods[GB_PROCS] = {
     METHOD(GB_PROC_TXN, "txn", gb_txn, gb_txn_res),
     METHOD(GB_PROC_SCAN, "scan", gb_scan, gb_scan_res),
@@ -22,7 +32,8 @@
     METHOD(GB_PROC_LEND, "lend", gb_lend, gb_loan),
     METHOD(GB_PROC_FLOW_SUBMIT, "flow_submit", gb_flow_submit, gb_flow_answer),
     METHOD(GB_PROC_FLOW_ASK, "flow_ask", gb_flow_ask, gb_flow_answer),
-    METHOD(GB_PROC_HELLO, "hello", gb_hello, gb_hello_res),
+    [GB_PROC_HELLO] = {GB_PROC_HELLO, "hello", (xdrproc_t)xdr_gb_hello,
+	sizeof(gb_hello), (xdrproc_t)hello_res_code, sizeof(gb_hello_res)},
     METHOD(GB_PROC_ADVISE, "advise", gb_advice_ask, gb_advice_res),
     METHOD(GB_PROC_SUCCEED, "succeed", gb_succeed, gb_succeed_res),
     METHOD(GB_PROC_CONFIG, "config", gb_config_news, gb_config_news_res),
--- a/libgooseberry/gen/proto.c
+++ b/libgooseberry/gen/proto.c
@@ -1270,6 +1270,8 @@
 			 return FALSE;
 		 if (!xdr_gb_body (xdrs, &objp->config_text))
 			 return FALSE;
+		 if (!xdr_uint32_t (xdrs, &objp->shed))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
@@ -1311,6 +1313,8 @@
 			 return FALSE;
 		 if (!xdr_gb_body (xdrs, &objp->config_text))
 			 return FALSE;
+		 if (!xdr_uint32_t (xdrs, &objp->shed))
+			 return FALSE;
 	 return TRUE;
 	}
 
@@ -1345,6 +1349,8 @@
 		 return FALSE;
 	 if (!xdr_gb_body (xdrs, &objp->config_text))
 		 return FALSE;
+	 if (!xdr_uint32_t (xdrs, &objp->shed))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/libgooseberry/gen/proto.h
+++ b/libgooseberry/gen/proto.h
@@ -719,6 +719,7 @@
 	uint32_t ranked;
 	uint64_t config;
 	gb_body config_text;
+	uint32_t shed;
 };
 typedef struct gb_hello_res gb_hello_res;
 
--- a/libgooseberry/gen/proto.x
+++ b/libgooseberry/gen/proto.x
@@ -602,6 +602,8 @@
 	uint32_t ranked;	/* members that have a rank */
 	uint64_t config;
 	gb_body config_text;	/* empty unless the caller's is older */
+	uint32_t shed;		/* percent of new flows to turn away, of the
+				 * owner; older programs end before it */
 };
 
 /* The owner asks a member to take the pool over from it. */
--- a/libgooseberry/node/intake.c
+++ b/libgooseberry/node/intake.c
@@ -32,6 +32,8 @@
 /** A look at the store that takes longer says that it is slow for everybody: a
  * write would come too late. */
 #define LOOK_QUICK (40 * GB_MSEC)
+/** Time to come back after a refusal for want of room on the owner's link. */
+#define SHED_RETRY (2 * GB_SEC)
 /** Nobody has served for so long: it is not just a takeover. */
 #define BUDGET_AFTER (1500 * GB_MSEC)
 /** What was not stored meanwhile is made up for within this. */
@@ -429,6 +431,26 @@
 	}
 }
 
+/** Whether the owner has no room for a flow on its link.  One that it may have
+ * got already is asked about. */
+static bool
+intake_shed(const struct intake *in)
+{
+	return in->submit != NULL && !in->maybe &&
+	       shed_refuses(in->node->shed_told, in->submit->flow.id);
+}
+
+static void
+intake_refuse_for_link(struct intake *in)
+{
+	gb_flow_answer answer = {0};
+
+	answer.verdict = GB_FLOW_REFUSED;
+	answer.retry_after_us = SHED_RETRY;
+	in->node->sheds++;
+	intake_finish(in, &answer);
+}
+
 static void
 intake_try(struct intake *in, gb_time now)
 {
@@ -442,6 +464,8 @@
 	in->out = true;
 	if (gb_pool_owns(node->pool)) {
 		intake_local(in);
+	} else if (owner && !silent && !reads && intake_shed(in)) {
+		intake_refuse_for_link(in);
 	} else if (owner && !silent && !reads) {
 		intake_remote(in, in->deadline - now);
 	} else if (in->submit != NULL && node_store_out(node)) {
--- a/libgooseberry/node/node.c
+++ b/libgooseberry/node/node.c
@@ -28,6 +28,8 @@
  * is given beside its own wait, and free again below the other. */
 #define LINK_FULL (200 * GB_MSEC)
 #define LINK_FREE (20 * GB_MSEC)
+/** Headers of TCP and IP of an answer, and of what acknowledges a request. */
+#define LINK_ANSWER_HEAD 80
 /** A call of advice by way of a member. */
 #define ADVISE_TIMEOUT (3 * GB_SEC)
 
@@ -502,6 +504,36 @@
 	}
 }
 
+/** Bytes that were received, with the headers of the network, but for what an
+ * owner reads: it asks for no more than the link has room for. */
+static uint64_t
+link_received(const struct gb_link *link)
+{
+	uint64_t bytes = 0;
+	unsigned int i;
+
+	for (i = 0; i < GB_TRAFFIC_KINDS; i++) {
+		const struct gb_traffic *kind = gb_link_traffic(link, i);
+
+		if (i != GB_TRAFFIC_STORE_READ)
+			bytes += kind->in + kind->sent * LINK_ANSWER_HEAD;
+	}
+	return bytes;
+}
+
+/** The owner tells members how much of what callers send they keep from it. */
+static void
+link_shed(struct gb_node *node)
+{
+	const struct gb_link *link = gb_env_link(node->env);
+
+	if (!gb_pool_owns(node->pool) || !NODE_USES(node, GB_MECH_PACE))
+		memset(&node->shed, 0, sizeof(node->shed));
+	else if (gb_link_rate(link) > 0)
+		shed_tick(&node->shed, node_now(), link_received(link),
+		    gb_link_rate(link));
+}
+
 /** Tell when the link is busy for long, and with what, and when it is not. */
 static void
 link_look(struct gb_node *node)
@@ -540,6 +572,7 @@
 	store_probe(node);
 	intake_tick(node);
 	link_look(node);
+	link_shed(node);
 	busy = gb_pool_owns(node->pool) || gb_pool_taking(node->pool) ||
 	       !TAILQ_EMPTY(&node->intakes) || node->leaving;
 	if (busy == node->busy_tick)
--- a/libgooseberry/node/node_state.h
+++ b/libgooseberry/node/node_state.h
@@ -12,6 +12,7 @@
 
 #include "node.h"
 #include "sight.h"
+#include "shed.h"
 #include "watch.h"
 
 /** Marks calls of the node itself among those of the pool core. */
@@ -102,6 +103,10 @@
 	struct watch watch;
 	struct sight sight;
 	uint64_t incarnation;
+	struct shed shed; /**< while this node owns the pool */
+	uint64_t sheds;	  /**< flows that were turned away for it */
+	uint32_t
+	    shed_told;	/**< the share that the owner has told, in percent */
 	int64_t budget; /**< bytes of flows that may be stored for an owner */
 	gb_time budget_at;
 	uint32_t cpu_milli; /**< processor of this node */
--- a/libgooseberry/node/peers.c
+++ b/libgooseberry/node/peers.c
@@ -179,6 +179,7 @@
 	news.store_silent = res->store_silent_us;
 	news.largest_milli = res->largest_milli;
 	news.place = place_learn(node, res);
+	node->shed_told = res->shed;
 	config_tell(node, res, res->rank);
 	watch_heard(&node->watch, now, &news);
 }
@@ -318,6 +319,7 @@
 		res.store_silent_us = gb_pool_store_silent(node->pool, now);
 		res.store_out = NODE_USES(node, GB_MECH_DOUBT) &&
 				gb_pool_store_out(node->pool);
+		res.shed = node->shed.percent;
 	}
 	res.config = node->config == NULL ? 0 : node->config->version;
 	if (config_push(node, hello)) {
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -590,6 +590,63 @@
 	assert_int_equal(accepted, 1);
 }
 
+/** What the owner's link has no room for is refused by the members, at once,
+ * before it is sent; what the owner may have got already is not. */
+static void
+test_members_refuse_what_the_owner_has_no_room_for(void **state)
+{
+	struct cell *cell = cell_begin();
+	unsigned int owner;
+	unsigned int other;
+	unsigned int refused = 0;
+	unsigned int i;
+
+	(void)state;
+	cell_settle(cell);
+	owner = cell_owner(cell);
+	other = (owner + 1) % NODES;
+	/* The owner's own account, which counts only with a link. */
+	cell->nodes[other]->shed_told = 100;
+	cell_submit(cell, other, "00000000000000c0");
+	assert_int_equal(cell->answer.verdict, GB_FLOW_REFUSED);
+	assert_true(cell->answer.retry_after_us > 0);
+	assert_int_equal(cell->nodes[other]->sheds, 1);
+	/* The next hello tells that there is room. */
+	cell_run(cell, GB_SEC);
+	for (i = 1; i < 5; i++) {
+		char id[32];
+
+		snprintf(id, sizeof(id), "00000000000000c%u", i);
+		cell_submit(cell, other, id);
+		refused += cell->answer.verdict == GB_FLOW_REFUSED;
+	}
+	assert_int_equal(refused, 0);
+}
+
+/** Answers to hellos of programs before this field are read. */
+static void
+test_older_answers_to_hellos_are_read(void **state)
+{
+	const struct gb_rpc_method *method = &gb_rpc_methods[GB_PROC_HELLO];
+	char none[] = "";
+	gb_hello_res written = {.owner_addr = none, .epoch = 7, .shed = 40};
+	gb_hello_res read = {0};
+	gb_body body;
+
+	(void)state;
+	assert_true(gb_xdr_encode(method->res, &written, &body));
+	assert_true(gb_xdr_decode(method->res, &body, &read));
+	assert_int_equal(read.shed, 40);
+	xdr_free(method->res, (char *)&read);
+	memset(&read, 0, sizeof(read));
+	body.gb_body_len -= BYTES_PER_XDR_UNIT;
+	assert_true(gb_xdr_decode(method->res, &body, &read));
+	assert_int_equal(read.epoch, 7);
+	assert_int_equal(read.shed, 0);
+	xdr_free(method->res, (char *)&read);
+	free(body.gb_body_val);
+}
+
 /** When the store turns all away, a flow is refused, with a time to come back,
  * and never with an answer that leaves open whether it was taken. */
 static void
@@ -1011,6 +1068,9 @@
 	    cmocka_unit_test(test_flows_are_kept_from_an_owner_that_reads),
 	    cmocka_unit_test(
 		test_thin_link_bounds_what_is_stored_without_an_owner),
+	    cmocka_unit_test(
+		test_members_refuse_what_the_owner_has_no_room_for),
+	    cmocka_unit_test(test_older_answers_to_hellos_are_read),
 	    cmocka_unit_test(test_nobody_can_store),
 	    cmocka_unit_test(test_leaving_owner_serves_until_it_is_succeeded),
 	    cmocka_unit_test(
