A node that owned the pool was not without an owner; a share to refuse ends with its owner

Found on reading the diff: after it lost the pool a node counted itself as unserved since it had last heard another owner, and bounded what it stores at once; and the share that an owner told was held while its successor was reading. test_former_owner_was_served failed before.

--- a/libgooseberry/node/node.c
+++ b/libgooseberry/node/node.c
@@ -469,6 +469,8 @@
 	enum contest_cause cause;
 	uint64_t epoch;
 
+	if (gb_pool_owns(node->pool))
+		watch_served(&node->watch, node_now());
 	if (gb_pool_owns(node->pool) || gb_pool_taking(node->pool)) {
 		if (!gb_pool_owns(node->pool))
 			return;
--- a/libgooseberry/node/peers.c
+++ b/libgooseberry/node/peers.c
@@ -164,6 +164,7 @@
 	sight_hello_answered(node);
 	config_learn(node, res);
 	if (res->taking) {
+		node->shed_told = 0;
 		watch_taking(&node->watch, now);
 		return;
 	}
--- a/libgooseberry/node/watch.c
+++ b/libgooseberry/node/watch.c
@@ -132,6 +132,13 @@
 	return w->taking_since != 0 && now - w->taking_since > WATCH_READS;
 }
 
+void
+watch_served(struct watch *w, gb_time now)
+{
+	w->served = now;
+	w->taking_since = 0;
+}
+
 gb_time
 watch_unserved(const struct watch *w, gb_time now)
 {
@@ -432,8 +439,7 @@
 	    now + (news->place.rank < WATCH_DOUBTERS ? WATCH_HELLO_FIRST
 						     : WATCH_HELLO_EVERY);
 	watch_trust(w, now);
-	w->served = now;
-	w->taking_since = 0;
+	watch_served(w, now);
 	if (news->epoch > w->epoch) {
 		w->epoch = news->epoch;
 		w->owner_since = now;
--- a/libgooseberry/node/watch.h
+++ b/libgooseberry/node/watch.h
@@ -131,6 +131,8 @@
 /** Whether the owner is still reading what is stored, for longer than that
  * takes where the link is no matter: it can't take anything in yet. */
 bool watch_owner_reads(const struct watch *, gb_time now);
+/** This node owns the pool. */
+void watch_served(struct watch *, gb_time now);
 /** How long nobody has answered as the owner. */
 gb_time watch_unserved(const struct watch *, gb_time now);
 /** How long the owner was not heard while this process could have heard it. */
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -590,6 +590,21 @@
 	assert_int_equal(accepted, 1);
 }
 
+/** A node that owned the pool itself has not been without an owner. */
+static void
+test_former_owner_was_served(void **state)
+{
+	struct cell *cell = cell_begin();
+	struct gb_node *owner;
+
+	(void)state;
+	cell_settle(cell);
+	owner = cell->nodes[cell_owner(cell)];
+	owner->watch.served = 0;
+	cell_run(cell, 100 * GB_MSEC);
+	assert_true(watch_unserved(&owner->watch, gb_clock_boot()) < GB_SEC);
+}
+
 /** What the owner's link has no room for is refused by the members, at once,
  * before it is sent; what the owner may have got already is not. */
 static void
@@ -1068,6 +1083,7 @@
 	    cmocka_unit_test(test_flows_are_kept_from_an_owner_that_reads),
 	    cmocka_unit_test(
 		test_thin_link_bounds_what_is_stored_without_an_owner),
+	    cmocka_unit_test(test_former_owner_was_served),
 	    cmocka_unit_test(
 		test_members_refuse_what_the_owner_has_no_room_for),
 	    cmocka_unit_test(test_older_answers_to_hellos_are_read),
