--- a/libgooseberry/pool.h
+++ b/libgooseberry/pool.h
@@ -193,7 +193,7 @@
 
 enum gb_pool_order_status {
 	GB_POOL_ORDER_DONE,
-	GB_POOL_ORDER_FENCED, /**< the worker knows a newer owner */
+	GB_POOL_ORDER_FENCED, /**< the worker knows a newer fencing token */
 	GB_POOL_ORDER_OLD,    /**< such a run has ended or been stopped */
 	GB_POOL_ORDER_LATE,   /**< its lease would have lapsed already */
 	GB_POOL_ORDER_NO_ROOM,
--- a/libgooseberry/pool/owner.c
+++ b/libgooseberry/pool/owner.c
@@ -5,7 +5,7 @@
  * Each part of the tables has an owner's row that names an epoch; taking a part
  * is a compare-and-set of that row, and every write to the part is bound to it.
  * A node owns the pool once it holds the rows of most parts under one epoch,
- * which is also the fencing token of the workers: any two majorities share a
+ * from which the workers' fencing tokens are made: any two majorities share a
  * part, so that no two nodes own the pool under the same epoch, and a claim
  * that has read most rows knows of every epoch that was ever in force.  Parts
  * that the store does not serve are attached when it serves them again;
