--- a/libgooseberry/node/watch.c
+++ b/libgooseberry/node/watch.c
@@ -390,7 +390,7 @@
 		watch_vacate(w, now,
 		    addr[0] == '\0' ? WATCH_CAUSE_NO_ROW : WATCH_CAUSE_OWN_ROW);
 		/* This node owned the pool before its restart, and the others
-		 * turn to it first: after a loss of all it saves 0.25 s. */
+		 * turn to it first. */
 		if (addr[0] != '\0')
 			w->take_at = now;
 		return;
