Log what uses a link, in both directions

Cause: on a thin link the log said that the link was full, but not of what, and what is received was only counted in total; so it could not be told whether starts, the list of workers, hellos or reads of a takeover take the link. Change: a line link_traffic, each 2 s while over half of the link is used, has the bytes of each kind in both directions; the utilisation of the receiving direction is averaged like that of the sending one. Both are in node/link_monitor.c with the lines link_full and link_free.

--- a/libgooseberry/connection/rpc_client.c
+++ b/libgooseberry/connection/rpc_client.c
@@ -146,7 +146,7 @@
 	HASH_FIND(hh, client->pending, &xid, sizeof(xid), call);
 	if (call == NULL)
 		return true;
-	gb_link_count_received(gb_env_link(client->env),
+	gb_link_count_received(gb_env_link(client->env), gb_clock_boot(),
 	    GB_TRAFFIC_RPC + call->proc, len + RPC_MARK_LEN);
 	method = &gb_rpc_methods[call->proc];
 	res = gb_calloc(1, method->res_size);
--- a/libgooseberry/connection/rpc_server.c
+++ b/libgooseberry/connection/rpc_server.c
@@ -165,6 +165,7 @@
 		reply_send(conn, msg.rm_xid, 0, PROC_UNAVAIL, empty_code, NULL);
 	} else {
 		gb_link_count_received(gb_env_link(conn->server->env),
+		    gb_clock_boot(),
 		    GB_TRAFFIC_RPC + (unsigned int)msg.rm_call.cb_proc,
 		    len + RPC_MARK_LEN);
 		call_serve(
--- a/libgooseberry/gooseberry.h
+++ b/libgooseberry/gooseberry.h
@@ -616,13 +616,16 @@
 void gb_link_count_sent(
     struct gb_link *, gb_time now, unsigned int kind, size_t bytes);
 /** Count bytes received; nothing is done when the link is null. */
-void gb_link_count_received(struct gb_link *, unsigned int kind, size_t bytes);
+void gb_link_count_received(
+    struct gb_link *, gb_time now, unsigned int kind, size_t bytes);
 /** Bandwidth in bytes a second, 0: unlimited. */
 uint64_t gb_link_rate(const struct gb_link *);
 /** Time until the link has sent what was counted so far, at its bandwidth. */
 gb_time gb_link_backlog(const struct gb_link *, gb_time now);
-/** Fraction of the bandwidth in use, averaged over about a second. */
+/** Fraction of the bandwidth in use to send, averaged over about a second. */
 double gb_link_utilisation(const struct gb_link *);
+/** The same for what is received. */
+double gb_link_received_utilisation(const struct gb_link *);
 const struct gb_traffic *gb_link_traffic(
     const struct gb_link *, unsigned int kind);
 const char *gb_traffic_name(unsigned int kind);
--- a/libgooseberry/node/node.c
+++ b/libgooseberry/node/node.c
@@ -27,11 +27,6 @@
 #define FILES_RESERVED 900
 /** Callers are answered this long before a stopping process would be killed. */
 #define LEAVE_MARGIN (1200 * GB_MSEC)
-/** The link counts as full when sent bytes wait for longer than this.  Timeouts
- * of heartbeats allow for such a wait. */
-#define LINK_FULL_DELAY (200 * GB_MSEC)
-/** A full link counts as free again when the wait is at most this. */
-#define LINK_FREE_DELAY (20 * GB_MSEC)
 /** TCP and IP headers of an answer and of the acknowledgement of a request. */
 #define LINK_HEADER_BYTES 80
 /** Timeout of a call to the advice service through a member. */
@@ -184,6 +179,8 @@
 	link->queued = gb_link_backlog(gb_env_link(node->env), node_now());
 	link->bytes_per_s = gb_link_rate(gb_env_link(node->env));
 	link->use = gb_link_utilisation(gb_env_link(node->env));
+	link->use_received =
+	    gb_link_received_utilisation(gb_env_link(node->env));
 }
 
 /** This node has gained or lost the pool. */
@@ -549,33 +546,6 @@
 		    gb_link_rate(link));
 }
 
-/** Log when the link becomes full, with the kind of traffic that sent most, and
- * when it is free again. */
-static void
-link_events(struct gb_node *node)
-{
-	const struct gb_link *link = gb_env_link(node->env);
-	gb_time queued = gb_link_backlog(link, node_now());
-	unsigned int busiest = 0;
-	unsigned int i;
-
-	if (node->link_full ? queued > LINK_FREE_DELAY
-			    : queued < LINK_FULL_DELAY)
-		return;
-	node->link_full = !node->link_full;
-	for (i = 0; i < GB_TRAFFIC_KINDS; i++) {
-		if (gb_link_traffic(link, i)->out >
-		    gb_link_traffic(link, busiest)->out)
-			busiest = i;
-	}
-	gb_event(node->events, GB_EVENT_ALWAYS,
-	    node->link_full ? "link_full" : "link_free", "{s:I, s:I, s:s, s:I}",
-	    "queued_ms", (json_int_t)(queued / GB_MSEC), "use_percent",
-	    (json_int_t)(gb_link_utilisation(link) * 100), "most_kind",
-	    gb_traffic_name(busiest), "most_bytes",
-	    (json_int_t)gb_link_traffic(link, busiest)->out);
-}
-
 static void
 on_tick(uv_timer_t *timer)
 {
@@ -588,7 +558,7 @@
 	watch_tick(node);
 	store_probe(node);
 	intake_tick(node);
-	link_events(node);
+	link_monitor_tick(node);
 	link_shed(node);
 	busy = gb_pool_owns(node->pool) || gb_pool_acquiring(node->pool) ||
 	       !TAILQ_EMPTY(&node->intakes) || node->leaving;
--- a/libgooseberry/node/node_state.h
+++ b/libgooseberry/node/node_state.h
@@ -10,6 +10,7 @@
 #include <uthash.h>
 #include <uv.h>
 
+#include "link_monitor.h"
 #include "node.h"
 #include "owner_monitor.h"
 #include "shed.h"
@@ -99,7 +100,6 @@
 	/** Partition to read the owner's row from next, modulo their number. */
 	uint32_t next_partition;
 	bool busy_tick; /**< ticks at the short interval */
-	bool link_full; /**< the last event was link_full */
 	const struct gb_env *env;
 	struct gb_events *events;
 	struct gb_node_settings settings;
@@ -109,6 +109,7 @@
 	struct gb_rpc_server *server;
 	struct watch watch;
 	struct owner_monitor owner_monitor;
+	struct link_monitor link_monitor;
 	uint64_t incarnation;
 	struct shed shed;    /**< while this node owns the pool */
 	uint64_t flows_shed; /**< flows rejected by load shedding */
--- a/libgooseberry/pool.h
+++ b/libgooseberry/pool.h
@@ -375,7 +375,10 @@
 struct gb_pool_link {
 	gb_time queued;	      /**< time to send what is queued on it */
 	uint64_t bytes_per_s; /**< bandwidth, 0: no limit */
-	double use; /**< share of the bandwidth in use recently, 1: all */
+	/** Share of the bandwidth that was in use recently to send, 1: all. */
+	double use;
+	/** The same for what is received. */
+	double use_received;
 };
 
 /** Callbacks by which the core does its I/O.  Pointers in arguments are valid
--- a/libgooseberry/process/link.c
+++ b/libgooseberry/process/link.c
@@ -22,12 +22,18 @@
 /** Weight of the last interval in the moving average of the utilisation. */
 #define LINK_AVERAGE_WEIGHT 0.2
 
+/** Utilisation of one direction. */
+struct link_use {
+	gb_time average_at;	   /**< time of the next update */
+	uint64_t unaveraged_bytes; /**< bytes since the last update */
+	double utilisation; /**< average fraction of the bandwidth in use */
+};
+
 struct gb_link {
 	uint64_t bytes_per_s; /**< 0: not limited */
 	gb_time free_at;      /**< the bytes sent so far have left by then */
-	gb_time average_at;   /**< time at which utilisation is updated next */
-	uint64_t unaveraged_bytes; /**< bytes sent since its last update */
-	double utilisation; /**< average fraction of the bandwidth in use */
+	struct link_use sent;
+	struct link_use received;
 	struct gb_traffic traffic[GB_TRAFFIC_KINDS];
 };
 
@@ -40,23 +46,23 @@
 	return link;
 }
 
-/** Update the utilisation if an interval has passed.  After a pause in sending,
- * the bytes count as sent within the last second. */
+/** Count the bytes of a message, and update the utilisation if an interval has
+ * passed.  After a pause, the bytes count as those of the last second. */
 static void
-link_average(struct gb_link *link, gb_time now)
+link_use_add(struct link_use *use, gb_time now, size_t bytes, uint64_t rate)
 {
 	double span;
 	double share;
 
-	if (link->average_at > now)
+	use->unaveraged_bytes += bytes + LINK_OVERHEAD_BYTES;
+	if (use->average_at > now)
 		return;
-	span =
-	    (double)(now - link->average_at + LINK_AVERAGE_INTERVAL) / GB_SEC;
-	share = (double)link->unaveraged_bytes /
-		((double)link->bytes_per_s * (span > 1 ? 1 : span));
-	link->utilisation += LINK_AVERAGE_WEIGHT * (share - link->utilisation);
-	link->unaveraged_bytes = 0;
-	link->average_at = now + LINK_AVERAGE_INTERVAL;
+	span = (double)(now - use->average_at + LINK_AVERAGE_INTERVAL) / GB_SEC;
+	share = (double)use->unaveraged_bytes /
+		((double)rate * (span > 1 ? 1 : span));
+	use->utilisation += LINK_AVERAGE_WEIGHT * (share - use->utilisation);
+	use->unaveraged_bytes = 0;
+	use->average_at = now + LINK_AVERAGE_INTERVAL;
 }
 
 void
@@ -71,20 +77,22 @@
 	link->traffic[kind].out += bytes;
 	if (link->bytes_per_s == 0)
 		return;
+	link_use_add(&link->sent, now, bytes, link->bytes_per_s);
 	bytes += LINK_OVERHEAD_BYTES;
 	from = link->free_at > now ? link->free_at : now;
 	link->free_at =
 	    from + (gb_time)(bytes * GB_SEC / (gb_time)link->bytes_per_s);
-	link->unaveraged_bytes += bytes;
-	link_average(link, now);
 }
 
 void
-gb_link_count_received(struct gb_link *link, unsigned int kind, size_t bytes)
+gb_link_count_received(
+    struct gb_link *link, gb_time now, unsigned int kind, size_t bytes)
 {
 	if (link == NULL)
 		return;
 	link->traffic[kind].in += bytes;
+	if (link->bytes_per_s > 0)
+		link_use_add(&link->received, now, bytes, link->bytes_per_s);
 }
 
 uint64_t
@@ -104,7 +112,13 @@
 double
 gb_link_utilisation(const struct gb_link *link)
 {
-	return link == NULL ? 0 : link->utilisation;
+	return link == NULL ? 0 : link->sent.utilisation;
+}
+
+double
+gb_link_received_utilisation(const struct gb_link *link)
+{
+	return link == NULL ? 0 : link->received.utilisation;
 }
 
 const struct gb_traffic *
