Accept no more than a thin link can start

Cause: admission counted only starts that were ready at the last dispatch, only while the sending direction was over 0.8, and took half of the link for starts. Steps to come, flows accepted in the first second, tickets and answers did not count, so that newer flows went on passing older ones. Change: the owner measures how fast a congested link gets tasks done, and refuses a flow if the accepted work that free workers could take needs three times its objective, and any flow while an accepted one that could start can't earn any more. Accepted starts are limited to half of the link and a second of it. Writes are overdue from when they have left the link, and are as large as it carries in 0.15 s; sets of workers get a quarter of it. Why it works: what waits for capacity does not count, so that wide links refuse nothing more; what waits for the link bounds admission, measured where it matters: at tasks that are done.

--- a/libgooseberry/pool/admit.c
+++ b/libgooseberry/pool/admit.c
@@ -9,7 +9,9 @@
  *
  * A slow link: the owner's link can't carry all starts.  A flow whose starts
  * would wait behind others until its objective has passed is refused at once;
- * its caller is told the time until the waiting starts are sent.
+ * its caller is told the time until the accepted work has been started.  While
+ * a flow that could start has passed its objective, the link is given to what
+ * was accepted: newer flows would go first and keep it waiting.
  */
 #include "state.h"
 
@@ -65,11 +67,25 @@
 	return false;
 }
 
+/** Bytes of the starts of all tasks of a flow. */
+static uint64_t
+admit_start_bytes(const gb_flow *flow)
+{
+	uint64_t bytes = 0;
+	u_int i;
+
+	for (i = 0; i < flow->steps.steps_len; i++)
+		bytes +=
+		    pool_pace_start_bytes(flow, flow->steps.steps_val[i].count);
+	return bytes;
+}
+
 bool
 pool_admit(struct gb_pool *pool, const gb_flow *flow, gb_time *retry_after,
     const char **why)
 {
 	gb_time wait = pool_pace_starts_wait(pool);
+	gb_time backlog = pool_pace_backlog(pool);
 
 	*retry_after = ADMIT_RETRY;
 	if (admit_over_quota(pool, flow)) {
@@ -81,10 +97,24 @@
 		*why = "too many flows are open";
 		return false;
 	}
+	if (backlog > ADMIT_LINK_WAIT_MIN && pool->start_overdue) {
+		*why = "accepted flows wait too long for the link";
+		*retry_after = backlog > ADMIT_RETRY ? backlog : ADMIT_RETRY;
+		return false;
+	}
 	if (wait > ADMIT_LINK_WAIT_MIN && wait > admit_objective(pool, flow)) {
 		*why = "the link takes too long to start what waits";
 		*retry_after = wait;
 		return false;
 	}
+	if (backlog > admit_objective(pool, flow) * POOL_LATE_FACTOR) {
+		*why = "the link takes too long to do what was accepted";
+		*retry_after = backlog;
+		return false;
+	}
+	if (!pool_pace_accepts(pool, admit_start_bytes(flow))) {
+		*why = "too many starts were accepted for the link";
+		return false;
+	}
 	return true;
 }
--- a/libgooseberry/pool/dispatch.c
+++ b/libgooseberry/pool/dispatch.c
@@ -398,7 +398,8 @@
 		return false;
 	}
 	wanted = allowed;
-	pool->waiting_bytes += pool_pace_start_bytes(flow, wanted);
+	pool->waiting_bytes += pool_pace_start_bytes(&flow->spec, wanted);
+	pool->start_overdue |= flow->late_due < pool->now;
 	if (!pool_pace_may_send_starts(pool)) {
 		pool->work_changed = true;
 		return false;
@@ -559,7 +560,8 @@
 	       flow->config <= version;
 }
 
-/** Counts the processors that gangs wait for and those of the workers. */
+/** Counts the processors that gangs wait for, those of the workers, and those
+ * that are free. */
 static void
 count_gang_demand(
     struct gb_pool *pool, struct pool_flow **flows, uint32_t count)
@@ -568,13 +570,41 @@
 
 	pool->waiting_gang_cores = 0;
 	pool->capacity = 0;
+	pool->free_cpu = 0;
 	for (i = 0; i < count; i++)
 		pool->waiting_gang_cores +=
 		    pool_rank_waiting_gang_cores(pool, flows[i]);
 	for (i = 0; i < pool->worker_count; i++) {
-		if (pool_worker_offered(pool->workers[i]) &&
-		    !pool->workers[i]->ended)
-			pool->capacity += pool->workers[i]->entry.capacity.cpu;
+		if (!pool_worker_offered(pool->workers[i]) ||
+		    pool->workers[i]->ended)
+			continue;
+		pool->capacity += pool->workers[i]->entry.capacity.cpu;
+		pool->free_cpu += pool->workers[i]->entry.capacity.cpu -
+				  pool->workers[i]->used.cpu;
+	}
+}
+
+/** Counts the bytes of the starts that accepted flows still need, and the
+ * processors that their tasks need. */
+static void
+count_unstarted(struct gb_pool *pool)
+{
+	const struct pool_flow *flow;
+	uint32_t tasks;
+	uint32_t i;
+
+	pool->unstarted_bytes = 0;
+	pool->unstarted_cpu = 0;
+	TAILQ_FOREACH(flow, &pool->open, open_next)
+	{
+		for (i = 0; i < flow->step_count; i++) {
+			tasks =
+			    pool_flow_unstarted_count(flow, &flow->steps[i]);
+			pool->unstarted_bytes +=
+			    pool_pace_start_bytes(&flow->spec, tasks);
+			pool->unstarted_cpu +=
+			    (double)tasks * flow->steps[i].spec->res.cpu;
+		}
 	}
 }
 
@@ -596,10 +626,12 @@
 		flows[count++] = flow;
 	}
 	count_gang_demand(pool, flows, count);
+	count_unstarted(pool);
 	pool_quota_update_uncertain(pool);
 	qsort(flows, count, sizeof(*flows), flow_compare);
 	pool_reservations_clear(pool);
 	pool->waiting_bytes = 0;
+	pool->start_overdue = false;
 	for (i = 0; i < count; i++) {
 		for (j = 0; j < flows[i]->step_count; j++) {
 			step_stop_incomplete_gang(pool, flows[i], j);
--- a/libgooseberry/pool/flow.c
+++ b/libgooseberry/pool/flow.c
@@ -82,6 +82,7 @@
 {
 	struct pool_flow *flow = gb_calloc(1, sizeof(*flow));
 	gb_time age = pool->wall - spec->submitted_us;
+	uint32_t i;
 
 	flow->spec = *spec;
 	memset(spec, 0, sizeof(*spec));
@@ -99,6 +100,9 @@
 	    hh, pool->flows, flow->spec.id, strlen(flow->spec.id), flow);
 	TAILQ_INSERT_TAIL(&pool->open, flow, open_next);
 	pool->open_count++;
+	for (i = 0; i < flow->step_count; i++)
+		pool->unstarted_bytes += pool_pace_start_bytes(
+		    &flow->spec, flow->steps[i].spec->count);
 	pool_rank_update_flow_size(pool, flow);
 	return flow;
 }
@@ -345,6 +349,18 @@
 	return true;
 }
 
+uint32_t
+pool_flow_unstarted_count(
+    const struct pool_flow *flow, const struct pool_step *step)
+{
+	uint32_t begun = step->done + step->active_open;
+
+	if (flow->status >= GB_FLOW_SUCCEEDED || flow->cancelled ||
+	    begun >= step->spec->count)
+		return 0;
+	return step->spec->count - begun;
+}
+
 uint32_t
 pool_flow_startable_count(const struct gb_pool *pool,
     const struct pool_flow *flow, const struct pool_step *step)
@@ -469,9 +485,11 @@
 			step->tasks[i].done = true;
 		step->done = step->spec->count;
 		step->active_open = 0;
+		pool_pace_task_done(pool, flow, step->spec->count);
 	} else {
 		step->tasks[index].done = true;
 		step->done++;
+		pool_pace_task_done(pool, flow, 1);
 		if (!TAILQ_EMPTY(&step->tasks[index].runs))
 			step->active_open--;
 		TAILQ_FOREACH(run, &step->tasks[index].runs, of_task)
--- a/libgooseberry/pool/pace.c
+++ b/libgooseberry/pool/pace.c
@@ -35,15 +35,39 @@
 #define PACE_FIRST_LINK_TIME (150 * GB_MSEC)
 /** Bytes of such an answer, with opening the connection and a few runs. */
 #define PACE_FIRST_BYTES 700
+/** Share of the bandwidth for which starts are accepted while the link is not
+ * congested, which shows only a second after too much was accepted, and the
+ * time for which an unused share accumulates. */
+#define PACE_ACCEPT_SHARE 0.5
+#define PACE_ACCEPT_TIME GB_SEC
+/** Time for which one write to the store may keep the link busy, without the
+ * owner's row: members depose an owner that does not renew its row. */
+#define PACE_WRITE_LINK_TIME (150 * GB_MSEC)
+/** Share of the bandwidth that is available to the stored worker sets, which
+ * are written again each time that a worker joins, leaves or restarts. */
+#define PACE_SETS_SHARE 0.25
+/** Bytes that base64 makes of three. */
+#define PACE_BASE64_BYTES 4
 /** Bytes of a start order besides its specification: names, lease, ticket,
  * headers. */
 #define PACE_START_BYTES 520
-/** While less than this share of the bandwidth is in use, waiting starts don't
- * wait for the link but for something else. */
-#define PACE_FULL_SHARE 0.8
-/** Share of the bandwidth that is available to starts, besides heartbeats and
- * store calls. */
-#define PACE_STARTS_SHARE 0.5
+/** The link is congested from this share of the bandwidth in use on, in either
+ * direction, until less than the second share is in use in both.  Otherwise
+ * waiting starts don't wait for the link but for something else. */
+#define PACE_CONGESTED_SHARE 0.8
+#define PACE_FREE_SHARE 0.65
+/** Share of the bandwidth that is expected to be available to starts, besides
+ * heartbeats, store calls and advice, before any were sent. */
+#define PACE_STARTS_SHARE 0.25
+/** Largest share that starts get while other messages wait. */
+#define PACE_STARTS_SHARE_MAX 0.5
+/** Smallest share of the bandwidth that is expected. */
+#define PACE_STARTS_SHARE_MIN 0.01
+/** Interval at which the rate of starts is measured. */
+#define PACE_RATE_INTERVAL GB_SEC
+/** Weight of the last interval in the moving average of that rate.  Gangs begin
+ * and end as a whole, so that single intervals say little. */
+#define PACE_RATE_WEIGHT 0.2
 
 static struct gb_pool_link
 pace_link(const struct gb_pool *pool)
@@ -99,9 +123,102 @@
 }
 
 uint64_t
-pool_pace_start_bytes(const struct pool_flow *flow, uint32_t tasks)
+pool_pace_start_bytes(const gb_flow *flow, uint32_t tasks)
 {
-	return (uint64_t)tasks * (PACE_START_BYTES + strlen(flow->spec.spec));
+	return (uint64_t)tasks * (PACE_START_BYTES + strlen(flow->spec));
+}
+
+bool
+pool_pace_accepts(struct gb_pool *pool, uint64_t bytes)
+{
+	double rate = (double)pool_pace_bandwidth(pool) * PACE_ACCEPT_SHARE;
+	double most = rate * PACE_ACCEPT_TIME / GB_SEC;
+	double gained = rate * (double)(pool->now - pool->accept_at) / GB_SEC;
+
+	if (rate == 0)
+		return true;
+	pool->accept_at = pool->now;
+	pool->accept_bytes += gained;
+	if (pool->accept_bytes > most)
+		pool->accept_bytes = most;
+	if (pool->accept_bytes <= 0)
+		return false;
+	pool->accept_bytes -= (double)bytes;
+	return true;
+}
+
+gb_time
+pool_pace_queued(const struct gb_pool *pool)
+{
+	return pace_link(pool).queued;
+}
+
+size_t
+pool_pace_write_bytes(const struct gb_pool *pool, size_t max)
+{
+	uint64_t rate = pool_pace_bandwidth(pool);
+	uint64_t bytes =
+	    rate * PACE_WRITE_LINK_TIME / GB_SEC * 3 / PACE_BASE64_BYTES;
+
+	return rate == 0 || bytes > max ? max : (size_t)bytes;
+}
+
+gb_time
+pool_pace_set_pause(const struct gb_pool *pool, size_t bytes)
+{
+	double rate = (double)pool_pace_bandwidth(pool) * PACE_SETS_SHARE;
+	double total =
+	    (double)bytes * PACE_BASE64_BYTES / 3 * GB_POOL_PARTITIONS;
+
+	return rate == 0 ? 0 : (gb_time)(total * GB_SEC / rate);
+}
+
+void
+pool_pace_task_done(
+    struct gb_pool *pool, const struct pool_flow *flow, uint32_t tasks)
+{
+	pool->starts_rate.done_bytes +=
+	    pool_pace_start_bytes(&flow->spec, tasks);
+}
+
+/** Share of the accepted work that the free workers could take.  What they
+ * can't take waits for capacity, not for the link. */
+static double
+pace_takeable_share(const struct gb_pool *pool)
+{
+	if (pool->free_cpu >= pool->unstarted_cpu)
+		return 1;
+	return pool->free_cpu <= 0 ? 0 : pool->free_cpu / pool->unstarted_cpu;
+}
+
+void
+pool_pace_measure(struct gb_pool *pool)
+{
+	struct pool_starts_rate *rate = &pool->starts_rate;
+	struct gb_pool_link link = pace_link(pool);
+	double expected = (double)link.bytes_per_s * PACE_STARTS_SHARE;
+	double least = (double)link.bytes_per_s * PACE_STARTS_SHARE_MIN;
+	gb_time passed = pool->now - rate->measured_at;
+	double measured = expected;
+
+	if (link.use >= PACE_CONGESTED_SHARE ||
+	    link.use_received >= PACE_CONGESTED_SHARE)
+		rate->congested = true;
+	else if (link.use < PACE_FREE_SHARE &&
+		 link.use_received < PACE_FREE_SHARE)
+		rate->congested = false;
+	if (passed < PACE_RATE_INTERVAL)
+		return;
+	if (rate->congested && pool->unstarted_bytes > 0 &&
+	    pace_takeable_share(pool) == 1)
+		measured = (double)rate->done_bytes * GB_SEC / (double)passed;
+	if (rate->bytes_per_s == 0)
+		rate->bytes_per_s = expected;
+	rate->bytes_per_s += PACE_RATE_WEIGHT * (measured - rate->bytes_per_s);
+	if (rate->bytes_per_s < least)
+		rate->bytes_per_s = least;
+	rate->done_bytes = 0;
+	rate->measured_at = pool->now;
 }
 
 gb_time
@@ -109,8 +226,18 @@
 {
 	struct gb_pool_link link = pace_link(pool);
 
-	if (link.bytes_per_s == 0 || link.use < PACE_FULL_SHARE)
+	if (link.bytes_per_s == 0 || link.use < PACE_CONGESTED_SHARE)
 		return 0;
 	return (gb_time)((double)pool->waiting_bytes * GB_SEC /
-			 ((double)link.bytes_per_s * PACE_STARTS_SHARE));
+			 ((double)link.bytes_per_s * PACE_STARTS_SHARE_MAX));
+}
+
+gb_time
+pool_pace_backlog(const struct gb_pool *pool)
+{
+	if (!pool->starts_rate.congested || pool->starts_rate.bytes_per_s == 0)
+		return 0;
+	return (gb_time)((double)pool->unstarted_bytes *
+			 pace_takeable_share(pool) * GB_SEC /
+			 pool->starts_rate.bytes_per_s);
 }
--- a/libgooseberry/pool/rank.c
+++ b/libgooseberry/pool/rank.c
@@ -30,9 +30,6 @@
 
 #include "state.h"
 
-/** A late flow earns something until this many times its objective, by the
- * users' rules. */
-#define RANK_LATE_FACTOR 3
 /** Factor and constant part of the objective for a queue that is no longer
  * configured. */
 #define RANK_OBJECTIVE_FACTOR_DEFAULT 2.0
@@ -213,7 +210,7 @@
 			      (double)rank_chain(pool, flow, chains, false));
 	flow->chain = rank_chain(pool, flow, chains, true);
 	flow->due = flow->submitted + objective;
-	flow->late_due = flow->submitted + RANK_LATE_FACTOR * objective;
+	flow->late_due = flow->submitted + POOL_LATE_FACTOR * objective;
 	flow->size_delay = rank_size_delay(pool, flow, objective - flow->chain);
 	flow->ranked = flow->change;
 	flow->ranked_at = pool->now;
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -50,6 +50,10 @@
  * owner works, and tells the owner when it has lost the row or the store. */
 #define POOL_OWNER_RENEW_INTERVAL (500 * GB_MSEC)
 
+/** A late flow earns something until this many times its objective, by the
+ * users' rules. */
+#define POOL_LATE_FACTOR 3
+
 /** Maximum number of workers in one call of the advice service. */
 #define POOL_ADVICE_WORKERS_MAX 100
 
@@ -388,6 +392,7 @@
 	bool has_unknown_losses;
 	uint64_t set_changed; /**< rows of the worker set to write, as bits */
 	uint64_t set_sent;    /**< bit of the row being written, 0: none */
+	gb_time set_write_at; /**< earliest time to write another row of it */
 	/** Key of the row being written. */
 	char set_key[sizeof(GB_POOL_WORKERS_KEY) + 2];
 	bool urgent; /**< a caller waits for what is to be written */
@@ -396,6 +401,7 @@
 	uint64_t serial;     /**< of the owner's row */
 	uint64_t call;	     /**< write in flight, 0: none */
 	gb_time sent;	     /**< when the last write was sent */
+	gb_time left_at;     /**< when it has left the node's link */
 	gb_time retry_at;
 	unsigned int tries; /**< consecutive writes that were refused or lost */
 	unsigned int refused; /**< consecutive writes that were refused */
@@ -494,6 +500,16 @@
 	uint32_t waiting; /**< not used */
 };
 
+/** Rate at which the link gets tasks done. */
+struct pool_starts_rate {
+	bool congested; /**< the link limits what can be started */
+	/** Bytes of starts whose tasks were done, per second, smoothed; 0: not
+	 * measured. */
+	double bytes_per_s;
+	uint64_t done_bytes; /**< the same since measured_at */
+	gb_time measured_at;
+};
+
 struct pool_page;
 TAILQ_HEAD(pool_pages, pool_page);
 
@@ -578,6 +594,21 @@
 	double capacity;
 	/** Of starts that wait, at the last dispatch. */
 	uint64_t waiting_bytes;
+	/** Of the starts of accepted tasks that were not sent, at the last
+	 * dispatch and of flows accepted since. */
+	uint64_t unstarted_bytes;
+	/** Processors that these tasks need, and those that are free on the
+	 * workers, in thousandths, at the last dispatch. */
+	double unstarted_cpu;
+	double free_cpu;
+	/** A flow that could start has passed its latest end for any earnings,
+	 * at the last dispatch. */
+	bool start_overdue;
+	struct pool_starts_rate starts_rate;
+	/** Bytes of starts that may be accepted, negative: too many were, and
+	 * when that was updated. */
+	double accept_bytes;
+	gb_time accept_at;
 	struct pool_slot *slots; /**< scratch of reservation.c */
 	size_t slot_size;
 	gb_time dispatch_at; /**< time of the last dispatch */
@@ -685,9 +716,28 @@
 /** Bandwidth of the link in bytes per second, 0: no limit. */
 uint64_t pool_pace_bandwidth(const struct gb_pool *);
 /** Bytes sent to start so many tasks of a flow. */
-uint64_t pool_pace_start_bytes(const struct pool_flow *, uint32_t tasks);
-/** Time for which the waiting starts will keep the link busy. */
+uint64_t pool_pace_start_bytes(const gb_flow *, uint32_t tasks);
+/** Whether the link may take in a flow whose starts have so many bytes; counts
+ * them if so. */
+bool pool_pace_accepts(struct gb_pool *, uint64_t bytes);
+/** Time to send what is queued on the link. */
+gb_time pool_pace_queued(const struct gb_pool *);
+/** Size of the values in one write to the store that the link carries in a
+ * short time, at most `max`. */
+size_t pool_pace_write_bytes(const struct gb_pool *, size_t max);
+/** Pause after writing a row of so many bytes of the worker set, which is
+ * stored in every partition. */
+gb_time pool_pace_set_pause(const struct gb_pool *, size_t bytes);
+/** Counts tasks that are done, to measure how fast the link gets work done. */
+void pool_pace_task_done(
+    struct gb_pool *, const struct pool_flow *, uint32_t tasks);
+/** Updates whether the link is congested and how fast it gets work done. */
+void pool_pace_measure(struct gb_pool *);
+/** Time for which the waiting starts will keep a congested link busy. */
 gb_time pool_pace_starts_wait(const struct gb_pool *);
+/** Time until a congested link has got done what the free workers can take of
+ * the accepted work, at the measured rate. */
+gb_time pool_pace_backlog(const struct gb_pool *);
 
 /* admit.c */
 /** Whether to accept a flow; else fills in when to retry and the reason. */
@@ -738,6 +788,9 @@
  * don't get through. */
 void pool_flow_answer_queries(struct gb_pool *, struct pool_flow *);
 bool pool_flow_step_ready(const struct pool_flow *, const struct pool_step *);
+/** Number of tasks of a step that are neither done nor have a run. */
+uint32_t pool_flow_unstarted_count(
+    const struct pool_flow *, const struct pool_step *);
 /** Number of tasks of a step that may be started now. */
 uint32_t pool_flow_startable_count(
     const struct gb_pool *, const struct pool_flow *, const struct pool_step *);
--- a/libgooseberry/pool/writer.c
+++ b/libgooseberry/pool/writer.c
@@ -207,6 +207,15 @@
 		abort(); /* names were checked with the settings */
 }
 
+/** Whether a changed row of the worker set is to be written now. */
+static bool
+set_write_due(
+    const struct gb_pool *pool, const struct pool_partition *partition)
+{
+	return partition->set_changed != 0 && partition->set_sent == 0 &&
+	       partition->set_write_at <= pool->now;
+}
+
 /** Adds the next changed row of the worker set, unless one is being written. */
 static void
 draft_worker_set(struct gb_pool *pool, uint32_t number, struct draft *draft)
@@ -214,11 +223,13 @@
 	struct pool_partition *partition = &pool->partitions[number];
 	struct gb_pool_row *row;
 
-	if (partition->set_changed == 0 || partition->set_sent != 0)
+	if (!set_write_due(pool, partition))
 		return;
 	row = draft_put(draft, GB_POOL_OWNERS, partition->set_key);
 	if (!pool_worker_set_body(pool, number, &row->value))
 		abort(); /* names were checked with their entries */
+	partition->set_write_at =
+	    pool->now + pool_pace_set_pause(pool, row->value.gb_body_len);
 }
 
 static void
@@ -239,6 +250,7 @@
 	pool->stats.txns++;
 	pool->stats.rows += draft->txn.put_count;
 	pool->ops.txn(pool->ops.data, call->id, &draft->txn);
+	partition->left_at = pool->now + pool_pace_queued(pool);
 	draft_clear(draft);
 }
 
@@ -267,12 +279,12 @@
 }
 
 static bool
-draft_full(const struct draft *draft)
+draft_full(const struct draft *draft, size_t bytes_max)
 {
 	return draft->txn.cond_count + draft->txn.put_count +
 		       WRITER_FLOW_ENTRIES >
 		   WRITER_ENTRIES_MAX ||
-	       draft->bytes >= WRITER_BYTES_MAX;
+	       draft->bytes >= bytes_max;
 }
 
 /** Order in which flows are added to a transaction that can't hold all of them.
@@ -325,6 +337,7 @@
 	struct draft draft = {0};
 	struct pool_flow *flow;
 	struct pool_flow *next;
+	size_t bytes_max = pool_pace_write_bytes(pool, WRITER_BYTES_MAX);
 	unsigned int priority;
 
 	draft_cond(
@@ -335,7 +348,8 @@
 	partition->urgent = false;
 	for (priority = 0; priority < WRITE_PRIORITIES; priority++) {
 		for (flow = TAILQ_FIRST(&partition->dirty);
-		     flow != NULL && !draft_full(&draft); flow = next) {
+		     flow != NULL && !draft_full(&draft, bytes_max);
+		     flow = next) {
 			next = TAILQ_NEXT(flow, dirty_next);
 			if (write_priority(flow) == priority)
 				partition_draft_flow(partition, flow, &draft);
@@ -373,7 +387,7 @@
 		partition->silent = true;
 	if (partition->call == 0 || partition->probe != 0 ||
 	    partition->probe_answered ||
-	    pool->now - partition->sent < WRITER_OVERDUE)
+	    pool->now - partition->left_at < WRITER_OVERDUE)
 		return;
 	call = pool_call_new(pool, POOL_CALL_PROBE);
 	call->partition = number;
@@ -445,7 +459,7 @@
 	if (partition->seal)
 		partition_seal(pool, number);
 	else if (partition->renew || !TAILQ_EMPTY(&partition->dirty) ||
-		 partition->set_changed != 0)
+		 set_write_due(pool, partition))
 		partition_write(pool, number);
 }
 
@@ -591,7 +605,7 @@
 	partition->probe_answered = true;
 	partition->refused = 0;
 	partition->lost = 0;
-	if (partition->call == 0 || partition->sent > call->sent ||
+	if (partition->call == 0 || partition->left_at > call->sent ||
 	    pool->now - call->sent > WRITER_PROBE_QUICK)
 		return;
 	/* The store is quick, so the answer to the write is lost. */
--- a/tests/test_link.c
+++ b/tests/test_link.c
@@ -17,6 +17,8 @@
 
 /** Bandwidth of a link of 2 Mbit/s. */
 #define THIN_LINK_BYTES_PER_SEC 250000
+/** Share of such a link that traffic besides that of the core takes. */
+#define BUSY_PERCENT 50
 /** Size of a message to start a run. */
 #define MESSAGE_BYTES 920
 
@@ -172,6 +174,58 @@
 	assert_true(refused >= 40);
 }
 
+/** Time after the last submission by which an accepted flow must have finished
+ * or have a task running. */
+#define FINISH_TIME (14 * GB_SEC)
+
+/** Counts the accepted flows that have neither finished nor a running task. */
+static unsigned int
+accepted_idle_count(struct pool_cell *cell)
+{
+	struct world_flow_view view;
+	unsigned int idle = 0;
+	size_t i;
+
+	for (i = 0; i < cell->flow_count; i++) {
+		const struct pool_cell_flow *flow = &cell->flows[i];
+
+		if (!flow->accepted || flow->status >= GB_FLOW_SUCCEEDED ||
+		    !world_flow_view(cell->world, flow->spec.id, &view))
+			continue;
+		idle += view.running == 0;
+	}
+	return idle;
+}
+
+/** Most of the link is taken by traffic that the owner can't reduce: hellos of
+ * members, the list of workers.  Guards against accepting what the rest of the
+ * link can't start: such flows are overtaken by newer ones and never begin. */
+static void
+test_busy_thin_link_finishes_accepted_flows(void **state)
+{
+	struct pool_cell_setup setup = thin;
+	struct pool_cell *cell;
+	unsigned int tenth;
+
+	(void)state;
+	setup.link = THIN_LINK_BYTES_PER_SEC / 4;
+	cell = pool_cell_begin(&setup);
+	for (tenth = 0; tenth < 200; tenth++) {
+		submit_tenth(cell, tenth);
+		gb_link_count_sent(cell->links[0], cell->now, GB_TRAFFIC_FEED,
+		    setup.link / 10 * BUSY_PERCENT / 100);
+		pool_cell_run(cell, 100 * GB_MSEC);
+	}
+	for (tenth = 0; tenth < FINISH_TIME / (100 * GB_MSEC); tenth++) {
+		gb_link_count_sent(cell->links[0], cell->now, GB_TRAFFIC_FEED,
+		    setup.link / 10 * BUSY_PERCENT / 100);
+		pool_cell_run(cell, 100 * GB_MSEC);
+	}
+	assert_int_equal(accepted_idle_count(cell), 0);
+	pool_cell_assert_no_violation(cell);
+	pool_cell_free(cell);
+}
+
 /** A node behind a link of 0.5 Mbit/s takes over a pool with 150 unfinished
  * flows, which take seconds to read.  Guards against reads that are all in
  * flight at once, time out and are retried forever. */
@@ -213,6 +267,7 @@
 	    cmocka_unit_test(test_unlimited_link_has_no_queue),
 	    cmocka_unit_test(test_thin_link_serves_most_in_time),
 	    cmocka_unit_test(test_very_thin_link_loses_no_flow),
+	    cmocka_unit_test(test_busy_thin_link_finishes_accepted_flows),
 	    cmocka_unit_test(test_successor_behind_thin_link_loads),
 	};
 
