Send starts as a slow link carries them, while their tickets last

What callers saw: on links of 0.5 Mbit/s gangs and wide steps were started again and again (600 starts for 432 tasks that were done, up to 190 starts of which nothing was known), while other accepted submissions waited. Cause: all starts of a step were handed to the link at once, up to 50 KB or a second of it; what came after waited, answers to hellos too. A ticket was taken to be as new as its answer, and to last if it had 60 ms left, so that the starts at the end of the queue came with expired tickets, which a worker refuses, and a gang then began anew. Advice was asked for over all members at once, each answer with 4 KB of tickets. Change: single tasks are started as far as the link's queue allows; a ticket must outlast the queue and the starts that are sent with it, and is as old as the service can have decided it; advice calls in flight are bounded by the link. Overdue answers of the store allow for answers that wait on the link (gb_link_answer_delay). Flows that wait too long stop admission only where the free workers could take half of the accepted work. Why it works: nothing is sent that can't arrive in time, so that no start has to be sent twice, and hellos find a short queue.

--- a/libgooseberry/gooseberry.h
+++ b/libgooseberry/gooseberry.h
@@ -622,6 +622,9 @@
 uint64_t gb_link_rate(const struct gb_link *);
 /** Time until the link has sent what was counted so far, at its bandwidth. */
 gb_time gb_link_backlog(const struct gb_link *, gb_time now);
+/** Time for which an answer may wait on the link behind other answers; to be
+ * added to timeouts. */
+gb_time gb_link_answer_delay(const struct gb_link *);
 /** Fraction of the bandwidth in use to send, averaged over about a second. */
 double gb_link_utilisation(const struct gb_link *);
 /** The same for what is received. */
--- a/libgooseberry/pool.h
+++ b/libgooseberry/pool.h
@@ -375,6 +375,7 @@
 struct gb_pool_link {
 	gb_time queued;	      /**< time to send what is queued on it */
 	uint64_t bytes_per_s; /**< bandwidth, 0: no limit */
+	gb_time answer_delay; /**< for which answers may wait on it */
 	/** Share of the bandwidth that was in use recently to send, 1: all. */
 	double use;
 	/** The same for what is received. */
@@ -535,6 +536,10 @@
 /** Time since the newest of the store calls was sent to which the store has
  * given a clear answer. */
 gb_time gb_pool_store_silent(const struct gb_pool *, gb_time now);
+/** Whether the link limits what this owner can start. */
+bool gb_pool_link_congested(const struct gb_pool *);
+/** Whether the link is so slow that the stored state is loaded page by page. */
+bool gb_pool_loads_by_pages(const struct gb_pool *);
 /** Whether most partitions of the tables don't accept this owner's writes. */
 bool gb_pool_store_unavailable(const struct gb_pool *);
 
--- a/libgooseberry/pool/admit.c
+++ b/libgooseberry/pool/admit.c
@@ -97,7 +97,8 @@
 		*why = "too many flows are open";
 		return false;
 	}
-	if (backlog > ADMIT_LINK_WAIT_MIN && pool->start_overdue) {
+	if (backlog > ADMIT_LINK_WAIT_MIN && pool->start_overdue &&
+	    pool_pace_limits_starts(pool)) {
 		*why = "accepted flows wait too long for the link";
 		*retry_after = backlog > ADMIT_RETRY ? backlog : ADMIT_RETRY;
 		return false;
--- a/libgooseberry/pool/advice.c
+++ b/libgooseberry/pool/advice.c
@@ -24,7 +24,8 @@
 /** Pause of a channel after a refusal or a lost answer. */
 #define CHANNEL_BACK_OFF (300 * GB_MSEC)
 /** A ticket is valid from the decision of the service on, which it makes at
- * most this long before its answer arrives. */
+ * most this long before its answer arrives, or as early as it can: on a slow
+ * link the answer waits behind others. */
 #define TICKET_ANSWER_TIME (30 * GB_MSEC)
 /** A step without any approved worker asks again after this time. */
 #define ADVICE_RETRY_DELAY (2 * GB_SEC)
@@ -185,8 +186,10 @@
 	call->step = step_number;
 	call->first = first;
 	call->sent = pool->now;
+	call->workers = ask->workers.workers_len;
 	snprintf(call->flow, sizeof(call->flow), "%s", flow->spec.id);
 	HASH_ADD(hh, pool->advice_calls, id, sizeof(call->id), call);
+	pool->advice_in_flight++;
 	channel->call = call->id;
 	if (first)
 		flow->steps[step_number].approval_calls_in_flight++;
@@ -397,18 +400,33 @@
 	step->asked_count = 0;
 }
 
+/** Earliest time at which the service can have decided a call. */
+static gb_time
+advice_decided_at(const struct gb_pool *pool, const struct pool_flow *flow,
+    const struct pool_advice_call *call)
+{
+	const struct gb_pool_advice *advice = &flow->advice;
+	gb_time earliest = call->sent + advice->decide_us +
+			   advice->per_worker_us * (gb_time)call->workers;
+	gb_time latest = pool->now - TICKET_ANSWER_TIME;
+
+	if (pool->link.bytes_per_s == 0 || earliest > latest)
+		return latest;
+	return earliest;
+}
+
 static void
 advice_apply(struct gb_pool *pool, struct pool_flow *flow,
     const struct pool_advice_call *call, const gb_advice_res *res)
 {
 	struct pool_step *step = &flow->steps[call->step];
-	gb_time expires = pool->now + res->valid_us - TICKET_ANSWER_TIME;
+	gb_time decided = advice_decided_at(pool, flow, call);
 	uint32_t i;
 
 	step->advice = POOL_ADVICE_KNOWN;
 	for (i = 0; i < res->approved.approved_len; i++)
 		approval_set(pool, step, &res->approved.approved_val[i],
-		    call->sent, expires);
+		    call->sent, decided + res->valid_us);
 	if (step->approved_count == 0 && step->approval_calls_in_flight == 0) {
 		step->advice = POOL_ADVICE_NONE;
 		step->advice_retry_at = pool->now + ADVICE_RETRY_DELAY;
@@ -450,6 +468,7 @@
 		return NULL;
 	*step = call->step;
 	HASH_DEL(pool->advice_calls, call);
+	pool->advice_in_flight--;
 	gb_histogram_add(&pool->stats.advice_us, pool->now - call->sent);
 	if (channel != NULL) {
 		channel->call = 0;
@@ -488,6 +507,7 @@
 		HASH_DEL(pool->advice_calls, call);
 		free(call);
 	}
+	pool->advice_in_flight = 0;
 	for (i = 0; i < pool->channel_count; i++)
 		pool->channels[i].call = 0;
 }
--- a/libgooseberry/pool/dispatch.c
+++ b/libgooseberry/pool/dispatch.c
@@ -41,10 +41,11 @@
 }
 
 static const char *
-step_worker_ticket(
-    const struct gb_pool *pool, const struct pool_step *step, uint32_t worker)
+step_worker_ticket(const struct gb_pool *pool, const struct pool_flow *flow,
+    const struct pool_step *step, uint32_t worker)
 {
-	const struct pool_approval *a = pool_fit_ticket(pool, step, worker);
+	const struct pool_approval *a =
+	    pool_fit_ticket(pool, flow, step, worker, 1);
 
 	return a == NULL ? NULL : a->ticket;
 }
@@ -62,7 +63,8 @@
 	return pool_fit_usable(pool, worker, flow->partition) &&
 	       avail.cpu >= 0 && avail.mem >= 0 && avail.accel >= 0 &&
 	       (!POOL_ADVICE_NEEDED(flow) ||
-		   pool_fit_ticket(pool, step, worker->handle) != NULL);
+		   pool_fit_ticket(pool, flow, step, worker->handle,
+		       pool_step_starts_together(step)) != NULL);
 }
 
 static void
@@ -75,7 +77,7 @@
 
 	pool_crash_plan_release(pool, step, index);
 	pool_run_start(pool, flow, step_number, index, run_number, worker,
-	    step_worker_ticket(pool, step, worker->handle));
+	    step_worker_ticket(pool, flow, step, worker->handle));
 }
 
 /** Whether a planned start is stored and only has to be sent. */
@@ -167,7 +169,7 @@
 		pool_run_start(pool, flow, step_number, i,
 		    gang ? run_number : step_next_run_number(pool, step),
 		    pool->workers[workers[placed]],
-		    step_worker_ticket(pool, step, workers[placed]));
+		    step_worker_ticket(pool, flow, step, workers[placed]));
 		placed++;
 	}
 }
@@ -281,13 +283,14 @@
 
 /** Whether there is a valid ticket for every worker of a placement. */
 static bool
-step_has_tickets(const struct gb_pool *pool, const struct pool_step *step,
-    const uint32_t *workers)
+step_has_tickets(const struct gb_pool *pool, const struct pool_flow *flow,
+    const struct pool_step *step, const uint32_t *workers)
 {
 	uint32_t i;
 
 	for (i = 0; i < step->spec->count; i++) {
-		if (pool_fit_ticket(pool, step, workers[i]) == NULL)
+		if (pool_fit_ticket(pool, flow, step, workers[i],
+			pool_step_starts_together(step)) == NULL)
 			return false;
 	}
 	return true;
@@ -331,7 +334,7 @@
 		 POOL_ADVICE_NEEDED(flow) &&
 		 step->ticket_calls_in_flight == 0 &&
 		 flow->wait < step_advice_time(flow, step) &&
-		 !step_has_tickets(pool, step, workers))
+		 !step_has_tickets(pool, flow, step, workers))
 		step_renew_tickets(
 		    pool, flow, step_number, workers, step->spec->count, false);
 	free(workers);
@@ -375,6 +378,21 @@
 	pool_advice_claims_drop(pool, step);
 }
 
+/** Limits the starts of single tasks to what the link sends in a short time;
+ * the others follow in the next dispatch.  Otherwise a step of many tasks would
+ * keep the link busy until tickets of the last ones expire. */
+static uint32_t
+step_starts_for_link(
+    struct gb_pool *pool, const struct pool_flow *flow, uint32_t wanted)
+{
+	uint32_t most = pool_pace_starts_max(pool, &flow->spec);
+
+	if (most >= wanted)
+		return wanted;
+	pool->work_changed = true;
+	return most;
+}
+
 /** Starts what can be started of a step. Returns whether the step waits for
  * free capacity. */
 static bool
@@ -409,6 +427,8 @@
 			pool_advice_ask(pool, flow, step_number, NULL, 0);
 		return false;
 	}
+	if (!gang)
+		wanted = step_starts_for_link(pool, flow, wanted);
 	workers = gb_calloc(wanted, sizeof(*workers));
 	started = pool_fit_place(pool, flow, step, wanted, true, workers);
 	step_start(pool, flow, step_number, workers, started);
@@ -528,13 +548,14 @@
 			continue;
 		pool_run_start(pool, flow, step_number, i,
 		    step_next_run_number(pool, step), pool->workers[worker],
-		    step_worker_ticket(pool, step, worker));
+		    step_worker_ticket(pool, flow, step, worker));
 	}
 }
 
 void
 pool_dispatch_step(struct gb_pool *pool, struct pool_flow *flow, uint32_t step)
 {
+	pool_pace_look(pool);
 	step_dispatch(pool, flow, step);
 	/* A channel has become free for the next call. */
 	pool->work_changed = true;
@@ -630,6 +651,7 @@
 	pool_quota_update_uncertain(pool);
 	qsort(flows, count, sizeof(*flows), flow_compare);
 	pool_reservations_clear(pool);
+	pool_pace_look(pool);
 	pool->waiting_bytes = 0;
 	pool->start_overdue = false;
 	for (i = 0; i < count; i++) {
--- a/libgooseberry/pool/fit.c
+++ b/libgooseberry/pool/fit.c
@@ -14,7 +14,8 @@
 #include "state.h"
 
 /** A ticket must remain valid for this long, until the order reaches the
- * worker: a round trip between data centres and the orders queued before it. */
+ * worker: a round trip between data centres.  The time that the link takes to
+ * send what is queued and the starts of the step is added. */
 #define FIT_TICKET_VALID_MIN (60 * GB_MSEC)
 /** Added to the score of a worker outside the rack that the step names. The
  * score is otherwise about the share of the worker's processors that stays free
@@ -103,17 +104,25 @@
 }
 
 const struct pool_approval *
-pool_fit_ticket(
-    const struct gb_pool *pool, const struct pool_step *step, uint32_t worker)
+pool_fit_ticket(const struct gb_pool *pool, const struct pool_flow *flow,
+    const struct pool_step *step, uint32_t worker, uint32_t starts)
 {
 	const struct pool_approval *a = fit_approval(step, worker);
 
-	if (a == NULL || a->expires < pool->now + FIT_TICKET_VALID_MIN ||
+	if (a == NULL ||
+	    a->expires < pool->now + FIT_TICKET_VALID_MIN +
+			     pool_pace_send_time(pool, &flow->spec, starts) ||
 	    a->incarnation != pool_worker_get(pool, worker)->incarnation)
 		return NULL;
 	return a;
 }
 
+uint32_t
+pool_step_starts_together(const struct pool_step *step)
+{
+	return (step->spec->flags & GB_STEP_GANG) != 0 ? step->spec->count : 1;
+}
+
 /** How many tasks fit into the free resources of one worker. */
 static uint32_t
 fit_task_count(const gb_res *need, const gb_res *avail)
@@ -225,7 +234,8 @@
 	if (rack != NULL && strcmp(rack, worker->rack) != 0)
 		return false;
 	if (tickets && POOL_ADVICE_NEEDED(flow) &&
-	    pool_fit_ticket(pool, step, worker->handle) == NULL)
+	    pool_fit_ticket(pool, flow, step, worker->handle,
+		pool_step_starts_together(step)) == NULL)
 		return false;
 	avail = pool_fit_free_capacity(worker);
 	/* Runs that end before the reserved capacity is needed may use it. */
--- a/libgooseberry/pool/pace.c
+++ b/libgooseberry/pool/pace.c
@@ -28,6 +28,10 @@
  * once, and must answer members well before they suspect it (0.9 s without
  * answer). */
 #define PACE_HEARTBEATS_QUEUED_MAX (200 * GB_MSEC)
+/** Time for which the answers to advice calls may keep the link busy. */
+#define PACE_ADVICE_LINK_TIME (150 * GB_MSEC)
+/** Bytes of such an answer, with a ticket for each worker of a large call. */
+#define PACE_ADVICE_BYTES 4000
 /** A heartbeat is delayed by this many times the time that the queue takes to
  * send, so that ends are reported in fewer, longer answers. */
 #define PACE_HEARTBEATS_DELAY_FACTOR 2
@@ -61,6 +65,9 @@
 #define PACE_STARTS_SHARE 0.25
 /** Largest share that starts get while other messages wait. */
 #define PACE_STARTS_SHARE_MAX 0.5
+/** Accepted work waits for the link, and not for capacity, if the free workers
+ * could take this share of it. */
+#define PACE_TAKEABLE_SHARE 0.5
 /** Smallest share of the bandwidth that is expected. */
 #define PACE_STARTS_SHARE_MIN 0.01
 /** Interval at which the rate of starts is measured. */
@@ -95,7 +102,13 @@
 bool
 pool_pace_may_ask_advice(const struct gb_pool *pool)
 {
-	return pace_link(pool).queued <= PACE_ADVICE_QUEUED_MAX;
+	struct gb_pool_link link = pace_link(pool);
+	uint64_t most = link.bytes_per_s * PACE_ADVICE_LINK_TIME / GB_SEC /
+			PACE_ADVICE_BYTES;
+
+	if (link.queued > PACE_ADVICE_QUEUED_MAX)
+		return false;
+	return link.bytes_per_s == 0 || pool->advice_in_flight <= most;
 }
 
 bool
@@ -153,6 +166,12 @@
 	return pace_link(pool).queued;
 }
 
+gb_time
+pool_pace_answer_delay(const struct gb_pool *pool)
+{
+	return pace_link(pool).answer_delay;
+}
+
 size_t
 pool_pace_write_bytes(const struct gb_pool *pool, size_t max)
 {
@@ -173,6 +192,39 @@
 	return rate == 0 ? 0 : (gb_time)(total * GB_SEC / rate);
 }
 
+void
+pool_pace_look(struct gb_pool *pool)
+{
+	pool->link = pace_link(pool);
+}
+
+gb_time
+pool_pace_send_time(
+    const struct gb_pool *pool, const gb_flow *flow, uint32_t tasks)
+{
+	if (pool->link.bytes_per_s == 0)
+		return 0;
+	return pool->link.queued +
+	       (gb_time)(pool_pace_start_bytes(flow, tasks) * GB_SEC /
+			 pool->link.bytes_per_s);
+}
+
+uint32_t
+pool_pace_starts_max(const struct gb_pool *pool, const gb_flow *flow)
+{
+	struct gb_pool_link link = pace_link(pool);
+	gb_time left = PACE_STARTS_QUEUED_MAX - link.queued;
+	uint64_t count;
+
+	if (link.bytes_per_s == 0)
+		return UINT32_MAX;
+	if (left <= 0)
+		return 1;
+	count = link.bytes_per_s * (uint64_t)left / GB_SEC /
+		pool_pace_start_bytes(flow, 1);
+	return count == 0 ? 1 : (uint32_t)count;
+}
+
 void
 pool_pace_task_done(
     struct gb_pool *pool, const struct pool_flow *flow, uint32_t tasks)
@@ -221,6 +273,19 @@
 	rate->measured_at = pool->now;
 }
 
+bool
+pool_pace_limits_starts(const struct gb_pool *pool)
+{
+	return pool->starts_rate.congested &&
+	       pace_takeable_share(pool) >= PACE_TAKEABLE_SHARE;
+}
+
+bool
+gb_pool_link_congested(const struct gb_pool *pool)
+{
+	return pool->starts_rate.congested;
+}
+
 gb_time
 pool_pace_starts_wait(const struct gb_pool *pool)
 {
--- a/libgooseberry/pool/page.c
+++ b/libgooseberry/pool/page.c
@@ -97,6 +97,12 @@
 	return pages_link_bytes(pool) > 0 && pages_max(pool) < PAGES_MAX;
 }
 
+bool
+gb_pool_loads_by_pages(const struct gb_pool *pool)
+{
+	return pages_paced(pool);
+}
+
 /** Maximum number of rows to request in a page. */
 static uint32_t
 page_rows(const struct gb_pool *pool, enum gb_pool_table table)
--- a/libgooseberry/pool/preempt.c
+++ b/libgooseberry/pool/preempt.c
@@ -178,7 +178,8 @@
 		return false;
 	if (!tickets || !POOL_ADVICE_NEEDED(flow))
 		return true;
-	ticket = pool_fit_ticket(pool, step, worker->handle);
+	ticket = pool_fit_ticket(
+	    pool, flow, step, worker->handle, pool_step_starts_together(step));
 	return ticket != NULL &&
 	       ticket->expires >
 		   pool->now + pool->cfg.limits.stop_us + PREEMPT_START_DELAY;
--- a/libgooseberry/pool/run.c
+++ b/libgooseberry/pool/run.c
@@ -249,7 +249,7 @@
 {
 	const struct pool_step *step = &run->flow->steps[run->step];
 	const struct pool_approval *a =
-	    pool_fit_ticket(pool, step, run->worker->handle);
+	    pool_fit_ticket(pool, run->flow, step, run->worker->handle, 1);
 
 	/* Another incarnation might accept it: waits until the worker has
 	 * answered. */
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -439,7 +439,8 @@
 	struct pool_channel *channel;
 	char flow[GB_NAME_MAX + 1];
 	uint32_t step;
-	bool first; /**< asked about workers not asked about before */
+	uint32_t workers; /**< number of workers that it names */
+	bool first;	  /**< asked about workers not asked about before */
 	gb_time sent;
 };
 
@@ -583,6 +584,7 @@
 	struct pool_channel *channels;
 	size_t channel_count;
 	struct pool_advice_call *advice_calls;
+	uint32_t advice_in_flight; /**< number of these calls */
 	/* Dispatch */
 	bool work_changed; /**< something may now start: dispatch soon */
 	struct pool_candidate *candidates; /**< scratch, one per worker */
@@ -605,6 +607,7 @@
 	 * at the last dispatch. */
 	bool start_overdue;
 	struct pool_starts_rate starts_rate;
+	struct gb_pool_link link; /**< as the last dispatch began */
 	/** Bytes of starts that may be accepted, negative: too many were, and
 	 * when that was updated. */
 	double accept_bytes;
@@ -662,10 +665,13 @@
 /** Whether a worker may run a step, by its service, labels and rack. */
 bool pool_fit_allows(const struct gb_pool *, const struct pool_flow *,
     const struct pool_step *, const struct pool_worker *);
-/** Returns the approval whose ticket is still valid when an order arrives, or
- * null. */
-const struct pool_approval *pool_fit_ticket(
-    const struct gb_pool *, const struct pool_step *, uint32_t worker);
+/** Returns the approval whose ticket is still valid when the last of so many
+ * start orders arrives, or null. */
+const struct pool_approval *pool_fit_ticket(const struct gb_pool *,
+    const struct pool_flow *, const struct pool_step *, uint32_t worker,
+    uint32_t starts);
+/** Number of starts of a step that are sent together. */
+uint32_t pool_step_starts_together(const struct pool_step *);
 /** Places as many tasks of a step as possible; of a gang, all or none.  Fills
  * in a worker handle for each task and returns the number of placed tasks.
  * Without tickets, every approved worker counts. */
@@ -705,6 +711,8 @@
 /** Whether the link has capacity for starts, and for advice calls. */
 bool pool_pace_may_send_starts(const struct gb_pool *);
 bool pool_pace_may_ask_advice(const struct gb_pool *);
+/** Maximum number of starts of single tasks to send now. */
+uint32_t pool_pace_starts_max(const struct gb_pool *, const gb_flow *);
 /** Whether the link has capacity for a heartbeat. */
 bool pool_pace_may_send_heartbeat(const struct gb_pool *);
 /** Maximum number of first heartbeats in flight: they are all answered at
@@ -722,6 +730,8 @@
 bool pool_pace_accepts(struct gb_pool *, uint64_t bytes);
 /** Time to send what is queued on the link. */
 gb_time pool_pace_queued(const struct gb_pool *);
+/** Time for which an answer may wait on the link. */
+gb_time pool_pace_answer_delay(const struct gb_pool *);
 /** Size of the values in one write to the store that the link carries in a
  * short time, at most `max`. */
 size_t pool_pace_write_bytes(const struct gb_pool *, size_t max);
@@ -731,10 +741,18 @@
 /** Counts tasks that are done, to measure how fast the link gets work done. */
 void pool_pace_task_done(
     struct gb_pool *, const struct pool_flow *, uint32_t tasks);
+/** Notes the state of the link, for the decisions of one dispatch. */
+void pool_pace_look(struct gb_pool *);
 /** Updates whether the link is congested and how fast it gets work done. */
 void pool_pace_measure(struct gb_pool *);
+/** Time until the starts of so many tasks have left the link, as it was when it
+ * was last asked. */
+gb_time pool_pace_send_time(
+    const struct gb_pool *, const gb_flow *, uint32_t tasks);
 /** Time for which the waiting starts will keep a congested link busy. */
 gb_time pool_pace_starts_wait(const struct gb_pool *);
+/** Whether accepted work waits for the link rather than for capacity. */
+bool pool_pace_limits_starts(const struct gb_pool *);
 /** Time until a congested link has got done what the free workers can take of
  * the accepted work, at the measured rate. */
 gb_time pool_pace_backlog(const struct gb_pool *);
--- a/libgooseberry/pool/writer.c
+++ b/libgooseberry/pool/writer.c
@@ -380,14 +380,15 @@
 	/* With a shorter timeout a slow store would look unavailable. */
 	const struct gb_pool_read read = {number, GB_POOL_OWNERS,
 	    GB_POOL_OWNER_KEY, GB_POOL_OWNER_KEY "0", 1, WRITER_PROBE_TIMEOUT};
+	gb_time delay = pool_pace_answer_delay(pool);
 	struct pool_call *call;
 
 	if (partition->probe != 0 &&
-	    pool->now - partition->probed > WRITER_PROBE_TIMEOUT)
+	    pool->now - partition->probed > WRITER_PROBE_TIMEOUT + delay)
 		partition->silent = true;
 	if (partition->call == 0 || partition->probe != 0 ||
 	    partition->probe_answered ||
-	    pool->now - partition->left_at < WRITER_OVERDUE)
+	    pool->now - partition->left_at < WRITER_OVERDUE + delay)
 		return;
 	call = pool_call_new(pool, POOL_CALL_PROBE);
 	call->partition = number;
@@ -606,7 +607,8 @@
 	partition->refused = 0;
 	partition->lost = 0;
 	if (partition->call == 0 || partition->left_at > call->sent ||
-	    pool->now - call->sent > WRITER_PROBE_QUICK)
+	    pool->now - call->sent >
+		WRITER_PROBE_QUICK + pool_pace_answer_delay(pool))
 		return;
 	/* The store is quick, so the answer to the write is lost. */
 	partition->call = 0;
--- a/libgooseberry/process/link.c
+++ b/libgooseberry/process/link.c
@@ -17,6 +17,9 @@
 /** Bytes of the TCP and IP headers and of the acknowledgement of a message that
  * fits into one packet. */
 #define LINK_OVERHEAD_BYTES 80
+/** Bytes of answers that may arrive before another one.  An owner's calls to
+ * workers, members and the store are answered independently of each other. */
+#define LINK_ANSWERS_BYTES 32768
 /** Interval at which the utilisation of the link is averaged. */
 #define LINK_AVERAGE_INTERVAL (200 * GB_MSEC)
 /** Weight of the last interval in the moving average of the utilisation. */
@@ -109,6 +112,14 @@
 	return link->free_at - now;
 }
 
+gb_time
+gb_link_answer_delay(const struct gb_link *link)
+{
+	if (link == NULL || link->bytes_per_s == 0)
+		return 0;
+	return LINK_ANSWERS_BYTES * GB_SEC / (gb_time)link->bytes_per_s;
+}
+
 double
 gb_link_utilisation(const struct gb_link *link)
 {
--- a/tests/pool_cell.c
+++ b/tests/pool_cell.c
@@ -404,6 +404,7 @@
 
 	out->queued = gb_link_backlog(link, from->cell->now);
 	out->bytes_per_s = gb_link_rate(link);
+	out->answer_delay = gb_link_answer_delay(link);
 	out->use = gb_link_utilisation(link);
 	out->use_received = gb_link_received_utilisation(link);
 }
--- a/tests/test_link.c
+++ b/tests/test_link.c
@@ -226,6 +226,41 @@
 	pool_cell_free(cell);
 }
 
+/** Time for which the starts of one step may keep the link busy: answers to
+ * hellos wait behind them, and members wait for these for 0.6 s. */
+#define STEP_QUEUE_MAX (600 * GB_MSEC)
+
+/** A step of 80 tasks on a thin link.  Guards against starts that are all
+ * queued at once: what is sent after them waits for more than a second, and the
+ * tickets of the last ones expire on the way. */
+static void
+test_large_step_leaves_room_on_thin_link(void **state)
+{
+	struct pool_cell_setup setup = thin;
+	struct pool_cell *cell;
+	gb_time longest = 0;
+	unsigned int tick;
+
+	(void)state;
+	setup.link = THIN_LINK_BYTES_PER_SEC / 4;
+	cell = pool_cell_begin(&setup);
+	pool_cell_step_add(cell, 80, 2800, GB_SEC, 0, -1);
+	pool_cell_submit(cell, "import", spec_of("ms=1000", 600));
+	for (tick = 0; tick < 400; tick++) {
+		gb_time queued;
+
+		pool_cell_run(cell, 10 * GB_MSEC);
+		queued = gb_link_backlog(cell->links[0], cell->now);
+		if (queued > longest)
+			longest = queued;
+	}
+	assert_true(longest <= STEP_QUEUE_MAX);
+	pool_cell_run(cell, 10 * GB_SEC);
+	assert_int_equal(cell->flows[0].status, GB_FLOW_SUCCEEDED);
+	pool_cell_assert_no_violation(cell);
+	pool_cell_free(cell);
+}
+
 /** A node behind a link of 0.5 Mbit/s takes over a pool with 150 unfinished
  * flows, which take seconds to read.  Guards against reads that are all in
  * flight at once, time out and are retried forever. */
@@ -268,6 +303,7 @@
 	    cmocka_unit_test(test_thin_link_serves_most_in_time),
 	    cmocka_unit_test(test_very_thin_link_loses_no_flow),
 	    cmocka_unit_test(test_busy_thin_link_finishes_accepted_flows),
+	    cmocka_unit_test(test_large_step_leaves_room_on_thin_link),
 	    cmocka_unit_test(test_successor_behind_thin_link_loads),
 	};
 
