Don't let a late start run a task twice after its worker restarts

Cause: a start order without an answer may be carried out seconds later. The owner sent it again, or stopped the run and started the task elsewhere, and then forgot it. The worker that it was sent to refuses it, but a worker that has restarted under its id knows no token, stop or end, and takes it until the first order of the owner. Change (pool/late_start.c): the owner counts the orders of a run that were not answered. While one may still be carried out (up to 12 s after it was sent) by another incarnation, the task is started nowhere else and its ends are not acknowledged, so that an end that is lost with its worker never counted. The state of the flow names these tasks for a successor, and no order is sent a second time before that is stored; a single order is used up once the worker lists its run. An end that is reported again to a successor no longer stops a newer run of a gang, and a worker with ends to acknowledge, which answers at once, is not waited for 1.8 s: its silence showed too late. run_start says how the last run of the task ended. Cost: none where workers don't report when they started, as every restart has an id of its own there; otherwise a write for each order without an answer, and up to 13 s for the ends of a worker with such an order. Left: a first order that an owner sent within its last 0.3 s, before it could record that it had no answer, and that comes after its successor started the task elsewhere and the worker restarted. Only a write before each start, or 13 s without starts after each takeover, would prevent that. Check changed: test_older_state_rows_are_read takes rows with up to four fields missing in place of three, as the state has one more at its end; it still rejects shorter ones.

--- a/libgooseberry/gen/proto.c
+++ b/libgooseberry/gen/proto.c
@@ -1048,6 +1048,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_gb_task_ref (XDR *xdrs, gb_task_ref *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_uint32_t (xdrs, &objp->step))
+		 return FALSE;
+	 if (!xdr_uint32_t (xdrs, &objp->index))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_gb_flow_state (XDR *xdrs, gb_flow_state *objp)
 {
@@ -1073,6 +1085,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->worker_incarnations.worker_incarnations_val, (u_int *) &objp->worker_incarnations.worker_incarnations_len, ~0,
 		sizeof (int64_t), (xdrproc_t) xdr_int64_t))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->late_starts.late_starts_val, (u_int *) &objp->late_starts.late_starts_len, GB_TASKS_MAX,
+		sizeof (gb_task_ref), (xdrproc_t) xdr_gb_task_ref))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/libgooseberry/gen/proto.h
+++ b/libgooseberry/gen/proto.h
@@ -585,6 +585,12 @@
 };
 typedef struct gb_task_crashes gb_task_crashes;
 
+struct gb_task_ref {
+	uint32_t step;
+	uint32_t index;
+};
+typedef struct gb_task_ref gb_task_ref;
+
 struct gb_flow_state {
 	gb_flow_status status;
 	bool_t cancelled;
@@ -606,6 +612,10 @@
 		u_int worker_incarnations_len;
 		int64_t *worker_incarnations_val;
 	} worker_incarnations;
+	struct {
+		u_int late_starts_len;
+		gb_task_ref *late_starts_val;
+	} late_starts;
 };
 typedef struct gb_flow_state gb_flow_state;
 
@@ -833,6 +843,7 @@
 extern  bool_t xdr_gb_task_state (XDR *, gb_task_state*);
 extern  bool_t xdr_gb_unreachable_worker (XDR *, gb_unreachable_worker*);
 extern  bool_t xdr_gb_task_crashes (XDR *, gb_task_crashes*);
+extern  bool_t xdr_gb_task_ref (XDR *, gb_task_ref*);
 extern  bool_t xdr_gb_flow_state (XDR *, gb_flow_state*);
 extern  bool_t xdr_gb_owner_row (XDR *, gb_owner_row*);
 extern  bool_t xdr_gb_worker_ref (XDR *, gb_worker_ref*);
@@ -909,6 +920,7 @@
 extern bool_t xdr_gb_task_state ();
 extern bool_t xdr_gb_unreachable_worker ();
 extern bool_t xdr_gb_task_crashes ();
+extern bool_t xdr_gb_task_ref ();
 extern bool_t xdr_gb_flow_state ();
 extern bool_t xdr_gb_owner_row ();
 extern bool_t xdr_gb_worker_ref ();
--- a/libgooseberry/gen/proto.x
+++ b/libgooseberry/gen/proto.x
@@ -522,8 +522,13 @@
 	gb_unreachable_worker unreachable<GB_UNREACHABLE_MAX>;
 };
 
-/* State of a flow.  Rows of older programs end before `crashes`, before `org`
- * or before `worker_incarnations`. */
+struct gb_task_ref {
+	uint32_t step;
+	uint32_t index;
+};
+
+/* State of a flow.  Rows of older programs end before `crashes`, `org`,
+ * `worker_incarnations` or `late_starts`. */
 struct gb_flow_state {
 	gb_flow_status status;
 	bool cancelled;
@@ -534,6 +539,8 @@
 	gb_name org;		/* organisation it belongs to, empty: none */
 	/* of the unreachable workers, in their order */
 	int64_t worker_incarnations<>;
+	/* tasks with a start order that may still be carried out */
+	gb_task_ref late_starts<GB_TASKS_MAX>;
 };
 
 /* Owner of the pool.  One copy in each partition, so that every transaction of
--- a/libgooseberry/pool/crash.c
+++ b/libgooseberry/pool/crash.c
@@ -718,23 +718,6 @@
 	       suspect_may_be_over_limit(suspect);
 }
 
-uint32_t
-pool_crash_blocked_count(
-    const struct pool_flow *flow, const struct pool_step *step)
-{
-	uint32_t count = 0;
-	uint32_t i;
-
-	for (i = 0; step->suspects + step->plans > 0 && i < step->spec->count;
-	     i++) {
-		const struct pool_task *task = &step->tasks[i];
-
-		count += !task->done && TAILQ_EMPTY(&task->runs) &&
-			 pool_crash_start_blocked(flow, task);
-	}
-	return count;
-}
-
 /** Counts workers that are still unreachable at the deadline as crashed,
  * although nothing shows that the task caused it. */
 static void
--- a/libgooseberry/pool/crash.h
+++ b/libgooseberry/pool/crash.h
@@ -33,9 +33,6 @@
  * stored, or it may be over the limit of crashes. */
 bool pool_crash_start_blocked(
     const struct pool_flow *, const struct pool_task *);
-/** Number of tasks of a step without a run that may not be started yet. */
-uint32_t pool_crash_blocked_count(
-    const struct pool_flow *, const struct pool_step *);
 /** Counts workers that have been unreachable for too long as crashed, and fails
  * the flow if one of its tasks is over the limit. */
 void pool_crash_sweep(struct gb_pool *, struct pool_flow *);
--- a/libgooseberry/pool/dispatch.c
+++ b/libgooseberry/pool/dispatch.c
@@ -82,10 +82,11 @@
 
 /** Whether a planned start is stored and only has to be sent. */
 static bool
-plan_is_due(const struct pool_flow *flow, const struct pool_task *task)
+plan_is_due(const struct gb_pool *pool, const struct pool_flow *flow,
+    const struct pool_task *task)
 {
 	return task->plan != NULL && !task->done && TAILQ_EMPTY(&task->runs) &&
-	       !pool_crash_start_blocked(flow, task);
+	       !pool_start_blocked(pool, flow, task);
 }
 
 /** Sends the planned starts of a gang once all are stored. Drops them if a
@@ -101,7 +102,7 @@
 	uint32_t i;
 
 	if (step->active > 0 || step->plans == 0 ||
-	    pool_crash_blocked_count(flow, step) > 0)
+	    pool_start_blocked_count(pool, flow, step) > 0)
 		return;
 	startable =
 	    step->plans == count &&
@@ -131,7 +132,7 @@
 		return;
 	}
 	for (i = 0; step->plans > 0 && i < step->spec->count; i++) {
-		if (!plan_is_due(flow, &step->tasks[i]))
+		if (!plan_is_due(pool, flow, &step->tasks[i]))
 			continue;
 		if (plan_is_startable(pool, flow, step, i) &&
 		    pool_quota_fits(pool, flow->org, &step->spec->res, 1) == 1)
@@ -159,7 +160,7 @@
 		struct pool_task *task = &step->tasks[i];
 
 		if (task->done || !TAILQ_EMPTY(&task->runs) ||
-		    pool_crash_start_blocked(flow, task))
+		    pool_start_blocked(pool, flow, task))
 			continue;
 		if (flow->plan_starts) {
 			pool_crash_plan(pool, flow, step_number, i,
--- a/libgooseberry/pool/flow.c
+++ b/libgooseberry/pool/flow.c
@@ -148,7 +148,7 @@
 		for (j = 0; j < flow->steps[i].spec->count; j++) {
 			while ((run = TAILQ_FIRST(
 				    &flow->steps[i].tasks[j].runs)) != NULL)
-				pool_run_free(pool, run);
+				pool_run_free(pool, run, "dropped");
 		}
 	}
 	if (!flow->closed) {
@@ -375,13 +375,13 @@
 		return 0;
 	if ((step->spec->flags & GB_STEP_GANG) != 0)
 		return step->active > 0 ||
-			       pool_crash_blocked_count(flow, step) > 0
+			       pool_start_blocked_count(pool, flow, step) > 0
 			   ? 0
 			   : remaining;
 	/* Finished tasks may have a run that is still being stopped. */
 	remaining =
 	    remaining > step->active_open ? remaining - step->active_open : 0;
-	blocked = pool_crash_blocked_count(flow, step);
+	blocked = pool_start_blocked_count(pool, flow, step);
 	return remaining > blocked ? remaining - blocked : 0;
 }
 
@@ -528,6 +528,22 @@
 		    "a task failed as often as it may");
 }
 
+/** Whether a gang has been started again since a run: an end that could not be
+ * acknowledged is reported again to the next owner. */
+static bool
+step_has_newer_run(const struct pool_step *step, uint64_t run_number)
+{
+	const struct pool_run *run;
+	uint32_t i;
+
+	for (i = 0; step->active > 0 && i < step->spec->count; i++) {
+		run = TAILQ_FIRST(&step->tasks[i].runs);
+		if (run != NULL && run->number > run_number)
+			return true;
+	}
+	return false;
+}
+
 void
 pool_flow_run_ended(struct gb_pool *pool, struct pool_flow *flow,
     const struct gb_pool_run_report *report, struct pool_worker *worker)
@@ -542,9 +558,10 @@
 	gb_time run_time = 0;
 
 	if (run != NULL) {
+		run->listed = true;
 		run_time = pool->now - run->started;
 		pool_health_run_ended(pool, worker, run, report->outcome);
-		pool_run_free(pool, run);
+		pool_run_free(pool, run, pool_outcome_name(report->outcome));
 	}
 	pool->work_changed = true;
 	if (finished || task->done)
@@ -564,8 +581,9 @@
 		step->failed_run_time = run_time;
 	if (report->outcome == GB_POOL_FAILED)
 		step_fail_task(pool, flow, state_task, report->run);
-	pool_flow_gang_broken(
-	    pool, flow, report->step, "a member of the gang ended");
+	if (!step_has_newer_run(step, report->run))
+		pool_flow_gang_broken(
+		    pool, flow, report->step, "a member of the gang ended");
 }
 
 /** Checks unfinished flows for tasks that crash workers. Of finished ones,
--- a/libgooseberry/pool/flow_state.c
+++ b/libgooseberry/pool/flow_state.c
@@ -10,7 +10,7 @@
 
 /** Maximum size, in XDR units of 4 bytes, of the fields at the end of each type
  * that rows of older versions may lack. */
-#define STATE_ADDED_UNITS 3
+#define STATE_ADDED_UNITS 4
 #define FLOW_ADDED_UNITS 4
 
 static bool
@@ -71,9 +71,55 @@
 	}
 }
 
+/** Adds the tasks of a flow with start orders that may still be carried out. */
+static void
+late_starts_fill(const struct gb_pool *pool, const struct pool_flow *flow,
+    uint32_t tasks, gb_flow_state *state)
+{
+	gb_task_ref *out;
+	uint32_t i;
+	uint32_t j;
+
+	if (flow->runs == 0 && flow->late_until <= pool->now)
+		return;
+	state->late_starts.late_starts_val =
+	    gb_calloc(tasks, sizeof(gb_task_ref));
+	for (i = 0; i < flow->step_count; i++) {
+		for (j = 0; j < flow->steps[i].spec->count; j++) {
+			if (pool_late_task_until(&flow->steps[i].tasks[j]) <=
+			    pool->now)
+				continue;
+			out = &state->late_starts.late_starts_val
+				   [state->late_starts.late_starts_len++];
+			out->step = i;
+			out->index = j;
+		}
+	}
+}
+
+static bool
+late_starts_load(
+    struct gb_pool *pool, struct pool_flow *flow, const gb_flow_state *state)
+{
+	u_int i;
+
+	for (i = 0; i < state->late_starts.late_starts_len; i++) {
+		const gb_task_ref *ref = &state->late_starts.late_starts_val[i];
+
+		if (ref->step >= flow->step_count ||
+		    ref->index >= flow->steps[ref->step].spec->count)
+			return false;
+		pool_late_load(pool, flow, ref->step, ref->index);
+		flow->begun = true;
+	}
+	return true;
+}
+
 void
-pool_flow_state_fill(const struct pool_flow *flow, gb_flow_state *state)
+pool_flow_state_fill(const struct gb_pool *pool, const struct pool_flow *flow,
+    gb_flow_state *state)
 {
+	uint32_t tasks = 0;
 	size_t suspects = 0;
 	size_t count = 0;
 	uint32_t i;
@@ -87,6 +133,7 @@
 	if (flow->status >= GB_FLOW_SUCCEEDED)
 		return;
 	for (i = 0; i < flow->step_count; i++) {
+		tasks += flow->steps[i].spec->count;
 		suspects += flow->steps[i].suspects + flow->steps[i].plans;
 		for (j = 0; j < flow->steps[i].spec->count; j++) {
 			if (task_has_state(&flow->steps[i].tasks[j]))
@@ -102,6 +149,7 @@
 		step_state_fill(&flow->steps[i], i, state);
 		step_crashes_fill(&flow->steps[i], i, state);
 	}
+	late_starts_fill(pool, flow, tasks, state);
 }
 
 bool
@@ -258,5 +306,6 @@
 		task_load(&flow->steps[task->step].tasks[task->index], task);
 		flow->begun = true;
 	}
-	return flow_crashes_load(pool, flow, state);
+	return flow_crashes_load(pool, flow, state) &&
+	       late_starts_load(pool, flow, state);
 }
--- a/libgooseberry/pool/report.c
+++ b/libgooseberry/pool/report.c
@@ -56,6 +56,8 @@
 
 	while ((end = STAILQ_FIRST(&worker->ends)) != NULL) {
 		flow = pool_flow_find(pool, end->flow);
+		if (end->held_until > pool->now)
+			break;
 		if (end->kept_report != NULL ||
 		    (flow != NULL && flow->stored < end->change))
 			break;
@@ -86,8 +88,8 @@
 	(*counts[outcome])++;
 }
 
-static const char *
-outcome_name(enum gb_pool_outcome outcome)
+const char *
+pool_outcome_name(enum gb_pool_outcome outcome)
 {
 	static const char *const names[] = {
 	    "done", "failed", "stopped", "lapsed", "broken", "alone"};
@@ -116,9 +118,13 @@
 	    "step", (json_int_t)run_report->step, "index",
 	    (json_int_t)run_report->index, "run", (json_int_t)run_report->run,
 	    "worker", worker->entry.id, "how",
-	    outcome_name(run_report->outcome), "known", flow != NULL);
-	if (run_report_known(flow, run_report))
+	    pool_outcome_name(run_report->outcome), "known", flow != NULL);
+	if (run_report_known(flow, run_report)) {
 		pool_flow_run_ended(pool, flow, run_report, worker);
+		end->held_until = flow->steps[run_report->step]
+				      .tasks[run_report->index]
+				      .late_until;
+	}
 	end_set_flow(end, flow);
 }
 
@@ -231,6 +237,7 @@
 run_update(struct gb_pool *pool, struct pool_run *run,
     const struct gb_pool_run_report *run_report)
 {
+	run->listed = true;
 	if (run->confirmed == 0)
 		run->confirmed = pool->now;
 	if (run->state == POOL_RUN_START_UNKNOWN && run->stop_call == 0 &&
@@ -302,7 +309,7 @@
 		    (json_int_t)((pool->now - run->started) / GB_MSEC), "state",
 		    (int)run->state);
 		pool->stats.gone++;
-		pool_run_free(pool, run);
+		pool_run_free(pool, run, "gone");
 	}
 }
 
--- a/libgooseberry/pool/run.c
+++ b/libgooseberry/pool/run.c
@@ -58,11 +58,14 @@
 }
 
 void
-pool_run_free(struct gb_pool *pool, struct pool_run *run)
+pool_run_free(struct gb_pool *pool, struct pool_run *run, const char *end)
 {
 	struct pool_step *step = &run->flow->steps[run->step];
 	struct pool_task *task = &step->tasks[run->index];
 
+	task->last_end = end;
+	task->last_run = run->number;
+	pool_late_run_freed(run);
 	pool_call_clear_run(pool, run->start_call);
 	pool_call_clear_run(pool, run->stop_call);
 	if (task->plan != NULL) {
@@ -117,6 +120,7 @@
 	run->start_call = call->id;
 	run->state = POOL_RUN_STARTING;
 	run->tries++;
+	run->start_sent = pool->now;
 	run_fill_order(pool, run, &order);
 	order.spec = run->flow->spec.spec;
 	order.lease_end_ms =
@@ -136,6 +140,7 @@
 {
 	struct pool_run *run =
 	    pool_run_new(pool, flow, step, index, number, worker);
+	const struct pool_task *task = &flow->steps[step].tasks[index];
 
 	if (!flow->begun) {
 		flow->begun = true;
@@ -144,12 +149,13 @@
 		    &pool->stats.first_start_us, pool->now - flow->submitted);
 	}
 	gb_event(pool->cfg.events, GB_EVENT_NORMAL, "run_start",
-	    "{s:s, s:I, s:I, s:I, s:s, s:I, s:I, s:i}", "flow", flow->spec.id,
-	    "step", (json_int_t)step, "index", (json_int_t)index, "run",
-	    (json_int_t)number, "worker", worker->entry.id, "free_cpu",
+	    "{s:s, s:I, s:I, s:I, s:s, s:I, s:I, s:i, s:s?, s:I}", "flow",
+	    flow->spec.id, "step", (json_int_t)step, "index", (json_int_t)index,
+	    "run", (json_int_t)number, "worker", worker->entry.id, "free_cpu",
 	    (json_int_t)pool_fit_free_capacity(worker).cpu, "slack_ms",
 	    (json_int_t)((flow->due - flow->remaining - pool->now) / GB_MSEC),
-	    "tier", flow->tier);
+	    "tier", flow->tier, "after", task->last_end, "last_run",
+	    (json_int_t)task->last_run);
 	run_start_send(pool, run, ticket);
 }
 
@@ -213,7 +219,7 @@
 				step->approved[i].expires = 0;
 		}
 	}
-	pool_run_free(pool, run);
+	pool_run_free(pool, run, "refused");
 	pool_flow_gang_broken(pool, flow, step_number, "a member was refused");
 }
 
@@ -253,7 +259,8 @@
 
 	/* Another incarnation might accept it: waits until the worker has
 	 * answered. */
-	run->retry_pending = !pool_incarnation_confirmed(run->worker);
+	run->retry_pending = !pool_incarnation_confirmed(run->worker) ||
+			     run->flow->stored < run->late_change;
 	if (run->retry_pending)
 		return;
 	if (run->confirmed != 0)
@@ -334,6 +341,10 @@
 	    (run->worker->ended || res->status == GB_POOL_ORDER_WRONG_WORKER);
 
 	gb_histogram_add(&pool->stats.start_us, pool->now - call->sent);
+	if (run != NULL && res->status != GB_POOL_ORDER_LOST)
+		run->answers++;
+	else if (run != NULL)
+		pool_late_start_lost(pool, run);
 	/* Done before the worker is ended, which would lose the run. */
 	if (resolved)
 		run_start_resolved(pool, run, res);
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -5,9 +5,10 @@
  * The files, from the entry points down: pool.c; owner.c, rival.c, load.c and
  * page.c (ownership and loading); dispatch.c and advice.c (starting work);
  * worker.c, listing.c, incarnation.c, health.c and worker_set.c (workers);
- * flow.c, flow_state.c, report.c, run.c and crash.c (flows and runs); writer.c
- * (storing changes); call.c and org.c.  A lower file calls a higher one to look
- * something up, or when a result ends a run, a worker or the ownership.
+ * flow.c, flow_state.c, report.c, run.c, late_start.c and crash.c (flows and
+ * runs); writer.c (storing changes); call.c and org.c.  A lower file calls a
+ * higher one to look something up, or when a result ends a run, a worker or the
+ * ownership.
  *
  * Decisions without side effects are in rank.c, fit.c, reservation.c, quota.c,
  * share.c, contention.c and admit.c.  preempt.c decides and also stops runs
@@ -77,11 +78,17 @@
 	struct pool_worker *worker;
 	enum pool_run_state state;
 	gb_res res;
-	uint64_t start_call; /**< start order in flight, 0: none */
-	unsigned int tries;  /**< start orders sent */
-	bool retry_pending;  /**< resend the start order once the link has
-				capacity and the incarnation is confirmed */
-	uint64_t stop_call;  /**< stop order in flight, 0: none */
+	uint64_t start_call;  /**< start order in flight, 0: none */
+	unsigned int tries;   /**< start orders sent */
+	unsigned int answers; /**< of these, orders that were answered */
+	gb_time start_sent;   /**< when the last start order was sent */
+	/** Change of the flow that records an order without an answer, 0: none.
+	 * No further order is sent before it is stored. */
+	uint64_t late_change;
+	bool listed;	    /**< the worker has listed it as running or ended */
+	bool retry_pending; /**< resend the start order once the link has
+			       capacity and the incarnation is confirmed */
+	uint64_t stop_call; /**< stop order in flight, 0: none */
 	gb_time started;
 	gb_time confirmed; /**< when the worker first confirmed the start or
 			      reported the run, 0: not yet */
@@ -114,7 +121,13 @@
 	struct pool_plan *plan;
 	struct pool_runs runs; /**< one, or two if the step is speculative */
 	bool done;
-	bool preempted;	       /**< was stopped by preemption */
+	bool preempted; /**< was stopped by preemption */
+	/** How its last run has ended, for the log; null: it had none. */
+	const char *last_end;
+	uint64_t last_run; /**< number of that run */
+	/** Until then a start order of a run that was given up may be carried
+	 * out, 0: none. */
+	gb_time late_until;
 	uint32_t failures;     /**< number of failed runs */
 	uint64_t *failed_runs; /**< their run numbers */
 	char *checkpoint;      /**< that the next run continues from, or null */
@@ -232,6 +245,7 @@
 	bool write_lost;  /**< a write of it got no answer and may have been
 			     carried out */
 	uint32_t runs;	  /**< of all its tasks */
+	gb_time late_until; /**< latest late_until of its tasks */
 	gb_time submitted;
 	gb_time first_start;
 	gb_time ended;
@@ -267,6 +281,8 @@
 	uint64_t number; /**< in the worker's list of ends */
 	char flow[GB_NAME_MAX + 1];
 	uint64_t change; /**< of the flow; it must be stored first */
+	/** Until then a start order of its task may still be carried out. */
+	gb_time held_until;
 	/** The report, while the flow's partition is not attached; else
 	 * null. */
 	struct gb_pool_run_report *kept_report;
@@ -834,7 +850,8 @@
 
 /* flow_state.c */
 /** Fills in the state to store; free it with pool_flow_state_clear. */
-void pool_flow_state_fill(const struct pool_flow *, gb_flow_state *);
+void pool_flow_state_fill(
+    const struct gb_pool *, const struct pool_flow *, gb_flow_state *);
 void pool_flow_state_clear(gb_flow_state *);
 /** Restores a flow from its stored state.  Returns false when the state does
  * not match what was submitted. */
@@ -858,6 +875,8 @@
 /** Drops the ends that are not stored. */
 void pool_report_clear(struct pool_worker *);
 
+/** Name of an outcome in log events. */
+const char *pool_outcome_name(enum gb_pool_outcome);
 /** Whether a report names a run, as running or ended. */
 bool pool_report_lists_run(
     const struct gb_pool_report *, const struct pool_run *);
@@ -969,7 +988,8 @@
 void pool_run_stop(struct gb_pool *, struct pool_run *, const char *why);
 /** Whether the only start order of a run is still in flight. */
 bool pool_run_is_start_pending(const struct pool_run *);
-void pool_run_free(struct gb_pool *, struct pool_run *);
+/** Frees a run; `end` says for the log how it has ended. */
+void pool_run_free(struct gb_pool *, struct pool_run *, const char *end);
 void pool_run_start_done(struct gb_pool *, const struct pool_call *,
     const struct gb_pool_order_res *);
 void pool_run_stop_done(struct gb_pool *, const struct pool_call *,
@@ -1002,6 +1022,28 @@
 void pool_advice_claims_drop(struct gb_pool *, struct pool_step *);
 void pool_advice_reset(struct gb_pool *);
 
+/* late_start.c */
+/** Time until which a start order of a run may still be carried out by another
+ * incarnation of its worker, 0: by none. */
+gb_time pool_late_run_until(const struct pool_run *);
+/** The same for any run of a task. */
+gb_time pool_late_task_until(const struct pool_task *);
+/** Handles that a start order of a run got no answer: queues the record for a
+ * successor. */
+void pool_late_start_lost(struct gb_pool *, struct pool_run *);
+/** Records the orders of a run that is being freed with its task. */
+void pool_late_run_freed(struct pool_run *);
+/** Handles that an earlier owner has recorded such orders of a task. */
+void pool_late_load(
+    struct gb_pool *, struct pool_flow *, uint32_t step, uint32_t index);
+/** Whether a task may not be started yet: an earlier start may still be carried
+ * out, or it is a crash suspect that has to wait. */
+bool pool_start_blocked(
+    const struct gb_pool *, const struct pool_flow *, const struct pool_task *);
+/** Number of tasks of a step without a run that may not be started yet. */
+uint32_t pool_start_blocked_count(
+    const struct gb_pool *, const struct pool_flow *, const struct pool_step *);
+
 /* dispatch.c */
 void pool_dispatch(struct gb_pool *);
 /** Starts what can start of a step whose advice has come. */
--- a/libgooseberry/pool/worker.c
+++ b/libgooseberry/pool/worker.c
@@ -37,6 +37,10 @@
  * gives time to store the reported ones: the worker answers at once as long as
  * an end is not acknowledged. */
 #define HEARTBEAT_PAUSE (60 * GB_MSEC)
+/** The same while an end can't be acknowledged because a start of its task may
+ * still be carried out: for seconds the worker answers each heartbeat at once.
+ */
+#define HEARTBEAT_PAUSE_HELD (250 * GB_MSEC)
 /** If there are too few connections for heartbeats that wait, the pause before
  * the next heartbeat to a worker with runs is this long, in microseconds, times
  * the number of workers. This limits the rate of all heartbeats. */
@@ -142,7 +146,7 @@
 		pool->stats.lapsed++;
 		pool_crash_run_lapsed(pool, run);
 	}
-	pool_run_free(pool, run);
+	pool_run_free(pool, run, crashed ? "crashed" : "lapsed");
 	pool_flow_gang_broken(
 	    pool, flow, step, "the worker of a member was lost");
 }
@@ -230,6 +234,9 @@
 		return worker->run_count > 0 ? HEARTBEAT_PAUSE_PER_WORKER_US *
 						   (gb_time)pool->worker_count
 					     : HEARTBEAT_WAIT_IDLE;
+	if (!STAILQ_EMPTY(&worker->ends) &&
+	    STAILQ_FIRST(&worker->ends)->held_until > pool->now)
+		return HEARTBEAT_PAUSE_HELD;
 	return pool_pace_heartbeat_delay(
 	    pool, ended == 0 ? GB_MSEC : HEARTBEAT_PAUSE);
 }
@@ -299,7 +306,9 @@
 	const struct pool_run *run;
 	gb_time left;
 
-	if (worker->run_count == 0)
+	/* With ends to acknowledge it answers at once, and a long wait would
+	 * only delay the retry of a heartbeat that was lost. */
+	if (worker->run_count == 0 && STAILQ_EMPTY(&worker->ends))
 		return HEARTBEAT_WAIT_IDLE;
 	if (pool->answer_lost_at == 0 ||
 	    pool->now - pool->answer_lost_at > HEARTBEAT_LOSS_PERIOD)
--- a/libgooseberry/pool/writer.c
+++ b/libgooseberry/pool/writer.c
@@ -161,7 +161,8 @@
 
 /** Adds the rows of a flow that must be written or removed. */
 static void
-draft_flow(struct draft *draft, struct pool_flow *flow)
+draft_flow(
+    const struct gb_pool *pool, struct draft *draft, struct pool_flow *flow)
 {
 	const gb_flow_row stored = {flow->spec, flow->config};
 	gb_flow_state state;
@@ -185,7 +186,7 @@
 		draft_remove(draft, GB_POOL_STATES, flow->spec.id);
 		return;
 	}
-	pool_flow_state_fill(flow, &state);
+	pool_flow_state_fill(pool, flow, &state);
 	draft_value(draft, draft_put(draft, GB_POOL_STATES, flow->spec.id),
 	    (xdrproc_t)xdr_gb_flow_state, &state);
 	pool_flow_state_clear(&state);
@@ -307,14 +308,15 @@
 
 /** Moves a flow from the dirty ones to a transaction. */
 static void
-partition_draft_flow(struct pool_partition *partition, struct pool_flow *flow,
+partition_draft_flow(const struct gb_pool *pool,
+    struct pool_partition *partition, struct pool_flow *flow,
     struct draft *draft)
 {
 	TAILQ_REMOVE(&partition->dirty, flow, dirty_next);
 	flow->dirty = false;
 	flow->sending = flow->change;
 	flow->removing = false;
-	draft_flow(draft, flow);
+	draft_flow(pool, draft, flow);
 	partition->sent_flows[partition->sent_count++] = flow;
 }
 
@@ -352,7 +354,8 @@
 		     flow = next) {
 			next = TAILQ_NEXT(flow, dirty_next);
 			if (write_priority(flow) == priority)
-				partition_draft_flow(partition, flow, &draft);
+				partition_draft_flow(
+				    pool, partition, flow, &draft);
 		}
 	}
 	partition->renew_sent = false;
