Hold the ends of a gang for late starts of any of its members

Cause: the end of one member stands for the whole gang, but only the end of the member with a late start was held back; the ends of the others were acknowledged. Evidence: ends 4 and 5 of the worker acknowledged, end 6 held until 121710 ms, the copy carried out at 110400 ms. Change: an end of a gang is held as long as a start of any member may still be carried out.

--- a/libgooseberry/pool/late_start.c
+++ b/libgooseberry/pool/late_start.c
@@ -104,6 +104,26 @@
 	return until;
 }
 
+gb_time
+pool_late_end_until(
+    const struct pool_flow *flow, uint32_t step_number, uint32_t index)
+{
+	const struct pool_step *step = &flow->steps[step_number];
+	gb_time until = pool_late_task_until(&step->tasks[index]);
+	uint32_t i;
+
+	/* The end of one member of a gang stands for all of them. */
+	if ((step->spec->flags & GB_STEP_GANG) == 0)
+		return until;
+	for (i = 0; i < step->spec->count; i++) {
+		gb_time member = pool_late_task_until(&step->tasks[i]);
+
+		if (member > until)
+			until = member;
+	}
+	return until;
+}
+
 bool
 pool_start_blocked(const struct gb_pool *pool, const struct pool_flow *flow,
     const struct pool_task *task)
--- a/libgooseberry/pool/report.c
+++ b/libgooseberry/pool/report.c
@@ -121,9 +121,8 @@
 	    pool_outcome_name(run_report->outcome), "known", flow != NULL);
 	if (run_report_known(flow, run_report)) {
 		pool_flow_run_ended(pool, flow, run_report, worker);
-		end->held_until = flow->steps[run_report->step]
-				      .tasks[run_report->index]
-				      .late_until;
+		end->held_until = pool_late_end_until(
+		    flow, run_report->step, run_report->index);
 	}
 	end_set_flow(end, flow);
 }
