Stop runs in time before their worker leaves

Cause: a worker that drains terminates at the end of its notice with what runs there. An end in the last moment is reported in an answer that is lost with the worker; the owner takes the run for lost when the lease has lapsed, 3.9 s later, and starts the task again. The owner did not use what the entry tells of that time (RemainingMs). Change: an entry's remaining time is decoded, and the runs of a worker are stopped the time of a stop and 0.3 s before it leaves. Their ends are reported and acknowledged while the worker can be asked, and the tasks start elsewhere at once. Why it works: nothing runs on a worker in the moment in which it terminates, so that no end can be lost with it. Cost: what would have ended in the last half second is run again; what would have been lost starts 4 s sooner, from its checkpoint if it has one.

--- a/libgooseberry/pool.h
+++ b/libgooseberry/pool.h
@@ -194,6 +194,8 @@
 	uint32_t label_count;
 	gb_res capacity;
 	bool draining;
+	/** Minimum time until a draining worker terminates, 0: unknown. */
+	gb_time leaves_in;
 	bool removed; /**< is no longer listed */
 };
 
--- a/libgooseberry/pool/incarnation.c
+++ b/libgooseberry/pool/incarnation.c
@@ -219,6 +219,7 @@
 	worker->quarantined_until = 0;
 	worker->quarantine_length = 0;
 	worker->slowness = 1.0;
+	worker->leaves_at = 0;
 }
 
 static void
--- a/libgooseberry/pool/listing.c
+++ b/libgooseberry/pool/listing.c
@@ -148,6 +148,21 @@
 		    (json_int_t)worker->run_count);
 }
 
+/** Updates when a worker terminates.  Entries arrive late, so the earliest time
+ * of all that tell it is the best one. */
+static void
+worker_update_leaving(struct gb_pool *pool, struct pool_worker *worker)
+{
+	gb_time leaves_at = pool->now + worker->entry.leaves_in;
+
+	worker->leaving = worker->entry.draining;
+	if (!worker->entry.draining)
+		worker->leaves_at = 0;
+	else if (worker->entry.leaves_in > 0 &&
+		 (worker->leaves_at == 0 || leaves_at < worker->leaves_at))
+		worker->leaves_at = leaves_at;
+}
+
 void
 pool_worker_apply_entry(
     struct gb_pool *pool, const struct gb_pool_entry *listed)
@@ -178,7 +193,7 @@
 		entry_log_changes(pool, worker, entry);
 	worker->entry = *entry;
 	if (pool_incarnation_listed(worker))
-		worker->leaving = entry->draining;
+		worker_update_leaving(pool, worker);
 	worker->listed = true;
 	worker->service_configured = worker_service_known(pool, worker);
 	pool_worker_set_mark_missing(pool, worker);
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -312,8 +312,10 @@
 	/** Incarnation in the stored worker sets as they were read, 0: none. */
 	int64_t recorded_incarnation;
 	bool maybe_restarted; /**< may have restarted since it answered */
-	bool leaving;	/**< the entry of this incarnation has said that it is
-			   draining */
+	bool leaving; /**< the entry of this incarnation has said that it is
+			 draining */
+	/** Earliest time at which this incarnation terminates, 0: unknown. */
+	gb_time leaves_at;
 	uint64_t fence; /**< added to the fencing token; grows when orders in
 			   flight must not be carried out */
 	bool listed;	/**< is in the platform's list */
@@ -1031,6 +1033,9 @@
 /** Handles that a start order of a run got no answer: queues the record for a
  * successor. */
 void pool_late_start_lost(struct gb_pool *, struct pool_run *);
+/** Time until which an end of a task must not be acknowledged. */
+gb_time pool_late_end_until(
+    const struct pool_flow *, uint32_t step, uint32_t index);
 /** Records the orders of a run that is being freed with its task. */
 void pool_late_run_freed(struct pool_run *);
 /** Handles that an earlier owner has recorded such orders of a task. */
--- a/libgooseberry/pool/worker.c
+++ b/libgooseberry/pool/worker.c
@@ -61,6 +61,10 @@
  * recent. Otherwise the lease would never be renewed if each connection to the
  * worker lasts for one call only. */
 #define HEARTBEAT_REPORTS_ONLY_MAX 2
+/** Time to report and acknowledge the ends of a worker, besides that of the
+ * stops, before it terminates: a report takes up to 0.1 s, storing it the
+ * same. */
+#define LEAVE_MARGIN (300 * GB_MSEC)
 /** Heartbeats without answer after which a worker that is not listed gets no
  * more: its entry may come back for 2 s after an outage of the store. */
 #define HEARTBEAT_UNLISTED_TRIES 8
@@ -357,6 +361,26 @@
 	pool->ops.heartbeat(pool->ops.data, call->id, &heartbeat);
 }
 
+/** Stops the runs of a worker that is about to terminate, so that their ends
+ * are reported while it can still be asked.  An end in the last moment may be
+ * lost with its answer, and the task would run again although it was done;
+ * other runs would be lost anyway, and known to be only when the lease has
+ * lapsed. */
+static void
+worker_stop_leaving(struct gb_pool *pool, struct pool_worker *worker)
+{
+	struct pool_run *run;
+
+	if (worker->leaves_at == 0 || pool->now < worker->leaves_at -
+						      pool->cfg.limits.stop_us -
+						      LEAVE_MARGIN)
+		return;
+	TAILQ_FOREACH(run, &worker->runs, of_worker)
+	{
+		pool_run_stop(pool, run, "its worker is about to terminate");
+	}
+}
+
 /** Retries the stops and starts of a worker's runs that are due. */
 static void
 worker_runs_tick(struct gb_pool *pool, struct pool_worker *worker)
@@ -398,6 +422,7 @@
 		pool_worker_set_mark_dirty(pool, worker);
 	if (worker->ended)
 		return true;
+	worker_stop_leaving(pool, worker);
 	worker_runs_tick(pool, worker);
 	if (worker->silent > 0 && worker->run_count > 0 &&
 	    worker->lapse_at < pool->now)
--- a/standin/emulator_worker.c
+++ b/standin/emulator_worker.c
@@ -355,6 +355,9 @@
 	    1, "born", (json_int_t)entry.incarnation, "Labels", entry.label[0],
 	    "Capacity", "Cpu", entry.capacity.cpu, "MemMb", entry.capacity.mem,
 	    "Gpus", entry.capacity.accel);
+	if (entry.leaves_in > 0)
+		json_object_set_new(json, "RemainingMs",
+		    json_integer(entry.leaves_in / GB_MSEC));
 	if (error > 0)
 		entry_make_invalid(json, error);
 	return plat_json_text(json, &len);
--- a/standin/world.c
+++ b/standin/world.c
@@ -106,6 +106,7 @@
 	worker->up = true;
 	worker->replace_at = 0;
 	worker->draining = false;
+	worker->leaves_at = 0;
 	worker->token = 0;
 	worker->ended = 0;
 	worker->acked = 0;
@@ -191,6 +192,8 @@
 	entry->label_count = 1;
 	entry->capacity = worker->capacity;
 	entry->draining = worker->draining;
+	if (worker->leaves_at > world->now)
+		entry->leaves_in = worker->leaves_at - world->now;
 	entry->removed = !worker->up;
 }
 
@@ -314,6 +317,20 @@
 	world->workers[number]->draining = true;
 }
 
+void
+world_worker_leave(struct world *world, unsigned int number, gb_time after)
+{
+	world_worker_drain(world, number);
+	world->workers[number]->leaves_at = world->now + after;
+}
+
+void
+world_worker_stay(struct world *world, unsigned int number)
+{
+	world->workers[number]->draining = false;
+	world->workers[number]->leaves_at = 0;
+}
+
 static struct world_worker *
 worker_at(const struct world *world, const char *addr)
 {
--- a/standin/world.h
+++ b/standin/world.h
@@ -87,6 +87,11 @@
 /** Mark the worker as draining in its entry, for as long as its process runs.
  */
 void world_worker_drain(struct world *, unsigned int number);
+/** The same for a worker that will terminate after a time, as its entry tells;
+ * the caller crashes it then. */
+void world_worker_leave(struct world *, unsigned int number, gb_time after);
+/** End the draining of a worker that goes on. */
+void world_worker_stay(struct world *, unsigned int number);
 
 /** Carry out an order on the worker at the order's address. */
 void world_start(
--- a/standin/world_state.h
+++ b/standin/world_state.h
@@ -52,8 +52,9 @@
 	bool up;
 	gb_time replace_at; /**< when a crashed worker is replaced, 0: not */
 	bool draining;
-	bool failing; /**< its tasks fail */
-	bool stalled; /**< its tasks make no progress */
+	gb_time leaves_at; /**< when it terminates, 0: not told */
+	bool failing;	   /**< its tasks fail */
+	bool stalled;	   /**< its tasks make no progress */
 	char id[GB_NAME_MAX + 1];
 	char addr[GB_NAME_MAX + 1];
 	char service[GB_NAME_MAX + 1];
--- a/tests/test_late_starts.c
+++ b/tests/test_late_starts.c
@@ -78,8 +78,8 @@
 	unsigned int worker;
 
 	for (worker = 0; worker < plain.workers; worker++) {
-		for (after = LATE_TIME - RESTART_BEFORE; after <= LATE_TIME + RESTART_AFTER;
-		     after += RESTART_STEP)
+		for (after = LATE_TIME - RESTART_BEFORE;
+		     after <= LATE_TIME + RESTART_AFTER; after += RESTART_STEP)
 			late_case_run(c, worker, after);
 	}
 }
