Check the remaining time in entries of workers

Cause: the time until a worker leaves stops its runs, and entries may be written by others. Result: test_time_until_worker_leaves.

--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -74,6 +74,30 @@
 	assert_int_equal(error_with("born", NULL), GB_POOL_ENTRY_VALID);
 }
 
+/** A worker that is draining tells for how long it goes on at least. */
+static void
+test_time_until_worker_leaves(void **state)
+{
+	json_t *root = json_loads(valid_entry, 0, NULL);
+	struct gb_pool_entry entry;
+	char *text;
+
+	(void)state;
+	json_object_set_new(root, "State", json_string("draining"));
+	json_object_set_new(root, "RemainingMs", json_integer(3587));
+	text = json_dumps(root, 0);
+	assert_true(plat_entry_decode("i-1", text, strlen(text), &entry));
+	assert_int_equal(entry.error, GB_POOL_ENTRY_VALID);
+	assert_true(entry.draining);
+	assert_int_equal(entry.leaves_in, 3587 * GB_MSEC);
+	free(text);
+	json_object_set_new(root, "RemainingMs", json_integer(-1));
+	text = json_dumps(root, 0);
+	assert_int_equal(error_of(text), GB_POOL_ENTRY_INCOMPLETE);
+	free(text);
+	json_decref(root);
+}
+
 static void
 test_missing_fields(void **state)
 {
@@ -203,6 +227,7 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_valid_entry),
+	    cmocka_unit_test(test_time_until_worker_leaves),
 	    cmocka_unit_test(test_missing_fields),
 	    cmocka_unit_test(test_fields_of_wrong_type),
 	    cmocka_unit_test(test_invalid_values),
