Store nothing for the owner after one whose link was full

Cause: what members store while the pool has no owner is bounded by a link like their own, as if nothing waited for it; but the owner before had said that its link was full, and its successor's is too. Change: after such an owner nodes refuse at once until an owner answers whose link is not full. Result: test_nothing_is_stored_after_owner_with_full_link.

--- a/libgooseberry/node/intake.c
+++ b/libgooseberry/node/intake.c
@@ -435,6 +435,10 @@
 
 	if (rate == 0)
 		return true;
+	/* What the last owner's link had no room for, the next one's has not
+	 * either. */
+	if (node->owner_link_was_full)
+		return false;
 	if (passed > BUDGET_TIME)
 		passed = BUDGET_TIME;
 	node->budget += (int64_t)rate * passed / GB_SEC;
--- a/libgooseberry/node/node_state.h
+++ b/libgooseberry/node/node_state.h
@@ -118,6 +118,8 @@
 	/** Bytes of flows that this node may still store while the pool has no
 	 * owner. */
 	int64_t budget;
+	/** The last owner that answered had a full link. */
+	bool owner_link_was_full;
 	size_t members_most; /**< largest number of known_members recently */
 	gb_time members_most_at;
 	gb_time budget_at;  /**< when the budget was last increased */
--- a/libgooseberry/node/peers.c
+++ b/libgooseberry/node/peers.c
@@ -197,6 +197,7 @@
 	status.store_silent = res->store_silent_us;
 	status.largest_milli = res->largest_milli;
 	status.link_full = res->shed > 0;
+	node->owner_link_was_full = status.link_full;
 	status.place = succession_from_hello(node, res);
 	node->owner_shed_percent = res->shed;
 	config_send_to_owner(node, res, res->rank);
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -581,7 +581,7 @@
 /** Submits five flows to a node behind a link of 2,000 bytes a second, while
  * the owner has been loading for a time, and returns how many it accepts. */
 static unsigned int
-thin_link_accepts(gb_time without_owner)
+thin_link_accepts(gb_time without_owner, bool owner_link_was_full)
 {
 	static struct gb_env thin_env;
 	struct cell *cell;
@@ -599,6 +599,7 @@
 
 		snprintf(id, sizeof(id), "00000000000000b%u", i);
 		assume_owner_loading(other, without_owner);
+		other->owner_link_was_full = owner_link_was_full;
 		cell_submit(cell, (cell_owner(cell) + 1) % NODES, id);
 		accepted += cell->answer.verdict == GB_FLOW_ACCEPTED;
 		if (cell->answer.verdict == GB_FLOW_ACCEPTED)
@@ -617,7 +618,7 @@
 test_link_bounds_flows_without_owner(void **state)
 {
 	(void)state;
-	assert_int_equal(thin_link_accepts(10 * GB_SEC), 1);
+	assert_int_equal(thin_link_accepts(10 * GB_SEC, false), 1);
 }
 
 /** The same from the first moment without an owner: with a takeover every few
@@ -627,7 +628,16 @@
 test_link_bounds_flows_of_short_takeovers(void **state)
 {
 	(void)state;
-	assert_int_equal(thin_link_accepts(0), 1);
+	assert_int_equal(thin_link_accepts(0, false), 1);
+}
+
+/** After an owner whose link was full nothing is stored: its successor's link
+ * would have to carry that as well. */
+static void
+test_nothing_is_stored_after_owner_with_full_link(void **state)
+{
+	(void)state;
+	assert_int_equal(thin_link_accepts(0, true), 0);
 }
 
 /** The time for which a node owned the pool itself does not count as time
@@ -1146,6 +1156,7 @@
 	    cmocka_unit_test(test_flows_are_kept_from_loading_owner),
 	    cmocka_unit_test(test_link_bounds_flows_without_owner),
 	    cmocka_unit_test(test_link_bounds_flows_of_short_takeovers),
+	    cmocka_unit_test(test_nothing_is_stored_after_owner_with_full_link),
 	    cmocka_unit_test(test_owning_is_not_time_without_owner),
 	    cmocka_unit_test(test_members_shed_for_a_full_owner),
 	    cmocka_unit_test(test_older_hello_answers_are_decoded),
