Measure the backlog of a congested link in a file of its own

Cause: pace.c decided what to send and measured what the link gets done; its fields stood in four places of the pool. Change: backlog.c has the count of accepted work that was not started, the measured rate and what follows for admission; the fields are struct pool_backlog.

--- a/libgooseberry/pool/admit.c
+++ b/libgooseberry/pool/admit.c
@@ -85,7 +85,7 @@
     const char **why)
 {
 	gb_time wait = pool_pace_starts_wait(pool);
-	gb_time backlog = pool_pace_backlog(pool);
+	gb_time backlog = pool_backlog_wait(pool);
 
 	*retry_after = ADMIT_RETRY;
 	if (admit_over_quota(pool, flow)) {
@@ -97,8 +97,8 @@
 		*why = "too many flows are open";
 		return false;
 	}
-	if (backlog > ADMIT_LINK_WAIT_MIN && pool->start_overdue &&
-	    pool_pace_limits_starts(pool)) {
+	if (backlog > ADMIT_LINK_WAIT_MIN && pool->backlog.overdue &&
+	    pool_backlog_waits_for_link(pool)) {
 		*why = "accepted flows wait too long for the link";
 		*retry_after = backlog > ADMIT_RETRY ? backlog : ADMIT_RETRY;
 		return false;
--- a/libgooseberry/pool/dispatch.c
+++ b/libgooseberry/pool/dispatch.c
@@ -418,7 +418,7 @@
 	}
 	wanted = allowed;
 	pool->waiting_bytes += pool_pace_start_bytes(&flow->spec, wanted);
-	pool->start_overdue |= flow->late_due < pool->now;
+	pool->backlog.overdue |= flow->late_due < pool->now;
 	if (!pool_pace_may_send_starts(pool)) {
 		pool->work_changed = true;
 		return false;
@@ -606,30 +606,6 @@
 	}
 }
 
-/** Counts the bytes of the starts that accepted flows still need, and the
- * processors that their tasks need. */
-static void
-count_unstarted(struct gb_pool *pool)
-{
-	const struct pool_flow *flow;
-	uint32_t tasks;
-	uint32_t i;
-
-	pool->unstarted_bytes = 0;
-	pool->unstarted_cpu = 0;
-	TAILQ_FOREACH(flow, &pool->open, open_next)
-	{
-		for (i = 0; i < flow->step_count; i++) {
-			tasks =
-			    pool_flow_unstarted_count(flow, &flow->steps[i]);
-			pool->unstarted_bytes +=
-			    pool_pace_start_bytes(&flow->spec, tasks);
-			pool->unstarted_cpu +=
-			    (double)tasks * flow->steps[i].spec->res.cpu;
-		}
-	}
-}
-
 void
 pool_dispatch(struct gb_pool *pool)
 {
@@ -648,13 +624,12 @@
 		flows[count++] = flow;
 	}
 	count_gang_demand(pool, flows, count);
-	count_unstarted(pool);
+	pool_backlog_count(pool);
 	pool_quota_update_uncertain(pool);
 	qsort(flows, count, sizeof(*flows), flow_compare);
 	pool_reservations_clear(pool);
 	pool_pace_look(pool);
 	pool->waiting_bytes = 0;
-	pool->start_overdue = false;
 	for (i = 0; i < count; i++) {
 		for (j = 0; j < flows[i]->step_count; j++) {
 			step_stop_incomplete_gang(pool, flows[i], j);
--- a/libgooseberry/pool/flow.c
+++ b/libgooseberry/pool/flow.c
@@ -82,7 +82,6 @@
 {
 	struct pool_flow *flow = gb_calloc(1, sizeof(*flow));
 	gb_time age = pool->wall - spec->submitted_us;
-	uint32_t i;
 
 	flow->spec = *spec;
 	memset(spec, 0, sizeof(*spec));
@@ -100,9 +99,7 @@
 	    hh, pool->flows, flow->spec.id, strlen(flow->spec.id), flow);
 	TAILQ_INSERT_TAIL(&pool->open, flow, open_next);
 	pool->open_count++;
-	for (i = 0; i < flow->step_count; i++)
-		pool->unstarted_bytes += pool_pace_start_bytes(
-		    &flow->spec, flow->steps[i].spec->count);
+	pool_backlog_flow_accepted(pool, flow);
 	pool_rank_update_flow_size(pool, flow);
 	return flow;
 }
@@ -485,11 +482,11 @@
 			step->tasks[i].done = true;
 		step->done = step->spec->count;
 		step->active_open = 0;
-		pool_pace_task_done(pool, flow, step->spec->count);
+		pool_backlog_task_done(pool, flow, step->spec->count);
 	} else {
 		step->tasks[index].done = true;
 		step->done++;
-		pool_pace_task_done(pool, flow, 1);
+		pool_backlog_task_done(pool, flow, 1);
 		if (!TAILQ_EMPTY(&step->tasks[index].runs))
 			step->active_open--;
 		TAILQ_FOREACH(run, &step->tasks[index].runs, of_task)
--- a/libgooseberry/pool/pace.c
+++ b/libgooseberry/pool/pace.c
@@ -10,8 +10,8 @@
  * So messages that guarantees depend on (leases, stops, ends, answers) are
  * always sent, and what can wait keeps the queue of the link short: starts and
  * advice calls wait while the queue takes longer than a short time to send, and
- * heartbeats to workers are sent less often.  Flows that the link doesn't allow
- * to start in time are not accepted.
+ * heartbeats to workers are sent less often.  What the link can't start of the
+ * accepted flows is measured in backlog.c.
  */
 #include <string.h>
 
@@ -55,29 +55,13 @@
 /** Bytes of a start order besides its specification: names, lease, ticket,
  * headers. */
 #define PACE_START_BYTES 520
-/** The link is congested from this share of the bandwidth in use on, in either
- * direction, until less than the second share is in use in both.  Otherwise
- * waiting starts don't wait for the link but for something else. */
-#define PACE_CONGESTED_SHARE 0.8
-#define PACE_FREE_SHARE 0.65
-/** Share of the bandwidth that is expected to be available to starts, besides
- * heartbeats, store calls and advice, before any were sent. */
-#define PACE_STARTS_SHARE 0.25
-/** Largest share that starts get while other messages wait. */
-#define PACE_STARTS_SHARE_MAX 0.5
-/** Accepted work waits for the link, and not for capacity, if the free workers
- * could take this share of it. */
-#define PACE_TAKEABLE_SHARE 0.5
-/** Smallest share of the bandwidth that is expected. */
-#define PACE_STARTS_SHARE_MIN 0.01
-/** Interval at which the rate of starts is measured. */
-#define PACE_RATE_INTERVAL GB_SEC
-/** Weight of the last interval in the moving average of that rate.  Gangs begin
- * and end as a whole, so that single intervals say little. */
-#define PACE_RATE_WEIGHT 0.2
+/** From this share of the bandwidth in use on, starts wait for the link. */
+#define PACE_FULL_SHARE 0.8
+/** Share of the bandwidth that starts get beside heartbeats and store calls. */
+#define PACE_STARTS_SHARE 0.5
 
-static struct gb_pool_link
-pace_link(const struct gb_pool *pool)
+struct gb_pool_link
+pool_pace_link(const struct gb_pool *pool)
 {
 	struct gb_pool_link link = {0};
 
@@ -90,19 +74,19 @@
 uint64_t
 pool_pace_bandwidth(const struct gb_pool *pool)
 {
-	return pace_link(pool).bytes_per_s;
+	return pool_pace_link(pool).bytes_per_s;
 }
 
 bool
 pool_pace_may_send_starts(const struct gb_pool *pool)
 {
-	return pace_link(pool).queued <= PACE_STARTS_QUEUED_MAX;
+	return pool_pace_link(pool).queued <= PACE_STARTS_QUEUED_MAX;
 }
 
 bool
 pool_pace_may_ask_advice(const struct gb_pool *pool)
 {
-	struct gb_pool_link link = pace_link(pool);
+	struct gb_pool_link link = pool_pace_link(pool);
 	uint64_t most = link.bytes_per_s * PACE_ADVICE_LINK_TIME / GB_SEC /
 			PACE_ADVICE_BYTES;
 
@@ -114,7 +98,7 @@
 bool
 pool_pace_may_send_heartbeat(const struct gb_pool *pool)
 {
-	return pace_link(pool).queued <= PACE_HEARTBEATS_QUEUED_MAX;
+	return pool_pace_link(pool).queued <= PACE_HEARTBEATS_QUEUED_MAX;
 }
 
 uint32_t
@@ -132,7 +116,8 @@
 gb_time
 pool_pace_heartbeat_delay(const struct gb_pool *pool, gb_time pause)
 {
-	return pause + PACE_HEARTBEATS_DELAY_FACTOR * pace_link(pool).queued;
+	return pause +
+	       PACE_HEARTBEATS_DELAY_FACTOR * pool_pace_link(pool).queued;
 }
 
 uint64_t
@@ -163,13 +148,13 @@
 gb_time
 pool_pace_queued(const struct gb_pool *pool)
 {
-	return pace_link(pool).queued;
+	return pool_pace_link(pool).queued;
 }
 
 gb_time
 pool_pace_answer_delay(const struct gb_pool *pool)
 {
-	return pace_link(pool).answer_delay;
+	return pool_pace_link(pool).answer_delay;
 }
 
 size_t
@@ -195,7 +180,7 @@
 void
 pool_pace_look(struct gb_pool *pool)
 {
-	pool->link = pace_link(pool);
+	pool->link = pool_pace_link(pool);
 }
 
 gb_time
@@ -212,7 +197,7 @@
 uint32_t
 pool_pace_starts_max(const struct gb_pool *pool, const gb_flow *flow)
 {
-	struct gb_pool_link link = pace_link(pool);
+	struct gb_pool_link link = pool_pace_link(pool);
 	gb_time left = PACE_STARTS_QUEUED_MAX - link.queued;
 	uint64_t count;
 
@@ -225,84 +210,13 @@
 	return count == 0 ? 1 : (uint32_t)count;
 }
 
-void
-pool_pace_task_done(
-    struct gb_pool *pool, const struct pool_flow *flow, uint32_t tasks)
-{
-	pool->starts_rate.done_bytes +=
-	    pool_pace_start_bytes(&flow->spec, tasks);
-}
-
-/** Share of the accepted work that the free workers could take.  What they
- * can't take waits for capacity, not for the link. */
-static double
-pace_takeable_share(const struct gb_pool *pool)
-{
-	if (pool->free_cpu >= pool->unstarted_cpu)
-		return 1;
-	return pool->free_cpu <= 0 ? 0 : pool->free_cpu / pool->unstarted_cpu;
-}
-
-void
-pool_pace_measure(struct gb_pool *pool)
-{
-	struct pool_starts_rate *rate = &pool->starts_rate;
-	struct gb_pool_link link = pace_link(pool);
-	double expected = (double)link.bytes_per_s * PACE_STARTS_SHARE;
-	double least = (double)link.bytes_per_s * PACE_STARTS_SHARE_MIN;
-	gb_time passed = pool->now - rate->measured_at;
-	double measured = expected;
-
-	if (link.use >= PACE_CONGESTED_SHARE ||
-	    link.use_received >= PACE_CONGESTED_SHARE)
-		rate->congested = true;
-	else if (link.use < PACE_FREE_SHARE &&
-		 link.use_received < PACE_FREE_SHARE)
-		rate->congested = false;
-	if (passed < PACE_RATE_INTERVAL)
-		return;
-	if (rate->congested && pool->unstarted_bytes > 0 &&
-	    pace_takeable_share(pool) == 1)
-		measured = (double)rate->done_bytes * GB_SEC / (double)passed;
-	if (rate->bytes_per_s == 0)
-		rate->bytes_per_s = expected;
-	rate->bytes_per_s += PACE_RATE_WEIGHT * (measured - rate->bytes_per_s);
-	if (rate->bytes_per_s < least)
-		rate->bytes_per_s = least;
-	rate->done_bytes = 0;
-	rate->measured_at = pool->now;
-}
-
-bool
-pool_pace_limits_starts(const struct gb_pool *pool)
-{
-	return pool->starts_rate.congested &&
-	       pace_takeable_share(pool) >= PACE_TAKEABLE_SHARE;
-}
-
-bool
-gb_pool_link_congested(const struct gb_pool *pool)
-{
-	return pool->starts_rate.congested;
-}
-
 gb_time
 pool_pace_starts_wait(const struct gb_pool *pool)
 {
-	struct gb_pool_link link = pace_link(pool);
+	struct gb_pool_link link = pool_pace_link(pool);
 
-	if (link.bytes_per_s == 0 || link.use < PACE_CONGESTED_SHARE)
+	if (link.bytes_per_s == 0 || link.use < PACE_FULL_SHARE)
 		return 0;
 	return (gb_time)((double)pool->waiting_bytes * GB_SEC /
-			 ((double)link.bytes_per_s * PACE_STARTS_SHARE_MAX));
-}
-
-gb_time
-pool_pace_backlog(const struct gb_pool *pool)
-{
-	if (!pool->starts_rate.congested || pool->starts_rate.bytes_per_s == 0)
-		return 0;
-	return (gb_time)((double)pool->unstarted_bytes *
-			 pace_takeable_share(pool) * GB_SEC /
-			 pool->starts_rate.bytes_per_s);
+			 ((double)link.bytes_per_s * PACE_STARTS_SHARE));
 }
--- a/libgooseberry/pool/pool.c
+++ b/libgooseberry/pool/pool.c
@@ -110,7 +110,7 @@
 	pool_workers_tick(pool);
 	if (!pool_active(pool))
 		return;
-	pool_pace_measure(pool);
+	pool_backlog_measure(pool);
 	interval = DISPATCH_INTERVAL_MIN +
 		   DISPATCH_INTERVAL_FLOW_US * (gb_time)pool->open_count;
 	if ((pool->work_changed && now - pool->dispatch_at >= interval) ||
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -12,7 +12,8 @@
  *
  * Decisions without side effects are in rank.c, fit.c, reservation.c, quota.c,
  * share.c, contention.c and admit.c.  preempt.c decides and also stops runs
- * through run.c.  pace.c asks the node how busy its link is.
+ * through run.c.  pace.c asks the node how busy its link is, backlog.c measures
+ * what a congested link gets done.
  */
 #ifndef GB_POOL_STATE_H
 #define GB_POOL_STATE_H
@@ -519,8 +520,16 @@
 	uint32_t waiting; /**< not used */
 };
 
-/** Rate at which the link gets tasks done. */
-struct pool_starts_rate {
+/** Accepted work that was not started, and how fast the link gets work done. */
+struct pool_backlog {
+	/** Of the starts of accepted tasks that were not sent, at the last
+	 * dispatch and of flows accepted since. */
+	uint64_t bytes;
+	double cpu; /**< processors that these tasks need, in thousandths, at
+		       the last dispatch */
+	/** A flow that could start has passed its latest end for any earnings,
+	 * at the last dispatch. */
+	bool overdue;
 	bool congested; /**< the link limits what can be started */
 	/** Bytes of starts whose tasks were done, per second, smoothed; 0: not
 	 * measured. */
@@ -614,17 +623,10 @@
 	double capacity;
 	/** Of starts that wait, at the last dispatch. */
 	uint64_t waiting_bytes;
-	/** Of the starts of accepted tasks that were not sent, at the last
-	 * dispatch and of flows accepted since. */
-	uint64_t unstarted_bytes;
-	/** Processors that these tasks need, and those that are free on the
-	 * workers, in thousandths, at the last dispatch. */
-	double unstarted_cpu;
+	struct pool_backlog backlog;
+	/** Processors that are free on the workers, in thousandths, at the last
+	 * dispatch. */
 	double free_cpu;
-	/** A flow that could start has passed its latest end for any earnings,
-	 * at the last dispatch. */
-	bool start_overdue;
-	struct pool_starts_rate starts_rate;
 	struct gb_pool_link link; /**< as the last dispatch began */
 	/** Bytes of starts that may be accepted, negative: too many were, and
 	 * when that was updated. */
@@ -726,6 +728,8 @@
     struct pool_step *, uint32_t *workers);
 
 /* pace.c */
+/** State of the link; no limit if pacing is disabled. */
+struct gb_pool_link pool_pace_link(const struct gb_pool *);
 /** Whether the link has capacity for starts, and for advice calls. */
 bool pool_pace_may_send_starts(const struct gb_pool *);
 bool pool_pace_may_ask_advice(const struct gb_pool *);
@@ -756,25 +760,34 @@
 /** Pause after writing a row of so many bytes of the worker set, which is
  * stored in every partition. */
 gb_time pool_pace_set_pause(const struct gb_pool *, size_t bytes);
-/** Counts tasks that are done, to measure how fast the link gets work done. */
-void pool_pace_task_done(
-    struct gb_pool *, const struct pool_flow *, uint32_t tasks);
 /** Notes the state of the link, for the decisions of one dispatch. */
 void pool_pace_look(struct gb_pool *);
-/** Updates whether the link is congested and how fast it gets work done. */
-void pool_pace_measure(struct gb_pool *);
 /** Time until the starts of so many tasks have left the link, as it was when it
  * was last asked. */
 gb_time pool_pace_send_time(
     const struct gb_pool *, const gb_flow *, uint32_t tasks);
 /** Time for which the waiting starts will keep a congested link busy. */
 gb_time pool_pace_starts_wait(const struct gb_pool *);
-/** Whether accepted work waits for the link rather than for capacity. */
-bool pool_pace_limits_starts(const struct gb_pool *);
 /** Time until a congested link has got done what the free workers can take of
  * the accepted work, at the measured rate. */
 gb_time pool_pace_backlog(const struct gb_pool *);
 
+/* backlog.c */
+/** Adds an accepted flow to the backlog, until the next dispatch counts it. */
+void pool_backlog_flow_accepted(struct gb_pool *, const struct pool_flow *);
+/** Counts what the accepted flows still need, for a dispatch. */
+void pool_backlog_count(struct gb_pool *);
+/** Counts tasks that are done, to measure how fast the link gets work done. */
+void pool_backlog_task_done(
+    struct gb_pool *, const struct pool_flow *, uint32_t tasks);
+/** Updates whether the link is congested and how fast it gets work done. */
+void pool_backlog_measure(struct gb_pool *);
+/** Whether the backlog waits for the link rather than for capacity. */
+bool pool_backlog_waits_for_link(const struct gb_pool *);
+/** Time until a congested link has got done what the free workers can take of
+ * the backlog; 0 if it is not congested. */
+gb_time pool_backlog_wait(const struct gb_pool *);
+
 /* admit.c */
 /** Whether to accept a flow; else fills in when to retry and the reason. */
 bool pool_admit(
