--- a/libgooseberry/pool/admit.c
+++ b/libgooseberry/pool/admit.c
@@ -10,8 +10,8 @@
  * A slow link: the owner's link can't carry all starts.  A flow whose starts
  * would wait behind others until its objective has passed is refused at once;
  * its caller is told the time until the accepted work has been started.  While
- * a flow that could start has passed its objective, the link is given to what
- * was accepted: newer flows would go first and keep it waiting.
+ * an accepted flow that could start can't earn anything any more, the link is
+ * left to what was accepted: newer flows would go first and keep it waiting.
  */
 #include "state.h"
 
--- a/libgooseberry/pool/dispatch.c
+++ b/libgooseberry/pool/dispatch.c
@@ -556,7 +556,7 @@
 void
 pool_dispatch_step(struct gb_pool *pool, struct pool_flow *flow, uint32_t step)
 {
-	pool_pace_look(pool);
+	pool_pace_snapshot_link(pool);
 	step_dispatch(pool, flow, step);
 	/* A channel has become free for the next call. */
 	pool->work_changed = true;
@@ -628,7 +628,7 @@
 	pool_quota_update_uncertain(pool);
 	qsort(flows, count, sizeof(*flows), flow_compare);
 	pool_reservations_clear(pool);
-	pool_pace_look(pool);
+	pool_pace_snapshot_link(pool);
 	pool->waiting_bytes = 0;
 	for (i = 0; i < count; i++) {
 		for (j = 0; j < flows[i]->step_count; j++) {
--- a/libgooseberry/pool/pace.c
+++ b/libgooseberry/pool/pace.c
@@ -178,7 +178,7 @@
 }
 
 void
-pool_pace_look(struct gb_pool *pool)
+pool_pace_snapshot_link(struct gb_pool *pool)
 {
 	pool->link = pool_pace_link(pool);
 }
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -761,7 +761,7 @@
  * stored in every partition. */
 gb_time pool_pace_set_pause(const struct gb_pool *, size_t bytes);
 /** Notes the state of the link, for the decisions of one dispatch. */
-void pool_pace_look(struct gb_pool *);
+void pool_pace_snapshot_link(struct gb_pool *);
 /** Time until the starts of so many tasks have left the link, as it was when it
  * was last asked. */
 gb_time pool_pace_send_time(
--- a/tests/test_shed.c
+++ b/tests/test_shed.c
@@ -103,6 +103,27 @@
 	assert_in_range(accepted, 20, 100);
 }
 
+/** Callers have retried during a takeover, and a slow link is busy with asking
+ * all workers just after it: most flows are rejected then, and fewer and fewer
+ * once the link has capacity. */
+static void
+test_takeover_over_slow_link_rejects_most(void **state)
+{
+	struct shed shed;
+	uint32_t before;
+	gb_time now = 100 * GB_SEC;
+
+	(void)state;
+	shed_begin(&shed, false);
+	assert_int_equal(shed.percent, 0);
+	shed_begin(&shed, true);
+	before = shed.percent;
+	assert_true(before >= 50);
+	shed_tick(&shed, now, 0, 62500);
+	shed_tick(&shed, now + GB_SEC, 100, 62500);
+	assert_true(shed.percent < before);
+}
+
 int
 main(void)
 {
@@ -110,6 +131,7 @@
 	    cmocka_unit_test(test_free_link_sheds_nothing),
 	    cmocka_unit_test(test_full_link_sheds_until_it_is_free),
 	    cmocka_unit_test(test_some_flows_are_always_accepted),
+	    cmocka_unit_test(test_takeover_over_slow_link_rejects_most),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
