Refuse gangs that the link can't start while their tickets last

Cause: its starts take 1.3 s on the link; a ticket that must outlast them is never new enough, so that the owner asked for tickets until the end. Evidence: advice_ask and advice in turn, every 0.9 s for 50 s, and no run_start. Change: such a gang is refused when it is submitted, with a long time to retry.

--- a/libgooseberry/pool/admit.c
+++ b/libgooseberry/pool/admit.c
@@ -22,9 +22,13 @@
 /** Time after which a refused caller should retry: by then a burst is
  * over for the queues with the shortest waits. */
 #define ADMIT_RETRY (2 * GB_SEC)
-/** The same for a flow that its organisation's quota can never allow; the
- * operator may raise the quota. */
-#define ADMIT_RETRY_QUOTA (30 * GB_SEC)
+/** The same for a flow that its organisation's quota or the owner's link can
+ * never allow; the operator may raise the quota, and another node may own the
+ * pool. */
+#define ADMIT_RETRY_LIMIT (30 * GB_SEC)
+/** Time that a ticket takes to reach the owner and, with an order, the worker,
+ * besides that of the link. */
+#define ADMIT_TICKET_TIME (100 * GB_MSEC)
 /** Flows are not refused while the waiting starts keep the link busy for less
  * than this. */
 #define ADMIT_LINK_WAIT_MIN (500 * GB_MSEC)
@@ -67,6 +71,33 @@
 	return false;
 }
 
+/** Whether the link can't send the starts of a gang before its first ticket
+ * expires, so that the gang would never begin. */
+static bool
+admit_gang_too_large(const struct gb_pool *pool, const gb_flow *flow)
+{
+	const struct gb_pool_queue *queue =
+	    gb_pool_config_queue(pool->config, flow->queue);
+	struct gb_pool_link link = pool_pace_link(pool);
+	gb_time sent;
+	u_int i;
+
+	if (link.bytes_per_s == 0 || queue == NULL || !queue->advice.needed)
+		return false;
+	for (i = 0; i < flow->steps.steps_len; i++) {
+		const gb_step *step = &flow->steps.steps_val[i];
+
+		if ((step->flags & GB_STEP_GANG) == 0)
+			continue;
+		sent = (gb_time)(pool_pace_start_bytes(flow, step->count) *
+				 GB_SEC / link.bytes_per_s);
+		if (sent + link.answer_delay + ADMIT_TICKET_TIME >
+		    queue->advice.valid_us)
+			return true;
+	}
+	return false;
+}
+
 /** Bytes of the starts of all tasks of a flow. */
 static uint64_t
 admit_start_bytes(const gb_flow *flow)
@@ -90,7 +121,12 @@
 	*retry_after = ADMIT_RETRY;
 	if (admit_over_quota(pool, flow)) {
 		*why = "a step needs more than its organisation may have";
-		*retry_after = ADMIT_RETRY_QUOTA;
+		*retry_after = ADMIT_RETRY_LIMIT;
+		return false;
+	}
+	if (admit_gang_too_large(pool, flow)) {
+		*why = "the link can't start a gang while its tickets last";
+		*retry_after = ADMIT_RETRY_LIMIT;
 		return false;
 	}
 	if (pool->open_count >= ADMIT_FLOWS_MAX) {
--- a/tests/test_link.c
+++ b/tests/test_link.c
@@ -261,6 +261,30 @@
 	pool_cell_free(cell);
 }
 
+/** The starts of a gang take longer on the link than its tickets last.  Guards
+ * against accepting it: it would ask for tickets forever and never begin. */
+static void
+test_gang_too_large_for_link_is_refused(void **state)
+{
+	struct pool_cell_setup setup = thin;
+	struct pool_cell *cell;
+	size_t small;
+	size_t large;
+
+	(void)state;
+	setup.link = THIN_LINK_BYTES_PER_SEC / 4;
+	cell = pool_cell_begin(&setup);
+	pool_cell_step_add(cell, 60, 1150, GB_SEC, GB_STEP_GANG, -1);
+	large = pool_cell_submit(cell, "rebuild", spec_of("ms=1000", 1200));
+	pool_cell_step_add(cell, 6, 1150, GB_SEC, GB_STEP_GANG, -1);
+	small = pool_cell_submit(cell, "rebuild", spec_of("ms=1000", 1200));
+	pool_cell_run(cell, 10 * GB_SEC);
+	assert_int_equal(cell->flows[large].answer.verdict, GB_FLOW_REFUSED);
+	assert_true(cell->flows[large].answer.retry_after_us > 0);
+	assert_int_equal(cell->flows[small].status, GB_FLOW_SUCCEEDED);
+	pool_cell_free(cell);
+}
+
 /** A node behind a link of 0.5 Mbit/s takes over a pool with 150 unfinished
  * flows, which take seconds to read.  Guards against reads that are all in
  * flight at once, time out and are retried forever. */
@@ -304,6 +328,7 @@
 	    cmocka_unit_test(test_very_thin_link_loses_no_flow),
 	    cmocka_unit_test(test_busy_thin_link_finishes_accepted_flows),
 	    cmocka_unit_test(test_large_step_leaves_room_on_thin_link),
+	    cmocka_unit_test(test_gang_too_large_for_link_is_refused),
 	    cmocka_unit_test(test_successor_behind_thin_link_loads),
 	};
 
