Start lookups before a backlog, also those beyond a share

Cause: waiting flows go by the latest time at which they may start, and late ones go behind all that are on time. In an overload imports with ten seconds to spare fill the pool until all of them are due at once. The priority of queues was decoded but not used.

Change: flows of the most urgent queues go first as long as they can earn something. Those beyond their organisation's weight go between the flows that have to start within their own run time and those that can wait longer.

--- a/libgooseberry/pool.h
+++ b/libgooseberry/pool.h
@@ -452,9 +452,11 @@
 					 store is quick */
 	GB_FEATURE_PACING, /**< what can wait is sent when the link has capacity
 			    */
-	GB_FEATURE_SIZE_ORDER,	/**< large flows go behind small ones */
-	GB_FEATURE_SHARE_ORDER, /**< flows beyond the share of their
-				   organisation go behind */
+	GB_FEATURE_SIZE_ORDER,	   /**< large flows go behind small ones */
+	GB_FEATURE_SHARE_ORDER,	   /**< flows beyond the share of their
+				      organisation go behind */
+	GB_FEATURE_PRIORITY_ORDER, /**< flows of the most urgent queues go first
+				    */
 	GB_FEATURES
 };
 
--- a/libgooseberry/pool/feature.c
+++ b/libgooseberry/pool/feature.c
@@ -28,6 +28,7 @@
     [GB_FEATURE_PACING] = "pace",
     [GB_FEATURE_SIZE_ORDER] = "size",
     [GB_FEATURE_SHARE_ORDER] = "share",
+    [GB_FEATURE_PRIORITY_ORDER] = "priority",
 };
 
 /** Returns the feature of a name with this length in bytes, or -1. */
--- a/libgooseberry/pool/rank.c
+++ b/libgooseberry/pool/rank.c
@@ -17,9 +17,18 @@
  * capacity, the further a flow that is larger than others of its queue goes
  * behind them, and the further a smaller one goes before them.
  *
+ * Lookups in a backlog: for seconds, imports with ten seconds to spare and
+ * gangs fill the pool, until all of them have to start at once, and the lookups
+ * of one second each that come now are late.  Behind everything that is on time
+ * they would earn nothing at all, although they need a tenth of the pool.  So
+ * flows of queues with the most urgent priority go first as long as they can
+ * earn something.
+ *
  * Organisations: one sends several times its usual load to a full pool.  Its
  * flows beyond its weight (see share.c) go behind all flows of others that can
- * still earn something.
+ * still earn something.  Those of the most urgent queues go behind the flows
+ * that have to start within their own run time, but before flows that can wait
+ * longer.
  *
  * One very large gang: small gangs keep five eighths of the pool busy, and a
  * gang arrives that needs two thirds of it.  It can start only on capacity that
@@ -52,8 +61,18 @@
 /** Weight of the newest flow in the mean flow size of its queue. */
 #define RANK_SIZE_WEIGHT 0.02
 
+/** Priority of the most urgent queues. */
+#define RANK_PRIORITY_URGENT 0
+
 /** Tiers in the order in which their flows go, as described above. */
-enum rank_tier { RANK_ON_TIME, RANK_LATE, RANK_OVER_SHARE, RANK_TOO_LATE };
+enum rank_tier {
+	RANK_URGENT,	  /**< of the most urgent queues, on time */
+	RANK_URGENT_LATE, /**< of the most urgent queues, late */
+	RANK_ON_TIME,
+	RANK_LATE,
+	RANK_OVER_SHARE,
+	RANK_TOO_LATE /**< can't earn anything any more */
+};
 
 struct pool_queue_stat *
 pool_rank_queue_stat(struct gb_pool *pool, const char *name)
@@ -216,24 +235,41 @@
 	flow->ranked_at = pool->now;
 }
 
+/** Places a flow that its organisation has sent beyond its weight, and that is
+ * on time or late. */
+static void
+rank_over_share(const struct gb_pool *pool, struct pool_flow *flow, bool urgent)
+{
+	if (!urgent) {
+		flow->tier = RANK_OVER_SHARE;
+		return;
+	}
+	flow->tier = RANK_ON_TIME;
+	if (flow->start_by < pool->now + flow->remaining)
+		flow->start_by = pool->now + flow->remaining;
+}
+
 void
 pool_rank_update_flow(struct gb_pool *pool, struct pool_flow *flow)
 {
+	bool urgent = flow->queue != NULL &&
+		      flow->queue->priority == RANK_PRIORITY_URGENT &&
+		      POOL_FEATURE_ENABLED(pool, GB_FEATURE_PRIORITY_ORDER);
+
 	if (flow->ranked != flow->change ||
 	    pool->now - flow->ranked_at > RANK_CHAIN_AGE_MAX)
 		rank_chains(pool, flow);
 	flow->remaining = flow->chain + flow->wait;
 	flow->start_by = flow->due - flow->remaining + flow->size_delay;
 	if (pool->now + flow->remaining <= flow->due)
-		flow->tier = RANK_ON_TIME;
+		flow->tier = urgent ? RANK_URGENT : RANK_ON_TIME;
 	else if (pool->now + flow->remaining <= flow->late_due)
-		flow->tier = RANK_LATE;
+		flow->tier = urgent ? RANK_URGENT_LATE : RANK_LATE;
 	else
 		flow->tier = RANK_TOO_LATE;
-	if (flow->spec.over_share &&
-	    POOL_FEATURE_ENABLED(pool, GB_FEATURE_SHARE_ORDER) &&
-	    flow->tier < RANK_OVER_SHARE)
-		flow->tier = RANK_OVER_SHARE;
+	if (flow->spec.over_share && flow->tier != RANK_TOO_LATE &&
+	    POOL_FEATURE_ENABLED(pool, GB_FEATURE_SHARE_ORDER))
+		rank_over_share(pool, flow, urgent);
 	if (!POOL_FEATURE_ENABLED(pool, GB_FEATURE_DEADLINE_ORDER)) {
 		flow->tier = RANK_ON_TIME;
 		flow->start_by = flow->submitted;
--- a/tests/pool_cell.c
+++ b/tests/pool_cell.c
@@ -755,6 +755,7 @@
 	static const char *const names[] = {"lookup", "import", "rebuild"};
 	static const gb_time base_ms[] = {250, 3000, 1000};
 	static const double factors[] = {1.5, 4.0, 2.2};
+	static const uint32_t priorities[] = {0, 2, 1};
 	struct gb_pool_config *config = gb_pool_config_new(3, 0);
 	size_t i;
 
@@ -766,6 +767,7 @@
 		snprintf(queue->name, sizeof(queue->name), "%s", names[i]);
 		snprintf(queue->service, sizeof(queue->service), "svc");
 		queue->max_attempts = 3;
+		queue->priority = cell->priorities ? priorities[i] : 0;
 		queue->objective_factor = factors[i];
 		queue->objective_base_us = base_ms[i] * GB_MSEC;
 		queue->advice.needed = cell->setup.approved_percent > 0;
--- a/tests/pool_cell.h
+++ b/tests/pool_cell.h
@@ -122,7 +122,9 @@
 	bool inbound_limited;
 	gb_time inbound_free_at[CELL_NODES]; /**< when each inbound link is idle
 					     again */
-	bool restarts; /**< random faults restart workers under their ids */
+	bool priorities; /**< lookups are more urgent than gangs, and these than
+			    imports, from the next configuration on */
+	bool restarts;	 /**< random faults restart workers under their ids */
 	struct gb_events *events_log; /**< to stderr if GB_POOL_LOG is set */
 	int log_fd;
 };
