Notice a silent store soon, and spread the first heartbeats of a new owner

The owner took a probe for unanswered after 0.7 s, so that a successor began to take over after 1.2 s. Then it opened 5,880 connections in one tick for the first heartbeats, and started nothing until the last one was sent, 0.9 s later.

Change: probes are repeated each 0.15 s, and the owner reports the store after 0.2 s without an answer; successors check the store for 0.25 s as before, and a store that is slow for all causes no takeover, as their reads are slow too. Callers are refused after 0.7 s as before. First heartbeats are sent in portions, one in each tick.

--- a/libgooseberry/pool.h
+++ b/libgooseberry/pool.h
@@ -544,7 +544,8 @@
 bool gb_pool_link_congested(const struct gb_pool *);
 /** Whether the link is so slow that the stored state is loaded page by page. */
 bool gb_pool_loads_by_pages(const struct gb_pool *);
-/** Whether most partitions of the tables don't accept this owner's writes. */
+/** Whether most partitions of the tables don't accept this owner's writes, or
+ * leave them without an answer for longer than a working store would. */
 bool gb_pool_store_unavailable(const struct gb_pool *);
 
 /** Applies a configuration and takes a reference to it; ignores one that is not
--- a/libgooseberry/pool/owner.c
+++ b/libgooseberry/pool/owner.c
@@ -84,7 +84,8 @@
 	uint32_t i;
 
 	for (i = 0; i < GB_POOL_PARTITIONS; i++)
-		unavailable += pool_writer_unavailable(pool, i);
+		unavailable += pool_writer_unavailable(pool, i) ||
+			       pool_writer_probe_overdue(pool, i);
 	return pool->phase == POOL_OWNER_ACTIVE &&
 	       unavailable >= OWNER_MAJORITY;
 }
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -426,10 +426,12 @@
 	unsigned int refused; /**< consecutive writes that were refused */
 	/** Consecutive writes that ended without an answer. */
 	unsigned int lost;
-	uint64_t probe;	     /**< probe call in flight, 0: none */
-	gb_time probed;	     /**< when it was sent */
+	gb_time probed;	       /**< when the last probe was sent, 0: none */
+	gb_time probing_since; /**< when the first of the probes was sent that
+				  got no answer so far, 0: none */
+	gb_time probe_answered_at; /**< when the last probe was answered */
 	bool probe_answered; /**< a probe during this write was answered */
-	bool silent; /**< a probe got no answer, and nothing was answered since
+	bool silent; /**< probes got no answer, and nothing was answered since
 		      */
 	bool seal;   /**< a write got no answer: seal before the next write */
 	bool renew;  /**< write the owner's row */
@@ -604,6 +606,7 @@
 	gb_time answer_lost_at;
 	uint32_t first_heartbeats_in_flight; /**< first heartbeats to workers in
 						flight */
+	uint32_t first_heartbeats_in_tick;   /**< the same, sent in this tick */
 	uint32_t tick_first_worker; /**< index of the first worker of the next
 				       tick */
 	bool listed; /**< the platform's whole list of workers was received */
@@ -807,6 +810,9 @@
 bool pool_writer_idle(const struct gb_pool *);
 /** Whether writes of a partition fail for now, or it is not attached. */
 bool pool_writer_unavailable(const struct gb_pool *, uint32_t partition);
+/** Whether the store has left probes of a partition without an answer for
+ * longer than a working store would. */
+bool pool_writer_probe_overdue(const struct gb_pool *, uint32_t partition);
 bool pool_writer_owner_body(const struct gb_pool *, uint64_t epoch,
     uint64_t serial, bool vacant, gb_body *);
 
--- a/libgooseberry/pool/worker.c
+++ b/libgooseberry/pool/worker.c
@@ -65,6 +65,11 @@
  * stops, before it terminates: a report takes up to 0.1 s, storing it the
  * same. */
 #define LEAVE_MARGIN (300 * GB_MSEC)
+/** First heartbeats sent in one tick.  A new owner owes one to each worker,
+ * with a new connection, and takes about 0.15 ms of a core for each.  Sent all
+ * at once, thousands of them keep it from handling the first answers, and so
+ * from starting anything, until the last one is sent. */
+#define HEARTBEATS_FIRST_PER_TICK 64
 /** Heartbeats without answer after which a worker that is not listed gets no
  * more: its entry may come back for 2 s after an outage of the store. */
 #define HEARTBEAT_UNLISTED_TRIES 8
@@ -336,6 +341,7 @@
 	call->worker = worker->handle;
 	call->first = !worker->fenced;
 	pool->first_heartbeats_in_flight += call->first;
+	pool->first_heartbeats_in_tick += call->first;
 	worker->heartbeat_call = call->id;
 	worker->heartbeat_sent = pool->now;
 	heartbeat.worker = worker->entry.id;
@@ -413,8 +419,17 @@
 		   !pool_owner_reconciled(pool));
 }
 
-/** Does what is due for a worker. Returns false if the link has no capacity for
- * its heartbeat. */
+/** Whether another first heartbeat may be sent in this tick. */
+static bool
+may_send_first_heartbeat(const struct gb_pool *pool)
+{
+	return pool->first_heartbeats_in_tick < HEARTBEATS_FIRST_PER_TICK &&
+	       pool->first_heartbeats_in_flight <
+		   pool_pace_first_heartbeats(pool);
+}
+
+/** Does what is due for a worker. Returns false if its heartbeat has to wait
+ * for a later tick. */
 static bool
 worker_tick(struct gb_pool *pool, struct pool_worker *worker)
 {
@@ -431,8 +446,7 @@
 	    !worker_needs_heartbeat(pool, worker))
 		return true;
 	if (!pool_pace_may_send_heartbeat(pool) ||
-	    (!worker->fenced && pool->first_heartbeats_in_flight >=
-				    pool_pace_first_heartbeats(pool)))
+	    (!worker->fenced && !may_send_first_heartbeat(pool)))
 		return false;
 	worker_heartbeat_send(pool, worker);
 	return true;
@@ -447,6 +461,7 @@
 	bool deferred = false;
 	uint32_t i;
 
+	pool->first_heartbeats_in_tick = 0;
 	for (i = 0; i < count && pool->term == term; i++) {
 		uint32_t handle = (from + i) % count;
 
--- a/libgooseberry/pool/writer.c
+++ b/libgooseberry/pool/writer.c
@@ -42,7 +42,16 @@
 #define WRITER_OVERDUE (130 * GB_MSEC)
 /** Longest time of a quick answer to a probe. */
 #define WRITER_PROBE_QUICK (80 * GB_MSEC)
-/** Time after which a probe counts as not answered. */
+/** Interval of further probes while none is answered.  A probe that was lost
+ * doesn't hide that the store answers again. */
+#define WRITER_PROBE_INTERVAL (150 * GB_MSEC)
+/** Time without an answer to probes after which the owner reports the store as
+ * unavailable, so that successors check it.  Successors don't take over because
+ * of a store that needs 0.15 s for a read of theirs. */
+#define WRITER_PROBE_OVERDUE (200 * GB_MSEC)
+/** Time without an answer to probes after which the partition counts as
+ * unavailable and callers are refused.  Reads take 0.4 s when the store is a
+ * hundred times slower. */
 #define WRITER_PROBE_TIMEOUT (700 * GB_MSEC)
 /** Number of consecutive refused writes after which the partition counts as
  * unavailable. */
@@ -375,6 +384,30 @@
 	       partition->silent || partition->attach != POOL_ATTACH_DONE;
 }
 
+bool
+pool_writer_probe_overdue(const struct gb_pool *pool, uint32_t number)
+{
+	const struct pool_partition *partition = &pool->partitions[number];
+
+	return partition->probing_since != 0 &&
+	       pool->now - partition->probing_since >
+		   WRITER_PROBE_OVERDUE + pool_pace_answer_delay(pool);
+}
+
+/** Whether a probe is to be sent: the answer to a write is overdue, and so is
+ * that to the last probe. */
+static bool
+probe_due(const struct gb_pool *pool, const struct pool_partition *partition)
+{
+	gb_time delay = pool_pace_answer_delay(pool);
+
+	if (partition->call == 0 || partition->probe_answered ||
+	    pool->now - partition->left_at < WRITER_OVERDUE + delay)
+		return false;
+	return partition->probing_since == 0 ||
+	       pool->now - partition->probed >= WRITER_PROBE_INTERVAL + delay;
+}
+
 /** Probes whether the store answers, once the answer to a write is overdue. */
 static void
 partition_probe(struct gb_pool *pool, uint32_t number)
@@ -383,20 +416,19 @@
 	/* With a shorter timeout a slow store would look unavailable. */
 	const struct gb_pool_read read = {number, GB_POOL_OWNERS,
 	    GB_POOL_OWNER_KEY, GB_POOL_OWNER_KEY "0", 1, WRITER_PROBE_TIMEOUT};
-	gb_time delay = pool_pace_answer_delay(pool);
 	struct pool_call *call;
 
-	if (partition->probe != 0 &&
-	    pool->now - partition->probed > WRITER_PROBE_TIMEOUT + delay)
+	if (partition->probing_since != 0 &&
+	    pool->now - partition->probing_since >
+		WRITER_PROBE_TIMEOUT + pool_pace_answer_delay(pool))
 		partition->silent = true;
-	if (partition->call == 0 || partition->probe != 0 ||
-	    partition->probe_answered ||
-	    pool->now - partition->left_at < WRITER_OVERDUE + delay)
+	if (!probe_due(pool, partition))
 		return;
 	call = pool_call_new(pool, POOL_CALL_PROBE);
 	call->partition = number;
-	partition->probe = call->id;
 	partition->probed = pool->now;
+	if (partition->probing_since == 0)
+		partition->probing_since = pool->now;
 	pool->stats.reads++;
 	pool->ops.read(pool->ops.data, call->id, &read);
 }
@@ -598,14 +630,17 @@
 {
 	struct pool_partition *partition = &pool->partitions[call->partition];
 
-	if (partition->probe != call->id)
+	if (partition->probing_since == 0)
 		return;
-	partition->probe = 0;
 	if (res->status != GB_STORE_OK) {
-		partition->silent = true;
+		/* An older probe says nothing if a later one was answered. */
+		if (call->sent >= partition->probe_answered_at)
+			partition->silent = true;
 		return;
 	}
 	partition->silent = false;
+	partition->probing_since = 0;
+	partition->probe_answered_at = pool->now;
 	partition->probe_answered = true;
 	partition->refused = 0;
 	partition->lost = 0;
@@ -634,6 +669,8 @@
 	gb_histogram_add(&pool->stats.txn_us, pool->now - call->sent);
 	if (partition->set_sent && res->status != GB_STORE_OK)
 		pool_worker_set_stored(pool, call->partition, false);
+	if (res->status != GB_STORE_UNKNOWN)
+		partition->probing_since = 0; /* the store has answered */
 	switch (res->status) {
 	case GB_STORE_OK:
 		pool->confirmed = call->sent;
