Read the changes of the list of workers in batches

Change: the feed of a whole table asks again after a tenth of a second, or at once if an answer is full. With the wait and the margin this stays below the 2 s in which the draining of a worker has to take effect.

Test: 195 queries a second before, at most 15 now.

--- a/tests/test_feed.c
+++ b/tests/test_feed.c
@@ -52,11 +52,12 @@
 	struct plat plat;
 	struct plat_feed *feed;
 	uint64_t delivered; /**< newest version that the feed has delivered */
+	unsigned int queries;
 };
 
 /** A feed can't be freed before the process ends, so its store stays; one for
  * each test. */
-static struct store stores[3];
+static struct store stores[4];
 static unsigned int store_count;
 
 static void
@@ -116,6 +117,7 @@
 	const char *after = strstr(request, "After=");
 	const char *wait = strstr(request, "WaitMs=");
 
+	conn->store->queries++;
 	if (after == NULL || wait == NULL) {
 		conn_answer(conn, true);
 		return;
@@ -209,10 +211,10 @@
 	return false;
 }
 
-/** Starts a store at version 1 and a feed, and runs them until the feed waits
- * for the next version. */
+/** Starts a store at version 1 and a feed of its row, or of the whole table if
+ * `key` is null, and runs them until the feed waits for the next version. */
 static struct store *
-store_start(void)
+store_start_feed(const char *key)
 {
 	struct store *store = &stores[store_count++];
 	struct sockaddr_in sin;
@@ -235,7 +237,7 @@
 	snprintf(store->plat.settings.store, sizeof(store->plat.settings.store),
 	    "127.0.0.1:%d", ntohs(sin.sin_port));
 	store->feed =
-	    plat_feed_new(&store->plat, "op", "config", on_row, on_end, store);
+	    plat_feed_new(&store->plat, "op", key, on_row, on_end, store);
 	plat_feed_start(store->feed);
 	while (!store_has_query(store))
 		uv_run(&store->loop, UV_RUN_ONCE);
@@ -243,6 +245,12 @@
 	return store;
 }
 
+static struct store *
+store_start(void)
+{
+	return store_start_feed("config");
+}
+
 /** Makes all present connections silent; new ones work. */
 static void
 store_silence_conns(struct store *store)
@@ -309,6 +317,25 @@
 	assert_true(store_change(store) < DELIVERY_MAX_QUICK);
 }
 
+/** A table that changes without a pause, as the entries of many workers do, is
+ * read in batches of a tenth of a second; one call for each change costs as
+ * many calls as there are workers. */
+static void
+test_changes_of_a_table_are_batched(void **state)
+{
+	struct store *store = store_start_feed(NULL);
+	gb_time until = gb_clock_boot() + GB_SEC;
+	unsigned int before = store->queries;
+
+	(void)state;
+	while (gb_clock_boot() < until) {
+		store->version++;
+		uv_run(&store->loop, UV_RUN_ONCE);
+	}
+	assert_in_range(store->queries - before, 5, 15);
+	assert_true(store_change(store) < DELIVERY_MAX_QUICK);
+}
+
 int
 main(void)
 {
@@ -316,6 +343,7 @@
 	    cmocka_unit_test(test_change_is_delivered_at_once),
 	    cmocka_unit_test(test_silent_connection_is_replaced),
 	    cmocka_unit_test(test_table_is_read_without_history),
+	    cmocka_unit_test(test_changes_of_a_table_are_batched),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
