Ask for the configuration seldom where the owner announces it

It asks anew when it was told of a version that it did not get within 0.1 s, and when the owner is silent.

Weighed: a longer wait for all, which holds only where the bound on changes is long; differences that travel along a tree of instances, which would save the one call an instance and change that is left, too.

--- a/libgooseberry/node/node.c
+++ b/libgooseberry/node/node.c
@@ -29,6 +29,12 @@
 #define LEAVE_MARGIN (1200 * GB_MSEC)
 /** TCP and IP headers of an answer and of the acknowledgement of a request. */
 #define LINK_HEADER_BYTES 80
+/** Number of successors, the first ones, that look for a new configuration
+ * themselves all the time, as the owner does. */
+#define CONFIG_READERS 4
+/** Time for which a node waits for a configuration that others have, before it
+ * requests it again: the platform reports a change to all nodes within this. */
+#define CONFIG_REPORT_TIME (100 * GB_MSEC)
 /** Timeout of a call to the advice service through a member. */
 #define ADVISE_TIMEOUT (3 * GB_SEC)
 
@@ -389,6 +395,21 @@
 		   : 0;
 }
 
+/** Whether the owner tells this node of a newer configuration with its answers
+ * to hellos, and the node has all that it was told of. */
+static bool
+config_is_announced(const struct gb_node *node, gb_time now)
+{
+	const struct watch *watch = &node->watch;
+
+	return node->config != NULL && !gb_pool_owns(node->pool) &&
+	       watch->owner[0] != '\0' && !watch->vacant &&
+	       watch_owner_silence(watch, now) < node_owner_silence_max(node) &&
+	       watch->place.rank >= CONFIG_READERS &&
+	       watch->place.ranked >= CONFIG_READERS &&
+	       config_behind_for(node) < CONFIG_REPORT_TIME;
+}
+
 void
 gb_node_config_received(struct gb_node *node, const char *text, size_t len)
 {
@@ -574,6 +595,8 @@
 	    (node->busy_tick ? TICK_BUSY_MS : TICK_IDLE_MS) * GB_MSEC);
 	gb_pool_tick(node->pool, node_now(), gb_clock_wall());
 	watch_tick(node);
+	node->platform.relax_config(
+	    node->platform.data, config_is_announced(node, node_now()));
 	store_probe(node);
 	intake_tick(node);
 	link_monitor_tick(node);
--- a/libgooseberry/node/node.h
+++ b/libgooseberry/node/node.h
@@ -30,6 +30,9 @@
 	/** Start or stop following the list of workers, whose changes are
 	 * reported with gb_node_workers_received. */
 	void (*follow_workers)(void *, bool on);
+	/** Whether others tell the node of a newer configuration, so that the
+	 * platform needn't look for it all the time. */
+	void (*relax_config)(void *, bool relaxed);
 	/** Decode a configuration from its stored form; null when it is
 	 * malformed.  The node releases it. */
 	struct gb_pool_config *(*config_decode)(const char *, size_t);
--- a/tests/test_feed.c
+++ b/tests/test_feed.c
@@ -57,7 +57,7 @@
 
 /** A feed can't be freed before the process ends, so its store stays; one for
  * each test. */
-static struct store stores[4];
+static struct store stores[5];
 static unsigned int store_count;
 
 static void
@@ -336,6 +336,29 @@
 	assert_true(store_change(store) < DELIVERY_MAX_QUICK);
 }
 
+/** A relaxed feed waits with one query for many seconds, and still delivers a
+ * change at once.  After its connection has become silent, the end of the
+ * relaxation delivers what was missed. */
+static void
+test_relaxed_feed_asks_seldom(void **state)
+{
+	struct store *store = store_start();
+	gb_time until;
+	unsigned int before;
+
+	(void)state;
+	plat_feed_relax(store->feed, true);
+	assert_true(store_change(store) < DELIVERY_MAX_QUICK);
+	before = store->queries;
+	until = gb_clock_boot() + 3 * GB_SEC;
+	while (gb_clock_boot() < until)
+		uv_run(&store->loop, UV_RUN_ONCE);
+	assert_in_range(store->queries - before, 0, 1);
+	store_silence_conns(store);
+	plat_feed_relax(store->feed, false);
+	assert_true(store_change(store) < DELIVERY_MAX_QUICK);
+}
+
 int
 main(void)
 {
@@ -344,6 +367,7 @@
 	    cmocka_unit_test(test_silent_connection_is_replaced),
 	    cmocka_unit_test(test_table_is_read_without_history),
 	    cmocka_unit_test(test_changes_of_a_table_are_batched),
+	    cmocka_unit_test(test_relaxed_feed_asks_seldom),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -49,6 +49,7 @@
 struct node_context {
 	struct cell *cell;
 	unsigned int number; /**< of the node */
+	bool relaxed;	     /**< the node is told of new configurations */
 };
 
 struct cell {
@@ -146,6 +147,14 @@
 	(void)on;
 }
 
+static void
+op_relax(void *data, bool relaxed)
+{
+	struct node_context *context = data;
+
+	context->relaxed = relaxed;
+}
+
 /** Set: configurations can't be decoded, as by a program that is too old for
  * them. */
 static bool config_unreadable;
@@ -197,8 +206,8 @@
 node_start(struct cell *cell, unsigned int number)
 {
 	const struct gb_node_platform platform = {op_order, op_order,
-	    op_heartbeat, op_advise, op_txn, op_read, op_follow, config_decode,
-	    &cell->contexts[number]};
+	    op_heartbeat, op_advise, op_txn, op_read, op_follow, op_relax,
+	    config_decode, &cell->contexts[number]};
 	struct gb_node_settings settings = {0};
 	struct gb_error err = {0};
 	struct gb_node *node;
@@ -1150,6 +1159,55 @@
 	assert_counter(owner, "gooseberry_ownership_losses", 1);
 }
 
+/** Runs a cell for half a second in which a node believes to be far behind in
+ * the order of succession, as in a cell of many nodes; returns the share of the
+ * time for which it relied on others for news of the configuration. */
+static double
+relaxed_share(struct cell *cell, unsigned int number)
+{
+	gb_time until = gb_clock_boot() + 500 * GB_MSEC;
+	unsigned int relaxed = 0;
+	unsigned int steps = 0;
+
+	while (gb_clock_boot() < until) {
+		cell->nodes[number]->watch.place = (struct succession){
+		    SUCCESSION_UNRANKED, SUCCESSION_RANKED_MAX, 40};
+		uv_run(&cell->loop, UV_RUN_ONCE);
+		relaxed += cell->contexts[number].relaxed;
+		steps++;
+	}
+	return (double)relaxed / steps;
+}
+
+/** A member behind the first successors relies on the owner for news of the
+ * configuration.  It looks for itself while it has not received a version that
+ * it was told of, and while there is no owner.  First successors and the owner
+ * always do. */
+static void
+test_member_relies_on_the_owner(void **state)
+{
+	struct cell *cell = cell_start();
+	unsigned int owner;
+	unsigned int other;
+
+	(void)state;
+	cell_wait_ready(cell);
+	owner = cell_owner(cell);
+	other = (owner + 1) % NODES;
+	cell_run(cell, 300 * GB_MSEC);
+	assert_false(cell->contexts[other].relaxed);
+	assert_true(relaxed_share(cell, other) > 0.5);
+	assert_true(relaxed_share(cell, owner) == 0);
+	node_config_announced(cell->nodes[other], 2);
+	cell_run(cell, 200 * GB_MSEC);
+	assert_true(relaxed_share(cell, other) == 0);
+	gb_node_config_received(cell->nodes[other], "2", 1);
+	assert_true(relaxed_share(cell, other) > 0.5);
+	cell->nodes[other]->watch.vacant = true;
+	cell_run(cell, 30 * GB_MSEC);
+	assert_false(cell->contexts[other].relaxed);
+}
+
 int
 main(void)
 {
@@ -1180,6 +1238,7 @@
 	    cmocka_unit_test(test_loop_stall_is_logged),
 	    cmocka_unit_test(test_failed_claim_names_the_winner),
 	    cmocka_unit_test(test_lost_pool_names_the_winner),
+	    cmocka_unit_test(test_member_relies_on_the_owner),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
