Stop runs on leaving workers once they can't end in time

Cause: a run on a worker that leaves was stopped just before the worker terminates, also when its progress had long shown that it needs more time. What it did until then was lost, and its task started elsewhere seconds later.

Change: a run whose progress is known, and that needs a quarter more than the time left, is stopped at once. Runs of steps with checkpoints work on, as nothing of theirs is lost.

--- a/libgooseberry/pool/reservation.c
+++ b/libgooseberry/pool/reservation.c
@@ -23,6 +23,13 @@
 /** Progress in percent below which it says little about the speed of a run. */
 #define RESERVE_PROGRESS_MIN_PERCENT 10
 
+bool
+pool_run_progress_known(const struct pool_run *run)
+{
+	return run->percent >= RESERVE_PROGRESS_MIN_PERCENT &&
+	       run->progress_at > run->started;
+}
+
 gb_time
 pool_run_time_left(const struct gb_pool *pool, const struct pool_run *run)
 {
@@ -32,8 +39,7 @@
 
 	if (run->state == POOL_RUN_STOPPING)
 		return pool->cfg.limits.stop_us;
-	if (run->percent >= RESERVE_PROGRESS_MIN_PERCENT &&
-	    run->progress_at > run->started)
+	if (pool_run_progress_known(run))
 		run_time =
 		    (run->progress_at - run->started) * 100 / run->percent;
 	left = run->started + run_time - pool->now;
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -706,6 +706,8 @@
     const struct gb_pool *, const struct pool_flow *, const struct pool_step *);
 
 /* reservation.c */
+/** Whether the progress of a run is far enough to tell when it ends. */
+bool pool_run_progress_known(const struct pool_run *);
 /** Time until a run is expected to end. */
 gb_time pool_run_time_left(const struct gb_pool *, const struct pool_run *);
 /** Reserves capacity for a gang.  Fills in the expected wait and the worker of
--- a/libgooseberry/pool/worker.c
+++ b/libgooseberry/pool/worker.c
@@ -70,6 +70,11 @@
  * at once, thousands of them keep it from handling the first answers, and so
  * from starting anything, until the last one is sent. */
 #define HEARTBEATS_FIRST_PER_TICK 64
+/** A run is taken not to end before its worker terminates if it needs this many
+ * times the time until then, and this much longer: its progress is known in
+ * percent and may be that old. */
+#define LEAVE_TIME_LEFT_RATIO 1.25
+#define LEAVE_PROGRESS_AGE HEARTBEAT_WAIT_BUSY
 /** Heartbeats without answer after which a worker that is not listed gets no
  * more: its entry may come back for 2 s after an outage of the store. */
 #define HEARTBEAT_UNLISTED_TRIES 8
@@ -367,23 +372,46 @@
 	pool->ops.heartbeat(pool->ops.data, call->id, &heartbeat);
 }
 
+/** Whether a run on a leaving worker is known to need more than the time that
+ * is left there, and would lose its work.  What a step with checkpoints has
+ * done is kept when it is stopped, however late. */
+static bool
+run_is_hopeless(
+    const struct gb_pool *pool, const struct pool_run *run, gb_time left)
+{
+	const struct pool_step *step = &run->flow->steps[run->step];
+
+	return (step->spec->flags & GB_STEP_CHECKPOINT) == 0 &&
+	       run->state == POOL_RUN_RUNNING && pool_run_progress_known(run) &&
+	       (double)(pool_run_time_left(pool, run) - LEAVE_PROGRESS_AGE) >
+		   LEAVE_TIME_LEFT_RATIO * (double)left;
+}
+
 /** Stops the runs of a worker that is about to terminate, so that their ends
  * are reported while it can still be asked.  An end in the last moment may be
  * lost with its answer, and the task would run again although it was done;
  * other runs would be lost anyway, and known to be only when the lease has
- * lapsed. */
+ * lapsed.  Runs that can't end in time are stopped as soon as that is known:
+ * what they would still do is lost, and their tasks start elsewhere the later.
+ */
 static void
 worker_stop_leaving(struct gb_pool *pool, struct pool_worker *worker)
 {
 	struct pool_run *run;
+	gb_time left;
 
-	if (worker->leaves_at == 0 || pool->now < worker->leaves_at -
-						      pool->cfg.limits.stop_us -
-						      LEAVE_MARGIN)
+	if (worker->leaves_at == 0)
 		return;
+	left = worker->leaves_at - pool->cfg.limits.stop_us - LEAVE_MARGIN -
+	       pool->now;
 	TAILQ_FOREACH(run, &worker->runs, of_worker)
 	{
-		pool_run_stop(pool, run, "its worker is about to terminate");
+		if (left <= 0)
+			pool_run_stop(
+			    pool, run, "its worker is about to terminate");
+		else if (run_is_hopeless(pool, run, left))
+			pool_run_stop(pool, run,
+			    "it can't end before its worker terminates");
 	}
 }
 
--- a/tests/test_leaving.c
+++ b/tests/test_leaving.c
@@ -64,6 +64,41 @@
 	pool_cell_free(cell);
 }
 
+/** A task that is known to need twice the time that its worker has left is
+ * started elsewhere at once, and not when the worker terminates. */
+static void
+test_hopeless_runs_are_stopped_at_once(void **state)
+{
+	struct pool_cell *cell = cell_with_leaving_worker("ms=4000", 0);
+	const char *id = cell->flows[0].spec.id;
+	unsigned int worker = world_flow_worker(cell->world, id);
+
+	(void)state;
+	pool_cell_run(cell, NOTICE_TIME / 2);
+	assert_int_equal(world_flow_worker(cell->world, id), 1 - worker);
+	pool_cell_run(cell, 6 * GB_SEC);
+	assert_int_equal(cell->flows[0].status, GB_FLOW_SUCCEEDED);
+	pool_cell_assert_no_violation(cell);
+	pool_cell_free(cell);
+}
+
+/** The same for a task with checkpoints: it works on as long as it can. */
+static void
+test_saved_runs_work_on(void **state)
+{
+	struct pool_cell *cell =
+	    cell_with_leaving_worker("ms=4000", GB_STEP_CHECKPOINT);
+	const char *id = cell->flows[0].spec.id;
+	unsigned int worker = world_flow_worker(cell->world, id);
+
+	(void)state;
+	pool_cell_run(cell, NOTICE_TIME / 2);
+	assert_int_equal(world_flow_worker(cell->world, id), worker);
+	pool_cell_run(cell, 6 * GB_SEC);
+	assert_int_equal(cell->flows[0].status, GB_FLOW_SUCCEEDED);
+	pool_cell_free(cell);
+}
+
 /** A task that ends before its worker terminates is not stopped. */
 static void
 test_short_runs_end_on_a_leaving_worker(void **state)
@@ -106,6 +141,8 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_runs_are_stopped_before_their_worker_leaves),
+	    cmocka_unit_test(test_hopeless_runs_are_stopped_at_once),
+	    cmocka_unit_test(test_saved_runs_work_on),
 	    cmocka_unit_test(test_short_runs_end_on_a_leaving_worker),
 	    cmocka_unit_test(test_worker_that_stays_is_used_again),
 	};
