Leave the processor to the list of workers before first heartbeats

Cause: a new owner that opens 6,000 connections for first heartbeats reads the list of workers in between, page by page, and has it after 0.6 s. Without it no worker is offered for work, so nothing was started until then.

Change: without the list it sends a quarter of the first heartbeats in a tick.

Weighed: successors that follow the list all the time.

--- a/libgooseberry/pool/worker.c
+++ b/libgooseberry/pool/worker.c
@@ -70,6 +70,9 @@
  * at once, thousands of them keep it from handling the first answers, and so
  * from starting anything, until the last one is sent. */
 #define HEARTBEATS_FIRST_PER_TICK 64
+/** The same before the owner has the list of workers, without which it can't
+ * start anything: most of the processor is left to reading the list. */
+#define HEARTBEATS_FIRST_UNLISTED 16
 /** A run is taken not to end before its worker terminates if it needs this many
  * times the time until then, and this much longer: its progress is known in
  * percent and may be that old. */
@@ -451,7 +454,10 @@
 static bool
 may_send_first_heartbeat(const struct gb_pool *pool)
 {
-	return pool->first_heartbeats_in_tick < HEARTBEATS_FIRST_PER_TICK &&
+	uint32_t most = pool->listed ? HEARTBEATS_FIRST_PER_TICK
+				     : HEARTBEATS_FIRST_UNLISTED;
+
+	return pool->first_heartbeats_in_tick < most &&
 	       pool->first_heartbeats_in_flight <
 		   pool_pace_first_heartbeats(pool);
 }
