Bound the connections to workers

Cause: the owner of the fleet had 12,779 to 15,988 of its 16,384 files open with 6,000 workers. Idle connections of bursts, up to six a worker, were never closed, and the 900 files kept back for everything else were too few for two connections to each of 585 members. Near the limit the owner stopped to use heartbeats that wait, which halves the service: it did so with twice as many workers as connections, long before each worker needs a second one.

Change: connections to workers are limited to the files that are left when two for each member are kept back; at the limit the longest idle one is closed for a new one. Heartbeats wait as long as a tenth of the connections is left to orders.

--- a/libgooseberry/node/node.c
+++ b/libgooseberry/node/node.c
@@ -22,9 +22,14 @@
 /** Silence of the owner after which a node isn't ready if the store is
  * unavailable too. */
 #define READY_SILENCE (1500 * GB_MSEC)
-/** Descriptors that are reserved for callers, members, the store and files; the
- * others are for connections to workers. */
+/** Descriptors that are reserved for callers, the store and files, and those
+ * for each member, which calls the owner and is called for advice.  The others
+ * are for connections to workers. */
 #define FILES_RESERVED 900
+#define FILES_PER_MEMBER 2
+/** Share of the descriptors that connections to workers get in any case, as a
+ * divisor. */
+#define FILES_WORKERS_DIVISOR 4
 /** Callers are answered this long before a stopping process would be killed. */
 #define LEAVE_MARGIN (1200 * GB_MSEC)
 /** TCP and IP headers of an answer and of the acknowledgement of a request. */
@@ -585,6 +590,29 @@
 		    gb_link_rate(link));
 }
 
+/** Update the number of connections to workers that may be open. */
+static void
+connections_update(struct gb_node *node)
+{
+	size_t members = HASH_COUNT(node->members);
+	int64_t files = node->settings.files;
+	int64_t most;
+
+	if (files == 0)
+		return;
+	if (members < node->known_members_count)
+		members = node->known_members_count;
+	most = files - FILES_RESERVED - FILES_PER_MEMBER * (int64_t)members;
+	if (most < files / FILES_WORKERS_DIVISOR)
+		most = files / FILES_WORKERS_DIVISOR;
+	if (most == node->connections_max)
+		return;
+	node->connections_max = (uint32_t)most;
+	gb_pool_limit_connections(node->pool, node->connections_max);
+	node->platform.limit_connections(
+	    node->platform.data, node->connections_max);
+}
+
 static void
 on_tick(uv_timer_t *timer)
 {
@@ -595,6 +623,7 @@
 	    (node->busy_tick ? TICK_BUSY_MS : TICK_IDLE_MS) * GB_MSEC);
 	gb_pool_tick(node->pool, node_now(), gb_clock_wall());
 	watch_tick(node);
+	connections_update(node);
 	node->platform.relax_config(
 	    node->platform.data, config_is_announced(node, node_now()));
 	store_probe(node);
@@ -653,9 +682,6 @@
 	pool.limits.lease_us = settings->lease_ms * GB_MSEC;
 	pool.limits.stop_us = settings->stop_ms * GB_MSEC;
 	pool.limits.keep_us = settings->keep_s * GB_SEC;
-	if (settings->files > FILES_RESERVED)
-		pool.limits.connections =
-		    (uint32_t)(settings->files - FILES_RESERVED);
 	pool.disabled_features = node->disabled_features;
 	pool.events = events;
 	ops.data = node;
--- a/libgooseberry/node/node.h
+++ b/libgooseberry/node/node.h
@@ -30,6 +30,8 @@
 	/** Start or stop following the list of workers, whose changes are
 	 * reported with gb_node_workers_received. */
 	void (*follow_workers)(void *, bool on);
+	/** Set how many connections to workers may be open. */
+	void (*limit_connections)(void *, uint32_t max);
 	/** Whether others tell the node of a newer configuration, so that the
 	 * platform needn't look for it all the time. */
 	void (*relax_config)(void *, bool relaxed);
--- a/libgooseberry/node/node_state.h
+++ b/libgooseberry/node/node_state.h
@@ -122,9 +122,10 @@
 	bool owner_link_was_full;
 	size_t members_most; /**< largest number of known_members recently */
 	gb_time members_most_at;
-	gb_time budget_at;  /**< when the budget was last increased */
-	uint32_t cpu_milli; /**< processor of this node in milli-cores */
-	gb_time owned_at;   /**< when it last gained the pool */
+	gb_time budget_at;	  /**< when the budget was last increased */
+	uint32_t cpu_milli;	  /**< processor of this node in milli-cores */
+	gb_time owned_at;	  /**< when it last gained the pool */
+	uint32_t connections_max; /**< to workers, 0: no limit */
 	struct gb_pool_config *config;
 	char *config_text; /**< the same in the stored form */
 	size_t config_len;
--- a/libgooseberry/pool.h
+++ b/libgooseberry/pool.h
@@ -418,7 +418,7 @@
 	gb_time stop_us;  /**< longest time that a stop takes */
 	/** Time for which states of finished flows are kept. */
 	gb_time keep_us;
-	uint32_t connections; /**< open connections of this node, 0: no limit */
+	uint32_t connections; /**< open ones to workers, 0: no limit */
 };
 
 /** Features that can be disabled by the setting `off`.  No guarantee depends on
@@ -548,6 +548,9 @@
  * leave them without an answer for longer than a working store would. */
 bool gb_pool_store_unavailable(const struct gb_pool *);
 
+/** Sets how many connections to workers may be open, 0: no limit. */
+void gb_pool_limit_connections(struct gb_pool *, uint32_t max);
+
 /** Applies a configuration and takes a reference to it; ignores one that is not
  * newer than the current one. */
 void gb_pool_configure(struct gb_pool *, gb_time now, struct gb_pool_config *);
--- a/libgooseberry/pool/pool.c
+++ b/libgooseberry/pool/pool.c
@@ -205,6 +205,12 @@
 
 /* Configuration, workers and members -------------------------------------- */
 
+void
+gb_pool_limit_connections(struct gb_pool *pool, uint32_t max)
+{
+	pool->cfg.limits.connections = max;
+}
+
 void
 gb_pool_configure(
     struct gb_pool *pool, gb_time now, struct gb_pool_config *config)
--- a/libgooseberry/pool/worker.c
+++ b/libgooseberry/pool/worker.c
@@ -41,6 +41,10 @@
  * still be carried out: for seconds the worker answers each heartbeat at once.
  */
 #define HEARTBEAT_PAUSE_HELD (250 * GB_MSEC)
+/** Share of the connections to workers that orders use, as a divisor: an order
+ * takes some milliseconds, and its connection can be closed for the next one.
+ */
+#define CONNECTIONS_ORDERS_DIVISOR 10
 /** If there are too few connections for heartbeats that wait, the pause before
  * the next heartbeat to a worker with runs is this long, in microseconds, times
  * the number of workers. This limits the rate of all heartbeats. */
@@ -232,14 +236,16 @@
 }
 
 /** Whether there are too few connections for heartbeats that wait. Such a
- * heartbeat keeps a connection, and orders to the worker need another one. With
- * too many workers for that, heartbeats are answered at once and sent after a
- * pause. */
+ * heartbeat keeps a connection, and orders to the worker need another one for a
+ * moment. With too many workers for that, heartbeats are answered at once and
+ * sent after a pause. */
 static bool
 connections_are_short(const struct gb_pool *pool)
 {
-	return pool->cfg.limits.connections > 0 &&
-	       pool->worker_count * 2 > pool->cfg.limits.connections;
+	uint32_t most = pool->cfg.limits.connections;
+
+	return most > 0 &&
+	       pool->worker_count > most - most / CONNECTIONS_ORDERS_DIVISOR;
 }
 
 /** Pause after a heartbeat that was answered. */
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -291,6 +291,53 @@
 		uv_run(loop, UV_RUN_ONCE);
 }
 
+/** Number of workers that are called in turn, and of connections to them. */
+#define WORKERS 12
+#define WORKER_CONNS 4
+
+/** Calls one worker after the other; asserts that each answers, and returns the
+ * largest number of connections that were open after a call. */
+static unsigned int
+call_workers(struct plat_http *http, struct server *servers)
+{
+	uv_loop_t *loop = uv_default_loop();
+	unsigned int most = 0;
+	unsigned int i;
+
+	for (i = 0; i < WORKERS; i++) {
+		struct outcome outcome = {0};
+
+		plat_http_call(http, GB_TRAFFIC_HEARTBEAT, servers[i].addr,
+		    "GET", "/", "", NULL, 0, CALL_TIMEOUT, on_done, &outcome);
+		while (!outcome.done)
+			uv_run(loop, UV_RUN_ONCE);
+		assert_int_equal(outcome.status, 200);
+		if (plat_http_worker_conns(http) > most)
+			most = plat_http_worker_conns(http);
+	}
+	return most;
+}
+
+/** More workers than connections: the connection that has been idle for longest
+ * is closed for a new one, and every call is answered.  Without this an owner
+ * of many workers runs out of descriptors, and then can't accept callers. */
+static void
+test_idle_connections_are_closed_at_the_limit(void **state)
+{
+	static struct server servers[WORKERS];
+	struct plat_http *http = plat_http_new(uv_default_loop(), NULL);
+	unsigned int i;
+
+	(void)state;
+	for (i = 0; i < WORKERS; i++) {
+		servers[i].answer =
+		    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+		server_start(uv_default_loop(), &servers[i]);
+	}
+	plat_http_limit_workers(http, WORKER_CONNS);
+	assert_in_range(call_workers(http, servers), 1, WORKER_CONNS);
+}
+
 int
 main(void)
 {
@@ -302,6 +349,7 @@
 	    cmocka_unit_test(test_malformed_answer),
 	    cmocka_unit_test(test_mark_ends_with_its_connection),
 	    cmocka_unit_test(test_connections_to_a_worker_are_few),
+	    cmocka_unit_test(test_idle_connections_are_closed_at_the_limit),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -147,6 +147,13 @@
 	(void)on;
 }
 
+static void
+op_limit(void *data, uint32_t max)
+{
+	(void)data;
+	(void)max;
+}
+
 static void
 op_relax(void *data, bool relaxed)
 {
@@ -206,8 +213,8 @@
 node_start(struct cell *cell, unsigned int number)
 {
 	const struct gb_node_platform platform = {op_order, op_order,
-	    op_heartbeat, op_advise, op_txn, op_read, op_follow, op_relax,
-	    config_decode, &cell->contexts[number]};
+	    op_heartbeat, op_advise, op_txn, op_read, op_follow, op_limit,
+	    op_relax, config_decode, &cell->contexts[number]};
 	struct gb_node_settings settings = {0};
 	struct gb_error err = {0};
 	struct gb_node *node;
