Refuse questions at once that a member can't answer without the store

Change: a member that has lost the store refuses such a question after the failed read, with a time to retry; another instance can answer it.

Test: the question was refused after 2.85 s without this.

--- a/libgooseberry/node/intake.c
+++ b/libgooseberry/node/intake.c
@@ -150,6 +150,13 @@
 	struct intake *in = call->data;
 	gb_flow_answer answer = {0};
 
+	/* Without the store this node can't tell whether the flow exists, and
+	 * another node can. */
+	if (res->status != GB_STORE_OK && node_store_unavailable(in->node)) {
+		in->in_flight = false;
+		intake_give_up(in);
+		return;
+	}
 	if (res->status != GB_STORE_OK) {
 		intake_retry(in);
 		return;
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -756,6 +756,38 @@
 	assert_true(cell->answer.retry_after_us > 0);
 }
 
+/** The store rejects one member only.  A caller asks it for a flow that the
+ * owner doesn't know, and that only the store could tell of.  The caller is
+ * refused at once, and may ask another node, in place of waiting for its whole
+ * timeout. */
+static void
+test_member_without_store_refuses_at_once(void **state)
+{
+	struct cell *cell = cell_start();
+	gb_time began;
+	gb_flow_ask ask = {0};
+	char id[] = "00000000000000a4";
+	char none[] = "";
+	unsigned int other;
+	int i;
+
+	(void)state;
+	cell_wait_ready(cell);
+	other = (cell_owner(cell) + 1) % NODES;
+	cell->store_refuses[other] = true;
+	ask.id = id;
+	ask.op = GB_FLOW_OP_STATE;
+	ask.caller.org = none;
+	began = gb_clock_boot();
+	cell->answered = false;
+	gb_node_ask(cell->nodes[other], &ask, 3 * GB_SEC, on_answer, cell);
+	for (i = 0; i < ITERATIONS_MAX && !cell->answered; i++)
+		uv_run(&cell->loop, UV_RUN_ONCE);
+	assert_int_equal(cell->answer.verdict, GB_FLOW_REFUSED);
+	assert_true(cell->answer.retry_after_us > 0);
+	assert_true(gb_clock_boot() - began < GB_SEC);
+}
+
 /** Instances are stopped in turn.  An owner that stops remains the owner, in
  * every iteration of the loop, until the member that it chose has claimed the
  * pool. */
@@ -1232,6 +1264,7 @@
 	    cmocka_unit_test(test_members_shed_for_a_full_owner),
 	    cmocka_unit_test(test_older_hello_answers_are_decoded),
 	    cmocka_unit_test(test_store_rejects_every_node),
+	    cmocka_unit_test(test_member_without_store_refuses_at_once),
 	    cmocka_unit_test(test_leaving_owner_serves_until_claim),
 	    cmocka_unit_test(test_hello_to_former_owner_is_dropped),
 	    cmocka_unit_test(test_hanging_connection_is_not_refused),
