Move configurations and store probes to files of their own

node.c and writer.c were among the largest files, and each had one part that stands alone: what a node knows of configurations, and the probes of the store while the answer to a write is overdue. run_is_hopeless and its tests say now what they mean.

--- a/libgooseberry/node/node.c
+++ b/libgooseberry/node/node.c
@@ -34,12 +34,6 @@
 #define LEAVE_MARGIN (1200 * GB_MSEC)
 /** TCP and IP headers of an answer and of the acknowledgement of a request. */
 #define LINK_HEADER_BYTES 80
-/** Number of successors, the first ones, that look for a new configuration
- * themselves all the time, as the owner does. */
-#define CONFIG_READERS 4
-/** Time for which a node waits for a configuration that others have, before it
- * requests it again: the platform reports a change to all nodes within this. */
-#define CONFIG_REPORT_TIME (100 * GB_MSEC)
 /** Timeout of a call to the advice service through a member. */
 #define ADVISE_TIMEOUT (3 * GB_SEC)
 
@@ -356,101 +350,7 @@
 	free(call);
 }
 
-/* Configurations and workers ---------------------------------------------- */
-
-/** Log the organisations and keys that are invalid, by reason. */
-static void
-org_errors_log(struct gb_node *node, const struct gb_pool_config *config)
-{
-	unsigned int i;
-
-	for (i = GB_POOL_ORG_VALID + 1; i < GB_POOL_ORG_ERRORS; i++) {
-		if (config->org_errors[i] == 0)
-			continue;
-		node->orgs_bad += config->org_errors[i];
-		gb_event(node->events, GB_EVENT_ALWAYS, "config_org_bad",
-		    "{s:I, s:s, s:I}", "version", (json_int_t)config->version,
-		    "why", gb_pool_org_error_name(i), "count",
-		    (json_int_t)config->org_errors[i]);
-	}
-}
-
-void
-node_config_announced(struct gb_node *node, uint64_t version)
-{
-	if (version <= node->config_newest_known)
-		return;
-	node->config_newest_known = version;
-	node->config_newest_known_at = node_now();
-}
-
-bool
-gb_node_config_behind(const struct gb_node *node)
-{
-	return node->config == NULL ||
-	       node->config_newest_known > node->config->version;
-}
-
-/** Time since this node learned that another one has a newer version. */
-static gb_time
-config_behind_for(const struct gb_node *node)
-{
-	return gb_node_config_behind(node) && node->config_newest_known > 0
-		   ? node_now() - node->config_newest_known_at
-		   : 0;
-}
-
-/** Whether the owner tells this node of a newer configuration with its answers
- * to hellos, and the node has all that it was told of. */
-static bool
-config_is_announced(const struct gb_node *node, gb_time now)
-{
-	const struct watch *watch = &node->watch;
-
-	return node->config != NULL && !gb_pool_owns(node->pool) &&
-	       watch->owner[0] != '\0' && !watch->vacant &&
-	       watch_owner_silence(watch, now) < node_owner_silence_max(node) &&
-	       watch->place.rank >= CONFIG_READERS &&
-	       watch->place.ranked >= CONFIG_READERS &&
-	       config_behind_for(node) < CONFIG_REPORT_TIME;
-}
-
-void
-gb_node_config_received(struct gb_node *node, const char *text, size_t len)
-{
-	struct gb_pool_config *config = node->platform.config_decode(text, len);
-
-	if (config == NULL) {
-		node->configs_unreadable++;
-		gb_event(node->events, GB_EVENT_ALWAYS, "config_unreadable",
-		    "{s:I}", "bytes", (json_int_t)len);
-		return;
-	}
-	if (node->config != NULL && config->version <= node->config->version) {
-		gb_pool_config_unref(config);
-		return;
-	}
-	/* Once keys were required, a version without organisations must not
-	 * open the queues to callers without a key. */
-	if (node->config != NULL && node->config->keyed)
-		config->keyed = true;
-	gb_event(node->events, GB_EVENT_ALWAYS, "config_taken",
-	    "{s:I, s:I, s:I, s:I, s:b, s:I, s:I}", "version",
-	    (json_int_t)config->version, "before",
-	    (json_int_t)(node->config == NULL ? 0 : node->config->version),
-	    "behind_ms", (json_int_t)(config_behind_for(node) / GB_MSEC),
-	    "queues", (json_int_t)config->queue_count, "keyed", config->keyed,
-	    "orgs", (json_int_t)config->org_count, "keys",
-	    (json_int_t)gb_pool_config_key_count(config));
-	org_errors_log(node, config);
-	gb_pool_config_unref(node->config);
-	node->config = config;
-	free(node->config_text);
-	node->config_text = gb_calloc(1, len + 1);
-	memcpy(node->config_text, text, len);
-	node->config_len = len;
-	gb_pool_configure(node->pool, node_now(), config);
-}
+/* Workers ---------------------------------------------------------------- */
 
 void
 gb_node_workers_received(struct gb_node *node,
@@ -624,8 +524,8 @@
 	gb_pool_tick(node->pool, node_now(), gb_clock_wall());
 	watch_tick(node);
 	connections_update(node);
-	node->platform.relax_config(
-	    node->platform.data, config_is_announced(node, node_now()));
+	node->platform.relax_config(node->platform.data,
+	    node_learns_configs_from_owner(node, node_now()));
 	store_probe(node);
 	intake_tick(node);
 	link_monitor_tick(node);
--- a/libgooseberry/node/node_state.h
+++ b/libgooseberry/node/node_state.h
@@ -182,8 +182,12 @@
     void (*txn_done)(struct node_call *, const struct gb_pool_txn_res *),
     void (*read_done)(struct node_call *, const struct gb_pool_read_res *));
 
+/* node_config.c */
 /** Note that another node has this version of the configuration. */
 void node_config_announced(struct gb_node *, uint64_t version);
+/** Whether the owner tells this node of newer configurations with its answers
+ * to hellos, and the node has all that it was told of. */
+bool node_learns_configs_from_owner(const struct gb_node *, gb_time now);
 
 /** Whether the last calls of this node to the store have failed. */
 bool node_store_unavailable(const struct gb_node *);
--- a/libgooseberry/pool/owner.c
+++ b/libgooseberry/pool/owner.c
@@ -85,7 +85,7 @@
 
 	for (i = 0; i < GB_POOL_PARTITIONS; i++)
 		unavailable += pool_writer_unavailable(pool, i) ||
-			       pool_writer_probe_overdue(pool, i);
+			       pool_probe_overdue(pool, i);
 	return pool->phase == POOL_OWNER_ACTIVE &&
 	       unavailable >= OWNER_MAJORITY;
 }
@@ -537,7 +537,7 @@
 		pool->confirmed = call->sent;
 	switch (call->kind) {
 	case POOL_CALL_PROBE:
-		pool_writer_probe_done(pool, call, res);
+		pool_probe_done(pool, call, res);
 		break;
 	case POOL_CALL_OWNER_READ:
 		partition_row_read_done(pool, call->partition, res);
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -6,9 +6,9 @@
  * page.c (ownership and loading); dispatch.c and advice.c (starting work);
  * worker.c, listing.c, incarnation.c, health.c and worker_set.c (workers);
  * flow.c, flow_state.c, report.c, run.c, late_start.c and crash.c (flows and
- * runs); writer.c (storing changes); call.c and org.c.  A lower file calls a
- * higher one to look something up, or when a result ends a run, a worker or the
- * ownership.
+ * runs); writer.c and probe.c (storing changes); call.c and org.c.  A lower
+ * file calls a higher one to look something up, or when a result ends a run, a
+ * worker or the ownership.
  *
  * Decisions without side effects are in rank.c, fit.c, reservation.c, quota.c,
  * share.c, contention.c and admit.c.  preempt.c decides and also stops runs
@@ -804,20 +804,27 @@
 void pool_writer_tick(struct gb_pool *);
 void pool_writer_done(
     struct gb_pool *, const struct pool_call *, const struct gb_pool_txn_res *);
-void pool_writer_probe_done(struct gb_pool *, const struct pool_call *,
-    const struct gb_pool_read_res *);
+/** Handles that the answer to the write in flight is lost. */
+void pool_writer_answer_lost(struct gb_pool *, uint32_t partition);
 /** Drops everything to be written and clears the state of all partitions. */
 void pool_writer_reset(struct gb_pool *);
 /** Whether nothing is left to write in the partitions that accept writes. */
 bool pool_writer_idle(const struct gb_pool *);
 /** Whether writes of a partition fail for now, or it is not attached. */
 bool pool_writer_unavailable(const struct gb_pool *, uint32_t partition);
-/** Whether the store has left probes of a partition without an answer for
- * longer than a working store would. */
-bool pool_writer_probe_overdue(const struct gb_pool *, uint32_t partition);
 bool pool_writer_owner_body(const struct gb_pool *, uint64_t epoch,
     uint64_t serial, bool vacant, gb_body *);
 
+/* probe.c */
+/** Probes whether the store answers, once the answer to a write is overdue. */
+void pool_probe_tick(struct gb_pool *, uint32_t partition);
+/** Handles the answer to a probe, or its loss. */
+void pool_probe_done(struct gb_pool *, const struct pool_call *,
+    const struct gb_pool_read_res *);
+/** Whether the store has left probes of a partition without an answer for
+ * longer than a working store would. */
+bool pool_probe_overdue(const struct gb_pool *, uint32_t partition);
+
 /* flow.c */
 /** Returns the flow of that id, or null. */
 struct pool_flow *pool_flow_find(struct gb_pool *, const char *id);
--- a/libgooseberry/pool/worker.c
+++ b/libgooseberry/pool/worker.c
@@ -385,7 +385,7 @@
  * is left there, and would lose its work.  What a step with checkpoints has
  * done is kept when it is stopped, however late. */
 static bool
-run_is_hopeless(
+run_cant_end_in_time(
     const struct gb_pool *pool, const struct pool_run *run, gb_time left)
 {
 	const struct pool_step *step = &run->flow->steps[run->step];
@@ -400,9 +400,8 @@
  * are reported while it can still be asked.  An end in the last moment may be
  * lost with its answer, and the task would run again although it was done;
  * other runs would be lost anyway, and known to be only when the lease has
- * lapsed.  Runs that can't end in time are stopped as soon as that is known:
- * what they would still do is lost, and their tasks start elsewhere the later.
- */
+ * lapsed.  Runs that can't end in time are stopped as soon as that is known,
+ * so that their tasks start elsewhere earlier and less work is lost. */
 static void
 worker_stop_leaving(struct gb_pool *pool, struct pool_worker *worker)
 {
@@ -418,7 +417,7 @@
 		if (left <= 0)
 			pool_run_stop(
 			    pool, run, "its worker is about to terminate");
-		else if (run_is_hopeless(pool, run, left))
+		else if (run_cant_end_in_time(pool, run, left))
 			pool_run_stop(pool, run,
 			    "it can't end before its worker terminates");
 	}
--- a/libgooseberry/pool/writer.c
+++ b/libgooseberry/pool/writer.c
@@ -34,25 +34,6 @@
 /** The same while no caller waits for a change, such as the end of one task of
  * several. */
 #define WRITER_INTERVAL_LONG (120 * GB_MSEC)
-/** Time without an answer after which a write is overdue, and the store is
- * probed with the read of a small row.  A quick answer to the probe shows that
- * the write's answer was lost, a slow one that the store is slow, and none that
- * it is unavailable.  Writes take 12 ms, or 0.8 s when the store is a hundred
- * times slower; reads 4 ms, or 0.4 s. */
-#define WRITER_OVERDUE (130 * GB_MSEC)
-/** Longest time of a quick answer to a probe. */
-#define WRITER_PROBE_QUICK (80 * GB_MSEC)
-/** Interval of further probes while none is answered.  A probe that was lost
- * doesn't hide that the store answers again. */
-#define WRITER_PROBE_INTERVAL (150 * GB_MSEC)
-/** Time without an answer to probes after which the owner reports the store as
- * unavailable, so that successors check it.  Successors don't take over because
- * of a store that needs 0.15 s for a read of theirs. */
-#define WRITER_PROBE_OVERDUE (200 * GB_MSEC)
-/** Time without an answer to probes after which the partition counts as
- * unavailable and callers are refused.  Reads take 0.4 s when the store is a
- * hundred times slower. */
-#define WRITER_PROBE_TIMEOUT (700 * GB_MSEC)
 /** Number of consecutive refused writes after which the partition counts as
  * unavailable. */
 #define WRITER_UNAVAILABLE_REFUSED 2
@@ -384,55 +365,6 @@
 	       partition->silent || partition->attach != POOL_ATTACH_DONE;
 }
 
-bool
-pool_writer_probe_overdue(const struct gb_pool *pool, uint32_t number)
-{
-	const struct pool_partition *partition = &pool->partitions[number];
-
-	return partition->probing_since != 0 &&
-	       pool->now - partition->probing_since >
-		   WRITER_PROBE_OVERDUE + pool_pace_answer_delay(pool);
-}
-
-/** Whether a probe is to be sent: the answer to a write is overdue, and so is
- * that to the last probe. */
-static bool
-probe_due(const struct gb_pool *pool, const struct pool_partition *partition)
-{
-	gb_time delay = pool_pace_answer_delay(pool);
-
-	if (partition->call == 0 || partition->probe_answered ||
-	    pool->now - partition->left_at < WRITER_OVERDUE + delay)
-		return false;
-	return partition->probing_since == 0 ||
-	       pool->now - partition->probed >= WRITER_PROBE_INTERVAL + delay;
-}
-
-/** Probes whether the store answers, once the answer to a write is overdue. */
-static void
-partition_probe(struct gb_pool *pool, uint32_t number)
-{
-	struct pool_partition *partition = &pool->partitions[number];
-	/* With a shorter timeout a slow store would look unavailable. */
-	const struct gb_pool_read read = {number, GB_POOL_OWNERS,
-	    GB_POOL_OWNER_KEY, GB_POOL_OWNER_KEY "0", 1, WRITER_PROBE_TIMEOUT};
-	struct pool_call *call;
-
-	if (partition->probing_since != 0 &&
-	    pool->now - partition->probing_since >
-		WRITER_PROBE_TIMEOUT + pool_pace_answer_delay(pool))
-		partition->silent = true;
-	if (!probe_due(pool, partition))
-		return;
-	call = pool_call_new(pool, POOL_CALL_PROBE);
-	call->partition = number;
-	partition->probed = pool->now;
-	if (partition->probing_since == 0)
-		partition->probing_since = pool->now;
-	pool->stats.reads++;
-	pool->ops.read(pool->ops.data, call->id, &read);
-}
-
 /** Rejects the flows that are certainly not stored, while the store doesn't
  * accept writes.  Callers of other flows wait until their own timeout: a lost
  * write may have been carried out, so that they can't be told to retry, and
@@ -477,7 +409,7 @@
 
 	if (partition->attach != POOL_ATTACH_DONE)
 		return;
-	partition_probe(pool, number);
+	pool_probe_tick(pool, number);
 	if (pool_writer_unavailable(pool, number))
 		partition_reject_unsent(pool, number);
 	if (pool_writer_unavailable(pool, number) ||
@@ -625,33 +557,13 @@
 }
 
 void
-pool_writer_probe_done(struct gb_pool *pool, const struct pool_call *call,
-    const struct gb_pool_read_res *res)
+pool_writer_answer_lost(struct gb_pool *pool, uint32_t number)
 {
-	struct pool_partition *partition = &pool->partitions[call->partition];
+	struct pool_partition *partition = &pool->partitions[number];
 
-	if (partition->probing_since == 0)
-		return;
-	if (res->status != GB_STORE_OK) {
-		/* An older probe says nothing if a later one was answered. */
-		if (call->sent >= partition->probe_answered_at)
-			partition->silent = true;
-		return;
-	}
-	partition->silent = false;
-	partition->probing_since = 0;
-	partition->probe_answered_at = pool->now;
-	partition->probe_answered = true;
-	partition->refused = 0;
-	partition->lost = 0;
-	if (partition->call == 0 || partition->left_at > call->sent ||
-	    pool->now - call->sent >
-		WRITER_PROBE_QUICK + pool_pace_answer_delay(pool))
-		return;
-	/* The store is quick, so the answer to the write is lost. */
 	partition->call = 0;
 	if (partition->set_sent)
-		pool_worker_set_stored(pool, call->partition, false);
+		pool_worker_set_stored(pool, number, false);
 	partition_write_lost(pool, partition);
 	free(partition->sent_flows);
 	partition->sent_flows = NULL;
--- a/tests/test_leaving.c
+++ b/tests/test_leaving.c
@@ -67,7 +67,7 @@
 /** A task that is known to need twice the time that its worker has left is
  * started elsewhere at once, and not when the worker terminates. */
 static void
-test_hopeless_runs_are_stopped_at_once(void **state)
+test_runs_that_cant_end_are_stopped_at_once(void **state)
 {
 	struct pool_cell *cell = cell_with_leaving_worker("ms=4000", 0);
 	const char *id = cell->flows[0].spec.id;
@@ -84,7 +84,7 @@
 
 /** The same for a task with checkpoints: it works on as long as it can. */
 static void
-test_saved_runs_work_on(void **state)
+test_runs_with_checkpoints_work_on(void **state)
 {
 	struct pool_cell *cell =
 	    cell_with_leaving_worker("ms=4000", GB_STEP_CHECKPOINT);
@@ -141,8 +141,8 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_runs_are_stopped_before_their_worker_leaves),
-	    cmocka_unit_test(test_hopeless_runs_are_stopped_at_once),
-	    cmocka_unit_test(test_saved_runs_work_on),
+	    cmocka_unit_test(test_runs_that_cant_end_are_stopped_at_once),
+	    cmocka_unit_test(test_runs_with_checkpoints_work_on),
 	    cmocka_unit_test(test_short_runs_end_on_a_leaving_worker),
 	    cmocka_unit_test(test_worker_that_stays_is_used_again),
 	};
