--- a/libgooseberry/pool/probe.c
+++ b/libgooseberry/pool/probe.c
@@ -9,8 +9,8 @@
  */
 #include "state.h"
 
-/** Time without an answer after which a write is overdue.  Writes take 12 ms, or
- * 0.8 s when the store is a hundred times slower; reads 4 ms, or 0.4 s. */
+/** Time without an answer after which a write is overdue.  Writes take 12 ms,
+ * or 0.8 s when the store is a hundred times slower; reads 4 ms, or 0.4 s. */
 #define PROBE_WRITE_OVERDUE (130 * GB_MSEC)
 /** Longest time of a quick answer to a probe. */
 #define PROBE_QUICK (80 * GB_MSEC)
