Announce first starts in the stored state before their orders are sent

What callers saw: a task ran twice at the same time. Cause: an order without an answer was recorded only once it had timed out, and later still while the store took no writes. Whoever dies before that records nothing, and neither the stored state nor the lists of the workers tell a task that was sent from one that waits. What was unclear is how a successor could know without a write before each start. Change (pool/announce.c): the write that accepts a flow, that stores the end of the step before, or that stores the end of a task's last run also names the tasks whose first order may follow, with their lowest run number. No first order is sent before. A successor starts such a task once no copy can come any more (13 s), or when a worker lists that run or a later one, since only one order was sent. Tasks that find no capacity are withdrawn, as many as will find some while a write is in flight are announced ahead, and a task that finds capacity unannounced claims it until the write is stored. Tickets name the incarnation, so that starts with one need none of this, nor do speculative steps and workers that don't report their start. Log and metrics that were missing: starts_held, gooseberry_starts_announced, gooseberry_starts_held. Check changed: test_older_state_rows_are_read takes rows with up to five missing fields in place of four, as the state has one more at its end; it still rejects shorter ones.

--- a/libgooseberry/gen/proto.c
+++ b/libgooseberry/gen/proto.c
@@ -1060,6 +1060,22 @@
 	return TRUE;
 }
 
+bool_t
+xdr_gb_announcement (XDR *xdrs, gb_announcement *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_uint32_t (xdrs, &objp->step))
+		 return FALSE;
+	 if (!xdr_uint32_t (xdrs, &objp->first))
+		 return FALSE;
+	 if (!xdr_uint32_t (xdrs, &objp->count))
+		 return FALSE;
+	 if (!xdr_uint64_t (xdrs, &objp->run))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_gb_flow_state (XDR *xdrs, gb_flow_state *objp)
 {
@@ -1088,6 +1104,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->late_starts.late_starts_val, (u_int *) &objp->late_starts.late_starts_len, GB_TASKS_MAX,
 		sizeof (gb_task_ref), (xdrproc_t) xdr_gb_task_ref))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->announced.announced_val, (u_int *) &objp->announced.announced_len, GB_TASKS_MAX,
+		sizeof (gb_announcement), (xdrproc_t) xdr_gb_announcement))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/libgooseberry/gen/proto.h
+++ b/libgooseberry/gen/proto.h
@@ -591,6 +591,14 @@
 };
 typedef struct gb_task_ref gb_task_ref;
 
+struct gb_announcement {
+	uint32_t step;
+	uint32_t first;
+	uint32_t count;
+	uint64_t run;
+};
+typedef struct gb_announcement gb_announcement;
+
 struct gb_flow_state {
 	gb_flow_status status;
 	bool_t cancelled;
@@ -616,6 +624,10 @@
 		u_int late_starts_len;
 		gb_task_ref *late_starts_val;
 	} late_starts;
+	struct {
+		u_int announced_len;
+		gb_announcement *announced_val;
+	} announced;
 };
 typedef struct gb_flow_state gb_flow_state;
 
@@ -844,6 +856,7 @@
 extern  bool_t xdr_gb_unreachable_worker (XDR *, gb_unreachable_worker*);
 extern  bool_t xdr_gb_task_crashes (XDR *, gb_task_crashes*);
 extern  bool_t xdr_gb_task_ref (XDR *, gb_task_ref*);
+extern  bool_t xdr_gb_announcement (XDR *, gb_announcement*);
 extern  bool_t xdr_gb_flow_state (XDR *, gb_flow_state*);
 extern  bool_t xdr_gb_owner_row (XDR *, gb_owner_row*);
 extern  bool_t xdr_gb_worker_ref (XDR *, gb_worker_ref*);
@@ -921,6 +934,7 @@
 extern bool_t xdr_gb_unreachable_worker ();
 extern bool_t xdr_gb_task_crashes ();
 extern bool_t xdr_gb_task_ref ();
+extern bool_t xdr_gb_announcement ();
 extern bool_t xdr_gb_flow_state ();
 extern bool_t xdr_gb_owner_row ();
 extern bool_t xdr_gb_worker_ref ();
--- a/libgooseberry/gen/proto.x
+++ b/libgooseberry/gen/proto.x
@@ -527,8 +527,17 @@
 	uint32_t index;
 };
 
+/* Consecutive tasks of a step whose first start order may be sent once this is
+ * stored, with a run number of at least `run`. */
+struct gb_announcement {
+	uint32_t step;
+	uint32_t first;
+	uint32_t count;
+	uint64_t run;
+};
+
 /* State of a flow.  Rows of older programs end before `crashes`, `org`,
- * `worker_incarnations` or `late_starts`. */
+ * `worker_incarnations`, `late_starts` or `announced`. */
 struct gb_flow_state {
 	gb_flow_status status;
 	bool cancelled;
@@ -541,6 +550,7 @@
 	int64_t worker_incarnations<>;
 	/* tasks with a start order that may still be carried out */
 	gb_task_ref late_starts<GB_TASKS_MAX>;
+	gb_announcement announced<GB_TASKS_MAX>;
 };
 
 /* Owner of the pool.  One copy in each partition, so that every transaction of
--- a/libgooseberry/pool.h
+++ b/libgooseberry/pool.h
@@ -613,6 +613,9 @@
 	uint64_t submitted, accepted, refused, repeated;
 	uint64_t starts, starts_refused, starts_lost, stops, preempted,
 	    heartbeats;
+	/** Writes to announce starts; loaded tasks with an order that may still
+	 * be carried out. */
+	uint64_t announcements, starts_held;
 	/** Ended runs by outcome; broken: GB_POOL_GANG_BROKEN, alone:
 	 * GB_POOL_GANG_INCOMPLETE. */
 	uint64_t done, failed, stopped, lapsed, broken, incomplete;
--- a/libgooseberry/pool/advice.c
+++ b/libgooseberry/pool/advice.c
@@ -361,6 +361,7 @@
 	step->claims = NULL;
 	step->claim_count = 0;
 	step->claim_until = 0;
+	step->claim_change = 0;
 }
 
 /** Records the ticket of an approved worker. The ticket is void if another
--- a/libgooseberry/pool/dispatch.c
+++ b/libgooseberry/pool/dispatch.c
@@ -29,11 +29,14 @@
 /** Capacity freed by preemption stays claimed until this long after the maximum
  * time of a stop: reports of workers arrive within 0.1 s. */
 #define DISPATCH_STOP_REPORT_TIME (300 * GB_MSEC)
+/** Longest time for which capacity is claimed for starts that are not announced
+ * yet: a write takes 0.2 s when the store is 25 times slower. */
+#define DISPATCH_ANNOUNCE_CLAIM (300 * GB_MSEC)
 /** Workers named in addition to the needed ones when tickets are renewed. */
 #define DISPATCH_SPARE_WORKERS 2
 
-static uint64_t
-step_next_run_number(const struct gb_pool *pool, const struct pool_step *step)
+uint64_t
+pool_step_next_run(const struct gb_pool *pool, const struct pool_step *step)
 {
 	uint64_t base = (pool->epoch - 1) * POOL_RUNS_PER_EPOCH;
 
@@ -80,13 +83,60 @@
 	    step_worker_ticket(pool, flow, step, worker->handle));
 }
 
+static int
+worker_compare(const void *a, const void *b)
+{
+	const uint32_t *x = a;
+	const uint32_t *y = b;
+
+	return *x < *y ? -1 : *x > *y;
+}
+
+/** Claims the capacity that a placement uses until the tickets arrive or the
+ * preempted runs have ended. The workers must be sorted. */
+static void
+step_claim(struct gb_pool *pool, struct pool_step *step,
+    const uint32_t *workers, uint32_t count)
+{
+	struct pool_claim *claim = NULL;
+	uint32_t i;
+
+	step->claims = gb_calloc(count, sizeof(*step->claims));
+	for (i = 0; i < count; i++) {
+		if (claim == NULL || claim->worker != workers[i]) {
+			claim = &step->claims[step->claim_count++];
+			claim->worker = workers[i];
+		}
+		claim->tasks++;
+		gb_res_add(
+		    &pool->workers[workers[i]]->claimed, &step->spec->res);
+	}
+}
+
+/** Whether a start may be sent to a worker.  If it is not announced, requests
+ * that. */
+static bool
+start_is_announced(struct gb_pool *pool, struct pool_flow *flow,
+    const struct pool_step *step, uint32_t index,
+    const struct pool_worker *worker)
+{
+	if (!pool_announce_missing(flow, step, index, worker))
+		return true;
+	pool_announce_request(pool, flow);
+	return false;
+}
+
 /** Whether a planned start is stored and only has to be sent. */
 static bool
-plan_is_due(const struct gb_pool *pool, const struct pool_flow *flow,
-    const struct pool_task *task)
+plan_is_due(struct gb_pool *pool, struct pool_flow *flow,
+    const struct pool_step *step, uint32_t index)
 {
+	const struct pool_task *task = &step->tasks[index];
+
 	return task->plan != NULL && !task->done && TAILQ_EMPTY(&task->runs) &&
-	       !pool_start_blocked(pool, flow, task);
+	       !pool_start_blocked(pool, flow, task) &&
+	       start_is_announced(
+		   pool, flow, step, index, pool_crash_plan_worker(pool, task));
 }
 
 /** Sends the planned starts of a gang once all are stored. Drops them if a
@@ -113,7 +163,12 @@
 		pool_crash_plans_drop(pool, step);
 		return;
 	}
-	run_number = step_next_run_number(pool, step);
+	for (i = 0; i < count; i++) {
+		if (!start_is_announced(pool, flow, step, i,
+			pool_crash_plan_worker(pool, &step->tasks[i])))
+			return;
+	}
+	run_number = pool_step_next_run(pool, step);
 	for (i = 0; i < count; i++)
 		plan_start(pool, flow, step_number, i, run_number);
 }
@@ -132,90 +187,121 @@
 		return;
 	}
 	for (i = 0; step->plans > 0 && i < step->spec->count; i++) {
-		if (!plan_is_due(pool, flow, &step->tasks[i]))
+		if (!plan_is_due(pool, flow, step, i))
 			continue;
 		if (plan_is_startable(pool, flow, step, i) &&
 		    pool_quota_fits(pool, flow->org, &step->spec->res, 1) == 1)
 			plan_start(pool, flow, step_number, i,
-			    step_next_run_number(pool, step));
+			    pool_step_next_run(pool, step));
 		else
 			pool_crash_plan_drop(pool, step, i);
 	}
 }
 
-/** Starts the next waiting tasks on the workers found for them, of which there
- * are `count`. If an earlier owner may have started the flow on workers that
- * were lost, the starts are only planned, to be stored first. */
+/** Whether the starts of all members of a gang on their workers are
+ * announced. */
+static bool
+gang_is_announced(const struct pool_flow *flow, const struct pool_step *step,
+    struct pool_worker *const *all, const uint32_t *workers)
+{
+	uint32_t i;
+
+	for (i = 0; i < step->spec->count; i++) {
+		if (pool_announce_missing(flow, step, i, all[workers[i]]))
+			return false;
+	}
+	return true;
+}
+
+/** Requests the announcement of starts on workers, and claims the capacity
+ * there until it is stored: other flows would take it that come later but are
+ * announced. */
 static void
-step_start(struct gb_pool *pool, struct pool_flow *flow, uint32_t step_number,
+step_announce(struct gb_pool *pool, struct pool_flow *flow,
+    struct pool_step *step, uint32_t *workers, uint32_t count)
+{
+	if (!pool_announce_request(pool, flow))
+		return;
+	qsort(workers, count, sizeof(*workers), worker_compare);
+	step_claim(pool, step, workers, count);
+	step->claim_change = flow->announce_change;
+	step->claim_until = pool->now + DISPATCH_ANNOUNCE_CLAIM;
+}
+
+/** Plans the starts of the next waiting tasks, which are stored before they are
+ * sent. */
+static void
+step_plan(struct gb_pool *pool, struct pool_flow *flow, uint32_t step_number,
     const uint32_t *workers, uint32_t count)
 {
 	struct pool_step *step = &flow->steps[step_number];
-	bool gang = (step->spec->flags & GB_STEP_GANG) != 0;
-	uint64_t run_number = step_next_run_number(pool, step);
 	uint32_t placed = 0;
 	uint32_t i;
 
+	pool_announce_allow(pool, flow);
 	for (i = 0; i < step->spec->count && placed < count; i++) {
-		struct pool_task *task = &step->tasks[i];
+		const struct pool_task *task = &step->tasks[i];
 
-		if (task->done || !TAILQ_EMPTY(&task->runs) ||
-		    pool_start_blocked(pool, flow, task))
-			continue;
-		if (flow->plan_starts) {
+		if (!task->done && TAILQ_EMPTY(&task->runs) &&
+		    !pool_start_blocked(pool, flow, task))
 			pool_crash_plan(pool, flow, step_number, i,
 			    pool->workers[workers[placed++]]);
-			continue;
-		}
-		pool_run_start(pool, flow, step_number, i,
-		    gang ? run_number : step_next_run_number(pool, step),
-		    pool->workers[workers[placed]],
-		    step_worker_ticket(pool, flow, step, workers[placed]));
-		placed++;
 	}
 }
 
-static int
-worker_compare(const void *a, const void *b)
-{
-	const uint32_t *x = a;
-	const uint32_t *y = b;
-
-	return *x < *y ? -1 : *x > *y;
-}
-
-/** Claims the capacity that a placement uses until the tickets arrive or the
- * preempted runs have ended. The workers must be sorted. */
+/** Starts the next waiting tasks on the workers found for them, of which there
+ * are `count`.  Those that are not announced wait for that.  Changes the list
+ * of workers. */
 static void
-step_claim(struct gb_pool *pool, struct pool_step *step,
-    const uint32_t *workers, uint32_t count)
+step_start(struct gb_pool *pool, struct pool_flow *flow, uint32_t step_number,
+    uint32_t *workers, uint32_t count)
 {
-	struct pool_claim *claim = NULL;
+	struct pool_step *step = &flow->steps[step_number];
+	bool gang = (step->spec->flags & GB_STEP_GANG) != 0;
+	uint64_t run_number = pool_step_next_run(pool, step);
+	uint32_t unannounced = 0;
+	uint32_t placed = 0;
 	uint32_t i;
 
-	step->claims = gb_calloc(count, sizeof(*step->claims));
-	for (i = 0; i < count; i++) {
-		if (claim == NULL || claim->worker != workers[i]) {
-			claim = &step->claims[step->claim_count++];
-			claim->worker = workers[i];
+	if (gang && count > 0 &&
+	    !gang_is_announced(flow, step, pool->workers, workers)) {
+		step_announce(pool, flow, step, workers, count);
+		return;
+	}
+	for (i = 0; i < step->spec->count && placed < count; i++) {
+		struct pool_task *task = &step->tasks[i];
+		struct pool_worker *worker = pool->workers[workers[placed]];
+
+		if (task->done || !TAILQ_EMPTY(&task->runs) ||
+		    pool_start_blocked(pool, flow, task))
+			continue;
+		placed++;
+		if (pool_announce_missing(flow, step, i, worker)) {
+			workers[unannounced++] = worker->handle;
+			continue;
 		}
-		claim->tasks++;
-		gb_res_add(
-		    &pool->workers[workers[i]]->claimed, &step->spec->res);
+		pool_run_start(pool, flow, step_number, i,
+		    gang ? run_number : pool_step_next_run(pool, step), worker,
+		    step_worker_ticket(pool, flow, step, worker->handle));
 	}
+	if (unannounced > 0)
+		step_announce(pool, flow, step, workers, unannounced);
 }
 
-/** Whether the claims of a step still wait for tickets or for preempted runs to
- * end. Once the runs have ended, or it takes too long, the claims are dropped
- * so that the capacity can be used at once. */
+/** Whether the claims of a step still wait for tickets, for announcements or
+ * for preempted runs to end. Once these are stored or the runs have ended, or
+ * it takes too long, the claims are dropped so that the capacity can be used at
+ * once. */
 static bool
-step_waits_for_claims(struct gb_pool *pool, struct pool_step *step)
+step_waits_for_claims(
+    struct gb_pool *pool, const struct pool_flow *flow, struct pool_step *step)
 {
 	uint32_t i;
 
 	if (step->claim_count == 0)
 		return false;
-	if (step->claim_until == 0)
+	if (step->claim_until == 0 || (step->claim_change > flow->stored &&
+					  step->claim_until > pool->now))
 		return true;
 	for (i = 0; i < step->claim_count && pool->now < step->claim_until;
 	     i++) {
@@ -409,7 +495,7 @@
 	uint32_t placeable = 0;
 	uint32_t *workers;
 
-	if (wanted == 0 || step_waits_for_claims(pool, step))
+	if (wanted == 0 || step_waits_for_claims(pool, flow, step))
 		return false;
 	allowed = pool_quota_fits(pool, flow->org, &step->spec->res, wanted);
 	if (allowed == 0 || (gang && allowed < wanted)) {
@@ -432,7 +518,10 @@
 		wanted = step_starts_for_link(pool, flow, wanted);
 	workers = gb_calloc(wanted, sizeof(*workers));
 	started = pool_fit_place(pool, flow, step, wanted, true, workers);
-	step_start(pool, flow, step_number, workers, started);
+	if (flow->plan_starts)
+		step_plan(pool, flow, step_number, workers, started);
+	else
+		step_start(pool, flow, step_number, workers, started);
 	/* The rest may fit on approved workers without a valid ticket. */
 	if (started < wanted && step->ticket_calls_in_flight == 0)
 		placeable = pool_fit_place(
@@ -548,7 +637,7 @@
 		    pool->workers[worker] == run->worker)
 			continue;
 		pool_run_start(pool, flow, step_number, i,
-		    step_next_run_number(pool, step), pool->workers[worker],
+		    pool_step_next_run(pool, step), pool->workers[worker],
 		    step_worker_ticket(pool, flow, step, worker));
 	}
 }
@@ -613,6 +702,7 @@
 	struct pool_flow *flow;
 	uint32_t misses = 0;
 	uint32_t count = 0;
+	bool full;
 	uint32_t i;
 	uint32_t j;
 
@@ -629,15 +719,19 @@
 	qsort(flows, count, sizeof(*flows), flow_compare);
 	pool_reservations_clear(pool);
 	pool_pace_snapshot_link(pool);
+	pool_announce_begin_dispatch(pool);
 	pool->waiting_bytes = 0;
 	for (i = 0; i < count; i++) {
 		for (j = 0; j < flows[i]->step_count; j++) {
 			step_stop_incomplete_gang(pool, flows[i], j);
 			step_start_planned(pool, flows[i], j);
 			step_prefetch_advice(pool, flows[i], j);
-			if (misses < DISPATCH_MISSES_MAX &&
-			    step_dispatch(pool, flows[i], j))
+			full = misses == DISPATCH_MISSES_MAX ||
+			       step_dispatch(pool, flows[i], j);
+			if (full && misses < DISPATCH_MISSES_MAX)
 				misses++;
+			pool_announce_waiting(
+			    pool, flows[i], &flows[i]->steps[j], full);
 			step_copy_stragglers(pool, flows[i], j);
 		}
 	}
--- a/libgooseberry/pool/flow.c
+++ b/libgooseberry/pool/flow.c
@@ -93,6 +93,7 @@
 		age = 0;
 	flow->submitted = pool->now - age;
 	flow->change = 1;
+	pool_announce_allow(pool, flow);
 	pool_flow_configure(pool, flow);
 	flow->org = pool_org_get(pool, flow->spec.org);
 	HASH_ADD_KEYPTR(
@@ -496,6 +497,8 @@
 	}
 	pool_flow_changed(pool, flow, step->done == step->spec->count);
 	step->done_change = flow->change;
+	if (step->done == step->spec->count)
+		pool_announce_allow(pool, flow);
 	for (i = 0; i < flow->step_count; i++) {
 		if (flow->steps[i].done < flow->steps[i].spec->count)
 			return;
--- a/libgooseberry/pool/flow_state.c
+++ b/libgooseberry/pool/flow_state.c
@@ -10,7 +10,7 @@
 
 /** Maximum size, in XDR units of 4 bytes, of the fields at the end of each type
  * that rows of older versions may lack. */
-#define STATE_ADDED_UNITS 4
+#define STATE_ADDED_UNITS 5
 #define FLOW_ADDED_UNITS 4
 
 static bool
@@ -86,8 +86,8 @@
 	    gb_calloc(tasks, sizeof(gb_task_ref));
 	for (i = 0; i < flow->step_count; i++) {
 		for (j = 0; j < flow->steps[i].spec->count; j++) {
-			if (pool_late_task_until(&flow->steps[i].tasks[j]) <=
-			    pool->now)
+			if (!pool_late_task_recorded(
+				pool, &flow->steps[i].tasks[j]))
 				continue;
 			out = &state->late_starts.late_starts_val
 				   [state->late_starts.late_starts_len++];
@@ -109,7 +109,8 @@
 		if (ref->step >= flow->step_count ||
 		    ref->index >= flow->steps[ref->step].spec->count)
 			return false;
-		pool_late_load(pool, flow, ref->step, ref->index);
+		pool_late_load(
+		    pool, flow, ref->step, ref->index, POOL_LATE_UNRESOLVED);
 		flow->begun = true;
 	}
 	return true;
@@ -150,6 +151,7 @@
 		step_crashes_fill(&flow->steps[i], i, state);
 	}
 	late_starts_fill(pool, flow, tasks, state);
+	pool_announce_fill(pool, flow, tasks, state);
 }
 
 bool
@@ -287,6 +289,10 @@
 	 * accepted since, was not started. */
 	flow->not_started_before = !state->owned;
 	flow->owned = state->owned;
+	/* Tasks that wait since an earlier owner are announced as they start.
+	 */
+	if (flow->owned)
+		flow->announce_until = 0;
 	if (state->status >= GB_FLOW_SUCCEEDED)
 		return true;
 	if (state->done.done_len != 0 &&
@@ -307,5 +313,6 @@
 		flow->begun = true;
 	}
 	return flow_crashes_load(pool, flow, state) &&
-	       late_starts_load(pool, flow, state);
+	       late_starts_load(pool, flow, state) &&
+	       pool_announce_load(pool, flow, state);
 }
--- a/libgooseberry/pool/incarnation.c
+++ b/libgooseberry/pool/incarnation.c
@@ -258,6 +258,7 @@
 {
 	worker->incarnation = incarnation;
 	worker->incarnation_since = pool->now;
+	pool->worker_ids_reused |= pool_worker_reuses_id(worker);
 	worker->leaving =
 	    worker->entry.draining && pool_incarnation_listed(worker);
 	if (incarnation != 0 && worker->recorded_incarnation != 0 &&
--- a/libgooseberry/pool/late_start.c
+++ b/libgooseberry/pool/late_start.c
@@ -12,8 +12,8 @@
  *
  * The state of the flow records these tasks for a successor, before an order is
  * sent a second time: if only one was sent and the worker lists the run, none
- * is in flight.  A first order that an owner has sent within a moment of its
- * termination is not recorded; that would take a write before each start.
+ * is in flight.  First orders are announced there before they are sent, see
+ * announce.c.
  */
 #include "crash.h"
 #include "state.h"
@@ -22,11 +22,8 @@
  * answer are carried out up to 12 s after they were sent. */
 #define LATE_START_TIME_MAX (13 * GB_SEC)
 
-/** Whether a copy of an order can reach another incarnation than the one that
- * it was sent to.  Where incarnations are not reported, each has an id of its
- * own and refuses orders for others. */
-static bool
-worker_reuses_id(const struct pool_worker *worker)
+bool
+pool_worker_reuses_id(const struct pool_worker *worker)
 {
 	return worker->incarnation != 0 || worker->entry.incarnation != 0;
 }
@@ -49,7 +46,8 @@
 	const struct pool_step *step = &run->flow->steps[run->step];
 
 	if ((step->spec->flags & GB_STEP_SPECULATIVE) != 0 ||
-	    !worker_reuses_id(run->worker) || run_copies_in_flight(run) == 0)
+	    !pool_worker_reuses_id(run->worker) ||
+	    run_copies_in_flight(run) == 0)
 		return 0;
 	return run->start_sent + LATE_START_TIME_MAX;
 }
@@ -64,8 +62,13 @@
 }
 
 static void
-late_until_set(struct pool_flow *flow, struct pool_task *task, gb_time until)
+late_until_set(struct pool_flow *flow, struct pool_task *task, gb_time until,
+    uint64_t resolved_by)
 {
+	if (until == 0)
+		return;
+	if (resolved_by > task->late_resolved_by)
+		task->late_resolved_by = resolved_by;
 	if (until > task->late_until)
 		task->late_until = until;
 	if (until > flow->late_until)
@@ -77,15 +80,46 @@
 {
 	late_until_set(run->flow,
 	    &run->flow->steps[run->step].tasks[run->index],
-	    pool_late_run_until(run));
+	    pool_late_run_until(run), POOL_LATE_UNRESOLVED);
 }
 
 void
-pool_late_load(
-    struct gb_pool *pool, struct pool_flow *flow, uint32_t step, uint32_t index)
+pool_late_load(struct gb_pool *pool, struct pool_flow *flow, uint32_t step,
+    uint32_t index, uint64_t resolved_by)
 {
+	pool->stats.starts_held++;
 	late_until_set(flow, &flow->steps[step].tasks[index],
-	    pool->now + LATE_START_TIME_MAX);
+	    pool->now + LATE_START_TIME_MAX, resolved_by);
+}
+
+void
+pool_late_run_listed(
+    struct pool_flow *flow, uint32_t step, uint32_t index, uint64_t run)
+{
+	struct pool_task *task = &flow->steps[step].tasks[index];
+
+	if (run < task->late_resolved_by)
+		return;
+	task->late_until = 0;
+	task->late_resolved_by = 0;
+}
+
+bool
+pool_late_task_recorded(
+    const struct gb_pool *pool, const struct pool_task *task)
+{
+	const struct pool_run *run;
+
+	if (task->late_until > pool->now &&
+	    task->late_resolved_by == POOL_LATE_UNRESOLVED)
+		return true;
+	TAILQ_FOREACH(run, &task->runs, of_task)
+	{
+		if ((run->tries > 1 || run->late_change != 0) &&
+		    pool_late_run_until(run) > pool->now)
+			return true;
+	}
+	return false;
 }
 
 gb_time
--- a/libgooseberry/pool/listing.c
+++ b/libgooseberry/pool/listing.c
@@ -195,6 +195,7 @@
 	if (pool_incarnation_listed(worker))
 		worker_update_leaving(pool, worker);
 	worker->listed = true;
+	pool->worker_ids_reused |= pool_worker_reuses_id(worker);
 	worker->service_configured = worker_service_known(pool, worker);
 	pool_worker_set_mark_missing(pool, worker);
 	worker_update_rack(worker);
--- a/libgooseberry/pool/load.c
+++ b/libgooseberry/pool/load.c
@@ -81,6 +81,11 @@
 		row_log_unreadable(pool, "states", row);
 	else if (!flow->owned && flow->status < GB_FLOW_SUCCEEDED)
 		pool_writer_mark_dirty(pool, flow, true);
+	if (flow->late_until > pool->now)
+		gb_event(pool->cfg.events, GB_EVENT_NORMAL, "starts_held",
+		    "{s:s, s:I, s:I}", "flow", flow->spec.id, "late_starts",
+		    (json_int_t)state->late_starts.late_starts_len, "announced",
+		    (json_int_t)state->announced.announced_len);
 	flow->ended = pool->now;
 	pool_flow_state_clear(state);
 	free(state);
--- a/libgooseberry/pool/owner.c
+++ b/libgooseberry/pool/owner.c
@@ -710,6 +710,7 @@
 		return;
 	}
 	pool->phase = POOL_OWNER_RELEASING;
+	pool_announce_withdraw_all(pool);
 	pool->release_timeout_at = pool->now + OWNER_RELEASE_TIMEOUT;
 	for (i = 0; i < GB_POOL_PARTITIONS; i++)
 		pool->partitions[i].renew = pool_partition_attached(pool, i);
--- a/libgooseberry/pool/report.c
+++ b/libgooseberry/pool/report.c
@@ -120,6 +120,8 @@
 	    "worker", worker->entry.id, "how",
 	    pool_outcome_name(run_report->outcome), "known", flow != NULL);
 	if (run_report_known(flow, run_report)) {
+		pool_late_run_listed(
+		    flow, run_report->step, run_report->index, run_report->run);
 		pool_flow_run_ended(pool, flow, run_report, worker);
 		end->held_until = pool_late_end_until(
 		    flow, run_report->step, run_report->index);
@@ -335,6 +337,8 @@
 		/* The flows of a partition that is not attached may still be
 		 * dropped, and their runs with them. */
 		if (attached && run_report_known(flow, run_report)) {
+			pool_late_run_listed(flow, run_report->step,
+			    run_report->index, run_report->run);
 			run = worker_run(worker, flow, run_report);
 			if (run == NULL)
 				run = run_adopt(pool, worker, flow, run_report);
--- a/libgooseberry/pool/run.c
+++ b/libgooseberry/pool/run.c
@@ -86,6 +86,11 @@
 	gb_res_sub(&run->worker->used, &run->res);
 	pool_quota_remove_run(run->flow->org, &run->res);
 	run->flow->runs--;
+	/* What the end of the run changes is written with an announcement of
+	 * the next one. */
+	if (!task->done)
+		pool_announce_allow(pool, run->flow);
+	pool->ends_since++;
 	pool->stats.running--;
 	pool->work_changed = true;
 	free(run);
@@ -156,6 +161,7 @@
 	    (json_int_t)((flow->due - flow->remaining - pool->now) / GB_MSEC),
 	    "tier", flow->tier, "after", task->last_end, "last_run",
 	    (json_int_t)task->last_run);
+	pool_announce_used(flow, &flow->steps[step].tasks[index]);
 	run_start_send(pool, run, ticket);
 }
 
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -5,10 +5,10 @@
  * The files, from the entry points down: pool.c; owner.c, rival.c, load.c and
  * page.c (ownership and loading); dispatch.c and advice.c (starting work);
  * worker.c, listing.c, incarnation.c, health.c and worker_set.c (workers);
- * flow.c, flow_state.c, report.c, run.c, late_start.c and crash.c (flows and
- * runs); writer.c and probe.c (storing changes); call.c and org.c.  A lower
- * file calls a higher one to look something up, or when a result ends a run, a
- * worker or the ownership.
+ * flow.c, flow_state.c, report.c, run.c, late_start.c, announce.c and crash.c
+ * (flows and runs); writer.c and probe.c (storing changes); call.c and org.c.
+ * A lower file calls a higher one to look something up, or when a result ends a
+ * run, a worker or the ownership.
  *
  * Decisions without side effects are in rank.c, fit.c, reservation.c, quota.c,
  * share.c, contention.c and admit.c.  preempt.c decides and also stops runs
@@ -115,6 +115,10 @@
 struct pool_crash_suspect;
 struct pool_plan;
 
+/** No run shows that the start orders of a task have arrived: there may be
+ * several. */
+#define POOL_LATE_UNRESOLVED UINT64_MAX
+
 struct pool_task {
 	/** Null: never lost with a worker. */
 	struct pool_crash_suspect *suspect;
@@ -126,9 +130,14 @@
 	/** How its last run has ended, for the log; null: it had none. */
 	const char *last_end;
 	uint64_t last_run; /**< number of that run */
-	/** Until then a start order of a run that was given up may be carried
-	 * out, 0: none. */
+	/** Until then a start order that this owner or an earlier one has sent
+	 * may be carried out, 0: none. */
 	gb_time late_until;
+	/** A worker that lists this run or a later one shows that no such order
+	 * is in flight; POOL_LATE_UNRESOLVED: nothing shows it. */
+	uint64_t late_resolved_by;
+	/** Change of the flow that announces its next start, 0: none. */
+	uint64_t announced;
 	uint32_t failures;     /**< number of failed runs */
 	uint64_t *failed_runs; /**< their run numbers */
 	char *checkpoint;      /**< that the next run continues from, or null */
@@ -183,8 +192,11 @@
 	 * are being stopped: tasks for each worker. */
 	struct pool_claim *claims;
 	uint32_t claim_count;
-	gb_time claim_until; /**< end of a claim for stopping runs, 0: the claim
-				is for ticket renewal */
+	gb_time claim_until;   /**< end of a claim for stopping runs or for
+				  announcements, 0: the claim is for ticket
+				  renewal */
+	uint64_t claim_change; /**< change that stores these announcements, 0:
+				  the claim is for something else */
 };
 
 struct pool_claim {
@@ -247,6 +259,11 @@
 			     carried out */
 	uint32_t runs;	  /**< of all its tasks */
 	gb_time late_until; /**< latest late_until of its tasks */
+	uint32_t announced; /**< tasks with an announcement that is not used */
+	/** Until then its writes announce the tasks that may start. */
+	gb_time announce_until;
+	/** Change that stores announcements that were requested, 0: none. */
+	uint64_t announce_change;
 	gb_time submitted;
 	gb_time first_start;
 	gb_time ended;
@@ -610,6 +627,15 @@
 	uint32_t tick_first_worker; /**< index of the first worker of the next
 				       tick */
 	bool listed; /**< the platform's whole list of workers was received */
+	/* Announcements */
+	bool worker_ids_reused; /**< a worker may restart under its id */
+	double write_us;	/**< time of a write, smoothed */
+	double ends_per_s;	/**< rate at which runs end, smoothed */
+	uint32_t ends_since;	/**< runs that ended since ends_measured_at */
+	gb_time ends_measured_at;
+	uint32_t announce_ahead;   /**< waiting tasks to be announced ahead */
+	uint32_t announce_waiting; /**< waiting tasks that the dispatch has
+				      left so far */
 	/* Advice */
 	struct pool_channel *channels;
 	size_t channel_count;
@@ -1066,9 +1092,20 @@
     const struct pool_flow *, uint32_t step, uint32_t index);
 /** Records the orders of a run that is being freed with its task. */
 void pool_late_run_freed(struct pool_run *);
-/** Handles that an earlier owner has recorded such orders of a task. */
-void pool_late_load(
-    struct gb_pool *, struct pool_flow *, uint32_t step, uint32_t index);
+/** Handles that an earlier owner has recorded such orders of a task;
+ * `resolved_by` is as in struct pool_task. */
+void pool_late_load(struct gb_pool *, struct pool_flow *, uint32_t step,
+    uint32_t index, uint64_t resolved_by);
+/** Handles that a worker lists a run of a task, as running or ended. */
+void pool_late_run_listed(
+    struct pool_flow *, uint32_t step, uint32_t index, uint64_t run);
+/** Whether the state must record a task as one with orders in flight that no
+ * list of runs resolves. */
+bool pool_late_task_recorded(const struct gb_pool *, const struct pool_task *);
+/** Whether a copy of an order to a worker can reach another incarnation than
+ * the one that it was sent to.  Where incarnations are not reported, each has
+ * an id of its own and refuses orders for others. */
+bool pool_worker_reuses_id(const struct pool_worker *);
 /** Whether a task may not be started yet: an earlier start may still be carried
  * out, or it is a crash suspect that has to wait. */
 bool pool_start_blocked(
@@ -1077,7 +1114,44 @@
 uint32_t pool_start_blocked_count(
     const struct gb_pool *, const struct pool_flow *, const struct pool_step *);
 
+/* announce.c */
+/** Lets the writes of a flow in the next moment announce the tasks that may
+ * start. */
+void pool_announce_allow(const struct gb_pool *, struct pool_flow *);
+/** The same; also queues a write.  Returns false if a requested one is queued
+ * or in flight. */
+bool pool_announce_request(struct gb_pool *, struct pool_flow *);
+/** Whether the start of a task on a worker must be announced first. */
+bool pool_announce_missing(const struct pool_flow *, const struct pool_step *,
+    uint32_t index, const struct pool_worker *);
+/** Handles that the announced order of a task is being sent, or that the next
+ * write does not announce it. */
+void pool_announce_used(struct pool_flow *, struct pool_task *);
+/** Decides which tasks the next write of a flow announces. */
+void pool_announce_update(struct gb_pool *, struct pool_flow *);
+/** Fills in the stored form of the announcements of a flow with that many
+ * tasks. */
+void pool_announce_fill(const struct gb_pool *, const struct pool_flow *,
+    uint32_t tasks, gb_flow_state *);
+/** Restores what an earlier owner has announced.  Returns false when it does
+ * not match the flow. */
+bool pool_announce_load(
+    struct gb_pool *, struct pool_flow *, const gb_flow_state *);
+/** Handles that a write has succeeded, and how long it took. */
+void pool_announce_write_done(struct gb_pool *, gb_time duration);
+/** Works out how many waiting tasks a dispatch may announce ahead. */
+void pool_announce_begin_dispatch(struct gb_pool *);
+/** Announces tasks of a step ahead that a dispatch has left waiting, or, if
+ * they wait for capacity (`full`), withdraws their announcements.  Called in
+ * the order in which steps start. */
+void pool_announce_waiting(
+    struct gb_pool *, struct pool_flow *, struct pool_step *, bool full);
+/** Withdraws all announcements, as the ownership ends. */
+void pool_announce_withdraw_all(struct gb_pool *);
+
 /* dispatch.c */
+/** Number of the next run of a task of a step. */
+uint64_t pool_step_next_run(const struct gb_pool *, const struct pool_step *);
 void pool_dispatch(struct gb_pool *);
 /** Starts what can start of a step whose advice has come. */
 void pool_dispatch_step(struct gb_pool *, struct pool_flow *, uint32_t step);
--- a/libgooseberry/pool/writer.c
+++ b/libgooseberry/pool/writer.c
@@ -283,7 +283,8 @@
  * late while the store is slow. */
 enum write_priority {
 	WRITE_NEW, /**< a caller waits, or the flow starts after the write */
-	WRITE_FINISHED, /**< finished: a caller may ask for the end */
+	WRITE_FINISHED, /**< finished: a caller may ask for the end; or it has
+			   tasks that start after the write */
 	WRITE_REST,	/**< no caller waits */
 	WRITE_PRIORITIES
 };
@@ -293,15 +294,18 @@
 {
 	if (flow->stored == 0 || !flow->owned)
 		return WRITE_NEW;
-	return flow->status >= GB_FLOW_SUCCEEDED ? WRITE_FINISHED : WRITE_REST;
+	return flow->status >= GB_FLOW_SUCCEEDED ||
+		       flow->announce_change > flow->stored
+		   ? WRITE_FINISHED
+		   : WRITE_REST;
 }
 
 /** Moves a flow from the dirty ones to a transaction. */
 static void
-partition_draft_flow(const struct gb_pool *pool,
-    struct pool_partition *partition, struct pool_flow *flow,
-    struct draft *draft)
+partition_draft_flow(struct gb_pool *pool, struct pool_partition *partition,
+    struct pool_flow *flow, struct draft *draft)
 {
+	pool_announce_update(pool, flow);
 	TAILQ_REMOVE(&partition->dirty, flow, dirty_next);
 	flow->dirty = false;
 	flow->sending = flow->change;
@@ -586,6 +590,7 @@
 	switch (res->status) {
 	case GB_STORE_OK:
 		pool->confirmed = call->sent;
+		pool_announce_write_done(pool, pool->now - call->sent);
 		if (partition->set_sent)
 			pool_worker_set_stored(pool, call->partition, true);
 		partition->phase = POOL_PARTITION_IDLE;
--- a/tests/test_crash.c
+++ b/tests/test_crash.c
@@ -454,9 +454,9 @@
 	}
 }
 
-/** Rows written by older versions lack the list of late starts, the lists of
- * worker incarnations, the organisation or the list of crashes at their end.
- * Shorter rows are rejected. */
+/** Rows written by older versions lack the list of announced starts, the list
+ * of late starts, the lists of worker incarnations, the organisation or the
+ * list of crashes at their end.  Shorter rows are rejected. */
 static void
 test_older_state_rows_are_read(void **state)
 {
@@ -471,12 +471,13 @@
 	written.owned = TRUE;
 	assert_true(
 	    gb_xdr_encode((xdrproc_t)xdr_gb_flow_state, &written, &row));
-	for (missing = 0; missing <= 4; missing++) {
+	for (missing = 0; missing <= 5; missing++) {
 		assert_true(gb_flow_state_decode(&row, &read));
 		assert_int_equal(read.status, GB_FLOW_RUNNING);
 		assert_true(read.owned);
 		assert_int_equal(read.crashes.crashes_len, 0);
 		assert_int_equal(read.late_starts.late_starts_len, 0);
+		assert_int_equal(read.announced.announced_len, 0);
 		assert_string_equal(read.org, "");
 		xdr_free((xdrproc_t)xdr_gb_flow_state, (char *)&read);
 		row.gb_body_len -= BYTES_PER_XDR_UNIT;
