Tell what a lost worker had reported, and let listed ends count in the model

Cause (what was unclear): of a task that ran again after its worker had left, nothing told whether the end had been listed in an answer, and whether that answer came. The oracle of the model forgot an end with its worker, so that no play of it could break the rule in that way. Change: worker_silent and worker_runs_lost say when the worker last answered and was last asked, and the numbers of the ends that were received and acknowledged. With world_listed_ends_count an end that a worker has listed counts for good in the oracle, which is stricter than before; test_listed_ends_are_known plays runs that end around the end of their worker, with late stops or with lost answers. Result: passes with either fault. With both at once the oracle reports "started twice", as it must: nobody received the list.

--- a/libgooseberry/pool/worker.c
+++ b/libgooseberry/pool/worker.c
@@ -185,8 +185,16 @@
 
 	if (worker->run_count > 0)
 		gb_event(pool->cfg.events, GB_EVENT_ALWAYS, "worker_runs_lost",
-		    "{s:s, s:I, s:s}", "worker", worker->entry.id, "runs",
-		    (json_int_t)worker->run_count, "why", why);
+		    "{s:s, s:I, s:s, s:I, s:I, s:I, s:I, s:b}", "worker",
+		    worker->entry.id, "runs", (json_int_t)worker->run_count,
+		    "why", why, "answered_ms_ago",
+		    (json_int_t)((pool->now - worker->answered) / GB_MSEC),
+		    "asked_ms_ago",
+		    (json_int_t)((pool->now - worker->heartbeat_sent) /
+				 GB_MSEC),
+		    "seen", (json_int_t)worker->last_end, "acked",
+		    (json_int_t)worker->acked, "draining",
+		    worker->entry.draining);
 	pool_crash_classify(pool, worker);
 	for (run = TAILQ_FIRST(&worker->runs); run != NULL; run = next) {
 		next = TAILQ_NEXT(run, of_worker);
@@ -230,9 +238,13 @@
 						   : HEARTBEAT_RETRY_DELAY_MAX);
 	if (worker->silent == 1)
 		gb_event(pool->cfg.events, GB_EVENT_ALWAYS, "worker_silent",
-		    "{s:s, s:I, s:I}", "worker", worker->entry.id, "runs",
-		    (json_int_t)worker->run_count, "answered_ms_ago",
-		    (json_int_t)((pool->now - worker->answered) / GB_MSEC));
+		    "{s:s, s:I, s:I, s:I, s:I}", "worker", worker->entry.id,
+		    "runs", (json_int_t)worker->run_count, "answered_ms_ago",
+		    (json_int_t)((pool->now - worker->answered) / GB_MSEC),
+		    "asked_ms_ago",
+		    (json_int_t)((pool->now - worker->heartbeat_sent) /
+				 GB_MSEC),
+		    "seen", (json_int_t)worker->last_end);
 }
 
 /** Whether there are too few connections for heartbeats that wait. Such a
--- a/standin/world.c
+++ b/standin/world.c
@@ -227,6 +227,12 @@
 	worker_clear(worker);
 }
 
+void
+world_listed_ends_count(struct world *world)
+{
+	world->listed_ends_count = true;
+}
+
 bool
 world_worker_up(const struct world *world, unsigned int number)
 {
@@ -738,7 +744,7 @@
 {
 	struct world_worker *worker = worker_at(world, heartbeat->addr);
 	const struct world_run *run;
-	const struct world_ended_run *end;
+	struct world_ended_run *end;
 	unsigned int ends = 0;
 
 	memset(report, 0, sizeof(*report));
@@ -781,6 +787,7 @@
 	TAILQ_FOREACH(end, &worker->ended_runs, next)
 	{
 		report->ended[report->ended_count++] = end->report;
+		end->listed = true;
 	}
 }
 
--- a/standin/world.h
+++ b/standin/world.h
@@ -53,6 +53,10 @@
     const struct world *, unsigned int number, struct gb_pool_entry *);
 /** Whether the worker's process runs. */
 bool world_worker_up(const struct world *, unsigned int number);
+/** Let an end that a worker has listed count for good, also if the worker
+ * terminates before it is acknowledged.  For tests in which no answer is lost;
+ * otherwise a listed end may be unknown to the owner. */
+void world_listed_ends_count(struct world *);
 /** End the worker's process; its runs and its unacknowledged ends are lost. */
 void world_worker_crash(struct world *, unsigned int number);
 /** Set the data centre in the worker's entry. */
--- a/standin/world_oracle.c
+++ b/standin/world_oracle.c
@@ -274,7 +274,7 @@
 	struct world_task *task = world_task_of(world, end->report.flow,
 	    end->report.step, end->report.index, &flow);
 
-	if (task == NULL)
+	if (task == NULL || (world->listed_ends_count && end->listed))
 		return;
 	if (end->report.outcome == GB_POOL_DONE && !task->done_acked)
 		task->done = false;
--- a/standin/world_state.h
+++ b/standin/world_state.h
@@ -34,6 +34,7 @@
 struct world_ended_run {
 	TAILQ_ENTRY(world_ended_run) next;
 	struct gb_pool_run_report report;
+	bool listed; /**< in an answer to a heartbeat */
 };
 
 TAILQ_HEAD(world_ended_runs, world_ended_run);
@@ -130,6 +131,7 @@
 	unsigned int worker_count;
 	struct world_flow *flows;
 	struct world_org *orgs;
+	bool listed_ends_count; /**< a listed end counts for good */
 	bool tickets_needed;	/**< starts need a ticket */
 	gb_time shrink_grace;	/**< until owners know of a lower capacity */
 	gb_time quota_grace;	/**< until owners know of a lower quota */
--- a/tests/test_leaving.c
+++ b/tests/test_leaving.c
@@ -23,6 +23,8 @@
 /** Time before the end of a worker in which nothing may run there any more: an
  * answer takes 1 ms, and a hold may be sent up to 60 ms after the last one. */
 #define QUIET_TIME (100 * GB_MSEC)
+/** Time before the end of a worker from which on its orders are late. */
+#define LATE_BEFORE_END (1200 * GB_MSEC)
 /** Longest time for which a task may rest after its worker was stopped. */
 #define RESTART_TIME (500 * GB_MSEC)
 
@@ -115,6 +117,54 @@
 	pool_cell_free(cell);
 }
 
+/** Runs end at each time around the end of their worker, whose stops are late
+ * or whose last answers are lost.  No end that the worker has listed may be
+ * unknown to the owner, or the task would run again although it was done. Steps
+ * with checkpoints are stopped only just before their worker terminates. */
+static void
+run_to_the_end(gb_time work, bool orders_late)
+{
+	struct pool_cell *cell = pool_cell_begin(&plain);
+	unsigned int worker;
+	char spec[32];
+
+	world_listed_ends_count(cell->world);
+	pool_cell_run(cell, GB_SEC);
+	snprintf(spec, sizeof(spec), "ms=%lld", (long long)(work / GB_MSEC));
+	pool_cell_step_add(cell, 1, 1400, 2 * GB_SEC, GB_STEP_CHECKPOINT, -1);
+	pool_cell_submit(cell, "import", spec);
+	pool_cell_run(cell, 100 * GB_MSEC);
+	worker = world_flow_worker(cell->world, cell->flows[0].spec.id);
+	assert_in_range(worker, 0, plain.workers - 1);
+	world_worker_leave(cell->world, worker, NOTICE_TIME);
+	pool_cell_run(cell, NOTICE_TIME - LATE_BEFORE_END);
+	cell->faults.order_late = orders_late ? 100 : 0;
+	pool_cell_run(cell, LATE_BEFORE_END - QUIET_TIME * 2);
+	cell->faults.heartbeat_silent = orders_late ? 0 : 100;
+	pool_cell_run(cell, QUIET_TIME * 2);
+	world_worker_crash(cell->world, worker);
+	cell->faults.order_late = 0;
+	cell->faults.heartbeat_silent = 0;
+	pool_cell_run(cell, 10 * GB_SEC);
+	assert_int_equal(cell->flows[0].status, GB_FLOW_SUCCEEDED);
+	pool_cell_assert_no_violation(cell);
+	pool_cell_free(cell);
+}
+
+static void
+test_listed_ends_are_known(void **state)
+{
+	gb_time work;
+
+	(void)state;
+	/* The workers of the model differ in speed. */
+	for (work = NOTICE_TIME / 2; work <= NOTICE_TIME + 300 * GB_MSEC;
+	     work += 5 * GB_MSEC) {
+		run_to_the_end(work, true);
+		run_to_the_end(work, false);
+	}
+}
+
 /** A worker that goes on after all is given work again. */
 static void
 test_worker_that_stays_is_used_again(void **state)
@@ -144,6 +194,7 @@
 	    cmocka_unit_test(test_runs_that_cant_end_are_stopped_at_once),
 	    cmocka_unit_test(test_runs_with_checkpoints_work_on),
 	    cmocka_unit_test(test_short_runs_end_on_a_leaving_worker),
+	    cmocka_unit_test(test_listed_ends_are_known),
 	    cmocka_unit_test(test_worker_that_stays_is_used_again),
 	};
 
