--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -9,12 +9,14 @@
 #include <stddef.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include <cmocka.h>
 
 #include "platform.h"
 
 #define CALL_TIMEOUT GB_SEC
+#define SHORT_TIMEOUT (100 * GB_MSEC)
 
 /** A server that answers each request with a fixed text. */
 struct server {
@@ -23,6 +25,8 @@
 	uv_write_t write;
 	const char *answer;
 	bool closes; /**< closes the connection after the answer */
+	/** The process stands still for so long after the answer is sent. */
+	gb_time stands_still;
 	char addr[GB_NAME_MAX + 1];
 };
 
@@ -66,6 +70,8 @@
 		return;
 	server->write.data = server;
 	uv_write(&server->write, stream, &answer, 1, on_answered);
+	if (server->stands_still > 0)
+		usleep((useconds_t)server->stands_still);
 }
 
 static void
@@ -188,6 +194,51 @@
 	assert_int_equal(outcome.status, 0);
 }
 
+/** An answer arrives in time, but the process stands still until the deadline
+ * has passed, for example because it lacks processor time.  The answer must not
+ * count as lost: a worker that has terminated since can't be asked again. */
+static void
+test_late_process_reads_answer(void **state)
+{
+	static struct server server;
+	uv_loop_t *loop = uv_default_loop();
+	struct plat_http *http = plat_http_new(loop, NULL);
+	struct outcome outcome = {0};
+
+	(void)state;
+	server.answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+	server.stands_still = 2 * SHORT_TIMEOUT;
+	server.closes = true;
+	server_start(loop, &server);
+	plat_http_call(http, GB_TRAFFIC_HEARTBEAT, server.addr, "GET", "/", "",
+	    NULL, 0, SHORT_TIMEOUT, on_done, &outcome);
+	while (!outcome.done)
+		uv_run(loop, UV_RUN_ONCE);
+	assert_int_equal(outcome.status, 200);
+	assert_string_equal(outcome.body, "{}");
+}
+
+/** A call without an answer ends soon after its deadline. */
+static void
+test_call_expires(void **state)
+{
+	static struct server server;
+	uv_loop_t *loop = uv_default_loop();
+	struct plat_http *http = plat_http_new(loop, NULL);
+	struct outcome outcome = {0};
+	gb_time began = gb_clock_boot();
+
+	(void)state;
+	server.answer = "";
+	server_start(loop, &server);
+	plat_http_call(http, GB_TRAFFIC_HEARTBEAT, server.addr, "GET", "/", "",
+	    NULL, 0, SHORT_TIMEOUT, on_done, &outcome);
+	while (!outcome.done)
+		uv_run(loop, UV_RUN_ONCE);
+	assert_int_equal(outcome.status, 0);
+	assert_in_range(gb_clock_boot() - began, SHORT_TIMEOUT, CALL_TIMEOUT);
+}
+
 /* Many orders for a worker that does not answer --------------------------- */
 
 /** Number of orders to start runs that are sent at once. */
@@ -347,6 +398,8 @@
 	    cmocka_unit_test(test_truncated_answer),
 	    cmocka_unit_test(test_no_answer),
 	    cmocka_unit_test(test_malformed_answer),
+	    cmocka_unit_test(test_late_process_reads_answer),
+	    cmocka_unit_test(test_call_expires),
 	    cmocka_unit_test(test_mark_ends_with_its_connection),
 	    cmocka_unit_test(test_connections_to_a_worker_are_few),
 	    cmocka_unit_test(test_idle_connections_are_closed_at_the_limit),
