--- a/libgooseberry/pool/announce.c
+++ b/libgooseberry/pool/announce.c
@@ -36,9 +36,9 @@
  * turn. */
 #define ANNOUNCE_WITHDRAW_RATIO 2
 
-/** Whether a copy of an order for a step could be carried out by another
- * incarnation than the one that it was sent to, and would do harm.  Tickets
- * name the incarnation. */
+/** Whether a copy of an order for a step would do harm if another incarnation
+ * than the one that it was sent to carried it out.  Runs of a speculative step
+ * may overlap, and a ticket is valid for one incarnation. */
 static bool
 step_needs_announcements(
     const struct pool_flow *flow, const struct pool_step *step)
@@ -156,9 +156,10 @@
 	}
 }
 
-/** Returns the lowest run number of an order of a task that may be in flight
- * once the state is stored, 0: there is none, or it is recorded as a late
- * start. */
+/** Returns the lowest number of a run of a task whose only order may be in
+ * flight once the state is stored: the order was sent by this owner, or perhaps
+ * by an earlier one, or may be sent.  0: there is none, or the task is recorded
+ * as one with late starts. */
 static uint64_t
 task_announced_run(const struct gb_pool *pool, const struct pool_step *step,
     const struct pool_task *task)
--- a/libgooseberry/pool/dispatch.c
+++ b/libgooseberry/pool/dispatch.c
@@ -113,10 +113,10 @@
 	}
 }
 
-/** Whether a start may be sent to a worker.  If it is not announced, requests
- * that. */
+/** Requests the announcement of a planned start if it is missing.  Returns
+ * whether the start may be sent. */
 static bool
-start_is_announced(struct gb_pool *pool, struct pool_flow *flow,
+plan_announce(struct gb_pool *pool, struct pool_flow *flow,
     const struct pool_step *step, uint32_t index,
     const struct pool_worker *worker)
 {
@@ -135,7 +135,7 @@
 
 	return task->plan != NULL && !task->done && TAILQ_EMPTY(&task->runs) &&
 	       !pool_start_blocked(pool, flow, task) &&
-	       start_is_announced(
+	       plan_announce(
 		   pool, flow, step, index, pool_crash_plan_worker(pool, task));
 }
 
@@ -164,7 +164,7 @@
 		return;
 	}
 	for (i = 0; i < count; i++) {
-		if (!start_is_announced(pool, flow, step, i,
+		if (!plan_announce(pool, flow, step, i,
 			pool_crash_plan_worker(pool, &step->tasks[i])))
 			return;
 	}
