--- a/libgooseberry/node/node_config.c
+++ b/libgooseberry/node/node_config.c
@@ -73,7 +73,8 @@
 }
 
 void
-gb_node_config_received(struct gb_node *node, const char *text, size_t len)
+node_config_received(
+    struct gb_node *node, const char *text, size_t len, const char *from)
 {
 	struct gb_pool_config *config = node->platform.config_decode(text, len);
 
@@ -92,8 +93,9 @@
 	if (node->config != NULL && node->config->keyed)
 		config->keyed = true;
 	gb_event(node->events, GB_EVENT_ALWAYS, "config_taken",
-	    "{s:I, s:I, s:I, s:I, s:b, s:I, s:I}", "version",
-	    (json_int_t)config->version, "before",
+	    "{s:I, s:s, s:I, s:I, s:I, s:I, s:b, s:I, s:I}", "version",
+	    (json_int_t)config->version, "from", from, "bytes", (json_int_t)len,
+	    "before",
 	    (json_int_t)(node->config == NULL ? 0 : node->config->version),
 	    "behind_ms", (json_int_t)(config_behind_for(node) / GB_MSEC),
 	    "queues", (json_int_t)config->queue_count, "keyed", config->keyed,
@@ -108,3 +110,9 @@
 	node->config_len = len;
 	gb_pool_configure(node->pool, node_now(), config);
 }
+
+void
+gb_node_config_received(struct gb_node *node, const char *text, size_t len)
+{
+	node_config_received(node, text, len, "store");
+}
--- a/libgooseberry/node/node_state.h
+++ b/libgooseberry/node/node_state.h
@@ -183,6 +183,11 @@
     void (*read_done)(struct node_call *, const struct gb_pool_read_res *));
 
 /* node_config.c */
+/** Put a configuration into force if it is newer than the present one.
+ * @param from address of the node that sent it, or "store", for the log
+ */
+void node_config_received(
+    struct gb_node *, const char *text, size_t, const char *from);
 /** Note that another node has this version of the configuration. */
 void node_config_announced(struct gb_node *, uint64_t version);
 /** Whether the owner tells this node of newer configurations with its answers
--- a/libgooseberry/node/peers.c
+++ b/libgooseberry/node/peers.c
@@ -79,12 +79,13 @@
 
 /** Take note of the configuration that an answer names or has with it. */
 static void
-config_received(struct gb_node *node, const gb_hello_res *res)
+config_received(
+    struct gb_node *node, const gb_hello_res *res, const char *from)
 {
 	node_config_announced(node, res->config);
 	if (res->config_text.gb_body_len > 0)
-		gb_node_config_received(node, res->config_text.gb_body_val,
-		    res->config_text.gb_body_len);
+		node_config_received(node, res->config_text.gb_body_val,
+		    res->config_text.gb_body_len, from);
 }
 
 /** Place of this node in the order of succession. */
@@ -178,7 +179,7 @@
 		return;
 	}
 	owner_monitor_hello_answered(node);
-	config_received(node, res);
+	config_received(node, res, call->to);
 	if (res->acquiring) {
 		node->owner_shed_percent = 0;
 		watch_owner_acquiring(&node->watch, now);
@@ -214,7 +215,7 @@
 	if (strcmp(call->to, node->watch.owner) == 0)
 		owner_answered(node, call, verdict, arg);
 	else if (verdict == GB_RUN)
-		config_received(node, arg);
+		config_received(node, arg, call->to);
 	free(call);
 }
 
@@ -245,7 +246,7 @@
 		watch_add_vote(&node->watch, WATCH_VOTE_NONE);
 		return;
 	}
-	config_received(node, res);
+	config_received(node, res, "member");
 	if (res->owner || res->acquiring ||
 	    res->owner_silent_us < node_owner_silence_max(node))
 		watch_add_vote(&node->watch, WATCH_VOTE_REACHABLE);
@@ -355,6 +356,11 @@
 	if (config_push_due(node, hello)) {
 		res.config_text.gb_body_val = node->config_text;
 		res.config_text.gb_body_len = (u_int)node->config_len;
+		gb_event(node->events, GB_EVENT_ALWAYS, "config_sent",
+		    "{s:s, s:I, s:I, s:I}", "to", hello->name, "version",
+		    (json_int_t)node->config->version, "behind",
+		    (json_int_t)hello->config, "bytes",
+		    (json_int_t)node->config_len);
 	}
 	gb_rpc_call_reply(call, &res);
 	free(res.members.members_val);
@@ -367,8 +373,8 @@
 {
 	gb_config_push_res res = {0};
 
-	gb_node_config_received(
-	    node, push->text.gb_body_val, push->text.gb_body_len);
+	node_config_received(
+	    node, push->text.gb_body_val, push->text.gb_body_len, "member");
 	res.config = node->config == NULL ? 0 : node->config->version;
 	gb_rpc_call_reply(call, &res);
 }
