Failing tests: configurations that stay old

The feed gives up a row whose answer takes longer than its time limit and asks for it again, for ever; a configuration in the answer to a hello is cut after 0.6 s in the same way; and nodes that the store rejects follow no new owner.

--- a/tests/test_feed.c
+++ b/tests/test_feed.c
@@ -21,6 +21,10 @@
 #define DELIVERY_MAX_QUICK (500 * GB_MSEC)
 /** Largest number of connections of a test. */
 #define CONNS_MAX 16
+/** Pieces of an answer that arrives slowly, and the pause between them.  All of
+ * them take longer than the feed waits for an answer. */
+#define PIECES 20
+#define PIECE_PAUSE (150 * GB_MSEC)
 /** Interval at which the store answers waiting queries, in milliseconds. */
 #define TIMER_MS 5
 
@@ -37,6 +41,8 @@
 	gb_time until;	/**< when it is answered without a change */
 	uint64_t after; /**< newest version that the feed has */
 	char text[1024];
+	size_t sent;	  /**< bytes of the text that were sent */
+	gb_time piece_at; /**< when the next piece is sent */
 };
 
 /** A store with one row, whose value is its version. */
@@ -53,11 +59,12 @@
 	struct plat_feed *feed;
 	uint64_t delivered; /**< newest version that the feed has delivered */
 	unsigned int queries;
+	bool slow; /**< answers are sent in pieces */
 };
 
 /** A feed can't be freed before the process ends, so its store stays; one for
  * each test. */
-static struct store stores[5];
+static struct store stores[7];
 static unsigned int store_count;
 
 static void
@@ -71,16 +78,33 @@
 	*buf = uv_buf_init(data, sizeof(data) - 1);
 }
 
+/** Sends what is due of an answer: the whole text, or a piece of it. */
 static void
-conn_write(struct conn *conn, unsigned int status, const char *body)
+conn_send_piece(struct conn *conn)
 {
+	size_t len = strlen(conn->text) - conn->sent;
+	size_t piece = strlen(conn->text) / PIECES;
 	uv_buf_t buf;
 
+	if (!conn->open || len == 0 || gb_clock_boot() < conn->piece_at)
+		return;
+	if (conn->store->slow && len > piece)
+		len = piece;
+	buf = uv_buf_init(conn->text + conn->sent, (unsigned int)len);
+	conn->sent += len;
+	conn->piece_at = gb_clock_boot() + PIECE_PAUSE;
+	uv_write(&conn->write, (uv_stream_t *)&conn->tcp, &buf, 1, NULL);
+}
+
+static void
+conn_write(struct conn *conn, unsigned int status, const char *body)
+{
 	snprintf(conn->text, sizeof(conn->text),
 	    "HTTP/1.1 %u X\r\nContent-Length: %zu\r\n\r\n%s", status,
 	    strlen(body), body);
-	buf = uv_buf_init(conn->text, (unsigned int)strlen(conn->text));
-	uv_write(&conn->write, (uv_stream_t *)&conn->tcp, &buf, 1, NULL);
+	conn->sent = 0;
+	conn->piece_at = gb_clock_boot();
+	conn_send_piece(conn);
 }
 
 /** Answers a query with the row, or with no row if nothing has changed. */
@@ -172,6 +196,8 @@
 	for (i = 0; i < store->conn_count; i++) {
 		struct conn *conn = &store->conns[i];
 
+		if (!conn->silent)
+			conn_send_piece(conn);
 		if (!conn->waits || conn->silent)
 			continue;
 		if (conn->after < store->version)
@@ -359,6 +385,42 @@
 	assert_true(store_change(store) < DELIVERY_MAX_QUICK);
 }
 
+/** The link carries a row in more time than the feed waits for an answer, as a
+ * large configuration on a thin link.  An answer that keeps arriving is read to
+ * its end, also when the change comes late in the wait: a feed that gives up
+ * and asks again never gets the row. */
+static void
+test_row_that_takes_long_is_delivered(void **state)
+{
+	struct store *store = store_start();
+	gb_time until = gb_clock_boot() + 900 * GB_MSEC;
+
+	(void)state;
+	while (gb_clock_boot() < until)
+		uv_run(&store->loop, UV_RUN_ONCE);
+	store->slow = true;
+	assert_true(
+	    store_change(store) < (PIECES + 1) * PIECE_PAUSE + DELIVERY_MAX);
+}
+
+/** The connection goes silent in the middle of an answer.  The feed asks again
+ * on another one. */
+static void
+test_answer_that_stops_is_requested_again(void **state)
+{
+	struct store *store = store_start();
+	gb_time until = gb_clock_boot() + 3 * PIECE_PAUSE;
+
+	(void)state;
+	store->slow = true;
+	store->version++;
+	while (gb_clock_boot() < until)
+		uv_run(&store->loop, UV_RUN_ONCE);
+	store_silence_conns(store);
+	store->slow = false;
+	assert_true(store_change(store) < DELIVERY_MAX);
+}
+
 int
 main(void)
 {
@@ -368,6 +430,8 @@
 	    cmocka_unit_test(test_table_is_read_without_history),
 	    cmocka_unit_test(test_changes_of_a_table_are_batched),
 	    cmocka_unit_test(test_relaxed_feed_asks_seldom),
+	    cmocka_unit_test(test_row_that_takes_long_is_delivered),
+	    cmocka_unit_test(test_answer_that_stops_is_requested_again),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -20,6 +20,7 @@
 #include <uv.h>
 
 #include "node/node_state.h"
+#include "relay.h"
 #include "world.h"
 
 #define NODES 3
@@ -59,6 +60,8 @@
 	struct gb_node *nodes[NODES];
 	struct node_context contexts[NODES];
 	const struct gb_env *env;
+	/** Bandwidth of each node's link to the others, 0: not limited. */
+	uint64_t bytes_per_s;
 	bool store_refuses[NODES]; /**< the store rejects this node's calls */
 	struct table_calls calls;
 	unsigned int writes[NODES]; /**< writes that the store carried out */
@@ -226,6 +229,11 @@
 	    1 + (int)getpid() / 250 % 250, 1 + (int)getpid() % 250,
 	    cell_count * NODES + number + 1);
 	snprintf(settings.addr, sizeof(settings.addr), "%s", settings.listen);
+	if (cell->bytes_per_s > 0) {
+		settings.addr[strlen(settings.addr) - 1] = '1';
+		relay_new(&cell->loop, settings.addr, settings.listen,
+		    cell->bytes_per_s);
+	}
 	snprintf(settings.metrics, sizeof(settings.metrics), "127.0.0.1:0");
 	snprintf(settings.cpu_share, sizeof(settings.cpu_share), "1");
 	settings.lease_ms = 3000;
@@ -241,14 +249,16 @@
 	return node;
 }
 
-/** Starts a cell of three nodes in the given environment. */
+/** Starts a cell of three nodes in the given environment, which reach each
+ * other over links of the given bandwidth. */
 static struct cell *
-cell_start_in(const struct gb_env *node_env)
+cell_start_with(const struct gb_env *node_env, uint64_t bytes_per_s)
 {
 	struct cell *cell = gb_calloc(1, sizeof(*cell));
 	unsigned int i;
 
 	cell->env = node_env;
+	cell->bytes_per_s = bytes_per_s;
 	uv_loop_init(&cell->loop);
 	TAILQ_INIT(&cell->calls);
 	cell->world = world_new(1);
@@ -267,6 +277,12 @@
 	return cell;
 }
 
+static struct cell *
+cell_start_in(const struct gb_env *node_env)
+{
+	return cell_start_with(node_env, 0);
+}
+
 static struct cell *
 cell_start(void)
 {
@@ -516,6 +532,110 @@
 	assert_in_range(owner->configs_unreadable, 1, NODES - 1);
 }
 
+/** Time in which a version must be in force on all nodes, in addition to the
+ * time that its text takes over a link. */
+#define CONFIG_DELAY_MAX (2 * GB_SEC)
+/** Bandwidth of a thin link, in bytes per second. */
+#define THIN_LINK 400000
+/** Length of a large configuration.  A thin link carries it in 2.5 s. */
+#define LARGE_CONFIG_BYTES 1000000
+
+/** Text of a large configuration of version 5. */
+static char *
+large_config(void)
+{
+	static const char digits[] = "0123456789abcdef";
+	char *text = gb_calloc(1, LARGE_CONFIG_BYTES + 1);
+	uint64_t random = 1;
+	size_t i;
+
+	for (i = 0; i < LARGE_CONFIG_BYTES; i++)
+		text[i] = digits[gb_random_next(&random) % 16];
+	memcpy(text, "5;", 2);
+	return text;
+}
+
+/** Whether all nodes have a version. */
+static bool
+cell_has_version(const struct cell *cell, uint64_t version)
+{
+	unsigned int i;
+
+	for (i = 0; i < NODES; i++) {
+		if (gb_node_config(cell->nodes[i])->version < version)
+			return false;
+	}
+	return true;
+}
+
+/** Runs the loop until all nodes have a version; returns how long that took. */
+static gb_time
+cell_wait_version(struct cell *cell, uint64_t version, gb_time max)
+{
+	gb_time began = gb_clock_boot();
+
+	while (
+	    !cell_has_version(cell, version) && gb_clock_boot() - began < max)
+		uv_run(&cell->loop, UV_RUN_ONCE);
+	return gb_clock_boot() - began;
+}
+
+/** The links of the nodes carry a configuration in more time than a hello may
+ * take.  Members that don't get it from the store get it from other nodes, and
+ * their hellos are answered all the while. */
+static void
+test_large_version_reaches_all_over_thin_links(void **state)
+{
+	struct cell *cell = cell_start_with(&env, THIN_LINK);
+	gb_time max =
+	    CONFIG_DELAY_MAX + 2 * GB_SEC * LARGE_CONFIG_BYTES / THIN_LINK;
+	char *text = large_config();
+	char line[LINE_BYTES];
+
+	(void)state;
+	cell_wait_ready(cell);
+	cell_run(cell, 500 * GB_MSEC);
+	gb_node_config_received(
+	    cell->nodes[cell_owner(cell)], text, LARGE_CONFIG_BYTES);
+	assert_true(cell_wait_version(cell, 5, max) < max);
+	assert_int_equal(cell_event_lines(cell, "owner_unheard", line), 0);
+	free(text);
+}
+
+/** The store rejects the owner and a member, and serves the other member, which
+ * takes the pool over.  The rejected nodes learn of the new owner and of a new
+ * version from nodes that they reach. */
+static void
+test_new_owner_is_known_without_the_store(void **state)
+{
+	struct cell *cell = cell_start();
+	unsigned int former;
+	unsigned int served;
+	unsigned int rejected;
+	gb_time until;
+
+	(void)state;
+	cell_wait_ready(cell);
+	former = cell_owner(cell);
+	served = (former + 1) % NODES;
+	rejected = (former + 2) % NODES;
+	cell->store_refuses[former] = true;
+	cell->store_refuses[rejected] = true;
+	until = gb_clock_boot() + 6 * GB_SEC;
+	while (cell_owner(cell) != served && gb_clock_boot() < until)
+		uv_run(&cell->loop, UV_RUN_ONCE);
+	assert_int_equal(cell_owner(cell), served);
+	gb_node_config_received(cell->nodes[served], "5", 1);
+	assert_true(
+	    cell_wait_version(cell, 5, CONFIG_DELAY_MAX) < CONFIG_DELAY_MAX);
+	assert_string_equal(cell->nodes[rejected]->watch.owner,
+	    cell->nodes[served]->settings.addr);
+	cell_submit(cell, rejected, "00000000000000c1");
+	assert_int_equal(cell->answer.verdict, GB_FLOW_ACCEPTED);
+	cell_submit(cell, former, "00000000000000c2");
+	assert_int_equal(cell->answer.verdict, GB_FLOW_ACCEPTED);
+}
+
 /** Configuration version that a node stored with a flow, for the owner that
  * reads the flow later. */
 static uint64_t
@@ -1255,6 +1375,8 @@
 	    cmocka_unit_test(test_member_knows_of_newer_version),
 	    cmocka_unit_test(test_owner_learns_a_version_from_a_member),
 	    cmocka_unit_test(test_unreadable_version_is_sent_once),
+	    cmocka_unit_test(test_large_version_reaches_all_over_thin_links),
+	    cmocka_unit_test(test_new_owner_is_known_without_the_store),
 	    cmocka_unit_test(test_member_stores_when_owner_cannot),
 	    cmocka_unit_test(test_flows_are_kept_from_loading_owner),
 	    cmocka_unit_test(test_link_bounds_flows_without_owner),
