Fetch a newer configuration from other nodes; hellos no longer carry it

Cause: an owner put its configuration into the answer to a hello of a member that had been behind for 0.5 s, and a member did so for each node that polled it. A hello ends after 0.6 s, however long the text is; on 10 Mbit/s 945 KB take 0.76 s. So the text never arrived, the hello failed, the node took the owner for silent and polled three members, and each of them sent the text again: its link was full from then on, and its feed was cut as well.

Now a node that knows of a newer version fetches it with a call of its own, on a connection of its own, which goes on while bytes arrive, from one node at a time. The owner names a member that has the version, any node serves it, and it is compressed. An owner that is behind fetches from members in the same way, in place of being sent the text by each of ten members. Answers to hellos are small again; what older programs send is still read.

--- a/libgooseberry/connection/rpc_client.c
+++ b/libgooseberry/connection/rpc_client.c
@@ -64,6 +64,9 @@
 	struct rpc_pending *pending;
 	char addr[GB_NAME_MAX + 1];
 	uint32_t next_xid;
+	/** A call whose answer has begun to arrive expires after a pause of
+	 * this, 0: at its deadline. */
+	gb_time stall;
 	size_t bytes; /**< received and sent */
 	bool freed;
 };
@@ -257,6 +260,20 @@
 		conn_close(conn);
 }
 
+/** When a call expires. */
+static gb_time
+call_expires_at(
+    const struct gb_rpc_client *client, const struct rpc_pending *call)
+{
+	const struct rpc_client_conn *conn = call->conn;
+
+	if (client->stall == 0 || conn == NULL ||
+	    conn->last_heard < call->written ||
+	    conn->last_heard + client->stall < call->deadline)
+		return call->deadline;
+	return conn->last_heard + client->stall;
+}
+
 /** First call whose deadline has passed.  Calls are in the order in which they
  * were made, not in that of their deadlines. */
 static struct rpc_pending *
@@ -265,7 +282,7 @@
 	struct rpc_pending *call;
 
 	for (call = client->pending; call != NULL; call = call->hh.next) {
-		if (call->deadline <= now)
+		if (call_expires_at(client, call) <= now)
 			return call;
 	}
 	return NULL;
@@ -353,6 +370,12 @@
 	return client;
 }
 
+void
+gb_rpc_client_set_stall(struct gb_rpc_client *client, gb_time stall)
+{
+	client->stall = stall;
+}
+
 static void
 client_closed(uv_handle_t *handle)
 {
--- a/libgooseberry/connection/rpc_method.c
+++ b/libgooseberry/connection/rpc_method.c
@@ -8,14 +8,13 @@
 	[num] = {num, label, (xdrproc_t)xdr_##in, sizeof(in), \
 	    (xdrproc_t)xdr_##out, sizeof(out)}
 
-/** Coder of the answer to a hello.  Older programs do not shed load and end the
- * answer before the field shed, which then reads as 0. */
+/** Coder of the answer to a hello.  Older programs end the answer before the
+ * field shed or config_source, which then reads as 0 or null. */
 static bool_t
 hello_res_code(XDR *xdrs, gb_hello_res *res)
 {
 	if (xdr_gb_hello_res(xdrs, res))
 		return TRUE;
-	res->shed = 0;
 	return xdrs->x_op == XDR_DECODE && xdrs->x_handy == 0;
 }
 
@@ -38,4 +37,5 @@
     METHOD(GB_PROC_ADVISE, "advise", gb_advice_ask, gb_advice_res),
     METHOD(GB_PROC_SUCCEED, "succeed", gb_takeover_request, gb_takeover_res),
     METHOD(GB_PROC_CONFIG, "config", gb_config_push, gb_config_push_res),
+    METHOD(GB_PROC_CONFIG_FETCH, "config_fetch", gb_config_ask, gb_config_res),
 };
--- a/libgooseberry/gen/proto.c
+++ b/libgooseberry/gen/proto.c
@@ -1306,6 +1306,8 @@
 			 return FALSE;
 		 if (!xdr_uint32_t (xdrs, &objp->shed))
 			 return FALSE;
+		 if (!xdr_gb_name (xdrs, &objp->config_source))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
@@ -1349,6 +1351,8 @@
 			 return FALSE;
 		 if (!xdr_uint32_t (xdrs, &objp->shed))
 			 return FALSE;
+		 if (!xdr_gb_name (xdrs, &objp->config_source))
+			 return FALSE;
 	 return TRUE;
 	}
 
@@ -1385,6 +1389,8 @@
 		 return FALSE;
 	 if (!xdr_uint32_t (xdrs, &objp->shed))
 		 return FALSE;
+	 if (!xdr_gb_name (xdrs, &objp->config_source))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -1430,6 +1436,30 @@
 	return TRUE;
 }
 
+bool_t
+xdr_gb_config_ask (XDR *xdrs, gb_config_ask *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_uint64_t (xdrs, &objp->config))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_gb_config_res (XDR *xdrs, gb_config_res *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_uint64_t (xdrs, &objp->config))
+		 return FALSE;
+	 if (!xdr_uint32_t (xdrs, &objp->len))
+		 return FALSE;
+	 if (!xdr_gb_body (xdrs, &objp->packed))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_gb_advice_ask (XDR *xdrs, gb_advice_ask *objp)
 {
--- a/libgooseberry/gen/proto.h
+++ b/libgooseberry/gen/proto.h
@@ -742,6 +742,7 @@
 	uint64_t config;
 	gb_body config_text;
 	uint32_t shed;
+	gb_name config_source;
 };
 typedef struct gb_hello_res gb_hello_res;
 
@@ -766,6 +767,18 @@
 };
 typedef struct gb_config_push_res gb_config_push_res;
 
+struct gb_config_ask {
+	uint64_t config;
+};
+typedef struct gb_config_ask gb_config_ask;
+
+struct gb_config_res {
+	uint64_t config;
+	uint32_t len;
+	gb_body packed;
+};
+typedef struct gb_config_res gb_config_res;
+
 struct gb_advice_ask {
 	gb_name step;
 	struct {
@@ -873,6 +886,8 @@
 extern  bool_t xdr_gb_takeover_res (XDR *, gb_takeover_res*);
 extern  bool_t xdr_gb_config_push (XDR *, gb_config_push*);
 extern  bool_t xdr_gb_config_push_res (XDR *, gb_config_push_res*);
+extern  bool_t xdr_gb_config_ask (XDR *, gb_config_ask*);
+extern  bool_t xdr_gb_config_res (XDR *, gb_config_res*);
 extern  bool_t xdr_gb_advice_ask (XDR *, gb_advice_ask*);
 extern  bool_t xdr_gb_ticket (XDR *, gb_ticket*);
 extern  bool_t xdr_gb_advice_status (XDR *, gb_advice_status*);
@@ -951,6 +966,8 @@
 extern bool_t xdr_gb_takeover_res ();
 extern bool_t xdr_gb_config_push ();
 extern bool_t xdr_gb_config_push_res ();
+extern bool_t xdr_gb_config_ask ();
+extern bool_t xdr_gb_config_res ();
 extern bool_t xdr_gb_advice_ask ();
 extern bool_t xdr_gb_ticket ();
 extern bool_t xdr_gb_advice_status ();
--- a/libgooseberry/gen/proto.x
+++ b/libgooseberry/gen/proto.x
@@ -656,11 +656,14 @@
 	uint32_t rank;		/* of the caller, in the order of succession */
 	uint32_t ranked;	/* number of members that have a rank */
 	uint64_t config;
-	/* empty unless the caller's configuration is older */
+	/* empty; older programs may send their configuration here */
 	gb_body config_text;
 	/* percentage of new flows to reject, set by the owner; older
 	 * programs end before it */
 	uint32_t shed;
+	/* node that has the owner's configuration, if the caller's is older;
+	 * older programs end before it */
+	gb_name config_source;
 };
 
 /* Request of the owner to a member to take over the pool. */
@@ -673,7 +676,8 @@
 	bool begun;		/* the member has begun to take over the pool */
 };
 
-/* Sent by a member to the owner when the member's configuration is newer. */
+/* Sent by members that run an older program to an owner whose configuration is
+ * older than theirs. */
 struct gb_config_push {
 	gb_body text;
 };
@@ -682,6 +686,18 @@
 	uint64_t config;	/* version that the owner has now */
 };
 
+/* Request for a newer configuration than that of the caller. */
+struct gb_config_ask {
+	uint64_t config;	/* version that the caller has */
+};
+
+struct gb_config_res {
+	uint64_t config;	/* version that the answering node has */
+	uint32_t len;		/* length of the text */
+	/* the text, compressed; empty if it isn't newer or can't be sent now */
+	gb_body packed;
+};
+
 /* Call of the advice service: which of the workers may run a step? */
 struct gb_advice_ask {
 	gb_name step;
--- a/libgooseberry/gooseberry.h
+++ b/libgooseberry/gooseberry.h
@@ -576,6 +576,7 @@
 	GB_PROC_ADVISE,
 	GB_PROC_SUCCEED,
 	GB_PROC_CONFIG,
+	GB_PROC_CONFIG_FETCH,
 	GB_PROCS
 };
 
@@ -665,6 +666,10 @@
  * environment must outlive the client. */
 struct gb_rpc_client *gb_rpc_client_new(
     struct uv_loop_s *, const struct gb_env *, const char *addr);
+/** Let a call whose answer has begun to arrive go on until nothing was received
+ * for this time in microseconds, also past its deadline.  0, the default: calls
+ * end at their deadlines. */
+void gb_rpc_client_set_stall(struct gb_rpc_client *, gb_time);
 /** End all calls in flight with an error, and free the client once the event
  * loop has closed its sockets. */
 void gb_rpc_client_free(struct gb_rpc_client *);
--- a/libgooseberry/node/members.c
+++ b/libgooseberry/node/members.c
@@ -53,8 +53,6 @@
 		member = member_new(node, hello);
 	member->last_heard = now;
 	member->config = hello->config;
-	if (node->config != NULL && hello->config >= node->config->version)
-		member->behind_since = 0;
 	member->leaving = hello->leaving;
 	member->cpu_milli = hello->cpu_milli;
 	if (member->incarnation != hello->incarnation) {
--- a/libgooseberry/node/node.c
+++ b/libgooseberry/node/node.c
@@ -526,6 +526,7 @@
 	connections_update(node);
 	node->platform.relax_config(node->platform.data,
 	    node_learns_configs_from_owner(node, node_now()));
+	node_config_fetch_tick(node);
 	store_probe(node);
 	intake_tick(node);
 	link_monitor_tick(node);
--- a/libgooseberry/node/node_config.c
+++ b/libgooseberry/node/node_config.c
@@ -50,9 +50,8 @@
 	       node->config_newest_known > node->config->version;
 }
 
-/** Time since this node learned that another one has a newer version. */
-static gb_time
-config_behind_for(const struct gb_node *node)
+gb_time
+node_config_behind_for(const struct gb_node *node)
 {
 	return gb_node_config_behind(node) && node->config_newest_known > 0
 		   ? node_now() - node->config_newest_known_at
@@ -69,7 +68,7 @@
 	       watch_owner_silence(watch, now) < node_owner_silence_max(node) &&
 	       watch->place.rank >= CONFIG_READERS &&
 	       watch->place.ranked >= CONFIG_READERS &&
-	       config_behind_for(node) < CONFIG_REPORT_TIME;
+	       node_config_behind_for(node) < CONFIG_REPORT_TIME;
 }
 
 void
@@ -97,7 +96,7 @@
 	    (json_int_t)config->version, "from", from, "bytes", (json_int_t)len,
 	    "before",
 	    (json_int_t)(node->config == NULL ? 0 : node->config->version),
-	    "behind_ms", (json_int_t)(config_behind_for(node) / GB_MSEC),
+	    "behind_ms", (json_int_t)(node_config_behind_for(node) / GB_MSEC),
 	    "queues", (json_int_t)config->queue_count, "keyed", config->keyed,
 	    "orgs", (json_int_t)config->org_count, "keys",
 	    (json_int_t)gb_pool_config_key_count(config));
--- a/libgooseberry/node/node_state.h
+++ b/libgooseberry/node/node_state.h
@@ -34,10 +34,8 @@
 	 * hellos differ by their delays on the network, and ranks must not
 	 * change by that. */
 	gb_time started;
-	uint64_t config;      /**< version of its configuration */
-	gb_time behind_since; /**< it has had an older configuration than the
-			 owner since then, 0: it has not */
-	bool leaving;	      /**< its process is stopping */
+	uint64_t config; /**< version of its configuration */
+	bool leaving;	 /**< its process is stopping */
 	uint32_t cpu_milli;
 	uint32_t rank; /**< in the order of succession */
 };
@@ -94,6 +92,25 @@
 	gb_time deadline;	  /**< it has failed after this */
 };
 
+/** Fetch of a newer configuration from another node. */
+struct config_fetch {
+	struct gb_rpc_client *client; /**< while a fetch is in flight */
+	char from[GB_NAME_MAX + 1];   /**< node that it asks */
+	/** Node that the owner has named as having the version, or empty. */
+	char named[GB_NAME_MAX + 1];
+	gb_time next_at;	  /**< earliest time of the next fetch */
+	uint64_t unreadable;	  /**< version that could not be decoded */
+	gb_time unreadable_until; /**< it is not fetched again before */
+};
+
+/** Compressed form of the configuration, for other nodes. */
+struct config_packed {
+	uint64_t version; /**< 0: none was compressed yet */
+	char *data;
+	size_t len;
+	gb_time served_until; /**< until then an answer uses the link */
+};
+
 struct gb_node {
 	uv_loop_t *loop;
 	uv_timer_t tick;
@@ -133,17 +150,8 @@
 	gb_time config_newest_known_at; /**< when it was first announced */
 	uint64_t configs_unreadable;
 	uint64_t orgs_bad; /**< organisations and keys that were invalid */
-	/** Earliest time to send the configuration to another member. */
-	gb_time config_push_at;
-	/** The owner has had an older configuration since then, 0: it has not.
-	 */
-	gb_time owner_behind_since;
-	/** The configuration is being sent to the owner. */
-	bool config_in_flight;
-	uint64_t config_sent_epoch;   /**< owner that it was last sent to */
-	uint64_t config_sent_version; /**< version that was sent */
-	/** Earliest time to send the same version to the same owner again. */
-	gb_time config_resend_at;
+	struct config_fetch fetch;
+	struct config_packed packed;
 	struct node_member *members; /**< of an owner: nodes that send hellos */
 	uint64_t members_vers; /**< grows when a member is added or removed */
 	gb_time members_update_at; /**< next update of the members and ranks */
@@ -190,10 +198,23 @@
     struct gb_node *, const char *text, size_t, const char *from);
 /** Note that another node has this version of the configuration. */
 void node_config_announced(struct gb_node *, uint64_t version);
+/** Time since this node learned that another one has a newer version; 0: none
+ * has. */
+gb_time node_config_behind_for(const struct gb_node *);
 /** Whether the owner tells this node of newer configurations with its answers
  * to hellos, and the node has all that it was told of. */
 bool node_learns_configs_from_owner(const struct gb_node *, gb_time now);
 
+/* config_fetch.c */
+/** Fetch a newer configuration from another node, if that is due. */
+void node_config_fetch_tick(struct gb_node *);
+/** Serve another node's fetch. */
+void node_serve_config_fetch(
+    struct gb_node *, struct gb_rpc_call *, const gb_config_ask *);
+/** Choose a node that has the configuration of this owner, for a member with an
+ * older version; empty if the member's is not older. */
+const char *node_config_source(struct gb_node *, uint64_t version);
+
 /** Whether the last calls of this node to the store have failed. */
 bool node_store_unavailable(const struct gb_node *);
 
--- a/libgooseberry/node/peers.c
+++ b/libgooseberry/node/peers.c
@@ -9,28 +9,10 @@
 
 #include "node_state.h"
 
-/** Timeout of a hello, of a poll of a member, and of a configuration that is
- * sent to the owner. */
+/** Timeout of a hello and of a poll of a member. */
 #define HELLO_TIMEOUT (600 * GB_MSEC)
 /** Number of members that are polled about the owner. */
 #define POLL_MEMBERS_MAX 3
-/** A node that has had an older configuration for this long is sent the newest
- * one.  All nodes must have it within 2 s. */
-#define PUSH_AFTER (500 * GB_MSEC)
-/** An owner with an older configuration is sent the newest one by the first
- * successor that has it: each waits this long for each one before it. */
-#define PUSH_RANK_DELAY (100 * GB_MSEC)
-/** Number of successors, the first ones, that send the owner a configuration.
- */
-#define PUSH_RANKS_MAX 10
-/** Pause before the same version is sent to the same owner again.  It may be
- * unable to read it because its program is too old. */
-#define PUSH_REPEAT_PAUSE (10 * GB_SEC)
-/** Configurations are sent to members at a tenth of the link's rate at most. */
-#define PUSH_LINK_DIVISOR 10
-/** Largest rate for that in bytes per second, and the rate when the bandwidth
- * is unknown: a third of a link of 10 Mbit/s. */
-#define PUSH_BYTES_PER_S_MAX 400000
 
 static gb_time
 hello_timeout(const struct gb_node *node)
@@ -79,8 +61,7 @@
 
 /** Take note of the configuration that an answer names or has with it. */
 static void
-config_received(
-    struct gb_node *node, const gb_hello_res *res, const char *from)
+config_received(struct gb_node *node, const gb_hello_res *res, const char *from)
 {
 	node_config_announced(node, res->config);
 	if (res->config_text.gb_body_len > 0)
@@ -101,59 +82,6 @@
 	return place;
 }
 
-static void
-config_send_done(void *data, gb_verdict verdict, void *arg)
-{
-	struct gb_node *node = data;
-	const gb_config_push_res *res = arg;
-
-	node->config_in_flight = false;
-	node->config_resend_at = node_now() + PUSH_REPEAT_PAUSE;
-	gb_event(node->events, GB_EVENT_ALWAYS, "config_sent_to_owner",
-	    "{s:s, s:i, s:I}", "owner", node->watch.owner, "verdict",
-	    (int)verdict, "version",
-	    (json_int_t)(verdict == GB_RUN ? res->config : 0));
-}
-
-/** Whether this owner was sent this version recently. */
-static bool
-config_sent_recently(const struct gb_node *node, const gb_hello_res *res)
-{
-	return node->config_sent_epoch == res->epoch &&
-	       node->config_sent_version == node->config->version &&
-	       node_now() < node->config_resend_at;
-}
-
-/** Send the owner the configuration of this node if the owner's is older.  An
- * owner that is cut off from the operator's table, or reads an old copy of it,
- * would keep flows waiting that members with a newer version have accepted. */
-static void
-config_send_to_owner(
-    struct gb_node *node, const gb_hello_res *res, unsigned int rank)
-{
-	gb_time now = node_now();
-	gb_config_push push;
-
-	if (node->config == NULL || res->config >= node->config->version) {
-		node->owner_behind_since = 0;
-		return;
-	}
-	if (node->owner_behind_since == 0)
-		node->owner_behind_since = now;
-	if (node->config_in_flight || config_sent_recently(node, res) ||
-	    rank >= PUSH_RANKS_MAX ||
-	    now - node->owner_behind_since <
-		PUSH_AFTER + PUSH_RANK_DELAY * (gb_time)rank)
-		return;
-	node->config_in_flight = true;
-	node->config_sent_epoch = res->epoch;
-	node->config_sent_version = node->config->version;
-	push.text.gb_body_val = node->config_text;
-	push.text.gb_body_len = (u_int)node->config_len;
-	gb_rpc_client_call(gb_rpc_pool_get(node->peers, node->watch.owner),
-	    GB_PROC_CONFIG, &push, HELLO_TIMEOUT, config_send_done, node);
-}
-
 /** A hello that is in flight. */
 struct hello_call {
 	struct gb_node *node;
@@ -201,7 +129,9 @@
 	node->owner_link_was_full = status.link_full;
 	status.place = succession_from_hello(node, res);
 	node->owner_shed_percent = res->shed;
-	config_send_to_owner(node, res, res->rank);
+	if (res->config_source != NULL)
+		snprintf(node->fetch.named, sizeof(node->fetch.named), "%s",
+		    res->config_source);
 	watch_hello_answered(&node->watch, now, &status);
 }
 
@@ -293,40 +223,16 @@
 
 /* Serving ----------------------------------------------------------------- */
 
-/** Whether to send a member the configuration in the answer to its hello.
- * Members read it from the store themselves; it is sent only to those that have
- * not done so for some time. */
-static bool
-config_push_due(struct gb_node *node, const struct gb_hello *hello)
-{
-	struct node_member *member;
-	gb_time now = node_now();
-	uint64_t rate;
-
-	if (node->config == NULL || hello->config >= node->config->version)
-		return false;
-	HASH_FIND_STR(node->members, hello->addr, member);
-	if (member != NULL && member->behind_since == 0)
-		member->behind_since = now;
-	if ((member != NULL && now - member->behind_since < PUSH_AFTER) ||
-	    node->config_push_at > now)
-		return false;
-	rate = gb_link_rate(gb_env_link(node->env)) / PUSH_LINK_DIVISOR;
-	if (rate == 0 || rate > PUSH_BYTES_PER_S_MAX)
-		rate = PUSH_BYTES_PER_S_MAX;
-	node->config_push_at =
-	    now + (gb_time)(node->config_len * GB_SEC / rate);
-	return true;
-}
-
 static void
 serve_hello(
     struct gb_node *node, struct gb_rpc_call *call, const gb_hello *hello)
 {
 	gb_hello_res res = {0};
 	gb_time now = node_now();
+	char none[] = "";
 
 	res.rank = SUCCESSION_UNRANKED;
+	res.config_source = none;
 	node_config_announced(node, hello->config);
 	gb_pool_epoch_found(node->pool, now, hello->epoch);
 	/* A node that has released the pool still answers as an owner that
@@ -351,22 +257,15 @@
 		    NODE_USES(node, GB_FEATURE_STORE_CHECK) &&
 		    gb_pool_store_unavailable(node->pool);
 		res.shed = node_shed_percent(node);
+		res.config_source =
+		    (char *)node_config_source(node, hello->config);
 	}
 	res.config = node->config == NULL ? 0 : node->config->version;
-	if (config_push_due(node, hello)) {
-		res.config_text.gb_body_val = node->config_text;
-		res.config_text.gb_body_len = (u_int)node->config_len;
-		gb_event(node->events, GB_EVENT_ALWAYS, "config_sent",
-		    "{s:s, s:I, s:I, s:I}", "to", hello->name, "version",
-		    (json_int_t)node->config->version, "behind",
-		    (json_int_t)hello->config, "bytes",
-		    (json_int_t)node->config_len);
-	}
 	gb_rpc_call_reply(call, &res);
 	free(res.members.members_val);
 }
 
-/** Receive a configuration that a member has sent to this owner. */
+/** Receive a configuration from a member that runs an older program. */
 static void
 serve_config(
     struct gb_node *node, struct gb_rpc_call *call, const gb_config_push *push)
@@ -418,6 +317,9 @@
 	case GB_PROC_CONFIG:
 		serve_config(node, call, arg);
 		break;
+	case GB_PROC_CONFIG_FETCH:
+		node_serve_config_fetch(node, call, arg);
+		break;
 	default:
 		gb_rpc_call_refuse(call);
 		break;
--- a/tests/relay.c
+++ b/tests/relay.c
@@ -17,12 +17,14 @@
 
 /** Interval at which bytes are forwarded, in milliseconds. */
 #define RELAY_TICK_MS 5
-/** Bytes of a read. */
-#define RELAY_READ_BYTES 65536
+/** Bytes of a read.  The connections take turns with so many bytes each. */
+#define RELAY_READ_BYTES 4096
 
-/** Bytes that were read and are not forwarded yet. */
+/** Bytes that were read and are not forwarded yet.  A side of a server is not
+ * read while one of its chunks waits. */
 struct relay_chunk {
 	TAILQ_ENTRY(relay_chunk) next;
+	struct relay_side *from;
 	struct relay_side *to;
 	uv_write_t write;
 	char *data;
@@ -72,6 +74,9 @@
 		on_written(&chunk->write, -1);
 }
 
+static void on_alloc(uv_handle_t *, size_t, uv_buf_t *);
+static void on_read(uv_stream_t *, ssize_t, const uv_buf_t *);
+
 /** Forward what the bandwidth allows, in the order in which it was read. */
 static void
 on_tick(uv_timer_t *timer)
@@ -84,10 +89,13 @@
 	       chunk->len <= relay->budget) {
 		relay->budget -= chunk->len;
 		TAILQ_REMOVE(&relay->queue, chunk, next);
+		if (chunk->from->open)
+			uv_read_start((uv_stream_t *)&chunk->from->tcp,
+			    on_alloc, on_read);
 		chunk_send(chunk);
 	}
-	if (chunk == NULL)
-		relay->budget = 0;
+	if (chunk == NULL && relay->budget > RELAY_READ_BYTES)
+		relay->budget = RELAY_READ_BYTES;
 }
 
 /** Sides are freed at the end of the process, as chunks refer to them. */
@@ -123,13 +131,16 @@
 		return;
 	}
 	chunk = gb_calloc(1, sizeof(*chunk));
+	chunk->from = side;
 	chunk->to = side->other;
 	chunk->data = buf->base;
 	chunk->len = (size_t)n;
-	if (side->is_server)
-		TAILQ_INSERT_TAIL(&side->relay->queue, chunk, next);
-	else
+	if (!side->is_server) {
 		chunk_send(chunk);
+		return;
+	}
+	uv_read_stop(stream);
+	TAILQ_INSERT_TAIL(&side->relay->queue, chunk, next);
 }
 
 static void
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -834,14 +834,15 @@
 	assert_int_equal(refused, 0);
 }
 
-/** Answers to hellos from programs that do not send the last field, `shed`, are
- * decoded; the field is 0 then. */
+/** Answers to hellos from programs that do not send the last fields, `shed` and
+ * `config_source`, are decoded; these are 0 or null then. */
 static void
 test_older_hello_answers_are_decoded(void **state)
 {
 	const struct gb_rpc_method *method = &gb_rpc_methods[GB_PROC_HELLO];
 	char none[] = "";
-	gb_hello_res written = {.owner_addr = none, .epoch = 7, .shed = 40};
+	gb_hello_res written = {
+	    .owner_addr = none, .epoch = 7, .shed = 40, .config_source = none};
 	gb_hello_res read = {0};
 	gb_body body;
 
@@ -849,6 +850,13 @@
 	assert_true(gb_xdr_encode(method->res, &written, &body));
 	assert_true(gb_xdr_decode(method->res, &body, &read));
 	assert_int_equal(read.shed, 40);
+	assert_string_equal(read.config_source, "");
+	xdr_free(method->res, (char *)&read);
+	memset(&read, 0, sizeof(read));
+	body.gb_body_len -= BYTES_PER_XDR_UNIT;
+	assert_true(gb_xdr_decode(method->res, &body, &read));
+	assert_int_equal(read.shed, 40);
+	assert_null(read.config_source);
 	xdr_free(method->res, (char *)&read);
 	memset(&read, 0, sizeof(read));
 	body.gb_body_len -= BYTES_PER_XDR_UNIT;
