Tell members who owns the pool, and let them ask each other

What callers saw: while the store turned 40 of 44 instances away, their requests were given up with no owner or the former one, and no change of the configuration came into force there until the store was back (15.0 s; 16.5 s with 31 of 44). Cause: the owner of the pool was learned from the store alone, and its versions from the owner alone. A former owner that the store rejects went on as the owner until a worker told it.

Now a new owner sends a hello, which names its epoch, to the former owner and to all members that it knows, 16 in each tick. Whoever hears of a newer epoch asks the sender who owns the pool, and a node that neither reaches an owner nor gets an answer from the store asks three members each 0.2 s. An answer names an owner only together with that owner's epoch: before, a node that had heard of an epoch named the former owner with it. A node that the store rejects fetches a newer configuration at once.

test_new_owner_is_known_without_the_store failed before.

--- a/libgooseberry/node/config_fetch.c
+++ b/libgooseberry/node/config_fetch.c
@@ -5,8 +5,8 @@
  * The store sends most versions sooner, but it may reject this node, and on a
  * thin link its answer takes long.  Any node that has a version serves it, in
  * compressed form.  A fetch has a connection of its own, so that hellos don't
- * wait behind the text, and goes on for as long as bytes arrive: a transfer that
- * is cut and repeated may never end, and keeps the link full.
+ * wait behind the text, and goes on for as long as bytes arrive: a transfer
+ * that is cut and repeated may never end, and keeps the link full.
  */
 #include <stdlib.h>
 #include <string.h>
@@ -17,7 +17,8 @@
 #include "node_state.h"
 
 /** Time for which a node has known of a newer version before it asks another
- * node for it.  All nodes must have it within 2 s. */
+ * node for it, unless the store rejects this node.  All nodes must have it
+ * within 2 s. */
 #define FETCH_AFTER (500 * GB_MSEC)
 /** Pause from one fetch to the next. */
 #define FETCH_INTERVAL (100 * GB_MSEC)
@@ -133,10 +134,12 @@
 fetch_is_due(const struct gb_node *node)
 {
 	const struct config_fetch *fetch = &node->fetch;
+	gb_time after = node_store_unavailable(node) ? 0 : FETCH_AFTER;
 	gb_time now = node_now();
 
 	if (fetch->client != NULL || now < fetch->next_at ||
-	    node_config_behind_for(node) < FETCH_AFTER)
+	    !gb_node_config_behind(node) ||
+	    node_config_behind_for(node) < after)
 		return false;
 	return fetch->unreadable != node->config_newest_known ||
 	       now >= fetch->unreadable_until;
--- a/libgooseberry/node/node.c
+++ b/libgooseberry/node/node.c
@@ -222,6 +222,7 @@
 	node->released = !owns && !handed && node->leaving;
 	if (owns) {
 		node->owned_at = node_now();
+		node->members_told = 0;
 		shed_begin(&node->shed, gb_pool_loads_by_pages(node->pool));
 	}
 	node->platform.follow_workers(node->platform.data, owns);
@@ -430,10 +431,13 @@
 			return;
 		gb_pool_member_update(node->pool, node_now(),
 		    node->settings.addr, !node->leaving);
+		node_tell_members(node);
 		node_handover_to_larger(node);
 		node_handover_tick(node);
 		return;
 	}
+	if (watch_inquiry_due(&node->watch, node_now()))
+		node_inquire_owner(node);
 	switch (watch_next(&node->watch, node_now())) {
 	case WATCH_READ_ROW:
 		owner_row_request(node);
@@ -452,6 +456,8 @@
 		owner_monitor_takeover_decided(node);
 		epoch = node->watch.epoch;
 		cause = watch_takeover_cause(&node->watch, node_now());
+		snprintf(node->former_owner, sizeof(node->former_owner), "%s",
+		    node->watch.owner);
 		watch_pool_lost(&node->watch, node_now(), 0);
 		gb_pool_acquire(node->pool, node_now(), epoch, cause);
 		break;
--- a/libgooseberry/node/node_state.h
+++ b/libgooseberry/node/node_state.h
@@ -161,6 +161,10 @@
 	char (*known_members)[GB_NAME_MAX + 1];
 	size_t known_members_count;
 	uint64_t known_members_vers; /**< the owner's version of that list */
+	/** Owner from which this node took the pool over, or empty. */
+	char former_owner[GB_NAME_MAX + 1];
+	/** Known members that this owner has told of its ownership. */
+	size_t members_told;
 	struct node_call *calls;
 	unsigned int store_failures; /**< failed store calls in a row */
 	gb_time store_probe_at;	     /**< earliest time of the next probe */
@@ -273,5 +277,10 @@
 void node_hello(struct gb_node *);
 /** Poll some members about the owner. */
 void node_poll_members(struct gb_node *);
+/** Ask some members who owns the pool. */
+void node_inquire_owner(struct gb_node *);
+/** Tell the known members that this node owns the pool: some of them at each
+ * call, until all were told. */
+void node_tell_members(struct gb_node *);
 
 #endif
--- a/libgooseberry/node/peers.c
+++ b/libgooseberry/node/peers.c
@@ -13,6 +13,9 @@
 #define HELLO_TIMEOUT (600 * GB_MSEC)
 /** Number of members that are polled about the owner. */
 #define POLL_MEMBERS_MAX 3
+/** Number of members that a new owner sends a hello to in each tick, so that it
+ * doesn't open hundreds of connections at once. */
+#define TELL_MEMBERS_MAX 16
 
 static gb_time
 hello_timeout(const struct gb_node *node)
@@ -165,6 +168,19 @@
 	    GB_PROC_HELLO, &hello, hello_timeout(node), hello_done, call);
 }
 
+/** Take note of what a member that was asked knows of the configuration and of
+ * the owner.  An owner of an earlier epoch than the newest one is not followed.
+ */
+static void
+member_answered(struct gb_node *node, const gb_hello_res *res)
+{
+	config_received(node, res, "member");
+	gb_pool_epoch_found(node->pool, node_now(), res->epoch);
+	if (res->epoch == gb_pool_epoch(node->pool))
+		watch_owner_named(
+		    &node->watch, node_now(), res->owner_addr, res->epoch);
+}
+
 /** A polled member answered with what it knows of the owner, or failed to. */
 static void
 poll_done(void *data, gb_verdict verdict, void *arg)
@@ -176,49 +192,110 @@
 		watch_add_vote(&node->watch, WATCH_VOTE_NONE);
 		return;
 	}
-	config_received(node, res, "member");
 	if (res->owner || res->acquiring ||
 	    res->owner_silent_us < node_owner_silence_max(node))
 		watch_add_vote(&node->watch, WATCH_VOTE_REACHABLE);
 	else
 		watch_add_vote(&node->watch, WATCH_VOTE_UNREACHABLE);
+	member_answered(node, res);
 }
 
-void
-node_poll_members(struct gb_node *node)
+/** A member that was asked who owns the pool answered, or failed to. */
+static void
+inquiry_done(void *data, gb_verdict verdict, void *arg)
 {
-	unsigned int asked = 0;
-	gb_hello hello;
-	size_t from; /**< random first member */
+	if (verdict == GB_RUN)
+		member_answered(data, arg);
+}
+
+/** Choose members to ask about the owner, from a random one on.  Returns their
+ * number; the addresses belong to the node. */
+static unsigned int
+members_choose(struct gb_node *node, const char *chosen[POLL_MEMBERS_MAX])
+{
+	unsigned int count = 0;
+	size_t from;
 	size_t i;
 
-	hello_fill(node, &hello);
-	from =
-	    node->known_members_count == 0
-		? 0
-		: gb_random_next(&node->watch.seed) % node->known_members_count;
-	for (i = 0; i < node->known_members_count && asked < POLL_MEMBERS_MAX;
+	if (node->known_members_count == 0)
+		return 0;
+	from = gb_random_next(&node->watch.seed) % node->known_members_count;
+	for (i = 0; i < node->known_members_count && count < POLL_MEMBERS_MAX;
 	     i++) {
 		const char *addr =
 		    node->known_members[(from + i) % node->known_members_count];
 
-		if (strcmp(addr, node->watch.owner) == 0)
-			continue;
-		asked++;
+		if (strcmp(addr, node->watch.owner) != 0)
+			chosen[count++] = addr;
 	}
-	owner_monitor_suspected(node, asked);
-	watch_poll_begun(&node->watch, node_now(), asked);
-	for (i = 0; i < node->known_members_count && asked > 0; i++) {
-		const char *addr =
-		    node->known_members[(from + i) % node->known_members_count];
+	return count;
+}
 
-		if (strcmp(addr, node->watch.owner) == 0)
-			continue;
-		asked--;
-		gb_rpc_client_call(gb_rpc_pool_get(node->peers, addr),
-		    GB_PROC_HELLO, &hello, hello_timeout(node), poll_done,
-		    node);
+/** Send a hello to members other than the owner. */
+static void
+members_ask(struct gb_node *node, gb_hello *hello, const char *const *members,
+    unsigned int count, gb_rpc_done done)
+{
+	unsigned int i;
+
+	for (i = 0; i < count; i++)
+		gb_rpc_client_call(gb_rpc_pool_get(node->peers, members[i]),
+		    GB_PROC_HELLO, hello, hello_timeout(node), done, node);
+}
+
+void
+node_poll_members(struct gb_node *node)
+{
+	const char *members[POLL_MEMBERS_MAX];
+	unsigned int count = members_choose(node, members);
+	gb_hello hello;
+
+	hello_fill(node, &hello);
+	owner_monitor_suspected(node, count);
+	watch_poll_begun(&node->watch, node_now(), count);
+	members_ask(node, &hello, members, count, poll_done);
+}
+
+void
+node_inquire_owner(struct gb_node *node)
+{
+	const char *members[POLL_MEMBERS_MAX];
+	unsigned int count = members_choose(node, members);
+	gb_hello hello;
+
+	hello_fill(node, &hello);
+	/* If this node has only heard of an epoch, its owner is to be found in
+	 * the store, and the members don't have to look for it as well. */
+	hello.epoch = node->watch.epoch;
+	members_ask(node, &hello, members, count, inquiry_done);
+}
+
+/** Ask one node who owns the pool. */
+static void
+node_ask(struct gb_node *node, const char *addr)
+{
+	gb_hello hello;
+
+	hello_fill(node, &hello);
+	members_ask(node, &hello, &addr, 1, inquiry_done);
+}
+
+/** A hello names the epoch of this owner.  Members that can't read the owner's
+ * row, and a former owner that the store rejects, learn of the new one by it.
+ */
+void
+node_tell_members(struct gb_node *node)
+{
+	unsigned int told;
+
+	if (node->former_owner[0] != '\0') {
+		node_ask(node, node->former_owner);
+		node->former_owner[0] = '\0';
 	}
+	for (told = 0; told < TELL_MEMBERS_MAX &&
+		       node->members_told < node->known_members_count;
+	     told++)
+		node_ask(node, node->known_members[node->members_told++]);
 }
 
 /* Serving ----------------------------------------------------------------- */
@@ -235,6 +312,9 @@
 	res.config_source = none;
 	node_config_announced(node, hello->config);
 	gb_pool_epoch_found(node->pool, now, hello->epoch);
+	if (!gb_pool_owns(node->pool) && !gb_pool_acquiring(node->pool) &&
+	    watch_epoch_heard(&node->watch, now, hello->epoch))
+		node_ask(node, hello->addr);
 	/* A node that has released the pool still answers as an owner that
 	 * vacates it, so that a successor claims it at once. */
 	res.owner = gb_pool_owns(node->pool) || node->released;
@@ -245,7 +325,11 @@
 	/* The epoch of the member that the pool was handed to may be newer. */
 	if (node->watch.epoch > res.epoch)
 		res.epoch = node->watch.epoch;
-	res.owner_addr = node->watch.owner;
+	/* This node may have heard of an epoch and not know its owner yet. */
+	res.owner_addr =
+	    res.epoch == node->watch.epoch ? node->watch.owner : none;
+	if (res.acquiring)
+		res.owner_addr = node->settings.addr;
 	res.owner_silent_us = watch_owner_silence(&node->watch, now);
 	if (gb_pool_owns(node->pool)) {
 		node_members_fill(node, node_member_hello_received(node, hello),
--- a/libgooseberry/node/watch.c
+++ b/libgooseberry/node/watch.c
@@ -92,6 +92,11 @@
 #define WATCH_SMALL_NODE_DELAY (400 * GB_MSEC)
 /** Milli-cores of a processor core. */
 #define CORE_MILLI 1000
+/** A read of the owner's row that takes longer than this is not waited for:
+ * members are asked as well. */
+#define WATCH_READ_LATE (150 * GB_MSEC)
+/** Interval at which members are asked who owns the pool. */
+#define WATCH_INQUIRY_INTERVAL (200 * GB_MSEC)
 /** Time that polled members have to answer. */
 #define WATCH_POLL_TIMEOUT (350 * GB_MSEC)
 
@@ -423,6 +428,7 @@
 		w->store_read_at = now;
 	}
 	w->read_in_flight = false;
+	w->read_failed = false;
 	w->next_read = now + WATCH_READ_INTERVAL + w->store_read_time;
 	if (addr[0] == '\0' || strcmp(addr, w->self) == 0) {
 		w->epoch = row->epoch;
@@ -461,6 +467,7 @@
 watch_read_failed(struct watch *w, gb_time now)
 {
 	w->read_in_flight = false;
+	w->read_failed = true;
 	w->owner_lacks_store = false;
 	w->store_ok_since = 0;
 	/* The next read goes to another partition. */
@@ -557,6 +564,41 @@
 	w->missed++;
 }
 
+void
+watch_owner_named(
+    struct watch *w, gb_time now, const char *owner, uint64_t epoch)
+{
+	bool unknown = w->owner[0] == '\0' && !w->vacant && epoch == w->epoch;
+
+	if (owner[0] == '\0' || strcmp(owner, w->self) == 0)
+		return;
+	if (epoch > w->epoch || unknown)
+		watch_pool_handed_over(w, now, owner, epoch);
+}
+
+bool
+watch_inquiry_due(struct watch *w, gb_time now)
+{
+	bool unanswered =
+	    w->read_failed ||
+	    (w->read_in_flight && now - w->read_sent > WATCH_READ_LATE);
+
+	if (!unanswered || (w->owner[0] != '\0' && w->missed == 0) ||
+	    w->next_inquiry > now)
+		return false;
+	w->next_inquiry = now + WATCH_INQUIRY_INTERVAL;
+	return true;
+}
+
+bool
+watch_epoch_heard(struct watch *w, gb_time now, uint64_t epoch)
+{
+	if (epoch <= w->epoch || w->next_inquiry > now)
+		return false;
+	w->next_inquiry = now + WATCH_INQUIRY_INTERVAL;
+	return true;
+}
+
 void
 watch_owner_acquiring(struct watch *w, gb_time now)
 {
--- a/libgooseberry/node/watch.h
+++ b/libgooseberry/node/watch.h
@@ -55,6 +55,7 @@
 	bool read_in_flight;	/**< a read of the owner's row */
 	bool read_compared; /**< the read in flight goes to renewal_add_read */
 	bool hello_in_flight;
+	bool read_failed;  /**< the last read failed */
 	gb_time next_read; /**< earliest time of the next read */
 	gb_time read_sent; /**< when the last read was sent */
 	/** Time for which messages may wait on a link like this node's. */
@@ -66,6 +67,7 @@
 	/** Since then the store has answered this node while the owner lacks
 	 * it; 0: it has not. */
 	gb_time store_ok_since;
+	gb_time next_inquiry;	  /**< see watch_inquiry_due */
 	gb_time next_hello;	  /**< earliest time of the next hello */
 	gb_time hello_sent;	  /**< when the last hello was sent */
 	gb_time hello_round_trip; /**< round trip of the last answered hello */
@@ -155,6 +157,16 @@
  * owner and epoch that it knows. */
 void watch_owner_denied(
     struct watch *, gb_time now, const char *owner, uint64_t epoch);
+/** A member named the owner that it knows, and its epoch. */
+void watch_owner_named(
+    struct watch *, gb_time now, const char *owner, uint64_t epoch);
+/** Whether to ask members who owns the pool: this node reaches no owner, and
+ * the store does not tell it.  When this is true, the caller asks them at once.
+ */
+bool watch_inquiry_due(struct watch *, gb_time now);
+/** A hello came from a node that knows this epoch.  Returns whether to ask that
+ * node who owns the pool. */
+bool watch_epoch_heard(struct watch *, gb_time now, uint64_t epoch);
 /** The node in the owner's row is still taking the pool over: wait for it. */
 void watch_owner_acquiring(struct watch *, gb_time now);
 /** A hello got no answer.
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -622,12 +622,14 @@
 	cell->store_refuses[former] = true;
 	cell->store_refuses[rejected] = true;
 	until = gb_clock_boot() + 6 * GB_SEC;
-	while (cell_owner(cell) != served && gb_clock_boot() < until)
+	while (
+	    !gb_pool_owns(cell->nodes[served]->pool) && gb_clock_boot() < until)
 		uv_run(&cell->loop, UV_RUN_ONCE);
-	assert_int_equal(cell_owner(cell), served);
+	assert_true(gb_pool_owns(cell->nodes[served]->pool));
 	gb_node_config_received(cell->nodes[served], "5", 1);
 	assert_true(
 	    cell_wait_version(cell, 5, CONFIG_DELAY_MAX) < CONFIG_DELAY_MAX);
+	assert_false(gb_pool_owns(cell->nodes[former]->pool));
 	assert_string_equal(cell->nodes[rejected]->watch.owner,
 	    cell->nodes[served]->settings.addr);
 	cell_submit(cell, rejected, "00000000000000c1");
