--- a/libgooseberry/node/config_fetch.c
+++ b/libgooseberry/node/config_fetch.c
@@ -31,6 +31,9 @@
  * an owner and for other nodes. */
 #define SERVE_OWNER_DIVISOR 10
 #define SERVE_MEMBER_DIVISOR 2
+/** Answers may wait on the link for so long.  Members learn of a version at the
+ * same time, and then several ask one node. */
+#define SERVE_WAIT_MAX (200 * GB_MSEC)
 
 /** Choose a member whose version is newer than that of this owner; null if no
  * member has one. */
@@ -187,21 +190,24 @@
 		packed->len = len;
 }
 
-/** Take the time that the configuration may use the link for; false if an
- * earlier answer uses it still. */
+/** Take the time that the configuration may use the link for; false if earlier
+ * answers use it for too long. */
 static bool
 serve_link_take(struct gb_node *node, size_t bytes)
 {
 	uint64_t rate = gb_link_rate(gb_env_link(node->env)) /
 			(gb_pool_owns(node->pool) ? SERVE_OWNER_DIVISOR
 						  : SERVE_MEMBER_DIVISOR);
+	gb_time *until = &node->packed.served_until;
 	gb_time now = node_now();
 
 	if (rate == 0)
 		return true;
-	if (node->packed.served_until > now)
+	if (*until > now + SERVE_WAIT_MAX)
 		return false;
-	node->packed.served_until = now + (gb_time)(bytes * GB_SEC / rate);
+	if (*until < now)
+		*until = now;
+	*until += (gb_time)(bytes * GB_SEC / rate);
 	return true;
 }
 
