--- a/tests/relay.c
+++ b/tests/relay.c
@@ -35,6 +35,7 @@
 
 /** One socket of a connection. */
 struct relay_side {
+	LIST_ENTRY(relay_side) next;
 	uv_tcp_t tcp;
 	uv_connect_t connect;
 	struct relay *relay;
@@ -43,7 +44,11 @@
 	bool open;
 };
 
+LIST_HEAD(relay_sides, relay_side);
+
 struct relay {
+	LIST_ENTRY(relay) next;
+	struct relay_sides sides;
 	uv_tcp_t listener;
 	uv_timer_t timer;
 	struct sockaddr_in server;
@@ -52,6 +57,12 @@
 	struct relay_chunks queue;
 };
 
+LIST_HEAD(relay_list, relay);
+
+/** All relays.  They and their sides stay allocated, as chunks refer to them.
+ */
+static struct relay_list relays = LIST_HEAD_INITIALIZER(relays);
+
 static void
 on_written(uv_write_t *write, int status)
 {
@@ -67,7 +78,6 @@
 {
 	uv_buf_t buf = uv_buf_init(chunk->data, (unsigned int)chunk->len);
 
-	chunk->write.data = chunk;
 	if (!chunk->to->open ||
 	    uv_write(&chunk->write, (uv_stream_t *)&chunk->to->tcp, &buf, 1,
 		on_written) != 0)
@@ -98,7 +108,6 @@
 		relay->budget = RELAY_READ_BYTES;
 }
 
-/** Sides are freed at the end of the process, as chunks refer to them. */
 static void
 side_close(struct relay_side *side)
 {
@@ -131,6 +140,7 @@
 		return;
 	}
 	chunk = gb_calloc(1, sizeof(*chunk));
+	chunk->write.data = chunk;
 	chunk->from = side;
 	chunk->to = side->other;
 	chunk->data = buf->base;
@@ -170,6 +180,7 @@
 	side->open = true;
 	uv_tcp_init(relay->listener.loop, &side->tcp);
 	side->tcp.data = side;
+	LIST_INSERT_HEAD(&relay->sides, side, next);
 	side->connect.data = side;
 	return side;
 }
@@ -193,7 +204,7 @@
 	    0);
 }
 
-void
+struct relay *
 relay_new(uv_loop_t *loop, const char *listen, const char *server,
     uint64_t bytes_per_s)
 {
@@ -213,4 +224,31 @@
 	uv_timer_init(loop, &relay->timer);
 	relay->timer.data = relay;
 	uv_timer_start(&relay->timer, on_tick, RELAY_TICK_MS, RELAY_TICK_MS);
+	LIST_INSERT_HEAD(&relays, relay, next);
+	return relay;
+}
+
+void
+relay_stop(struct relay *relay)
+{
+	relay->bytes_per_tick = 0;
+	relay->budget = 0;
+}
+
+void
+relay_close(struct relay *relay)
+{
+	struct relay_chunk *chunk;
+	struct relay_side *side;
+
+	while ((chunk = TAILQ_FIRST(&relay->queue)) != NULL) {
+		TAILQ_REMOVE(&relay->queue, chunk, next);
+		on_written(&chunk->write, -1);
+	}
+	LIST_FOREACH(side, &relay->sides, next)
+	{
+		side_close(side);
+	}
+	uv_close((uv_handle_t *)&relay->listener, NULL);
+	uv_close((uv_handle_t *)&relay->timer, NULL);
 }
--- a/tests/test_rpc.c
+++ b/tests/test_rpc.c
@@ -17,9 +17,15 @@
 #include <uv.h>
 
 #include "gooseberry.h"
+#include "relay.h"
 
 /** Size of a body that comes in many reads, in bytes. */
 #define LARGE_BODY_SIZE (3 * 1024 * 1024)
+/** Bandwidth of a slow link in bytes per second; a body of that size takes a
+ * second. */
+#define SLOW_LINK 200000
+/** Timeout of calls over it. */
+#define SLOW_TIMEOUT (200 * GB_MSEC)
 /** Bit of a record's first word, next to its length: the last fragment. */
 #define RECORD_LAST_FRAGMENT 0x80000000u
 
@@ -32,6 +38,7 @@
 	uv_loop_t loop;
 	struct gb_rpc_server *server;
 	struct gb_rpc_client *client;
+	struct relay *relay; /**< null: the client calls the server directly */
 	enum serve_mode mode;
 	unsigned int served;		   /**< calls that arrived */
 	struct gb_rpc_call *unanswered[8]; /**< calls that SERVE_NEVER kept */
@@ -132,6 +139,63 @@
 	assert_true(f->body_same);
 }
 
+/** Calls the server with a large body over a link that carries the answer in
+ * five times the timeout of the call. */
+static void
+slow_link_call(struct fixture *f, gb_time stall)
+{
+	char addr[64];
+
+	snprintf(addr, sizeof(addr), "127.0.0.2%s", strchr(f->addr, ':'));
+	f->relay = relay_new(&f->loop, addr, f->addr, SLOW_LINK);
+	gb_rpc_client_free(f->client);
+	f->client = gb_rpc_client_new(&f->loop, &env, addr);
+	gb_rpc_client_set_stall(f->client, stall);
+	exec_call(f, SLOW_LINK, SLOW_TIMEOUT);
+}
+
+/** An answer takes longer than the timeout of its call, as a configuration on a
+ * thin link.  It is received if its call may go on while bytes arrive. */
+static void
+test_answer_that_keeps_arriving_is_received(void **state)
+{
+	struct fixture *f = *state;
+
+	slow_link_call(f, SLOW_TIMEOUT);
+	run_until(f, 1);
+	assert_int_equal(f->verdict, GB_RUN);
+	assert_int_equal(f->body_len, SLOW_LINK);
+}
+
+/** The same with a call that ends at its deadline, as most do. */
+static void
+test_answer_is_cut_at_the_deadline(void **state)
+{
+	struct fixture *f = *state;
+
+	slow_link_call(f, 0);
+	run_until(f, 1);
+	assert_int_equal(f->verdict, GB_MAYBE_RUN);
+}
+
+/** No more bytes come within an answer.  Its call ends after the longest pause
+ * that is allowed. */
+static void
+test_answer_that_stops_is_given_up(void **state)
+{
+	struct fixture *f = *state;
+	gb_time until = gb_clock_boot() + 2 * SLOW_TIMEOUT;
+
+	slow_link_call(f, SLOW_TIMEOUT);
+	while (gb_clock_boot() < until)
+		uv_run(&f->loop, UV_RUN_ONCE);
+	assert_int_equal(f->ended, 0);
+	relay_stop(f->relay);
+	run_until(f, 1);
+	assert_int_equal(f->verdict, GB_MAYBE_RUN);
+	assert_in_range(gb_clock_boot() - until, SLOW_TIMEOUT / 2, GB_SEC);
+}
+
 /** A call that was sent and not answered may have run. */
 static void
 test_no_answer_may_have_run(void **state)
@@ -386,6 +450,8 @@
 		if (f->unanswered[i] != NULL)
 			gb_rpc_call_refuse(f->unanswered[i]);
 	}
+	if (f->relay != NULL)
+		relay_close(f->relay);
 	while (uv_run(&f->loop, UV_RUN_NOWAIT) != 0)
 		continue;
 	assert_int_equal(uv_loop_close(&f->loop), 0);
@@ -397,6 +463,12 @@
 main(void)
 {
 	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test_setup_teardown(
+		test_answer_that_keeps_arriving_is_received, setup, teardown),
+	    cmocka_unit_test_setup_teardown(
+		test_answer_is_cut_at_the_deadline, setup, teardown),
+	    cmocka_unit_test_setup_teardown(
+		test_answer_that_stops_is_given_up, setup, teardown),
 	    cmocka_unit_test_setup_teardown(
 		test_large_body_whole, setup, teardown),
 	    cmocka_unit_test_setup_teardown(
--- a/tests/test_watch.c
+++ b/tests/test_watch.c
@@ -571,6 +571,90 @@
 	assert_string_equal(watch_cause_name(WATCH_CAUSE_NO_ROW), "no_row");
 }
 
+/** A member names an owner.  It is followed if its epoch is newer, or if this
+ * node knows no owner of that epoch; one of an earlier epoch is not. */
+static void
+test_named_owner_is_followed_if_newer(void **state)
+{
+	struct watch w;
+
+	(void)state;
+	setup(&w);
+	watch_owner_named(&w, now, "10.0.0.7:70", 1);
+	assert_string_equal(w.owner, OWNER);
+	watch_owner_named(&w, now, "10.0.0.7:70", 2);
+	assert_string_equal(w.owner, "10.0.0.7:70");
+	watch_owner_named(&w, now, OWNER, 1);
+	assert_string_equal(w.owner, "10.0.0.7:70");
+	watch_owner_named(&w, now, "", 3);
+	watch_owner_named(&w, now, SELF, 3);
+	assert_string_equal(w.owner, "10.0.0.7:70");
+	watch_pool_lost(&w, now, 0);
+	watch_owner_named(&w, now, "10.0.0.7:70", 2);
+	assert_string_equal(w.owner, "10.0.0.7:70");
+}
+
+/** A released row names no owner.  A member that still names the former one
+ * doesn't keep this node from taking the pool over. */
+static void
+test_named_owner_does_not_end_a_vacancy(void **state)
+{
+	struct watch w;
+
+	(void)state;
+	setup(&w);
+	deliver_row(&w, "", 2);
+	assert_true(w.vacant);
+	watch_pool_lost(&w, now, 0);
+	deliver_row(&w, "", 2);
+	watch_owner_named(&w, now, OWNER, 2);
+	assert_true(w.vacant);
+}
+
+/** Members are asked for the owner only while neither the owner nor the store
+ * answers, and then at intervals. */
+static void
+test_members_are_asked_without_owner_and_store(void **state)
+{
+	struct watch w;
+
+	(void)state;
+	setup(&w);
+	assert_false(watch_inquiry_due(&w, now));
+	watch_read_sent(&w, now);
+	watch_read_failed(&w, now);
+	assert_false(watch_inquiry_due(&w, now));
+	watch_hello_failed(&w, now, false);
+	assert_true(watch_inquiry_due(&w, now));
+	assert_false(watch_inquiry_due(&w, now));
+	now += 250 * GB_MSEC;
+	assert_true(watch_inquiry_due(&w, now));
+	now += 250 * GB_MSEC;
+	deliver_row(&w, OWNER, 1);
+	assert_false(watch_inquiry_due(&w, now));
+	/* A read that takes long counts as one without an answer. */
+	watch_read_sent(&w, now);
+	assert_false(watch_inquiry_due(&w, now));
+	now += 250 * GB_MSEC;
+	assert_true(watch_inquiry_due(&w, now));
+}
+
+/** A hello names a newer epoch than that of the owner that is followed: its
+ * sender is asked, but not again at once. */
+static void
+test_sender_of_a_newer_epoch_is_asked(void **state)
+{
+	struct watch w;
+
+	(void)state;
+	setup(&w);
+	assert_false(watch_epoch_heard(&w, now, 1));
+	assert_true(watch_epoch_heard(&w, now, 2));
+	assert_false(watch_epoch_heard(&w, now, 2));
+	now += 250 * GB_MSEC;
+	assert_true(watch_epoch_heard(&w, now, 2));
+}
+
 int
 main(void)
 {
@@ -596,6 +680,10 @@
 	    cmocka_unit_test(test_takeover_has_a_cause),
 	    cmocka_unit_test(test_silence_has_a_cause),
 	    cmocka_unit_test(test_causes_have_names),
+	    cmocka_unit_test(test_named_owner_is_followed_if_newer),
+	    cmocka_unit_test(test_named_owner_does_not_end_a_vacancy),
+	    cmocka_unit_test(test_members_are_asked_without_owner_and_store),
+	    cmocka_unit_test(test_sender_of_a_newer_epoch_is_asked),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
