Fetch the first configuration from other nodes too

A node that the store rejects from its start on is told of the owner by the next one that takes over, but had no version to compare with, and waited for the store.

--- a/libgooseberry/node/config_fetch.c
+++ b/libgooseberry/node/config_fetch.c
@@ -35,6 +35,13 @@
  * same time, and then several ask one node. */
 #define SERVE_WAIT_MAX (200 * GB_MSEC)
 
+/** Version of the configuration that this node has, 0: none yet. */
+static uint64_t
+own_version(const struct gb_node *node)
+{
+	return node->config == NULL ? 0 : node->config->version;
+}
+
 /** Choose a member whose version is newer than that of this owner; null if no
  * member has one. */
 static const char *
@@ -45,7 +52,7 @@
 	unsigned int seen = 0;
 
 	for (member = node->members; member != NULL; member = member->hh.next) {
-		if (member->config > node->config->version &&
+		if (member->config > own_version(node) &&
 		    gb_random_next(&node->watch.seed) % ++seen == 0)
 			source = member->addr;
 	}
@@ -98,7 +105,7 @@
 	if (text != NULL)
 		node_config_received(node, text, res->len, fetch->from);
 	free(text);
-	if (node->config != NULL && node->config->version >= res->config)
+	if (own_version(node) >= res->config)
 		return;
 	fetch->unreadable = res->config;
 	fetch->unreadable_until = node_now() + FETCH_UNREADABLE_PAUSE;
@@ -141,7 +148,7 @@
 	gb_time now = node_now();
 
 	if (fetch->client != NULL || now < fetch->next_at ||
-	    !gb_node_config_behind(node) ||
+	    node->config_newest_known <= own_version(node) ||
 	    node_config_behind_for(node) < after)
 		return false;
 	return fetch->unreadable != node->config_newest_known ||
@@ -156,13 +163,13 @@
 	gb_config_ask ask = {0};
 	const char *source;
 
-	if (node->config == NULL || !fetch_is_due(node))
+	if (!fetch_is_due(node))
 		return;
 	source = fetch_source(node);
 	if (source == NULL)
 		return;
 	snprintf(fetch->from, sizeof(fetch->from), "%s", source);
-	ask.config = node->config->version;
+	ask.config = own_version(node);
 	fetch->client = gb_rpc_client_new(node->loop, node->env, fetch->from);
 	gb_rpc_client_set_stall(fetch->client, FETCH_TIMEOUT + delay);
 	gb_rpc_client_call(fetch->client, GB_PROC_CONFIG_FETCH, &ask,
@@ -218,13 +225,12 @@
 	gb_config_res res = {0};
 
 	node_config_announced(node, ask->config);
-	if (node->config == NULL || ask->config >= node->config->version) {
-		res.config = node->config == NULL ? 0 : node->config->version;
+	res.config = own_version(node);
+	if (ask->config >= res.config) {
 		gb_rpc_call_reply(call, &res);
 		return;
 	}
 	config_pack(node);
-	res.config = node->config->version;
 	if (serve_link_take(node, node->packed.len)) {
 		res.len = (uint32_t)node->config_len;
 		res.packed.gb_body_val = node->packed.data;
@@ -244,10 +250,10 @@
 	const char *source = node->settings.addr;
 	unsigned int seen = 0;
 
-	if (node->config == NULL || version >= node->config->version)
+	if (version >= own_version(node))
 		return "";
 	for (member = node->members; member != NULL; member = member->hh.next) {
-		if (member->config >= node->config->version &&
+		if (member->config >= own_version(node) &&
 		    gb_random_next(&node->watch.seed) % ++seen == 0)
 			source = member->addr;
 	}
