Soak: the store rejects some nodes while the configuration changes

A store that rejects the owner and about two of three others, by silence or by resets, for 12 to 20 s, with a change of the configuration meanwhile. Unlike other faults it does not suspend the checks of the configuration: as callers see it, a version must be in force on every node within 7 s while the store rejects some, within 2 s otherwise.

--- a/soak/bites.sh
+++ b/soak/bites.sh
@@ -83,3 +83,9 @@
 breakage "a worker's next life is not noticed" $P/incarnation.c \
     's/return report->incarnation != worker->incarnation ||/return false \&\&/' \
     "--only worker_restart,rack_restart,worker_clock"
+breakage "members do not tell each other of the owner" libgooseberry/node/watch.c \
+    's/	if (epoch > w->epoch || unknown)/	if (false \&\& unknown)/' \
+    "--only store_rejects --seconds 30 --nodes 5"
+breakage "configurations come from the store alone" libgooseberry/node/config_fetch.c \
+    's/	if (!fetch_is_due(node))/	if (true || !fetch_is_due(node))/' \
+    "--only store_rejects --seconds 30 --nodes 5"
--- a/soak/fault.c
+++ b/soak/fault.c
@@ -34,6 +34,10 @@
 /** Duration of faults that pause nodes repeatedly. */
 #define PAUSES_MIN_MS 10000
 #define PAUSES_MAX_MS 30000
+/** Duration of a store that rejects some nodes: long enough for a change of the
+ * configuration to come into force meanwhile. */
+#define REJECTS_MIN_MS 12000
+#define REJECTS_MAX_MS 20000
 /** Time of the first fault with --storm, the interval of faults, and their
  * duration.  The last third of the run has no faults. */
 #define STORM_FIRST (4 * GB_SEC)
@@ -418,7 +422,10 @@
     PAUSES("all_starved", all_starved_step, true),
     KIND("worker_restart", worker_crash, worker_restart),
     KIND("rack_restart", rack_crash, rack_restart),
-    KIND("worker_clock", worker_clock_begin, NULL)};
+    KIND("worker_clock", worker_clock_begin, NULL),
+    {"store_rejects", false, store_rejects_begin, store_rejects_end,
+	store_rejects_step, SCOPE_NONE, CAUSE_NONE, true, REJECTS_MIN_MS,
+	REJECTS_MAX_MS}};
 
 #define KIND_COUNT (sizeof(kinds) / sizeof(kinds[0]))
 /** With --kinds up to this number no worker shrinks and no job crashes its
@@ -428,6 +435,8 @@
 #define KINDS_BEFORE_LASTING 52
 /** Number of the kinds that precede restarts of workers under their ids. */
 #define KINDS_BEFORE_RESTARTS 64
+/** Number of the kinds that precede a store that rejects some nodes. */
+#define KINDS_BEFORE_REJECTS 67
 /** One of this many workers has a lower capacity after all faults. */
 #define SHRUNK_WORKERS 3
 
@@ -444,6 +453,7 @@
 
 _Static_assert(KIND_COUNT > KINDS_BEFORE_LASTING, "new kinds must be last");
 _Static_assert(KIND_COUNT > KINDS_BEFORE_RESTARTS, "new kinds must be last");
+_Static_assert(KIND_COUNT > KINDS_BEFORE_REJECTS, "new kinds must be last");
 
 /** Kinds that faults are drawn from. */
 static const struct fault_kind *enabled[KIND_COUNT];
@@ -617,6 +627,12 @@
 		if (fault->kind->step != NULL)
 			fault->kind->step(fault);
 		fault_cause_add(fault);
+		/* The nodes reach each other, so that configurations come into
+		 * force on all of them. */
+		if (fault->kind->begin == store_rejects_begin) {
+			soak.store_rejects = soak_now();
+			continue;
+		}
 		node_of(fault)->fault_at = soak_now();
 		if (!fault->kind->planned)
 			soak.unplanned = soak_now();
--- a/soak/fault.h
+++ b/soak/fault.h
@@ -23,6 +23,7 @@
 	uint64_t random;	  /**< state of its own random numbers */
 	unsigned int pause_count; /**< pauses that have begun */
 	struct fault_pause *pauses; /**< by nodes, null until needed */
+	bool changed; /**< the configuration was changed meanwhile */
 	enum { FAULT_PENDING, FAULT_ACTIVE, FAULT_ENDED } state;
 };
 
@@ -41,7 +42,8 @@
 	unsigned int max_ms;
 };
 
-/* lasting.c: cuts between nodes, pauses, starvation. */
+/* lasting.c: cuts between nodes, a store that rejects some, pauses, starvation.
+ */
 
 /** Silence all open connections between nodes. */
 void peers_silence_begin(struct fault *);
@@ -59,6 +61,13 @@
 void members_split_begin(struct fault *);
 /** Undo the cuts of a fault. */
 void cut_end(struct fault *);
+/** Let the store reject some of the nodes, among them the owner, and serve the
+ * others. */
+void store_rejects_begin(struct fault *);
+/** Change the configuration once, and record causes for takeovers. */
+void store_rejects_step(struct fault *);
+/** Let the store serve all nodes again. */
+void store_rejects_end(struct fault *);
 /** Pause a node now and then. */
 void node_paused_step(struct fault *);
 /** Pause the current owner now and then. */
--- a/soak/lasting.c
+++ b/soak/lasting.c
@@ -1,7 +1,8 @@
 /**
  * @file lasting.c
  * Faults that last long: cuts between nodes, while the store and the workers
- * stay reachable, and nodes that are paused repeatedly.
+ * stay reachable, a store that rejects some of the nodes, and nodes that are
+ * paused repeatedly.
  */
 #include <signal.h>
 #include <stdlib.h>
@@ -168,6 +169,67 @@
 		proxy_silence(soak.nodes[i].peer_proxy);
 }
 
+/* Store ------------------------------------------------------------------- */
+
+/** Whether the store rejects a node: the owner and about two of three others.
+ * One node is always served. */
+static bool
+store_rejects_node(const struct fault *fault, unsigned int node)
+{
+	unsigned int served = fault->node + 1;
+
+	served += fault->worker % (soak.node_count - 1);
+	if (node == served % soak.node_count)
+		return false;
+	return node == fault->node || (node + fault->worker) % 3 != 0;
+}
+
+void
+store_rejects_begin(struct fault *fault)
+{
+	unsigned int i;
+
+	fault->node = takeover_owner();
+	for (i = 0; i < soak.node_count; i++) {
+		if (!store_rejects_node(fault, i))
+			continue;
+		/* The calls get no answer, or their connections are reset. */
+		if (fault->worker % 2 == 0) {
+			proxy_set(soak.nodes[i].store_proxy, PROXY_CUT, 0);
+			continue;
+		}
+		proxy_set(soak.nodes[i].store_proxy, PROXY_REFUSE, 0);
+		proxy_reset(soak.nodes[i].store_proxy);
+	}
+}
+
+void
+store_rejects_step(struct fault *fault)
+{
+	gb_time change_at = fault->at + (fault->until - fault->at) / 4;
+	unsigned int i;
+
+	for (i = 0; i < soak.node_count; i++) {
+		if (store_rejects_node(fault, i))
+			takeover_cause_add(i, CAUSE_DOWN);
+	}
+	if (fault->changed || soak_now() < change_at)
+		return;
+	fault->changed = true;
+	operator_change();
+}
+
+void
+store_rejects_end(struct fault *fault)
+{
+	unsigned int i;
+
+	for (i = 0; i < soak.node_count; i++) {
+		if (store_rejects_node(fault, i))
+			proxy_set(soak.nodes[i].store_proxy, PROXY_PASS, 0);
+	}
+}
+
 /* Pauses ------------------------------------------------------------------ */
 
 static struct fault_pause *
--- a/soak/operator.c
+++ b/soak/operator.c
@@ -11,6 +11,10 @@
 
 /** Longest time until a change is in force on nodes without recent faults. */
 #define CONFIG_DELAY_MAX (2 * GB_SEC)
+/** Longest additional time while the store rejects some nodes, and after it has
+ * done so for the time of the second constant. */
+#define CONFIG_SKEW_MAX (5 * GB_SEC)
+#define STORE_UNSTABLE_TIME (3 * GB_SEC)
 /** Time after a fault for which a node may still be reconnecting. */
 #define RECOVERY_TIME (3 * GB_SEC)
 #define PROBE_INTERVAL (250 * GB_MSEC)
@@ -139,10 +143,22 @@
 	       soak_now() - soak.unplanned > RECOVERY_TIME;
 }
 
+/** Whether the newest version must have been in force when a call was sent. */
+static bool
+config_is_due(gb_time sent)
+{
+	gb_time max = CONFIG_DELAY_MAX;
+
+	if (soak.store_rejects > 0 &&
+	    sent - soak.store_rejects < STORE_UNSTABLE_TIME)
+		max += CONFIG_SKEW_MAX;
+	return sent - changed_at > max;
+}
+
 void
 operator_key_refused(const struct soak_node *node, gb_time sent)
 {
-	if (node_is_calm(node) && sent - changed_at > CONFIG_DELAY_MAX)
+	if (node_is_calm(node) && config_is_due(sent))
 		soak_violation(
 		    "n%u turns a key away that is in force", node->number);
 }
@@ -183,8 +199,7 @@
 	if (node->config_seen >= probe->version)
 		soak_violation("n%u went back from version %u", node->number,
 		    probe->version);
-	else if (node_is_calm(node) &&
-		 probe->sent - changed_at > CONFIG_DELAY_MAX)
+	else if (node_is_calm(node) && config_is_due(probe->sent))
 		soak_violation("n%u does not know version %u", node->number,
 		    probe->version);
 }
@@ -239,7 +254,7 @@
 			continue;
 		probe_send(node, version, PROBE_ROUTE_NEW);
 		probe_send(node, VERSION_UNKNOWN, PROBE_KEY_UNKNOWN);
-		if (version > 1 && soak_now() - changed_at > CONFIG_DELAY_MAX) {
+		if (version > 1 && config_is_due(soak_now())) {
 			probe_send(node, version - 1, PROBE_ROUTE_REMOVED);
 			probe_send(node, version - 2, PROBE_KEY_REMOVED);
 		}
--- a/soak/proxy.c
+++ b/soak/proxy.c
@@ -290,6 +290,10 @@
 		link_close(link, true);
 		return;
 	}
+	if (proxy->mode == PROXY_REFUSE) {
+		link_close(link, true);
+		return;
+	}
 	link->client = client_node(&link->to_server.from);
 	link->handshake_cut = link_is_cut(link);
 	uv_read_start((uv_stream_t *)&link->to_server.from, on_alloc, on_read);
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -19,7 +19,8 @@
 	PROXY_DELAY,	/**< forward it after a delay */
 	PROXY_CUT_TO,	/**< hold back data to the server */
 	PROXY_CUT_FROM, /**< hold back data from the server */
-	PROXY_CUT	/**< hold back data in both directions */
+	PROXY_CUT,	/**< hold back data in both directions */
+	PROXY_REFUSE	/**< reset new connections */
 };
 
 struct proxy;
@@ -103,7 +104,8 @@
 	struct proxy **worker_proxies;
 	gb_time began;
 	unsigned int faults_active; /**< unused */
-	gb_time unplanned; /**< when an unplanned fault was last active */
+	gb_time unplanned;     /**< when an unplanned fault was last active */
+	gb_time store_rejects; /**< when the store last rejected some nodes */
 	unsigned int violations;
 	unsigned int cancel_percent; /**< jobs that their callers cancel */
 };
