--- a/soak/operator.c
+++ b/soak/operator.c
@@ -34,6 +34,11 @@
 static const char *const org_names[ORGS] = {"north", "south"};
 static unsigned int version;
 static gb_time changed_at;
+/** Longest time from a change to the first call that a node without recent
+ * faults answered by it, while the store served all nodes and while it rejected
+ * some. */
+static gb_time delay_longest;
+static gb_time delay_longest_rejected;
 
 enum probe_kind {
 	PROBE_ROUTE_NEW,     /**< a route that was added */
@@ -143,18 +148,45 @@
 	       soak_now() - soak.unplanned > RECOVERY_TIME;
 }
 
+/** Whether the store rejected some nodes shortly before a time. */
+static bool
+store_is_unstable(gb_time at)
+{
+	return soak.store_rejects > 0 &&
+	       at - soak.store_rejects < STORE_UNSTABLE_TIME;
+}
+
 /** Whether the newest version must have been in force when a call was sent. */
 static bool
 config_is_due(gb_time sent)
 {
 	gb_time max = CONFIG_DELAY_MAX;
 
-	if (soak.store_rejects > 0 &&
-	    sent - soak.store_rejects < STORE_UNSTABLE_TIME)
+	if (store_is_unstable(sent))
 		max += CONFIG_SKEW_MAX;
 	return sent - changed_at > max;
 }
 
+/** Record that the newest version is in force on a node for the first time. */
+static void
+delay_record(gb_time sent)
+{
+	gb_time *longest =
+	    store_is_unstable(sent) ? &delay_longest_rejected : &delay_longest;
+
+	if (sent - changed_at > *longest)
+		*longest = sent - changed_at;
+}
+
+void
+operator_report(void)
+{
+	printf("configurations: %u versions, in force after %lld ms at most, "
+	       "%lld ms while the store rejected some nodes\n",
+	    version, (long long)(delay_longest / GB_MSEC),
+	    (long long)(delay_longest_rejected / GB_MSEC));
+}
+
 void
 operator_key_refused(const struct soak_node *node, gb_time sent)
 {
@@ -191,6 +223,9 @@
 		return;
 	}
 	if (status == 200) {
+		if (node->config_seen < probe->version &&
+		    probe->version == version && node_is_calm(node))
+			delay_record(probe->sent);
 		node->config_seen = probe->version;
 		return;
 	}
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -118,6 +118,7 @@
 
 	fault_report();
 	caller_report();
+	operator_report();
 	printf("soak: seed=%llu nodes=%u workers=%u seconds=%u broken=%u "
 	       "takeovers=%u logs=%s\n",
 	    (unsigned long long)soak.seed, soak.node_count, soak.worker_count,
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -174,6 +174,8 @@
 /** Ask nodes for routes and with keys that are new or removed, and check the
  * answers. */
 void operator_tick(void);
+/** Print how long versions took to be in force, in one line. */
+void operator_report(void);
 /** Organisation of a caller. */
 const char *operator_org(unsigned int number);
 /** HTTP header with a key of a caller's organisation that is in both of the two
