--- a/libgooseberry/node/node_state.h
+++ b/libgooseberry/node/node_state.h
@@ -108,8 +108,8 @@
 	uint64_t version; /**< 0: none was compressed yet */
 	char *data;
 	size_t len;
-	gb_time
-	    served_until; /**< until then answers use their share of the link */
+	/** Until then answers use their share of the link. */
+	gb_time served_until;
 };
 
 struct gb_node {
