--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -551,7 +551,8 @@
 
 	for (i = 0; i < LARGE_CONFIG_BYTES; i++)
 		text[i] = digits[gb_random_next(&random) % 16];
-	memcpy(text, "5;", 2);
+	text[0] = '5';
+	text[1] = ';';
 	return text;
 }
 
