--- a/soak/soak.c
+++ b/soak/soak.c
@@ -10,6 +10,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <sys/stat.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include "soak.h"
@@ -108,6 +109,10 @@
 	for (i = 0; i < soak.node_count; i++)
 		node_signal(&soak.nodes[i], SIGKILL);
 	kill(soak.emulator, SIGKILL);
+	/* The next run uses the same ports, which are free when they have all
+	 * ended. */
+	while (wait(NULL) > 0)
+		continue;
 	exit(status);
 }
 
