Claim the pool when the newest epoch that was heard of has no owner

An epoch that a node heard of in a hello made it ignore the rows of earlier owners. When no node owns the pool with that epoch, as when a claim ends before its first write, all nodes ignored all rows, and the pool stayed without an owner. A row of an earlier epoch now counts once most partitions were found to have one: then no node owns the pool with the newer epoch.

--- a/libgooseberry/node/node.c
+++ b/libgooseberry/node/node.c
@@ -386,7 +386,9 @@
 	}
 	/* A partition that the owner could not attach names an earlier owner.
 	 */
-	if (record.row.epoch < gb_pool_epoch(node->pool)) {
+	if (record.row.epoch < gb_pool_epoch(node->pool) &&
+	    !watch_row_outdated(
+		&node->watch, node->row_partition, gb_pool_epoch(node->pool))) {
 		gb_owner_record_clear(&record);
 		owner_row_failed(node);
 		return;
@@ -412,6 +414,7 @@
 		    node->next_partition % GB_POOL_PARTITIONS_RENEWED;
 	else
 		read.partition = node->next_partition++ % GB_POOL_PARTITIONS;
+	node->row_partition = read.partition;
 	watch_read_sent(&node->watch, node_now());
 	node->platform.read(node->platform.data,
 	    node_call_new(node, NULL, NULL, owner_row_read), &read);
--- a/libgooseberry/node/node_state.h
+++ b/libgooseberry/node/node_state.h
@@ -117,7 +117,8 @@
 	uv_timer_t tick;
 	/** Partition to read the owner's row from next, modulo their number. */
 	uint32_t next_partition;
-	bool busy_tick; /**< ticks at the short interval */
+	uint32_t row_partition; /**< that the last read of it was sent to */
+	bool busy_tick;		/**< ticks at the short interval */
 	const struct gb_env *env;
 	struct gb_events *events;
 	struct gb_node_settings settings;
--- a/libgooseberry/node/watch.c
+++ b/libgooseberry/node/watch.c
@@ -16,6 +16,7 @@
  */
 #include <string.h>
 
+#include "pool.h"
 #include "watch.h"
 
 /** Interval of hellos to the owner. */
@@ -452,6 +453,21 @@
 	watch_store_answered(w, now);
 }
 
+bool
+watch_row_outdated(struct watch *w, unsigned int partition, uint64_t known)
+{
+	unsigned int rows = 0;
+	unsigned int i;
+
+	if (w->outdated_epoch != known)
+		w->outdated_rows = 0;
+	w->outdated_epoch = known;
+	w->outdated_rows |= UINT32_C(1) << partition;
+	for (i = 0; i < GB_POOL_PARTITIONS; i++)
+		rows += w->outdated_rows >> i & 1;
+	return rows > GB_POOL_PARTITIONS / 2;
+}
+
 enum takeover_cause
 watch_takeover_cause(const struct watch *w, gb_time now)
 {
--- a/libgooseberry/node/watch.h
+++ b/libgooseberry/node/watch.h
@@ -95,6 +95,10 @@
 	 * reached it. */
 	gb_time suspect_after;
 	struct succession place; /**< of this node, as the owner sent it last */
+	/** Newest epoch heard of whose owner the reads did not find, and a bit
+	 * for each partition whose row names an earlier owner. */
+	uint64_t outdated_epoch;
+	uint32_t outdated_rows;
 	gb_time store_read_time; /**< duration of the last answered read */
 	gb_time store_read_at;	 /**< when that answer came, 0: none yet */
 	uint32_t own_milli;	 /**< processor of this node in milli-cores */
@@ -121,6 +125,11 @@
 
 /** The read of the owner's row was answered. */
 void watch_row(struct watch *, gb_time now, const struct watch_row *);
+/** A read has found a row of an earlier epoch than `known`, the newest one that
+ * this node has heard of.  Returns whether the row counts all the same, because
+ * no node owns the pool with that epoch: most partitions name an earlier owner.
+ */
+bool watch_row_outdated(struct watch *, unsigned int partition, uint64_t known);
 /** Cause to record if the pool is taken over now. */
 enum takeover_cause watch_takeover_cause(const struct watch *, gb_time now);
 /** Whether the next read is to be compared with earlier ones.  Then all reads
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -1048,6 +1048,28 @@
 	assert_int_not_equal(cell_owner(cell), NODES);
 }
 
+/** Guards against a pool without an owner after all nodes have heard of an
+ * epoch that no node has, as when a claim ends before its first write: the rows
+ * of the last owner are then older than that epoch in every partition. */
+static void
+test_heard_epoch_without_owner(void **state)
+{
+	struct cell *cell = cell_start();
+	uint64_t epoch;
+	unsigned int n;
+	int i;
+
+	(void)state;
+	cell_wait_ready(cell);
+	epoch = gb_pool_epoch(cell->nodes[cell_owner(cell)]->pool) + 1;
+	for (n = 0; n < NODES; n++)
+		gb_pool_epoch_found(cell->nodes[n]->pool, node_now(), epoch);
+	assert_int_equal(cell_owner(cell), NODES);
+	for (i = 0; i < ITERATIONS_MAX && cell_owner(cell) == NODES; i++)
+		uv_run(&cell->loop, UV_RUN_ONCE);
+	assert_int_not_equal(cell_owner(cell), NODES);
+}
+
 /** 97 nodes send five hellos a second each.  The owner sends the list of
  * members only to nodes that do not have its newest version, and to all of them
  * again after a member has joined. */
@@ -1402,6 +1424,7 @@
 	    cmocka_unit_test(test_hello_to_former_owner_is_dropped),
 	    cmocka_unit_test(test_hanging_connection_is_not_refused),
 	    cmocka_unit_test(test_former_owner_knows_the_members),
+	    cmocka_unit_test(test_heard_epoch_without_owner),
 	    cmocka_unit_test(test_list_of_members_is_sent_once),
 	    cmocka_unit_test(test_ranks_ignore_latency_of_hellos),
 	    cmocka_unit_test(test_takeover_cause_is_logged),
