--- a/libgooseberry/pool/feature.c
+++ b/libgooseberry/pool/feature.c
@@ -29,6 +29,10 @@
     [GB_FEATURE_SIZE_ORDER] = "size",
     [GB_FEATURE_SHARE_ORDER] = "share",
     [GB_FEATURE_PRIORITY_ORDER] = "priority",
+    [GB_FEATURE_RUN_TIMES] = "runtimes",
+    [GB_FEATURE_LEARNED_STATE] = "learned",
+    [GB_FEATURE_FORECAST] = "forecast",
+    [GB_FEATURE_USAGE_ORDER] = "usage",
 };
 
 /** Returns the feature of a name with this length in bytes, or -1. */
