Let a gang use the capacity that it claimed until its tickets came

A gang claims free capacity while its tickets are renewed. Gangs ranked behind it reserve the same workers for later, and their reservations count capacity that running work still uses. When the tickets came, the first gang found its own workers reserved, chose others, and had to renew its tickets again. Its workers are no longer reserved at that moment; the next dispatch computes all reservations anew.

--- a/libgooseberry/pool/advice.c
+++ b/libgooseberry/pool/advice.c
@@ -435,6 +435,25 @@
 	}
 }
 
+/** Lets a step use the capacity that it has claimed, although gangs ranked
+ * behind it have reserved those workers for a later moment: their reservations
+ * also count capacity that is not free yet.  The next dispatch computes them
+ * anew. */
+static void
+step_reservations_yield(struct gb_pool *pool, const struct pool_step *step)
+{
+	static const gb_res none;
+	uint32_t i;
+
+	for (i = 0; i < step->claim_count; i++) {
+		struct pool_worker *worker =
+		    pool_worker_get(pool, step->claims[i].worker);
+
+		worker->reserved = none;
+		worker->reserved_at = 0;
+	}
+}
+
 static void
 advice_step_done(struct gb_pool *pool, struct pool_flow *flow,
     const struct pool_advice_call *call, const gb_advice_res *res)
@@ -447,8 +466,10 @@
 		step->ticket_calls_in_flight--;
 		/* Capacity that was claimed until the tickets arrive is used
 		 * now, or released. */
-		if (step->claim_until == 0)
+		if (step->claim_until == 0) {
+			step_reservations_yield(pool, step);
 			pool_advice_claims_drop(pool, step);
+		}
 	}
 	if (res->status == GB_ADVICE_OK)
 		advice_apply(pool, flow, call, res);
