Have more workers approved for gangs the fuller the pool is

A step asked about more workers only while its approved ones, were they empty, could run less than three times its tasks. On a pool that is nine tenths busy these have free capacity for a third of a gang on average, so that it waited for a reservation. The number of slots is now the inverse of the share of the pool that is free, between 3 and 16. The name in the setting off is gang-workers.

--- a/libgooseberry/pool.h
+++ b/libgooseberry/pool.h
@@ -463,6 +463,8 @@
 	GB_FEATURE_FORECAST,	/**< flows that can't end in time are refused */
 	GB_FEATURE_USAGE_ORDER, /**< organisations that use less of their share
 				   go first */
+	GB_FEATURE_GANG_WORKERS, /**< the fuller the pool, the more workers are
+				    approved for a gang */
 	GB_FEATURES
 };
 
--- a/libgooseberry/pool/dispatch.c
+++ b/libgooseberry/pool/dispatch.c
@@ -9,6 +9,7 @@
 #include <jansson.h>
 
 #include "crash.h"
+#include "gang.h"
 #include "state.h"
 
 /** A speculative copy of a task is started when its run has taken this many
@@ -17,10 +18,6 @@
 /** Steps without free capacity in one pass, after which the other steps are
  * left for the next pass: each costs about 4 us with 350 workers. */
 #define DISPATCH_MISSES_MAX 80
-/** A step asks about more workers if the approved ones, were they empty, could
- * run less than this many times its tasks: with less a gang waits for nearly
- * all of them to be free at once. */
-#define DISPATCH_SLOTS_RATIO_MIN 3
 /** Gangs for which capacity is reserved in one pass: each costs about 20 us,
  * and what the tenth gang reserves is seconds away. */
 #define DISPATCH_RESERVATIONS_MAX 10
@@ -434,11 +431,15 @@
     struct gb_pool *pool, struct pool_flow *flow, uint32_t step_number)
 {
 	struct pool_step *step = &flow->steps[step_number];
+	bool gang = (step->spec->flags & GB_STEP_GANG) != 0 &&
+		    POOL_FEATURE_ENABLED(pool, GB_FEATURE_GANG_WORKERS);
+	double slots = gang ? gang_slots_wanted(step->spec->count,
+				  pool->capacity, pool->free_cpu)
+			    : step_slots_wanted(step->spec->count);
 
 	if (step->approval_calls_in_flight > 0 ||
 	    step->asked_count >= pool->worker_count ||
-	    pool_fit_slots(pool, flow, step) >=
-		(uint64_t)step->spec->count * DISPATCH_SLOTS_RATIO_MIN)
+	    (double)pool_fit_slots(pool, flow, step) >= slots)
 		return;
 	pool_advice_ask(pool, flow, step_number, NULL, 0);
 }
--- a/libgooseberry/pool/feature.c
+++ b/libgooseberry/pool/feature.c
@@ -33,6 +33,7 @@
     [GB_FEATURE_LEARNED_STATE] = "learned",
     [GB_FEATURE_FORECAST] = "forecast",
     [GB_FEATURE_USAGE_ORDER] = "usage",
+    [GB_FEATURE_GANG_WORKERS] = "gang-workers",
 };
 
 /** Returns the feature of a name with this length in bytes, or -1. */
