Let the model of the platform change speeds and vary tasks

Cause: workers of the model have speeds, but they can't change, all tasks of a flow take equally long, and a gang ends with its fastest member. Placement by speed can't be tested with that.

Change: world_worker_set_speed() changes a speed. world_gangs_wait_for_slowest() lets a gang end with its slowest member. The specification of a flow takes "vary=" for tasks of different length and "long=" for tasks that take seven times as long. Without these the model behaves as before.

--- a/standin/world.c
+++ b/standin/world.c
@@ -30,6 +30,8 @@
 /** Time until a worker that a task crashed is replaced, unless the flow's
  * specification gives one. */
 #define CRASH_BACK_MS 1300
+/** Length of a long task, relative to others. */
+#define LONG_TASK 7.0
 
 struct world *
 world_new(uint64_t seed)
@@ -287,6 +289,18 @@
 	world->clock_step_ms += step / GB_MSEC;
 }
 
+void
+world_worker_set_speed(struct world *world, unsigned int number, double speed)
+{
+	world->workers[number]->speed = speed;
+}
+
+void
+world_gangs_wait_for_slowest(struct world *world)
+{
+	world->gangs_wait = true;
+}
+
 void
 world_worker_resize(
     struct world *world, unsigned int number, const gb_res *capacity)
@@ -473,6 +487,26 @@
 		    GB_POOL_GANG_BROKEN);
 }
 
+/** Whether all members of a run's gang have done their work. */
+static bool
+gang_worked(const struct world *world, const struct world_run *member)
+{
+	const struct world_run *run;
+	unsigned int i;
+
+	for (i = 0; i < world->worker_count; i++) {
+		TAILQ_FOREACH(run, &world->workers[i]->runs, next)
+		{
+			if (run->number == member->number &&
+			    run->step == member->step &&
+			    strcmp(run->flow, member->flow) == 0 &&
+			    run->worked < run->work)
+				return false;
+		}
+	}
+	return true;
+}
+
 /** Crash the worker of a run. */
 static void
 run_crash(struct world *world, struct world_worker *worker,
@@ -521,6 +555,11 @@
 	fails = worker->failing || run->fails;
 	if (run->worked < (fails ? run->work / 2 : run->work))
 		return false;
+	if (run->worked > run->work)
+		run->worked = run->work;
+	if (!fails && run->gang > 0 && world->gangs_wait &&
+	    !gang_worked(world, run))
+		return false;
 	snprintf(flow, sizeof(flow), "%s", run->flow);
 	run_end(world, worker, run, fails ? GB_POOL_FAILED : GB_POOL_DONE);
 	gang_end(world, flow, step, number,
@@ -614,6 +653,22 @@
 	return NULL;
 }
 
+/** Length of a task relative to the others of its flow. */
+static double
+run_length(const struct gb_pool_order *order)
+{
+	double vary = (double)spec_number(order->spec, "vary=", 0) / 100;
+	char task[2 * GB_NAME_MAX];
+	uint64_t hash;
+
+	snprintf(task, sizeof(task), "%s/%u/%u", order->id.flow, order->id.step,
+	    order->id.index);
+	hash = gb_hash(task, strlen(task));
+	if (hash % 100 < spec_number(order->spec, "long=", 0))
+		return LONG_TASK;
+	return 1 + vary * ((double)(hash / 100 % 201) / 100 - 1);
+}
+
 static struct world_run *
 run_new(struct world *world, struct world_worker *worker,
     const struct gb_pool_order *order)
@@ -629,7 +684,8 @@
 	run->began = world->now;
 	run->crashes =
 	    spec_number(order->spec, "crash=", UINT32_MAX) == order->id.index;
-	run->work = (gb_time)spec_number(order->spec, "ms=", 500) * GB_MSEC;
+	run->work = (gb_time)((double)spec_number(order->spec, "ms=", 500) *
+			      GB_MSEC * run_length(order));
 	if (order->checkpoint != NULL)
 		run->worked = strtol(order->checkpoint, NULL, 10) *
 			      (gb_time)CHECKPOINT_WORK;
--- a/standin/world.h
+++ b/standin/world.h
@@ -88,6 +88,11 @@
  * they run normally. */
 void world_worker_impair(
     struct world *, unsigned int number, bool failing, bool stalled);
+/** Set a worker's speed, as when it was added; its runs go on with it. */
+void world_worker_set_speed(struct world *, unsigned int number, double speed);
+/** Let a gang end with its slowest member, each of which advances at the speed
+ * of its worker, instead of with the fastest. */
+void world_gangs_wait_for_slowest(struct world *);
 /** Mark the worker as draining in its entry, for as long as its process runs.
  */
 void world_worker_drain(struct world *, unsigned int number);
@@ -136,7 +141,8 @@
 /* Specification of a flow: "ms=500" is the duration of each task on a worker of
  * speed 1, "fails=2" how often the first task of each step fails, "crash=0" the
  * index of the tasks that crash their worker, "back=300" the milliseconds until
- * such a worker is up again. */
+ * such a worker is up again, "vary=15" by how many percent tasks are shorter or
+ * longer, "long=3" the percentage of tasks that take seven times as long. */
 
 /* Advice ------------------------------------------------------------------ */
 
--- a/standin/world_state.h
+++ b/standin/world_state.h
@@ -132,6 +132,7 @@
 	struct world_flow *flows;
 	struct world_org *orgs;
 	bool listed_ends_count; /**< a listed end counts for good */
+	bool gangs_wait;	/**< a gang ends with its slowest member */
 	bool tickets_needed;	/**< starts need a ticket */
 	gb_time shrink_grace;	/**< until owners know of a lower capacity */
 	gb_time quota_grace;	/**< until owners know of a lower quota */
