Place gangs by score alone, and give flows without slack fast workers

Gangs that were kept to workers of about equal speed, and off workers on which they would be late, started later: a gang needs so many workers at once that it can't wait for some of them.

--- a/libgooseberry/pool/fit.c
+++ b/libgooseberry/pool/fit.c
@@ -21,10 +21,10 @@
  * score is otherwise about the share of the worker's processors that stays free
  * (0 to 1), and the lowest is used first, so such workers are used last. */
 #define FIT_OTHER_RACK_PENALTY 4.0
-/** Speeds of workers differ by a factor of 2.7. Of the workers on which a flow
- * ends in time it prefers the slow ones, less than it prefers full ones. The
- * others come last, the slowest at the end. The weights are the change of the
- * score for a worker that is twice as slow as others. */
+/** Speeds of workers differ by a factor of 2.7. A flow with much time to spare
+ * prefers the slow workers, others the fast ones. Workers on which it is late
+ * come last, the slowest at the end. The weights are the change of the score
+ * for a worker that is twice as slow as others. */
 #define FIT_SLOW_WEIGHT 0.5
 #define FIT_FAST_WEIGHT 2.0
 #define FIT_TOO_SLOW_PENALTY 1.0
@@ -158,8 +158,7 @@
 struct pool_candidate {
 	uint32_t worker;
 	uint32_t tasks;
-	unsigned int band; /**< range of its slowness */
-	double score;	   /**< the lowest is used first */
+	double score; /**< the lowest is used first */
 };
 
 static int
@@ -186,7 +185,7 @@
 		       FIT_FAST_WEIGHT * (slowness - allowed);
 	return pool_speed_can_wait(allowed)
 		   ? -FIT_SLOW_WEIGHT * (slowness - 1.0)
-		   : 0;
+		   : FIT_FAST_WEIGHT * (slowness - 1.0);
 }
 
 static double
@@ -236,7 +235,9 @@
 		return false;
 	if (rack != NULL && strcmp(rack, worker->rack) != 0)
 		return false;
-	if (pool_speed_too_slow(pool, flow, worker))
+	/* A gang needs many workers at once and does not wait for fast ones. */
+	if ((step->spec->flags & GB_STEP_GANG) == 0 &&
+	    pool_speed_too_slow(pool, flow, worker))
 		return false;
 	if (tickets && POOL_ADVICE_NEEDED(flow) &&
 	    pool_fit_ticket(pool, flow, step, worker->handle,
@@ -252,7 +253,6 @@
 		gb_res_sub(&avail, &worker->reserved);
 	out->worker = worker->handle;
 	out->tasks = fit_task_count(&step->spec->res, &avail);
-	out->band = speed_band(slowness);
 	if (step->spec->per_worker > 0) {
 		present = fit_count_on_worker(flow, step, worker);
 		if (present >= step->spec->per_worker)
@@ -333,31 +333,6 @@
 	return placed;
 }
 
-/** Leaves only those candidates for a gang that are about equally fast, if it
- * fits on them: its time is that of its slowest member. Returns how many. */
-static size_t
-fit_keep_bands(const struct gb_pool *pool, const struct pool_flow *flow,
-    uint32_t wanted, struct pool_candidate *candidates, size_t count)
-{
-	uint32_t tasks[SPEED_BANDS] = {0};
-	unsigned int first;
-	unsigned int last;
-	size_t kept = 0;
-	size_t i;
-
-	for (i = 0; i < count; i++)
-		tasks[candidates[i].band] += candidates[i].tasks;
-	if (!POOL_FEATURE_ENABLED(pool, GB_FEATURE_FAST_WORKERS) ||
-	    !speed_gang_bands(
-		tasks, wanted, pool_speed_allowed(pool, flow), &first, &last))
-		return count;
-	for (i = 0; i < count; i++) {
-		if (candidates[i].band >= first && candidates[i].band <= last)
-			candidates[kept++] = candidates[i];
-	}
-	return kept;
-}
-
 /** Places a gang that is slower when it is spread over racks in the first rack
  * with capacity for all of it. Returns 0 if there is none. */
 static uint32_t
@@ -405,9 +380,6 @@
 	if (placed < wanted) {
 		count =
 		    fit_candidates(pool, flow, step, tickets, NULL, candidates);
-		if (gang)
-			count = fit_keep_bands(
-			    pool, flow, wanted, candidates, count);
 		placed = gang ? fit_fill(candidates, count, wanted, out)
 			      : fit_spread(candidates, count, wanted, out);
 	}
--- a/libgooseberry/pool/speed.c
+++ b/libgooseberry/pool/speed.c
@@ -80,10 +80,6 @@
 #define SPEED_FASTEST 0.6
 /** Slowness allowed for a flow that can't earn anything any more. */
 #define SPEED_ANY 100.0
-/** Width of a range of slowness as a difference of logarithms, and the
- * logarithm at the middle of all ranges. Two neighbouring ranges hold workers
- * that differ by up to a third. */
-#define SPEED_BAND_WIDTH 0.15
 /** Change of the logarithm that is logged: a fifth. Each worker is logged at
  * most once in the interval. */
 #define SPEED_LOG_CHANGE 0.2
@@ -251,57 +247,6 @@
 	    own * stored / (own + stored));
 }
 
-/* Ranges of slowness ------------------------------------------------------ */
-
-unsigned int
-speed_band(double slowness)
-{
-	double band = floor(log(slowness) / SPEED_BAND_WIDTH + 0.5) +
-		      (double)SPEED_BANDS / 2;
-
-	if (band < 0)
-		return 0;
-	return band < SPEED_BANDS ? (unsigned int)band : SPEED_BANDS - 1;
-}
-
-static uint32_t
-bands_sum(
-    const uint32_t tasks[SPEED_BANDS], unsigned int first, unsigned int last)
-{
-	uint32_t sum = 0;
-	unsigned int i;
-
-	for (i = first; i <= last; i++)
-		sum += tasks[i];
-	return sum;
-}
-
-/** The slowest ranges up to the allowed one come first, so that the fastest
- * workers are left to work that needs them. A gang that doesn't fit into two
- * neighbouring ranges gets more of them; one that doesn't fit on the workers
- * that are fast enough gets the fastest ones. */
-bool
-speed_gang_bands(const uint32_t tasks[SPEED_BANDS], uint32_t wanted,
-    double allowed, unsigned int *first, unsigned int *last)
-{
-	unsigned int slowest = speed_band(allowed);
-	unsigned int width;
-
-	for (width = 2; width <= SPEED_BANDS; width *= 2) {
-		for (*last = slowest + 1; (*last)-- > 0;) {
-			*first = *last + 1 < width ? 0 : *last + 1 - width;
-			if (bands_sum(tasks, *first, *last) >= wanted)
-				return true;
-		}
-	}
-	*first = 0;
-	for (*last = slowest + 1; *last < SPEED_BANDS; (*last)++) {
-		if (bands_sum(tasks, 0, *last) >= wanted)
-			return true;
-	}
-	return false;
-}
-
 /* Pool -------------------------------------------------------------------- */
 
 double
--- a/libgooseberry/pool/speed.h
+++ b/libgooseberry/pool/speed.h
@@ -17,9 +17,6 @@
 struct pool_step;
 struct pool_worker;
 
-/** Number of ranges of slowness into which workers are sorted. */
-#define SPEED_BANDS 16
-
 /** Estimate of the slowness of a worker and its uncertainty. The slowness is
  * its run time relative to that of other workers, 1: equal, 2: twice as slow.
  * Logarithms are natural. */
@@ -100,13 +97,6 @@
 /** Whether a flow for which this slowness is allowed leaves the faster workers
  * to others. */
 bool pool_speed_can_wait(double allowed);
-/** Range of a slowness, 0 is the fastest. */
-unsigned int speed_band(double slowness);
-/** Chooses the ranges of workers for a gang. `tasks` has the number of its
- * tasks that fit on the workers of each range. Returns false if all of them
- * are needed. */
-bool speed_gang_bands(const uint32_t tasks[SPEED_BANDS], uint32_t wanted,
-    double allowed, unsigned int *first, unsigned int *last);
 /** Fills in the mean slowness of the usable workers and its standard deviation,
  * in thousandths. */
 void pool_speed_summary(
