Measure what each organisation uses of the pool, and give burst credit

A weight counts submissions, in which a lookup of 7 processors for 1 s is equal to a gang of 90 processors for 5 s. Processor time is now charged to the organisation with the expected run time when a run starts, corrected when it ends, and decays with a time constant of 5 s.

An organisation that has used less than its weight's part may send what it saved in 3 s instead of 1 s before its flows count as beyond its share.

The metrics and gooseberryctl organisations show the processor-seconds and the share of the weight's part, for up to 200 organisations as before.

--- a/cli/ctl_org.c
+++ b/cli/ctl_org.c
@@ -67,7 +67,7 @@
 	static const char *const columns[] = {"org", "weight", "cpu_milli",
 	    "cpu_quota_milli", "mem_mb", "mem_quota_mb", "flows_waiting",
 	    "flows_accepted", "flows_over_share", "flows_refused",
-	    "quota_waits", NULL};
+	    "quota_waits", "core_seconds", "weight_share_percent", NULL};
 	struct ctl_answer answer;
 	enum ctl_exit code =
 	    ctl_call(ctl, "GET", "/metrics", NULL, NULL, &answer);
--- a/libgooseberry/node/metrics.c
+++ b/libgooseberry/node/metrics.c
@@ -45,7 +45,7 @@
 
 /** Add the metrics of organisations, which only the owner of the pool has. */
 static void
-orgs_print(const struct gb_pool *pool, struct gb_text *out)
+orgs_print(struct gb_pool *pool, struct gb_text *out)
 {
 	struct gb_pool_org_stat *orgs =
 	    gb_calloc(METRICS_ORGS_MAX, sizeof(*orgs));
@@ -69,6 +69,9 @@
 		    out, "flows_refused", org->name, (int64_t)org->refused);
 		org_print(
 		    out, "quota_waits", org->name, (int64_t)org->quota_waits);
+		org_print(out, "core_seconds", org->name, (int64_t)org->core_s);
+		org_print(
+		    out, "weight_share_percent", org->name, org->weight_share);
 	}
 	free(orgs);
 }
--- a/libgooseberry/pool.h
+++ b/libgooseberry/pool.h
@@ -653,11 +653,15 @@
 	uint64_t refused;	     /**< submissions that were not admitted */
 	uint32_t waiting;	     /**< flows that have not begun */
 	uint64_t quota_waits;	     /**< flows that waited for its quota */
+	uint64_t core_s;	     /**< processor-seconds of its ended runs */
+	/** Recent use relative to its weight's part, in percent, 0: it has no
+	 * weight or used nothing. */
+	uint32_t weight_share;
 };
 
 /** Fills in at most `max` organisations; returns how many. */
 size_t gb_pool_org_stats(
-    const struct gb_pool *, struct gb_pool_org_stat *out, size_t max);
+    struct gb_pool *, struct gb_pool_org_stat *out, size_t max);
 
 /* Events ------------------------------------------------------------------ */
 
--- a/libgooseberry/pool/dispatch.c
+++ b/libgooseberry/pool/dispatch.c
@@ -735,5 +735,6 @@
 			step_copy_stragglers(pool, flows[i], j);
 		}
 	}
+	pool_usage_dispatched(pool, misses > 0);
 	free(flows);
 }
--- a/libgooseberry/pool/org.c
+++ b/libgooseberry/pool/org.c
@@ -99,7 +99,7 @@
 
 size_t
 gb_pool_org_stats(
-    const struct gb_pool *pool, struct gb_pool_org_stat *out, size_t max)
+    struct gb_pool *pool, struct gb_pool_org_stat *out, size_t max)
 {
 	const struct pool_org *org;
 	size_t count = 0;
@@ -118,6 +118,9 @@
 		stat->refused = org->refused;
 		stat->waiting = org->waiting;
 		stat->quota_waits = org->quota_waits;
+		stat->core_s = (uint64_t)(org->core_ms / 1000);
+		stat->weight_share =
+		    (uint32_t)(100 * pool_usage_share(pool, org));
 	}
 	return count;
 }
--- a/libgooseberry/pool/org.h
+++ b/libgooseberry/pool/org.h
@@ -9,6 +9,7 @@
 #include <uthash.h>
 
 #include "pool.h"
+#include "usage.h"
 
 struct gb_pool;
 struct pool_flow;
@@ -28,6 +29,10 @@
 	uint64_t over_share;  /**< of these, beyond its share */
 	uint64_t refused;     /**< submissions that were not admitted */
 	uint64_t quota_waits; /**< flows that waited for its quota */
+	struct usage usage;
+	double usage_share; /**< as last computed, see pool_usage_share */
+	double
+	    core_ms; /**< processor-milliseconds of ended runs, not decayed */
 	uint32_t waiting; /**< flows that have not begun, when last counted */
 };
 
@@ -52,7 +57,7 @@
 /* share.c */
 /** Charges a submission to the share of its organisation; returns whether it is
  * beyond the share. */
-bool pool_share_charge(struct pool_org *, gb_time now);
+bool pool_share_charge(struct gb_pool *, struct pool_org *);
 
 /* quota.c */
 /** Adds a run to the use of its organisation, or removes it. */
--- a/libgooseberry/pool/pool.c
+++ b/libgooseberry/pool/pool.c
@@ -304,7 +304,7 @@
 	flow = pool_flow_new(pool, &copy);
 	flow->config = submit->caller.config;
 	flow->not_started_before = true;
-	flow->spec.over_share = pool_share_charge(flow->org, pool->now);
+	flow->spec.over_share = pool_share_charge(pool, flow->org);
 	pool->stats.accepted++;
 	pool_org_count_accepted(flow->org, flow->spec.over_share);
 	pool_writer_mark_dirty(pool, flow, true);
--- a/libgooseberry/pool/run.c
+++ b/libgooseberry/pool/run.c
@@ -50,6 +50,7 @@
 	worker->run_count++;
 	gb_res_add(&worker->used, &run->res);
 	pool_quota_add_run(flow->org, &run->res);
+	pool_usage_run_started(pool, run);
 	if (number > s->run_number)
 		s->run_number = number;
 	flow->runs++;
@@ -85,6 +86,7 @@
 	run->worker->suspect_runs -= run->suspect;
 	gb_res_sub(&run->worker->used, &run->res);
 	pool_quota_remove_run(run->flow->org, &run->res);
+	pool_usage_run_ended(pool, run);
 	run->flow->runs--;
 	/* What the end of the run changes is written with an announcement of
 	 * the next one. */
--- a/libgooseberry/pool/share.c
+++ b/libgooseberry/pool/share.c
@@ -8,23 +8,25 @@
  * beyond that waits behind what others sent within their weight, and uses only
  * capacity that they leave.
  */
-#include "org.h"
+#include "state.h"
 
 /** An organisation may save its unused share of this time, since callers send
- * in bursts. */
+ * in bursts; of a longer one if it has used little of the pool (usage.c). */
 #define SHARE_ACCUMULATE_MAX GB_SEC
 
 bool
-pool_share_charge(struct pool_org *org, gb_time now)
+pool_share_charge(struct gb_pool *pool, struct pool_org *org)
 {
 	double limit;
 
 	if (org == NULL || org->weight == 0)
 		return false;
-	limit = (double)org->weight * SHARE_ACCUMULATE_MAX / GB_SEC;
+	limit = (double)org->weight *
+		(double)pool_usage_burst(pool, org, SHARE_ACCUMULATE_MAX) /
+		GB_SEC;
 	org->share_left +=
-	    (double)(now - org->share_at) / GB_SEC * (double)org->weight;
-	org->share_at = now;
+	    (double)(pool->now - org->share_at) / GB_SEC * (double)org->weight;
+	org->share_at = pool->now;
 	if (org->share_left > limit)
 		org->share_left = limit;
 	if (org->share_left < 1)
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -11,9 +11,9 @@
  * run, a worker or the ownership.
  *
  * Decisions without side effects are in rank.c, fit.c, reservation.c, quota.c,
- * share.c, contention.c and admit.c.  preempt.c decides and also stops runs
- * through run.c.  pace.c asks the node how busy its link is, backlog.c measures
- * what a congested link gets done.
+ * share.c, usage.c, contention.c and admit.c.  preempt.c decides and also stops
+ * runs through run.c.  pace.c asks the node how busy its link is, backlog.c
+ * measures what a congested link gets done.
  */
 #ifndef GB_POOL_STATE_H
 #define GB_POOL_STATE_H
@@ -91,6 +91,7 @@
 			       capacity and the incarnation is confirmed */
 	uint64_t stop_call; /**< stop order in flight, 0: none */
 	gb_time started;
+	gb_time charged;   /**< expected run time charged by usage.c */
 	gb_time confirmed; /**< when the worker first confirmed the start or
 			      reported the run, 0: not yet */
 	gb_time stopped;  /**< when the worker confirmed the stop, 0: not yet */
@@ -604,6 +605,7 @@
 	struct gb_pool_config *config;
 	struct pool_queue_stat *queues;
 	struct pool_org *orgs;
+	struct usage_state usage;
 	/** Capacity on which runs unknown to this owner may be running. */
 	struct gb_pool_amount uncertain_use;
 	struct pool_partition partitions[GB_POOL_PARTITIONS];
