Order flows by what their organisations have used

Within the weights one organisation can use most of the pool with few submissions. While flows wait for capacity, a flow on time of an organisation that has used more than its weight's part now goes behind others of its tier that have to start within its own run time (up to 5 s), as lookups beyond the weight do already. Flows that can wait for longer stay behind it, so it is late only for one that would be late otherwise.

--- a/libgooseberry/pool/rank.c
+++ b/libgooseberry/pool/rank.c
@@ -30,6 +30,10 @@
  * that have to start within their own run time, but before flows that can wait
  * longer.
  *
+ * Gangs and imports within the weight: an organisation whose few submissions
+ * use most of the pool makes others late without going beyond its weight.  See
+ * usage.c for the order by use within a tier.
+ *
  * One very large gang: small gangs keep five eighths of the pool busy, and a
  * gang arrives that needs two thirds of it.  It can start only on capacity that
  * is reserved for it.  The small gangs that this delays don't move it back as
@@ -249,6 +253,17 @@
 		flow->start_by = pool->now + flow->remaining;
 }
 
+/** Places a flow that is on time, and whose organisation has used more of the
+ * pool than its part, behind those that can't wait until it has ended. */
+static void
+rank_usage(struct gb_pool *pool, struct pool_flow *flow)
+{
+	gb_time start = pool->now + pool_usage_hold(pool, flow);
+
+	if (flow->start_by < start)
+		flow->start_by = start;
+}
+
 void
 pool_rank_update_flow(struct gb_pool *pool, struct pool_flow *flow)
 {
@@ -270,6 +285,8 @@
 	if (flow->spec.over_share && flow->tier != RANK_TOO_LATE &&
 	    POOL_FEATURE_ENABLED(pool, GB_FEATURE_SHARE_ORDER))
 		rank_over_share(pool, flow, urgent);
+	else if (flow->tier == RANK_URGENT || flow->tier == RANK_ON_TIME)
+		rank_usage(pool, flow);
 	if (!POOL_FEATURE_ENABLED(pool, GB_FEATURE_DEADLINE_ORDER)) {
 		flow->tier = RANK_ON_TIME;
 		flow->start_by = flow->submitted;
