Leave start times alone where no flow is held

A flow that goes before others of its queue because it is small can have a latest start before now. It was moved to now also with the order by use off or not in force, so that the component was not without effect then.

--- a/libgooseberry/pool/rank.c
+++ b/libgooseberry/pool/rank.c
@@ -258,10 +258,10 @@
 static void
 rank_usage(struct gb_pool *pool, struct pool_flow *flow)
 {
-	gb_time start = pool->now + pool_usage_hold(pool, flow);
+	gb_time hold = pool_usage_hold(pool, flow);
 
-	if (flow->start_by < start)
-		flow->start_by = start;
+	if (hold > 0 && flow->start_by < pool->now + hold)
+		flow->start_by = pool->now + hold;
 }
 
 void
