List each refused request in the log and count refusals by reason

Change: a node collects the ids of the requests that it refuses, or passes on as refused, and writes one line a second for each reason. Ids beyond 100 are counted in the line and in a metric.

--- a/libgooseberry/node/metrics.c
+++ b/libgooseberry/node/metrics.c
@@ -34,6 +34,24 @@
 	}
 }
 
+/** Add the requests that this node has refused, by reason. */
+static void
+refusals_print(const struct refusals *refusals, struct gb_text *out)
+{
+	int i;
+
+	for (i = 0; i < REFUSAL_REASONS; i++) {
+		const struct refusal_list *list = &refusals->lists[i];
+		const char *why = refusal_reason_name((enum refusal_reason)i);
+
+		gb_text_add(out,
+		    "gooseberry_requests_refused{why=\"%s\"} %" PRIu64
+		    "\ngooseberry_requests_refused_unlisted{why=\"%s\"} "
+		    "%" PRIu64 "\n",
+		    why, list->total, why, list->omitted);
+	}
+}
+
 /** Add one metric of an organisation. */
 static void
 org_print(
@@ -193,6 +211,7 @@
 	gb_histogram_print(out, "gooseberry_takeover_us",
 	    "Decision to ownership.", &s->takeover_us);
 	owner_monitor_metrics(node, out);
+	refusals_print(&node->refusals, out);
 	if (gb_pool_owns(node->pool))
 		orgs_print(node->pool, out);
 	if (gb_env_link(node->env) != NULL)
--- a/libgooseberry/node/node_state.h
+++ b/libgooseberry/node/node_state.h
@@ -13,6 +13,7 @@
 #include "link_monitor.h"
 #include "node.h"
 #include "owner_monitor.h"
+#include "refusals.h"
 #include "shed.h"
 #include "watch.h"
 
@@ -132,6 +133,7 @@
 	uint64_t incarnation;
 	struct shed shed;    /**< while this node owns the pool */
 	uint64_t flows_shed; /**< flows rejected by load shedding */
+	struct refusals refusals;
 	/** Percentage of new flows to reject, as received from the owner. */
 	uint32_t owner_shed_percent;
 	/** Bytes of flows that this node may still store while the pool has no
