--- a/libgooseberry/pool.h
+++ b/libgooseberry/pool.h
@@ -457,12 +457,8 @@
 				      organisation go behind */
 	GB_FEATURE_PRIORITY_ORDER, /**< flows of the most urgent queues go first
 				    */
-	GB_FEATURE_RUN_TIMES, /**< run times are expected from distributions */
-	GB_FEATURE_LEARNED_STATE, /**< a new owner reads what the last one has
-				     learned */
-	GB_FEATURE_FORECAST,	/**< flows that can't end in time are refused */
-	GB_FEATURE_USAGE_ORDER, /**< organisations that use less of their share
-				   go first */
+	GB_FEATURE_USAGE_ORDER,	 /**< organisations that use less of their share
+				    go first */
 	GB_FEATURE_GANG_WORKERS, /**< the fuller the pool, the more workers are
 				    approved for a gang */
 	GB_FEATURES
--- a/libgooseberry/pool/feature.c
+++ b/libgooseberry/pool/feature.c
@@ -29,9 +29,6 @@
     [GB_FEATURE_SIZE_ORDER] = "size",
     [GB_FEATURE_SHARE_ORDER] = "share",
     [GB_FEATURE_PRIORITY_ORDER] = "priority",
-    [GB_FEATURE_RUN_TIMES] = "runtimes",
-    [GB_FEATURE_LEARNED_STATE] = "learned",
-    [GB_FEATURE_FORECAST] = "forecast",
     [GB_FEATURE_USAGE_ORDER] = "usage",
     [GB_FEATURE_GANG_WORKERS] = "gang-workers",
 };
