--- a/libgooseberry/pool/speed.c
+++ b/libgooseberry/pool/speed.c
@@ -220,33 +220,6 @@
 			: speed_variance(speed, now));
 }
 
-void
-speed_export(const struct speed *speed, gb_time now, int32_t *log_milli,
-    uint32_t *deviation_milli)
-{
-	*log_milli = (int32_t)lround(speed->log * 1000);
-	*deviation_milli =
-	    (uint32_t)lround(sqrt(speed_variance(speed, now)) * 1000);
-}
-
-void
-speed_import(struct speed *speed, gb_time now, int32_t log_milli,
-    uint32_t deviation_milli, gb_time age)
-{
-	double log = (double)log_milli / 1000;
-	double deviation = (double)deviation_milli / 1000;
-	double own = speed_variance(speed, now);
-	double stored = deviation * deviation;
-
-	if (age < 0 || deviation <= 0 || deviation > SPEED_PRIOR_DEVIATION ||
-	    fabs(log) > SPEED_LOG_MAX)
-		return;
-	stored += SPEED_DRIFT * (double)age / (double)GB_SEC;
-	speed_set(speed, now,
-	    (speed->log * stored + log * own) / (own + stored),
-	    own * stored / (own + stored));
-}
-
 /* Pool -------------------------------------------------------------------- */
 
 double
--- a/libgooseberry/pool/speed.h
+++ b/libgooseberry/pool/speed.h
@@ -69,13 +69,6 @@
 double speed_slowness(const struct speed *, gb_time now);
 /** Standard deviation of the logarithm of the slowness at a time. */
 double speed_deviation(const struct speed *, gb_time now);
-/** Fills in the lasting estimate in thousandths, to be stored. */
-void speed_export(const struct speed *, gb_time now, int32_t *log_milli,
-    uint32_t *deviation_milli);
-/** Merges a stored estimate that is `age` old into what was observed since.
- * Ignores values that speed_export() can't have produced. */
-void speed_import(struct speed *, gb_time now, int32_t log_milli,
-    uint32_t deviation_milli, gb_time age);
 
 /** Slowness of a worker; 1 if the feature is disabled. */
 double pool_speed_slowness(const struct gb_pool *, const struct pool_worker *);
--- a/libgooseberry/pool/usage.c
+++ b/libgooseberry/pool/usage.c
@@ -67,23 +67,6 @@
 		usage->core_ms = 0;
 }
 
-void
-usage_export(const struct usage *usage, gb_time now, uint64_t *core_ms)
-{
-	*core_ms = (uint64_t)usage_value(usage, now);
-}
-
-void
-usage_import(struct usage *usage, gb_time now, uint64_t core_ms, gb_time age)
-{
-	double imported = (double)core_ms * usage_decay(age);
-
-	if (age < 0 || imported <= usage_value(usage, now))
-		return;
-	usage->core_ms = imported;
-	usage->at = now;
-}
-
 /** Processor time of a run, in processor-milliseconds. */
 static double
 run_core_ms(const struct pool_run *run, gb_time run_time)
--- a/libgooseberry/pool/usage.h
+++ b/libgooseberry/pool/usage.h
@@ -31,12 +31,6 @@
 void usage_add(struct usage *, gb_time now, gb_time start, double core_ms);
 /** Decayed use in processor-milliseconds. */
 double usage_value(const struct usage *, gb_time now);
-/** Returns the decayed use for the next owner. */
-void usage_export(const struct usage *, gb_time now, uint64_t *core_ms);
-/** Merges the use that an earlier owner exported `age` ago.  Both counts
- * contain the runs that this owner has adopted, so the larger one is kept.  An
- * age that is negative is impossible, and the value is ignored. */
-void usage_import(struct usage *, gb_time now, uint64_t core_ms, gb_time age);
 
 /** Charges a run that starts, or that was adopted, with its expected time. */
 void pool_usage_run_started(struct gb_pool *, struct pool_run *);
--- a/tests/test_speed.c
+++ b/tests/test_speed.c
@@ -143,34 +143,6 @@
 	assert_slowness(&worker, SLOWDOWN, 0.15);
 }
 
-/** A successor continues with the estimate of the former owner, and what it has
- * learned itself is not lost. */
-static void
-test_import_merges(void **state)
-{
-	struct worker former;
-	struct worker next;
-	int32_t log_milli;
-	uint32_t deviation_milli;
-
-	(void)state;
-	worker_init(&former, 1);
-	worker_run_times(&former, 1.6, 20);
-	speed_export(&former.speed, former.now, &log_milli, &deviation_milli);
-	worker_init(&next, 2);
-	speed_import(
-	    &next.speed, next.now, log_milli, deviation_milli, 10 * GB_SEC);
-	assert_slowness(&next, 1.6, 0.1);
-	worker_init(&next, 2);
-	worker_run_times(&next, 0.6, 20);
-	speed_import(&next.speed, next.now, log_milli, 500, 60 * GB_SEC);
-	assert_slowness(&next, 0.6, 0.1);
-	speed_import(&next.speed, next.now, INT32_MAX, 1, 0);
-	speed_import(&next.speed, next.now, log_milli, 0, 0);
-	speed_import(&next.speed, next.now, log_milli, 10, -1);
-	assert_slowness(&next, 0.6, 0.1);
-}
-
 /* Load -------------------------------------------------------------------- */
 
 #define WORKERS 36
@@ -364,7 +336,6 @@
 	    cmocka_unit_test(test_long_task_is_ignored),
 	    cmocka_unit_test(test_slowdown_passes),
 	    cmocka_unit_test(test_lasting_change_is_learned),
-	    cmocka_unit_test(test_import_merges),
 	    cmocka_unit_test(test_new_incarnation_is_unknown),
 	    cmocka_unit_test(test_lookups_avoid_slow_workers),
 	};
--- a/tests/test_usage.c
+++ b/tests/test_usage.c
@@ -473,32 +473,11 @@
 	assert_int_equal((int)usage_value(&usage, 5 * GB_SEC), 0);
 }
 
-/** An imported use has decayed since it was exported, counts what both owners
- * know once, and is ignored when its age is impossible. */
-static void
-test_use_is_imported(void **state)
-{
-	struct usage usage = {0};
-	uint64_t core_ms;
-
-	(void)state;
-	usage_import(&usage, GB_SEC, 1000, 5 * GB_SEC);
-	usage_export(&usage, GB_SEC, &core_ms);
-	assert_in_range(core_ms, 367, 368);
-	usage_import(&usage, GB_SEC, 300, 0);
-	usage_export(&usage, GB_SEC, &core_ms);
-	assert_in_range(core_ms, 367, 368);
-	usage_import(&usage, GB_SEC, 1000, -GB_SEC);
-	usage_export(&usage, GB_SEC, &core_ms);
-	assert_in_range(core_ms, 367, 368);
-}
-
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_use_decays),
-	    cmocka_unit_test(test_use_is_imported),
 	    cmocka_unit_test(test_weight_is_changed),
 	    cmocka_unit_test(test_burst_credit),
 	    cmocka_unit_test(test_no_flow_is_late_for_one_that_can_wait),
