Let tasks of the model differ and some runs take seven times as long

Cause: all tasks of a flow took the same time, so no test could show what copies of stragglers and expected run times are worth. Change: the specification of a flow takes "vary=" and "slow=", both 0 unless given.

--- a/standin/world.c
+++ b/standin/world.c
@@ -18,6 +18,8 @@
 #define CLOCK_RESTART_MS 40
 /** Time of day when the model's clock reads 0. */
 #define WORLD_EPOCH_MS INT64_C(1790000000000)
+/** A slow run takes this many times as long as others. */
+#define SLOW_RUN_FACTOR 7
 /** How long members of a gang wait for each other. */
 #define GANG_WAIT (3 * GB_SEC)
 /** Work between two checkpoints. */
@@ -614,6 +616,27 @@
 	return NULL;
 }
 
+/** Duration of a run on a worker of speed 1. */
+static gb_time
+run_work(const struct gb_pool_order *order)
+{
+	gb_time work = (gb_time)spec_number(order->spec, "ms=", 500) * GB_MSEC;
+	gb_time vary = (gb_time)spec_number(order->spec, "vary=", 0);
+	char key[GB_NAME_MAX + 80];
+	uint64_t task;
+
+	snprintf(key, sizeof(key), "%s/%u/%u", order->id.flow, order->id.step,
+	    order->id.index);
+	task = gb_hash(key, strlen(key));
+	if (vary > 0)
+		work += work * ((gb_time)(task % (2 * (uint64_t)vary)) - vary) /
+			100;
+	if (gb_hash_pair(key, order->worker) % 100 <
+	    spec_number(order->spec, "slow=", 0))
+		work *= SLOW_RUN_FACTOR;
+	return work;
+}
+
 static struct world_run *
 run_new(struct world *world, struct world_worker *worker,
     const struct gb_pool_order *order)
@@ -629,7 +652,7 @@
 	run->began = world->now;
 	run->crashes =
 	    spec_number(order->spec, "crash=", UINT32_MAX) == order->id.index;
-	run->work = (gb_time)spec_number(order->spec, "ms=", 500) * GB_MSEC;
+	run->work = run_work(order);
 	if (order->checkpoint != NULL)
 		run->worked = strtol(order->checkpoint, NULL, 10) *
 			      (gb_time)CHECKPOINT_WORK;
--- a/standin/world.h
+++ b/standin/world.h
@@ -134,9 +134,11 @@
  * none does. */
 unsigned int world_flow_worker(const struct world *, const char *id);
 /* Specification of a flow: "ms=500" is the duration of each task on a worker of
- * speed 1, "fails=2" how often the first task of each step fails, "crash=0" the
- * index of the tasks that crash their worker, "back=300" the milliseconds until
- * such a worker is up again. */
+ * speed 1, "fails=2" how often the first task of each step fails, "vary=30"
+ * by how many percent tasks are shorter or longer at most, "slow=3" how many in
+ * 100 runs take seven times as long, "crash=0" the index of the tasks that
+ * crash their worker, "back=300" the milliseconds until such a worker is up
+ * again. */
 
 /* Advice ------------------------------------------------------------------ */
 
