Expect run times from distributions

Cause: the expected time of a task was the mean of the declared time and of the queue's average, though the error of declared times differs from queue to queue, and a run beyond that time was expected to end within 150 ms. Change: runtime.c keeps decayed histograms for each queue. The expected time combines the declared time, the queue's run times and the ended runs of the same step, each weighted by its error. The remaining time of a run is conditional on its progress or on how long it has run, and a copy of a straggler starts when it would end earlier by a margin. Runs that resumed from a checkpoint or were adopted are not observed; a gang counts once.

--- a/libgooseberry/pool/dispatch.c
+++ b/libgooseberry/pool/dispatch.c
@@ -606,6 +606,26 @@
 	    pool, flow, step_number, NULL, "the gang is not complete");
 }
 
+/** Whether a run takes so long that a copy of it may pay. */
+static bool
+run_is_straggler(
+    const struct gb_pool *pool, const struct pool_run *run, gb_time expected)
+{
+	if (POOL_FEATURE_ENABLED(pool, GB_FEATURE_RUN_TIMES))
+		return pool_runtime_copy_pays(pool, run, NULL);
+	return (double)(pool->now - run->started) >=
+	       DISPATCH_STRAGGLER_RATIO * (double)expected;
+}
+
+/** Whether a copy of a straggler on a worker pays. */
+static bool
+copy_pays(const struct gb_pool *pool, const struct pool_run *run,
+    const struct pool_worker *worker)
+{
+	return !POOL_FEATURE_ENABLED(pool, GB_FEATURE_RUN_TIMES) ||
+	       pool_runtime_copy_pays(pool, run, worker);
+}
+
 /** Starts speculative copies of stragglers. */
 static void
 step_copy_stragglers(
@@ -628,13 +648,13 @@
 		if (run == NULL || TAILQ_NEXT(run, of_task) != NULL ||
 		    step->tasks[i].done || run->state == POOL_RUN_STOPPING ||
 		    step->tasks[i].suspect != NULL ||
-		    (double)(pool->now - run->started) <
-			DISPATCH_STRAGGLER_RATIO * (double)expected)
+		    !run_is_straggler(pool, run, expected))
 			continue;
 		if (pool_quota_fits(pool, flow->org, &step->spec->res, 1) ==
 			0 ||
 		    pool_fit_place(pool, flow, step, 1, true, &worker) == 0 ||
-		    pool->workers[worker] == run->worker)
+		    pool->workers[worker] == run->worker ||
+		    !copy_pays(pool, run, pool->workers[worker]))
 			continue;
 		pool_run_start(pool, flow, step_number, i,
 		    pool_step_next_run(pool, step), pool->workers[worker],
--- a/libgooseberry/pool/health.c
+++ b/libgooseberry/pool/health.c
@@ -84,6 +84,7 @@
 
 	if (run->state != POOL_RUN_RUNNING || run->confirmed == 0)
 		return;
+	pool_runtime_run_done(pool, run, pool->now - run->confirmed);
 	if ((run->flow->steps[run->step].spec->flags &
 		(GB_STEP_GANG | GB_STEP_CHECKPOINT)) == 0)
 		worker_update_slowness(
--- a/libgooseberry/pool/rank.c
+++ b/libgooseberry/pool/rank.c
@@ -85,6 +85,8 @@
 	stat = gb_calloc(1, sizeof(*stat));
 	snprintf(stat->name, sizeof(stat->name), "%s", name);
 	stat->ratio = 1.0;
+	runtime_queue_init(&stat->run_times[0]);
+	runtime_queue_init(&stat->run_times[1]);
 	HASH_ADD_STR(pool->queues, name, stat);
 	return stat;
 }
@@ -160,8 +162,9 @@
 			 (double)spare);
 }
 
-/** Expected run time of a task.  Declared run times are off by up to 90%, so
- * the queue's own average has the same weight as the declared one. */
+/** Expected run time of a task.  Without distributions of run times the queue's
+ * own average has the same weight as the declared time, which is off by up to
+ * 90%. */
 gb_time
 pool_rank_estimate(const struct gb_pool *pool, const struct pool_flow *flow,
     const struct pool_step *step)
@@ -169,6 +172,8 @@
 	struct pool_queue_stat *stat;
 	gb_time declared = step->spec->estimate_us;
 
+	if (POOL_FEATURE_ENABLED(pool, GB_FEATURE_RUN_TIMES))
+		return pool_runtime_expected(pool, flow, step);
 	HASH_FIND_STR(pool->queues, flow->spec.queue, stat);
 	if (stat == NULL || stat->run_us <= 0)
 		return declared;
--- a/libgooseberry/pool/report.c
+++ b/libgooseberry/pool/report.c
@@ -245,6 +245,7 @@
 	    run->stopped == 0)
 		run->state = POOL_RUN_RUNNING;
 	if (run_report->percent != run->percent) {
+		pool_runtime_run_progress(pool, run, run_report->percent);
 		run->percent = run_report->percent;
 		run->progress_at = pool->now;
 	}
--- a/libgooseberry/pool/reservation.c
+++ b/libgooseberry/pool/reservation.c
@@ -26,7 +26,8 @@
 bool
 pool_run_progress_known(const struct pool_run *run)
 {
-	return run->percent >= RESERVE_PROGRESS_MIN_PERCENT &&
+	return run->percent >=
+		   run->first_percent + RESERVE_PROGRESS_MIN_PERCENT &&
 	       run->progress_at > run->started;
 }
 
@@ -43,6 +44,8 @@
 		run_time =
 		    (run->progress_at - run->started) * 100 / run->percent;
 	left = run->started + run_time - pool->now;
+	if (POOL_FEATURE_ENABLED(pool, GB_FEATURE_RUN_TIMES))
+		left = pool_runtime_left(pool, run);
 	return left > RESERVE_TIME_LEFT_MIN ? left : RESERVE_TIME_LEFT_MIN;
 }
 
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -10,10 +10,10 @@
  * A lower file calls a higher one to look something up, or when a result ends a
  * run, a worker or the ownership.
  *
- * Decisions without side effects are in rank.c, fit.c, reservation.c, quota.c,
- * share.c, contention.c and admit.c.  preempt.c decides and also stops runs
- * through run.c.  pace.c asks the node how busy its link is, backlog.c measures
- * what a congested link gets done.
+ * Decisions without side effects are in rank.c, fit.c, reservation.c,
+ * runtime.c, quota.c, share.c, contention.c and admit.c.  preempt.c decides and
+ * also stops runs through run.c.  pace.c asks the node how busy its link is,
+ * backlog.c measures what a congested link gets done.
  */
 #ifndef GB_POOL_STATE_H
 #define GB_POOL_STATE_H
@@ -24,6 +24,7 @@
 
 #include "org.h"
 #include "pool.h"
+#include "runtime.h"
 
 struct pool_flow;
 struct pool_worker;
@@ -99,8 +100,12 @@
 			     longer take effect */
 	uint32_t percent; /**< reported progress */
 	gb_time progress_at; /**< when percent last changed */
-	bool adopted;	     /**< started by an earlier owner */
-	bool suspect;	     /**< its task is a crash suspect */
+	/** First reported progress of a run that had not begun at 0 when this
+	 * owner saw it first, and when it was reported; 0: it began at 0. */
+	uint32_t first_percent;
+	gb_time first_percent_at;
+	bool adopted; /**< started by an earlier owner */
+	bool suspect; /**< its task is a crash suspect */
 	/* For runs whose worker is lost: */
 	bool lost_early; /**< lost soon after the worker had started it */
 	bool lost_sole_suspect; /**< lost early, and no other flow had a start
@@ -161,9 +166,11 @@
 struct pool_step {
 	const gb_step *spec;
 	struct pool_task *tasks;
-	uint32_t done;		 /**< tasks whose end was reported */
-	gb_time done_run_time;	 /**< total time of the runs that were done */
-	uint32_t done_runs;	 /**< number of these runs */
+	uint32_t done;	       /**< tasks whose end was reported */
+	gb_time done_run_time; /**< total time of the runs that were done */
+	uint32_t done_runs;    /**< number of these runs */
+	double runtime_log; /**< mean logarithm of ended runs, by runtime.c */
+	uint32_t runtime_runs;	 /**< number of these runs */
 	gb_time failed_run_time; /**< time of the longest failed run */
 	bool not_started_before; /**< was not ready when this owner loaded it,
 				    so no earlier owner has started it */
@@ -537,6 +544,8 @@
 	double cores;	  /**< processors that a flow asks for, in thousandths,
 			     smoothed */
 	uint32_t waiting; /**< not used */
+	/** Distributions of run times; the second one is that of gangs. */
+	struct runtime_queue run_times[2];
 };
 
 /** Accepted work that was not started, and how fast the link gets work done. */
