Serve how far the declared run times of queues are off

Cause: operators could not see which queue declares wrong run times. Change: the owner's metrics have, for each queue and kind of step, the deviation of the logarithm of run time over declared run time, the median of that ratio and the number of steps that count.

--- a/libgooseberry/node/metrics.c
+++ b/libgooseberry/node/metrics.c
@@ -11,6 +11,9 @@
 
 /** Largest body of a request, in bytes. */
 #define METRICS_BODY_MAX 1024
+/** Entries of run times of queues, up to two for each; bounds the number of
+ * series. */
+#define METRICS_RUN_TIMES_MAX 100
 /** Organisations that have metrics; bounds the number of series. */
 #define METRICS_ORGS_MAX 200
 
@@ -73,6 +76,37 @@
 	free(orgs);
 }
 
+/** Add one metric of the run times of a queue. */
+static void
+run_times_print(struct gb_text *out, const char *metric,
+    const struct gb_pool_queue_run_times *queue, uint32_t value)
+{
+	gb_text_add(out,
+	    "gooseberry_queue_%s{queue=\"%s\",kind=\"%s\"} %" PRIu32 "\n",
+	    metric, queue->name, queue->gangs ? "gang" : "single", value);
+}
+
+/** Add the metrics of declared run times, which only the owner of the pool
+ * has. */
+static void
+queues_print(const struct gb_pool *pool, struct gb_text *out)
+{
+	struct gb_pool_queue_run_times *queues =
+	    gb_calloc(METRICS_RUN_TIMES_MAX, sizeof(*queues));
+	size_t count =
+	    gb_pool_queue_run_times(pool, queues, METRICS_RUN_TIMES_MAX);
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		run_times_print(out, "declared_deviation_milli", &queues[i],
+		    queues[i].deviation);
+		run_times_print(
+		    out, "declared_ratio_milli", &queues[i], queues[i].ratio);
+		run_times_print(out, "run_times", &queues[i], queues[i].runs);
+	}
+	free(queues);
+}
+
 void
 gb_node_metrics(struct gb_node *node, struct gb_text *out)
 {
@@ -190,8 +224,10 @@
 	gb_histogram_print(out, "gooseberry_takeover_us",
 	    "Decision to ownership.", &s->takeover_us);
 	owner_monitor_metrics(node, out);
-	if (gb_pool_owns(node->pool))
+	if (gb_pool_owns(node->pool)) {
 		orgs_print(node->pool, out);
+		queues_print(node->pool, out);
+	}
 	if (gb_env_link(node->env) != NULL)
 		traffic_print(node->env->link, out);
 }
--- a/libgooseberry/pool.h
+++ b/libgooseberry/pool.h
@@ -659,6 +659,21 @@
 size_t gb_pool_org_stats(
     const struct gb_pool *, struct gb_pool_org_stat *out, size_t max);
 
+/** Declared run times of a queue, as this owner knows them. */
+struct gb_pool_queue_run_times {
+	char name[GB_NAME_MAX + 1];
+	bool gangs;	    /**< of its gangs, else of its other steps */
+	uint32_t runs;	    /**< steps that count, at most 500 */
+	uint32_t deviation; /**< of the logarithm of run time over declared
+			       run time, in thousandths */
+	uint32_t ratio;	    /**< median of that ratio, in thousandths */
+};
+
+/** Fills in at most `max` entries, only of queues with ended runs; returns how
+ * many. */
+size_t gb_pool_queue_run_times(
+    const struct gb_pool *, struct gb_pool_queue_run_times *out, size_t max);
+
 /* Events ------------------------------------------------------------------ */
 
 /** Structured log: one JSON object per line, with bounded memory; never
--- a/libgooseberry/pool/runtime.c
+++ b/libgooseberry/pool/runtime.c
@@ -663,3 +663,37 @@
 	queue_add_run(q, step, (double)run_time / slowness, weight);
 	step_add_run(step, q, log((double)run_time / slowness));
 }
+
+/** Value in thousandths. */
+static uint32_t
+in_thousandths(double value)
+{
+	return (uint32_t)lround(value * 1000);
+}
+
+size_t
+gb_pool_queue_run_times(
+    const struct gb_pool *pool, struct gb_pool_queue_run_times *out, size_t max)
+{
+	const struct pool_queue_stat *stat;
+	size_t count = 0;
+	int gangs;
+
+	for (stat = pool->queues; stat != NULL; stat = stat->hh.next) {
+		for (gangs = 0; gangs < 2 && count < max; gangs++) {
+			const struct runtime_queue *q = &stat->run_times[gangs];
+
+			if (q->absolute.total <= 0)
+				continue;
+			snprintf(out[count].name, sizeof(out[count].name), "%s",
+			    stat->name);
+			out[count].gangs = gangs == 1;
+			out[count].runs = (uint32_t)lround(q->absolute.total);
+			out[count].deviation =
+			    in_thousandths(runtime_deviation(&q->declared));
+			out[count++].ratio =
+			    in_thousandths(runtime_quantile(&q->declared, 0.5));
+		}
+	}
+	return count;
+}
--- a/tests/test_runtime.c
+++ b/tests/test_runtime.c
@@ -316,6 +316,7 @@
 play_seeds(const char *name, uint32_t disabled_features)
 {
 	struct outcome out[LOADS] = {0};
+	const double load_count = LOADS;
 	double worth = 0;
 	uint64_t seed;
 	size_t i;
@@ -329,7 +330,7 @@
 		    out[i].worth / out[i].flows);
 		worth += out[i].worth / out[i].flows;
 	}
-	print_message("; mean worth %.3f\n", worth / (double)LOADS);
+	print_message("; mean worth %.3f\n", worth / load_count);
 	return out[LOOKUPS];
 }
 
@@ -348,6 +349,46 @@
 		    (without.flows - without.in_time) * LATE_PERCENT_MAX);
 }
 
+/** Metrics must show which queue declares wrong run times: those of gangs are
+ * off by 90%, those of imports by 20%. */
+static void
+test_deviation_of_declared_times(void **state)
+{
+	const struct pool_cell_setup setup = {
+	    1, 24, {16000, 64000, 0, 0, 0}, 0, 0, 0, 0, 0, 0};
+	struct gb_pool_queue_run_times entries[2 * LOADS];
+	struct pool_cell *cell = pool_cell_begin(&setup);
+	uint64_t draws = 1;
+	size_t count;
+	size_t i;
+	int n;
+
+	(void)state;
+	assert_int_equal(
+	    gb_pool_queue_run_times(cell->nodes[0], entries, 2 * LOADS), 0);
+	for (n = 0; n < ROUNDS; n++) {
+		for (i = 0; i < LOADS; i++)
+			submit_round(cell, &draws, &loads[i]);
+		pool_cell_run(cell, ROUND);
+	}
+	count = gb_pool_queue_run_times(cell->nodes[0], entries, 2 * LOADS);
+	assert_int_equal(count, LOADS);
+	for (i = 0; i < count; i++) {
+		bool gangs = strcmp(entries[i].name, "rebuild") == 0;
+
+		print_message("%s: deviation %u, %u runs\n", entries[i].name,
+		    entries[i].deviation, entries[i].runs);
+		assert_int_equal(entries[i].gangs, gangs);
+		if (gangs)
+			assert_in_range(entries[i].deviation, 400, 1000);
+		if (strcmp(entries[i].name, "import") == 0)
+			assert_in_range(entries[i].deviation, 80, 350);
+	}
+	assert_int_equal(
+	    gb_pool_queue_run_times(cell->nodes[0], entries, 1), 1);
+	pool_cell_free(cell);
+}
+
 int
 main(void)
 {
@@ -361,6 +402,7 @@
 	    cmocka_unit_test(test_export_and_import),
 	    cmocka_unit_test(test_import_merges),
 	    cmocka_unit_test(test_loads_with_wrong_declared_times),
+	    cmocka_unit_test(test_deviation_of_declared_times),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
