Copy stragglers by the progress of the tasks beside them

Cause: a copy of a lookup of 0.68 s helps only if it starts within 0.5 s, but no task of its step has ended by then, so that the copy waited until the run had taken twice the expected time. Change: a run with little progress is a straggler if its expected remaining time exceeds that of a new run, and also the time that another task of the step takes by its progress.

--- a/libgooseberry/pool/runtime.c
+++ b/libgooseberry/pool/runtime.c
@@ -61,10 +61,14 @@
  * times that of the copy: the copy takes capacity from others, and both
  * estimates are off by 15 to 30%. */
 #define RUNTIME_COPY_MARGIN 1.5
-/** While no other run of the step has ended, the whole step may take longer
- * than expected.  A copy is then started only when a run has taken this many
- * times as long as expected. */
+/** While no other run of the step has ended, and none shows by its progress how
+ * long it takes, the whole step may take longer than expected.  A copy is then
+ * started only when a run has taken this many times as long as expected. */
 #define RUNTIME_COPY_RATIO 2.0
+/** Share of the expected time after which progress below 10 percent shows a
+ * straggler: others have made 25 percent by then, also when their start took a
+ * tenth of that time. */
+#define RUNTIME_LITTLE_PROGRESS_SHARE 0.25
 
 /* Histograms -------------------------------------------------------------- */
 
@@ -548,6 +552,55 @@
 			     step_error(q, step), elapsed / estimate));
 }
 
+/** Shortest run time that the progress of a run allows for on a worker of
+ * slowness 1, 0: unknown.  Percent are rounded down. */
+static double
+run_least_time(const struct pool_run *run)
+{
+	double elapsed = (double)(run->progress_at - run_began(run));
+
+	if (run->percent == 0 || run->first_percent != 0 || elapsed <= 0)
+		return 0;
+	return elapsed * 100 / (run->percent + 1) /
+	       worker_slowness(run->worker);
+}
+
+/** Shortest run time of another task of the step by its progress, 0: unknown.
+ */
+static double
+step_least_time(const struct pool_step *step, const struct pool_run *but)
+{
+	double least = 0;
+	uint32_t i;
+
+	for (i = 0; i < step->spec->count; i++) {
+		const struct pool_run *run = TAILQ_FIRST(&step->tasks[i].runs);
+		double time = 0;
+
+		if (run != NULL && run != but && pool_run_progress_known(run))
+			time = run_least_time(run);
+		if (time > 0 && (least <= 0 || time < least))
+			least = time;
+	}
+	return least;
+}
+
+/** Expected remaining time of a run.  Progress is not known below 10 percent,
+ * but a run that has made little of it for a while is a straggler. */
+static double
+straggler_left(
+    const struct gb_pool *pool, const struct pool_run *run, double expected)
+{
+	double slowness = worker_slowness(run->worker);
+	double least = run_least_time(run);
+
+	if (!pool_run_progress_known(run) && least > 0 &&
+	    (double)(run->progress_at - run_began(run)) >
+		RUNTIME_LITTLE_PROGRESS_SHARE * expected * slowness)
+		return slowness * least - (double)(pool->now - run_began(run));
+	return (double)pool_run_time_left(pool, run);
+}
+
 bool
 pool_runtime_copy_pays(const struct gb_pool *pool, const struct pool_run *run,
     const struct pool_worker *worker)
@@ -556,13 +609,17 @@
 	double slowness = worker == NULL ? 1 : worker_slowness(worker);
 	double expected = (double)pool_runtime_expected(pool, run->flow, step);
 	double elapsed = (double)(pool->now - run_began(run));
+	double left = straggler_left(pool, run, expected);
+	double others;
 
-	if (step->runtime_runs == 0 &&
-	    elapsed <
-		RUNTIME_COPY_RATIO * expected * worker_slowness(run->worker))
+	if (left <= RUNTIME_COPY_MARGIN * expected * slowness)
 		return false;
-	return (double)pool_run_time_left(pool, run) >
-	       RUNTIME_COPY_MARGIN * expected * slowness;
+	if (step->runtime_runs > 0 ||
+	    elapsed >=
+		RUNTIME_COPY_RATIO * expected * worker_slowness(run->worker))
+		return true;
+	others = step_least_time(step, run);
+	return others > 0 && left > RUNTIME_COPY_MARGIN * others * slowness;
 }
 
 void
--- a/tests/test_runtime.c
+++ b/tests/test_runtime.c
@@ -231,9 +231,9 @@
 #define ROUND (25 * GB_MSEC)
 #define ROUNDS 1600
 #define SEEDS 4
-/** Lookups that are late, in percent of those with the previous blend: 71 were
- * measured over eight seeds. */
-#define LATE_PERCENT_MAX 90
+/** Lookups that are late, in percent of those with the previous blend: 40 were
+ * measured over 16 seeds. */
+#define LATE_PERCENT_MAX 65
 
 /** Declared time: off by a random share of `work`. */
 static gb_time
@@ -316,7 +316,7 @@
 play_seeds(const char *name, uint32_t disabled_features)
 {
 	struct outcome out[LOADS] = {0};
-	const double load_count = LOADS;
+	const size_t load_count = LOADS;
 	double worth = 0;
 	uint64_t seed;
 	size_t i;
@@ -330,7 +330,7 @@
 		    out[i].worth / out[i].flows);
 		worth += out[i].worth / out[i].flows;
 	}
-	print_message("; mean worth %.3f\n", worth / load_count);
+	print_message("; mean worth %.3f\n", worth / (double)load_count);
 	return out[LOOKUPS];
 }
 
