Keep what the owner has learned in the store

A new owner reads the rows once it works, before it writes any, and applies those of its workers as they answer. Rows that can't be used are counted and logged.

--- a/libgooseberry/pool.h
+++ b/libgooseberry/pool.h
@@ -324,6 +324,8 @@
 /** Prefix of the keys of the set of workers that may run flows of the
  * partition, in the same table. */
 #define GB_POOL_WORKERS_KEY "workers-"
+/** Key of the row with what the owner has learned, in the same table. */
+#define GB_POOL_LEARNED_KEY "learned"
 
 /** Partition that has the rows of a flow, by a hash of its id. */
 uint32_t gb_pool_partition(const char *flow_id);
@@ -613,6 +615,18 @@
  * read. */
 bool gb_flow_state_decode(const gb_body *row, gb_flow_state *);
 
+/** Why a row with what the previous owner has learned isn't used. */
+enum gb_learned_error {
+	GB_LEARNED_USABLE,
+	GB_LEARNED_MISSING,
+	GB_LEARNED_UNREADABLE,	 /**< the row, or a queue in it */
+	GB_LEARNED_OTHER_FORMAT, /**< written by another program version */
+	GB_LEARNED_TOO_OLD,
+	GB_LEARNED_FROM_FUTURE, /**< by the wall clock, or by its epoch */
+	GB_LEARNED_NO_ANSWER,	/**< the store didn't return it in time */
+	GB_LEARNED_ERRORS
+};
+
 /** Counters of a core, for the metrics.  Histograms are in microseconds. */
 struct gb_pool_stats {
 	/** Submissions; repeated: of a flow that was known already. */
@@ -634,6 +648,13 @@
 							error */
 	uint64_t txns, txn_conflicts, txn_lost, rows, reads, takeovers, losses;
 	uint64_t takeovers_failed; /**< failed takeovers */
+	/** Rows sent to the store with what this owner has learned, and their
+	 * bytes as they are sent. */
+	uint64_t learned_rows, learned_bytes;
+	/** Such rows of earlier owners that were read and used, and the workers
+	 * to which they applied. */
+	uint64_t learned_rows_read, learned_workers;
+	uint64_t learned_ignored[GB_LEARNED_ERRORS]; /**< not used, by reason */
 	uint64_t flows, waiting, running, workers, quarantined;
 	struct gb_histogram accept_us, first_start_us, finish_us, advice_us;
 	struct gb_histogram txn_us, start_us, takeover_us;
--- a/libgooseberry/pool/owner.c
+++ b/libgooseberry/pool/owner.c
@@ -20,6 +20,7 @@
 #include <jansson.h>
 
 #include "crash.h"
+#include "learned.h"
 #include "state.h"
 
 /** Time after the longest lease, counted on the slowest clock, by which all
@@ -546,6 +547,9 @@
 	case POOL_CALL_INBOX_FLOW:
 		pool_load_inbox_done(pool, call, res);
 		break;
+	case POOL_CALL_LOAD_LEARNED:
+		pool_learned_read_done(pool, call, res);
+		break;
 	default:
 		partition_load_done(pool, call, res);
 		break;
@@ -681,6 +685,7 @@
 		return;
 	contention_tick(&pool->contention, pool->now);
 	owner_inbox_read(pool);
+	pool_learned_tick(pool);
 }
 
 void
--- a/libgooseberry/pool/page.c
+++ b/libgooseberry/pool/page.c
@@ -123,7 +123,8 @@
 	    page->partition, page->table, page->from, page->to, 0, 0};
 
 	read.limit = page->kind == POOL_CALL_LOAD_WORKERS ? POOL_SET_ROWS
-		     : page->kind == POOL_CALL_INBOX_FLOW
+		     : page->kind == POOL_CALL_INBOX_FLOW ||
+			     page->kind == POOL_CALL_LOAD_LEARNED
 			 ? 1
 			 : page_rows(pool, page->table);
 	if (pages_paced(pool))
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -5,10 +5,11 @@
  * The files, from the entry points down: pool.c; owner.c, rival.c, load.c and
  * page.c (ownership and loading); dispatch.c and advice.c (starting work);
  * worker.c, listing.c, incarnation.c, health.c and worker_set.c (workers);
- * flow.c, flow_state.c, report.c, run.c, late_start.c, announce.c and crash.c
- * (flows and runs); writer.c and probe.c (storing changes); call.c and org.c.
- * A lower file calls a higher one to look something up, or when a result ends a
- * run, a worker or the ownership.
+ * learned.c, learned_record.c, learned_read.c and learned_write.c (learned
+ * state); flow.c, flow_state.c, report.c, run.c, late_start.c, announce.c and
+ * crash.c (flows and runs); writer.c and probe.c (storing changes); call.c and
+ * org.c. A lower file calls a higher one to look something up, or when a result
+ * ends a run, a worker or the ownership.
  *
  * Decisions without side effects are in rank.c, fit.c, reservation.c, quota.c,
  * share.c, contention.c and admit.c.  preempt.c decides and also stops runs
@@ -509,7 +510,8 @@
 	POOL_CALL_LOAD_FLOWS,
 	POOL_CALL_LOAD_WORKERS,
 	POOL_CALL_INBOX_LIST, /**< read of the keys of the inbox */
-	POOL_CALL_INBOX_FLOW  /**< read of a flow that the inbox names */
+	POOL_CALL_INBOX_FLOW, /**< read of a flow that the inbox names */
+	POOL_CALL_LOAD_LEARNED
 };
 
 struct pool_call {
@@ -557,6 +559,7 @@
 	gb_time measured_at;
 };
 
+struct pool_learned;
 struct pool_page;
 TAILQ_HEAD(pool_pages, pool_page);
 
@@ -607,6 +610,8 @@
 	/** Capacity on which runs unknown to this owner may be running. */
 	struct gb_pool_amount uncertain_use;
 	struct pool_partition partitions[GB_POOL_PARTITIONS];
+	struct pool_learned *learned; /**< null before the first tick as owner
+				       */
 	/* Loading */
 	struct pool_pages pages;      /**< pages not requested yet */
 	struct pool_pages pages_sent; /**< pages in flight */
--- a/libgooseberry/pool/writer.c
+++ b/libgooseberry/pool/writer.c
@@ -16,13 +16,14 @@
 
 #include <jansson.h>
 
+#include "learned.h"
 #include "state.h"
 
 /** Maximum number of entries in one transaction; the limit of the store is
  * 100. */
 #define WRITER_ENTRIES_MAX 94
 /** Number of entries that must be free to add a flow: for its rows, the owner's
- * row and the worker set. */
+ * row, the worker set and what was learned. */
 #define WRITER_FLOW_ENTRIES 7
 /** Size of the values in one transaction, in bytes, at which no further flow is
  * added; the limit of the store is 1 MB in base64. */
@@ -223,6 +224,22 @@
 	    pool->now + pool_pace_set_pause(pool, row->value.gb_body_len);
 }
 
+/** Adds what this owner has learned if that is due and nothing else of the
+ * partition is left to write. */
+static void
+draft_learned(struct gb_pool *pool, uint32_t number, struct draft *draft,
+    size_t bytes_max)
+{
+	gb_body body = {0};
+
+	if (!TAILQ_EMPTY(&pool->partitions[number].dirty) ||
+	    draft->bytes >= bytes_max ||
+	    !pool_learned_body(pool, number, bytes_max - draft->bytes, &body))
+		return;
+	draft_put(draft, GB_POOL_OWNERS, GB_POOL_LEARNED_KEY)->value = body;
+	draft->bytes += body.gb_body_len;
+}
+
 static void
 partition_send(struct gb_pool *pool, uint32_t number, struct draft *draft,
     enum pool_partition_phase phase)
@@ -319,7 +336,8 @@
 static bool
 partition_should_renew(const struct gb_pool *pool, uint32_t number)
 {
-	return number < GB_POOL_PARTITIONS_RENEWED &&
+	return (number < GB_POOL_PARTITIONS_RENEWED ||
+		   pool_learned_due(pool, number)) &&
 	       pool->now - pool->partitions[number].renewed >
 		   WRITER_RENEW_EARLY;
 }
@@ -356,6 +374,8 @@
 	if (partition->renew || partition_should_renew(pool, number))
 		partition_renew(pool, partition, &draft);
 	draft_worker_set(pool, number, &draft);
+	if (partition->renew_sent)
+		draft_learned(pool, number, &draft, bytes_max);
 	partition_send(pool, number, &draft, POOL_PARTITION_WRITING);
 }
 
@@ -568,6 +588,7 @@
 	partition->call = 0;
 	if (partition->set_sent)
 		pool_worker_set_stored(pool, number, false);
+	pool_learned_written(pool, number, false);
 	partition_write_lost(pool, partition);
 	free(partition->sent_flows);
 	partition->sent_flows = NULL;
@@ -585,6 +606,7 @@
 	gb_histogram_add(&pool->stats.txn_us, pool->now - call->sent);
 	if (partition->set_sent && res->status != GB_STORE_OK)
 		pool_worker_set_stored(pool, call->partition, false);
+	pool_learned_written(pool, call->partition, res->status == GB_STORE_OK);
 	if (res->status != GB_STORE_UNKNOWN)
 		partition->probing_since = 0; /* the store has answered */
 	switch (res->status) {
@@ -648,6 +670,7 @@
 {
 	uint32_t i;
 
+	pool_learned_reset(pool);
 	for (i = 0; i < GB_POOL_PARTITIONS; i++) {
 		struct pool_partition *partition = &pool->partitions[i];
 
