Refuse submissions that the forecast says are certainly too late

Cause: overload was noticed only after acceptance.

Nothing is refused while the processors for a first step are free, for a queue without measured run times, or in the first 2 s of an owner. Retry-After is the forecast start.

For what is beyond its organisation's share, work that has arrived within the shares in each of the last three windows of 4 s counts as going on, since all of it goes first.

--- a/libgooseberry/pool.h
+++ b/libgooseberry/pool.h
@@ -617,6 +617,8 @@
 struct gb_pool_stats {
 	/** Submissions; repeated: of a flow that was known already. */
 	uint64_t submitted, accepted, refused, repeated;
+	/** Of the refused ones, those that the forecast says are too late. */
+	uint64_t refused_too_late;
 	uint64_t starts, starts_refused, starts_lost, stops, preempted,
 	    heartbeats;
 	/** Writes to announce starts; loaded tasks with an order that may still
@@ -642,6 +644,20 @@
 /** Returns the counters, which belong to the core and change with it. */
 const struct gb_pool_stats *gb_pool_stats(struct gb_pool *);
 
+/** Number of priorities that have a forecast. */
+#define GB_POOL_FORECAST_PRIORITIES 8
+
+/** Fills in, by priority, the time until a submission of that priority starts
+ * at the earliest, in milliseconds; returns the number of priorities.  0: it is
+ * not known, or there are free processors. */
+size_t gb_pool_forecast(struct gb_pool *, gb_time now,
+    uint32_t wait_ms[GB_POOL_FORECAST_PRIORITIES]);
+/** Whether a submission of a queue is too late to earn anything if it starts
+ * after `wait` at the earliest; judged by its declared run times alone.  Fills
+ * in when its caller is to retry. */
+bool gb_pool_forecast_too_late(const struct gb_pool_queue *, const gb_flow *,
+    gb_time wait, gb_time *retry_after);
+
 /** Counters of an organisation, as this owner knows it. */
 struct gb_pool_org_stat {
 	char name[GB_NAME_MAX + 1];
--- a/libgooseberry/pool/admit.c
+++ b/libgooseberry/pool/admit.c
@@ -13,6 +13,9 @@
  * an accepted flow that could start can't earn anything any more, the link is
  * left to what was accepted: newer flows would go first and keep it waiting.
  */
+#include <jansson.h>
+
+#include "forecast.h"
 #include "state.h"
 
 /** Maximum number of open flows: unfinished ones, and finished ones until their
@@ -111,6 +114,27 @@
 	return bytes;
 }
 
+/** Whether the forecast says that a flow is certainly too late; fills in when
+ * to retry. */
+static bool
+admit_too_late(struct gb_pool *pool, const gb_flow *flow, gb_time *retry_after)
+{
+	gb_time latest;
+	gb_time start;
+
+	if (!pool_forecast_too_late(pool, flow, &start, &latest))
+		return false;
+	*retry_after = forecast_retry_after(start, flow->id);
+	pool->stats.refused_too_late++;
+	gb_event(pool->cfg.events, GB_EVENT_NORMAL, "flow_too_late",
+	    "{s:s, s:s, s:s, s:I, s:I, s:I}", "flow", flow->id, "queue",
+	    flow->queue, "org", flow->org, "forecast_ms",
+	    (json_int_t)(start / GB_MSEC), "latest_ms",
+	    (json_int_t)(latest / GB_MSEC), "retry_after_ms",
+	    (json_int_t)(*retry_after / GB_MSEC));
+	return true;
+}
+
 bool
 pool_admit(struct gb_pool *pool, const gb_flow *flow, gb_time *retry_after,
     const char **why)
@@ -149,6 +173,10 @@
 		*retry_after = backlog;
 		return false;
 	}
+	if (admit_too_late(pool, flow, retry_after)) {
+		*why = "it would start too late to earn anything";
+		return false;
+	}
 	if (!pool_pace_accepts(pool, admit_start_bytes(flow))) {
 		*why = "too many starts were accepted for the link";
 		return false;
--- a/libgooseberry/pool/pool.c
+++ b/libgooseberry/pool/pool.c
@@ -80,6 +80,7 @@
 		free(stat);
 	}
 	pool_orgs_free(pool);
+	pool_forecast_free(pool);
 	gb_pool_config_unref(pool->config);
 	free(pool->channels);
 	free(pool->candidates);
@@ -305,6 +306,7 @@
 	flow->config = submit->caller.config;
 	flow->not_started_before = true;
 	flow->spec.over_share = pool_share_charge(flow->org, pool->now);
+	pool_forecast_flow_accepted(pool, flow);
 	pool->stats.accepted++;
 	pool_org_count_accepted(flow->org, flow->spec.over_share);
 	pool_writer_mark_dirty(pool, flow, true);
--- a/libgooseberry/pool/rank.c
+++ b/libgooseberry/pool/rank.c
@@ -64,16 +64,6 @@
 /** Priority of the most urgent queues. */
 #define RANK_PRIORITY_URGENT 0
 
-/** Tiers in the order in which their flows go, as described above. */
-enum rank_tier {
-	RANK_URGENT,	  /**< of the most urgent queues, on time */
-	RANK_URGENT_LATE, /**< of the most urgent queues, late */
-	RANK_ON_TIME,
-	RANK_LATE,
-	RANK_OVER_SHARE,
-	RANK_TOO_LATE /**< can't earn anything any more */
-};
-
 struct pool_queue_stat *
 pool_rank_queue_stat(struct gb_pool *pool, const char *name)
 {
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -11,8 +11,9 @@
  * run, a worker or the ownership.
  *
  * Decisions without side effects are in rank.c, fit.c, reservation.c, quota.c,
- * share.c, contention.c and admit.c.  preempt.c decides and also stops runs
- * through run.c.  pace.c asks the node how busy its link is, backlog.c measures
+ * share.c, contention.c, forecast.c and admit.c; forecast_snapshot.c collects
+ * what forecast.c decides on.  preempt.c decides and also stops runs through
+ * run.c.  pace.c asks the node how busy its link is, backlog.c measures
  * what a congested link gets done.
  */
 #ifndef GB_POOL_STATE_H
@@ -26,6 +27,7 @@
 #include "pool.h"
 
 struct pool_flow;
+struct pool_forecast;
 struct pool_worker;
 
 /** Workers in one row of the stored worker set: 48 bytes each, within the 64 KB
@@ -283,7 +285,7 @@
 	gb_time chain;	   /**< as remaining, without the wait */
 	gb_time size_delay; /**< added to start_by to order it behind smaller
 			       flows of its queue; negative for a small one */
-	int tier;	    /**< enum rank_tier of rank.c; lower goes first */
+	int tier;	    /**< enum rank_tier; lower goes first */
 	/** Stored state, while the flow is being loaded. */
 	gb_flow_state *loading;
 	struct pool_waiters waiters;
@@ -663,8 +665,9 @@
 	gb_time accept_at;
 	struct pool_slot *slots; /**< scratch of reservation.c */
 	size_t slot_size;
-	gb_time dispatch_at; /**< time of the last dispatch */
-	gb_time sweep_at;    /**< time of the last sweep of finished flows */
+	struct pool_forecast *forecast; /**< of forecast_snapshot.c */
+	gb_time dispatch_at;		/**< time of the last dispatch */
+	gb_time sweep_at; /**< time of the last sweep of finished flows */
 	struct gb_pool_stats stats;
 };
 
@@ -688,6 +691,16 @@
 void pool_call_clear_run(struct gb_pool *, uint64_t id);
 
 /* rank.c */
+/** Tiers in the order in which their flows go, as described in rank.c. */
+enum rank_tier {
+	RANK_URGENT,	  /**< of the most urgent queues, on time */
+	RANK_URGENT_LATE, /**< of the most urgent queues, late */
+	RANK_ON_TIME,
+	RANK_LATE,
+	RANK_OVER_SHARE,
+	RANK_TOO_LATE /**< can't earn anything any more */
+};
+
 /** Computes due times, remaining time and tier of a flow. */
 void pool_rank_update_flow(struct gb_pool *, struct pool_flow *);
 /** Compares the start order of two flows: negative when the first goes
@@ -824,6 +837,15 @@
 bool pool_admit(
     struct gb_pool *, const gb_flow *, gb_time *retry_after, const char **why);
 
+/* forecast_snapshot.c */
+/** Whether a submission is certainly too late to earn anything.  Fills in its
+ * forecast start and its latest useful start, from now on. */
+bool pool_forecast_too_late(
+    struct gb_pool *, const gb_flow *, gb_time *start, gb_time *latest);
+/** Counts an accepted flow as work that arrives. */
+void pool_forecast_flow_accepted(struct gb_pool *, const struct pool_flow *);
+void pool_forecast_free(struct gb_pool *);
+
 /* writer.c */
 /** Queues a flow to be written, soon if a caller waits for it. */
 void pool_writer_mark_dirty(struct gb_pool *, struct pool_flow *, bool urgent);
