Let members refuse by the owner's forecast while it is silent

Cause: a member whose owner is silent stores submissions itself, also those that the owner would refuse as too late.

Change: the answer to a hello ends with the forecast wait of each priority; older programs end before the field or stop reading before it. A member keeps it with the time of receipt. A forecast older than 2 s does not count.

--- a/libgooseberry/connection/rpc_method.c
+++ b/libgooseberry/connection/rpc_method.c
@@ -9,7 +9,8 @@
 	    (xdrproc_t)xdr_##out, sizeof(out)}
 
 /** Coder of the answer to a hello.  Older programs end the answer before the
- * field shed or config_source, which then reads as 0 or null. */
+ * field shed, config_source or forecast_ms, which then reads as 0, null or
+ * empty. */
 static bool_t
 hello_res_code(XDR *xdrs, gb_hello_res *res)
 {
--- a/libgooseberry/gen/proto.c
+++ b/libgooseberry/gen/proto.c
@@ -1308,6 +1308,9 @@
 			 return FALSE;
 		 if (!xdr_gb_name (xdrs, &objp->config_source))
 			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->forecast_ms.forecast_ms_val, (u_int *) &objp->forecast_ms.forecast_ms_len, 8,
+			sizeof (uint32_t), (xdrproc_t) xdr_uint32_t))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
@@ -1353,6 +1356,9 @@
 			 return FALSE;
 		 if (!xdr_gb_name (xdrs, &objp->config_source))
 			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->forecast_ms.forecast_ms_val, (u_int *) &objp->forecast_ms.forecast_ms_len, 8,
+			sizeof (uint32_t), (xdrproc_t) xdr_uint32_t))
+			 return FALSE;
 	 return TRUE;
 	}
 
@@ -1391,6 +1397,9 @@
 		 return FALSE;
 	 if (!xdr_gb_name (xdrs, &objp->config_source))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->forecast_ms.forecast_ms_val, (u_int *) &objp->forecast_ms.forecast_ms_len, 8,
+		sizeof (uint32_t), (xdrproc_t) xdr_uint32_t))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/libgooseberry/gen/proto.h
+++ b/libgooseberry/gen/proto.h
@@ -743,6 +743,10 @@
 	gb_body config_text;
 	uint32_t shed;
 	gb_name config_source;
+	struct {
+		u_int forecast_ms_len;
+		uint32_t *forecast_ms_val;
+	} forecast_ms;
 };
 typedef struct gb_hello_res gb_hello_res;
 
--- a/libgooseberry/gen/proto.x
+++ b/libgooseberry/gen/proto.x
@@ -664,6 +664,10 @@
 	/* node that has the owner's configuration, if the caller's is older;
 	 * older programs end before it */
 	gb_name config_source;
+	/* time until a submission starts at the earliest, in milliseconds, by
+	 * the priority of its queue, 0: not known; older programs end before
+	 * it */
+	uint32_t forecast_ms<8>;
 };
 
 /* Request of the owner to a member to take over the pool. */
--- a/libgooseberry/node/intake.c
+++ b/libgooseberry/node/intake.c
@@ -50,6 +50,9 @@
 #define BUDGET_TIME (2 * GB_SEC)
 /** Bytes of an order to start a task, without the specification. */
 #define FLOW_TASK_BYTES 520
+/** Age from which on a forecast of the owner no longer counts: by then it may
+ * have ended as much work as the shortest objective has to spare. */
+#define FORECAST_AGE_MAX (2 * GB_SEC)
 /** Retry time in a refusal because neither an owner nor the store was reached.
  */
 #define RETRY_AFTER (GB_SEC)
@@ -266,6 +269,7 @@
 	    !gb_xdr_encode((xdrproc_t)xdr_gb_flow_row, &stored, &puts[1].value))
 		abort(); /* can't happen: this process has checked the values */
 	in->in_flight = true;
+	in->sent = true;
 	node->platform.txn(node->platform.data,
 	    node_call_new(node, in, flow_written, NULL), &txn);
 	free(puts[0].value.gb_body_val);
@@ -370,6 +374,7 @@
 	struct gb_node *node = in->node;
 	struct node_request *request = gb_calloc(1, sizeof(*request));
 
+	in->sent = true;
 	request->token = ++node->next_id;
 	request->intake = in;
 	HASH_ADD(hh, node->requests, token, sizeof(request->token), request);
@@ -390,6 +395,7 @@
 	gb_time timeout =
 	    ATTEMPT_TIMEOUT + gb_link_answer_delay(gb_env_link(node->env));
 
+	in->sent = true;
 	if (timeout > left)
 		timeout = left;
 	if (in->submit != NULL)
@@ -502,6 +508,41 @@
 	intake_finish(in, &answer);
 }
 
+/** Refuse a submission that the last owner would refuse: by its forecast it
+ * would start too late to earn anything.  Returns false if the forecast does
+ * not say so, or if an attempt has sent the submission anywhere. */
+static bool
+intake_refuse_too_late(struct intake *in, gb_time now)
+{
+	struct gb_node *node = in->node;
+	gb_time age = now - node->owner_forecast_at;
+	gb_flow_answer answer = {0};
+	const struct gb_pool_queue *queue;
+	gb_time wait;
+
+	if (in->submit == NULL || in->sent || in->maybe_done ||
+	    age > FORECAST_AGE_MAX || !NODE_USES(node, GB_FEATURE_FORECAST))
+		return false;
+	queue = gb_pool_config_queue(node->config, in->submit->flow.queue);
+	if (queue == NULL || queue->priority >= node->owner_forecast_count)
+		return false;
+	wait = node->owner_forecast_ms[queue->priority] * GB_MSEC - age;
+	if (!gb_pool_forecast_too_late(
+		queue, &in->submit->flow, wait, &answer.retry_after_us))
+		return false;
+	answer.verdict = GB_FLOW_REFUSED;
+	node->flows_too_late++;
+	gb_event(node->events, GB_EVENT_NORMAL, "flow_too_late",
+	    "{s:s, s:s, s:s, s:I, s:I, s:I}", "flow", in->submit->flow.id,
+	    "queue", in->submit->flow.queue, "org", in->submit->flow.org,
+	    "forecast_ms", (json_int_t)(wait / GB_MSEC), "forecast_age_ms",
+	    (json_int_t)(age / GB_MSEC), "retry_after_ms",
+	    (json_int_t)(answer.retry_after_us / GB_MSEC));
+	in->in_flight = false;
+	intake_finish(in, &answer);
+	return true;
+}
+
 /** Start the next attempt at a request, or answer it. */
 static void
 intake_try(struct intake *in, gb_time now)
@@ -521,6 +562,8 @@
 		intake_refuse_for_link(in);
 	} else if (owned && !silent && !loading) {
 		intake_remote(in, in->deadline - now);
+	} else if ((silent || !owned) && intake_refuse_too_late(in, now)) {
+		return;
 	} else if (in->submit != NULL && node_store_unavailable(node)) {
 		/* Neither an owner nor the store: refuse at once. */
 		in->in_flight = false;
--- a/libgooseberry/node/node_state.h
+++ b/libgooseberry/node/node_state.h
@@ -64,6 +64,8 @@
 	bool answered;	    /**< the caller has its answer, but the attempt in
 			       flight has not ended */
 	bool maybe_done;    /**< an earlier attempt may have been carried out */
+	bool sent;	    /**< an attempt has sent it to an owner or the store
+			     */
 	bool tried_store;   /**< this node has tried to store it in place of an
 			       owner that has lost the store */
 	unsigned int tries; /**< attempts so far */
@@ -134,6 +136,14 @@
 	uint64_t flows_shed; /**< flows rejected by load shedding */
 	/** Percentage of new flows to reject, as received from the owner. */
 	uint32_t owner_shed_percent;
+	/** Time until a submission starts at the earliest, by priority, as
+	 * received from the owner, in milliseconds, and when it was received.
+	 */
+	uint32_t owner_forecast_ms[GB_POOL_FORECAST_PRIORITIES];
+	uint32_t owner_forecast_count;
+	gb_time owner_forecast_at;
+	/** Submissions refused by that forecast without the owner. */
+	uint64_t flows_too_late;
 	/** Bytes of flows that this node may still store while the pool has no
 	 * owner. */
 	int64_t budget;
--- a/libgooseberry/node/peers.c
+++ b/libgooseberry/node/peers.c
@@ -92,6 +92,21 @@
 	gb_time sent;
 };
 
+/** Keep the forecast of the owner. */
+static void
+forecast_received(struct gb_node *node, const gb_hello_res *res)
+{
+	u_int i;
+
+	node->owner_forecast_count = 0;
+	node->owner_forecast_at = node_now();
+	for (i = 0; i < res->forecast_ms.forecast_ms_len &&
+		    i < GB_POOL_FORECAST_PRIORITIES;
+	     i++)
+		node->owner_forecast_ms[node->owner_forecast_count++] =
+		    res->forecast_ms.forecast_ms_val[i];
+}
+
 /** The hello to the owner was answered, or failed. */
 static void
 owner_answered(struct gb_node *node, const struct hello_call *call,
@@ -132,6 +147,7 @@
 	node->owner_link_was_full = status.link_full;
 	status.place = succession_from_hello(node, res);
 	node->owner_shed_percent = res->shed;
+	forecast_received(node, res);
 	if (res->config_source != NULL)
 		snprintf(node->fetch.named, sizeof(node->fetch.named), "%s",
 		    res->config_source);
@@ -305,6 +321,7 @@
     struct gb_node *node, struct gb_rpc_call *call, const gb_hello *hello)
 {
 	gb_hello_res res = {0};
+	uint32_t forecast_ms[GB_POOL_FORECAST_PRIORITIES];
 	gb_time now = node_now();
 	char none[] = "";
 
@@ -341,6 +358,9 @@
 		    NODE_USES(node, GB_FEATURE_STORE_CHECK) &&
 		    gb_pool_store_unavailable(node->pool);
 		res.shed = node_shed_percent(node);
+		res.forecast_ms.forecast_ms_len =
+		    (u_int)gb_pool_forecast(node->pool, now, forecast_ms);
+		res.forecast_ms.forecast_ms_val = forecast_ms;
 		res.config_source =
 		    (char *)node_config_source(node, hello->config);
 	}
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -837,21 +837,79 @@
 	assert_int_equal(refused, 0);
 }
 
-/** Answers to hellos from programs that do not send the last fields, `shed` and
- * `config_source`, are decoded; these are 0 or null then. */
+/** Gives a node a forecast of an owner that it then takes for silent. */
+static void
+node_forecast(struct gb_node *node, uint32_t wait_ms, gb_time age)
+{
+	node->owner_forecast_ms[0] = wait_ms;
+	node->owner_forecast_count = 1;
+	node->owner_forecast_at = gb_clock_boot() - age;
+	node->watch.refused = 1;
+}
+
+/** While the owner is silent, a member does not store what the owner would
+ * refuse as too late: flows of the queue earn nothing after 3 s.  A forecast
+ * that is old, shorter or switched off refuses nothing, nor does one while the
+ * owner answers. */
+static void
+test_member_refuses_by_forecast(void **state)
+{
+	struct cell *cell = cell_start();
+	struct gb_node *node;
+
+	(void)state;
+	cell_wait_ready(cell);
+	node = cell->nodes[(cell_owner(cell) + 1) % NODES];
+	node_forecast(node, 20000, GB_SEC);
+	cell_submit(cell, (cell_owner(cell) + 1) % NODES, "00000000000000d0");
+	assert_int_equal(cell->answer.verdict, GB_FLOW_REFUSED);
+	assert_in_range(cell->answer.retry_after_us, 18 * GB_SEC, 24 * GB_SEC);
+	assert_counter(
+	    node, "gooseberry_flows_refused_too_late_without_owner", 1);
+	node_forecast(node, 20000, 3 * GB_SEC);
+	cell_submit(cell, (cell_owner(cell) + 1) % NODES, "00000000000000d1");
+	assert_int_equal(cell->answer.verdict, GB_FLOW_ACCEPTED);
+	node_forecast(node, 3500, GB_SEC);
+	cell_submit(cell, (cell_owner(cell) + 1) % NODES, "00000000000000d2");
+	assert_int_equal(cell->answer.verdict, GB_FLOW_ACCEPTED);
+	node_forecast(node, 20000, 0);
+	node->disabled_features |= UINT32_C(1) << GB_FEATURE_FORECAST;
+	cell_submit(cell, (cell_owner(cell) + 1) % NODES, "00000000000000d3");
+	assert_int_equal(cell->answer.verdict, GB_FLOW_ACCEPTED);
+	node->disabled_features = 0;
+	node_forecast(node, 20000, 0);
+	node->watch.refused = 0;
+	cell_submit(cell, (cell_owner(cell) + 1) % NODES, "00000000000000d4");
+	assert_int_equal(cell->answer.verdict, GB_FLOW_ACCEPTED);
+}
+
+/** Answers to hellos from programs that do not send the last fields, `shed`,
+ * `config_source` and `forecast_ms`, are decoded; these are 0, null or empty
+ * then. */
 static void
 test_older_hello_answers_are_decoded(void **state)
 {
 	const struct gb_rpc_method *method = &gb_rpc_methods[GB_PROC_HELLO];
 	char none[] = "";
-	gb_hello_res written = {
-	    .owner_addr = none, .epoch = 7, .shed = 40, .config_source = none};
+	uint32_t forecast_ms[] = {0, 900};
+	gb_hello_res written = {.owner_addr = none,
+	    .epoch = 7,
+	    .shed = 40,
+	    .config_source = none,
+	    .forecast_ms = {2, forecast_ms}};
 	gb_hello_res read = {0};
 	gb_body body;
 
 	(void)state;
 	assert_true(gb_xdr_encode(method->res, &written, &body));
 	assert_true(gb_xdr_decode(method->res, &body, &read));
+	assert_int_equal(read.forecast_ms.forecast_ms_len, 2);
+	assert_int_equal(read.forecast_ms.forecast_ms_val[1], 900);
+	xdr_free(method->res, (char *)&read);
+	memset(&read, 0, sizeof(read));
+	body.gb_body_len -= 3 * BYTES_PER_XDR_UNIT;
+	assert_true(gb_xdr_decode(method->res, &body, &read));
+	assert_int_equal(read.forecast_ms.forecast_ms_len, 0);
 	assert_int_equal(read.shed, 40);
 	assert_string_equal(read.config_source, "");
 	xdr_free(method->res, (char *)&read);
@@ -1417,6 +1475,7 @@
 	    cmocka_unit_test(test_nothing_is_stored_after_owner_with_full_link),
 	    cmocka_unit_test(test_owning_is_not_time_without_owner),
 	    cmocka_unit_test(test_members_shed_for_a_full_owner),
+	    cmocka_unit_test(test_member_refuses_by_forecast),
 	    cmocka_unit_test(test_older_hello_answers_are_decoded),
 	    cmocka_unit_test(test_store_rejects_every_node),
 	    cmocka_unit_test(test_member_without_store_refuses_at_once),
