List each refused request in the log and count refusals by reason

The metrics count refusals and unlisted ones by reason. The list replaces the member's counter of refusals by forecast.

Without the call of refusals_add in intake.c, test_refusals_are_listed and test_member_refuses_by_forecast fail.

--- a/libgooseberry/node/intake.c
+++ b/libgooseberry/node/intake.c
@@ -50,8 +50,8 @@
 #define BUDGET_TIME (2 * GB_SEC)
 /** Bytes of an order to start a task, without the specification. */
 #define FLOW_TASK_BYTES 520
-/** Age from which on a forecast of the owner no longer counts: by then it may
- * have ended as much work as the shortest objective has to spare. */
+/** Age above which a forecast of the owner no longer counts: tasks last 1 to
+ * 5 s, so that much of what it counted has ended by then. */
 #define FORECAST_AGE_MAX (2 * GB_SEC)
 /** Retry time in a refusal because neither an owner nor the store was reached.
  */
@@ -95,6 +95,24 @@
 	in->answer(in->data, &answer);
 }
 
+/** Id of the flow that a request is about. */
+static const char *
+intake_id(const struct intake *in)
+{
+	return in->submit != NULL ? in->submit->flow.id : in->ask.id;
+}
+
+/** Refuse a request and list it under a reason, unless its caller has an answer
+ * already. */
+static void
+intake_refuse(
+    struct intake *in, const gb_flow_answer *answer, enum refusal_reason reason)
+{
+	if (answer->verdict == GB_FLOW_REFUSED && !in->answered)
+		refusals_add(&in->node->refusals, reason, intake_id(in));
+	intake_finish(in, answer);
+}
+
 /** End a request that was not carried out, or not certainly. */
 static void
 intake_give_up(struct intake *in)
@@ -109,18 +127,19 @@
 	    in->maybe_done, "tries", (json_int_t)in->tries, "age_ms",
 	    (json_int_t)((node_now() - in->began) / GB_MSEC), "owner",
 	    in->node->watch.owner);
-	intake_finish(in, &answer);
+	intake_refuse(in, &answer, REFUSAL_GIVEN_UP);
 }
 
 /** Pass a refusal on to the caller, unless an earlier attempt may have been
  * carried out. */
 static void
-intake_refused(struct intake *in, const gb_flow_answer *answer)
+intake_refused(
+    struct intake *in, const gb_flow_answer *answer, enum refusal_reason reason)
 {
 	if (in->maybe_done)
 		intake_give_up(in);
 	else
-		intake_finish(in, answer);
+		intake_refuse(in, answer, reason);
 }
 
 static void
@@ -292,7 +311,7 @@
 	    node_now() - call->sent > CHECK_READ_USUAL) {
 		answer.verdict = GB_FLOW_REFUSED;
 		answer.retry_after_us = RETRY_AFTER;
-		intake_refused(in, &answer);
+		intake_refused(in, &answer, REFUSAL_STORE);
 	} else if (res->row_count > 0) {
 		answer.verdict = GB_FLOW_ACCEPTED;
 		intake_finish(in, &answer);
@@ -312,7 +331,7 @@
 	    in->submit == NULL || in->maybe_done || in->tried_store ||
 	    gb_pool_owns(in->node->pool) || node_store_unavailable(in->node)) {
 		refused.verdict = GB_FLOW_REFUSED;
-		intake_refused(in, &refused);
+		intake_refused(in, &refused, REFUSAL_OWNER);
 		return;
 	}
 	in->tried_store = true;
@@ -339,7 +358,7 @@
 		return;
 	case GB_FLOW_REFUSED:
 	case GB_FLOW_DENIED:
-		intake_refused(in, answer);
+		intake_refused(in, answer, REFUSAL_OWNER);
 		return;
 	default:
 		break;
@@ -505,7 +524,7 @@
 	answer.verdict = GB_FLOW_REFUSED;
 	answer.retry_after_us = SHED_RETRY;
 	in->node->flows_shed++;
-	intake_finish(in, &answer);
+	intake_refuse(in, &answer, REFUSAL_LINK);
 }
 
 /** Refuse a submission that the last owner would refuse: by its forecast it
@@ -531,7 +550,6 @@
 		queue, &in->submit->flow, wait, &answer.retry_after_us))
 		return false;
 	answer.verdict = GB_FLOW_REFUSED;
-	node->flows_too_late++;
 	gb_event(node->events, GB_EVENT_NORMAL, "flow_too_late",
 	    "{s:s, s:s, s:s, s:I, s:I, s:I}", "flow", in->submit->flow.id,
 	    "queue", in->submit->flow.queue, "org", in->submit->flow.org,
@@ -539,7 +557,7 @@
 	    (json_int_t)(age / GB_MSEC), "retry_after_ms",
 	    (json_int_t)(answer.retry_after_us / GB_MSEC));
 	in->in_flight = false;
-	intake_finish(in, &answer);
+	intake_refuse(in, &answer, REFUSAL_TOO_LATE);
 	return true;
 }
 
@@ -586,6 +604,7 @@
 	struct intake *in;
 	struct intake *next;
 
+	refusals_log(&node->refusals, node->events, now, node->leaving);
 	for (in = TAILQ_FIRST(&node->intakes); in != NULL; in = next) {
 		next = TAILQ_NEXT(in, next);
 		if (in->in_flight && !in->answered && in->deadline <= now)
--- a/libgooseberry/node/metrics.c
+++ b/libgooseberry/node/metrics.c
@@ -34,6 +34,24 @@
 	}
 }
 
+/** Add the requests that this node has refused, by reason. */
+static void
+refusals_print(const struct refusals *refusals, struct gb_text *out)
+{
+	int i;
+
+	for (i = 0; i < REFUSAL_REASONS; i++) {
+		const struct refusal_list *list = &refusals->lists[i];
+		const char *why = refusal_reason_name((enum refusal_reason)i);
+
+		gb_text_add(out,
+		    "gooseberry_requests_refused{why=\"%s\"} %" PRIu64
+		    "\ngooseberry_requests_refused_unlisted{why=\"%s\"} "
+		    "%" PRIu64 "\n",
+		    why, list->total, why, list->omitted);
+	}
+}
+
 /** Add one metric of an organisation. */
 static void
 org_print(
@@ -141,9 +159,6 @@
 	    {"gooseberry_flows_refused_too_late",
 		"Flows that this owner's forecast says are too late.",
 		s->refused_too_late},
-	    {"gooseberry_flows_refused_too_late_without_owner",
-		"The same, refused by a member whose owner is silent.",
-		node->flows_too_late},
 	    {"gooseberry_shed_percent",
 		"Share that this owner tells members to turn away.",
 		node->shed.percent},
@@ -196,6 +211,7 @@
 	gb_histogram_print(out, "gooseberry_takeover_us",
 	    "Decision to ownership.", &s->takeover_us);
 	owner_monitor_metrics(node, out);
+	refusals_print(&node->refusals, out);
 	if (gb_pool_owns(node->pool))
 		orgs_print(node->pool, out);
 	if (gb_env_link(node->env) != NULL)
--- a/libgooseberry/node/node_state.h
+++ b/libgooseberry/node/node_state.h
@@ -13,6 +13,7 @@
 #include "link_monitor.h"
 #include "node.h"
 #include "owner_monitor.h"
+#include "refusals.h"
 #include "shed.h"
 #include "watch.h"
 
@@ -134,6 +135,7 @@
 	uint64_t incarnation;
 	struct shed shed;    /**< while this node owns the pool */
 	uint64_t flows_shed; /**< flows rejected by load shedding */
+	struct refusals refusals;
 	/** Percentage of new flows to reject, as received from the owner. */
 	uint32_t owner_shed_percent;
 	/** Time until a submission starts at the earliest, by priority, as
@@ -142,8 +144,6 @@
 	uint32_t owner_forecast_ms[GB_POOL_FORECAST_PRIORITIES];
 	uint32_t owner_forecast_count;
 	gb_time owner_forecast_at;
-	/** Submissions refused by that forecast without the owner. */
-	uint64_t flows_too_late;
 	/** Bytes of flows that this node may still store while the pool has no
 	 * owner. */
 	int64_t budget;
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -25,7 +25,7 @@
 
 #define NODES 3
 /** At least one for each test. */
-#define CELLS_MAX 32
+#define CELLS_MAX 40
 /** Largest number of iterations of the event loop that a test waits for; the
  * timer of a cell ends one each millisecond. */
 #define ITERATIONS_MAX 20000
@@ -865,7 +865,7 @@
 	assert_int_equal(cell->answer.verdict, GB_FLOW_REFUSED);
 	assert_in_range(cell->answer.retry_after_us, 18 * GB_SEC, 24 * GB_SEC);
 	assert_counter(
-	    node, "gooseberry_flows_refused_too_late_without_owner", 1);
+	    node, "gooseberry_requests_refused{why=\"too_late\"}", 1);
 	node_forecast(node, 20000, 3 * GB_SEC);
 	cell_submit(cell, (cell_owner(cell) + 1) % NODES, "00000000000000d1");
 	assert_int_equal(cell->answer.verdict, GB_FLOW_ACCEPTED);
@@ -881,6 +881,58 @@
 	node->watch.refused = 0;
 	cell_submit(cell, (cell_owner(cell) + 1) % NODES, "00000000000000d4");
 	assert_int_equal(cell->answer.verdict, GB_FLOW_ACCEPTED);
+	cell_run(cell, 1100 * GB_MSEC);
+	assert_event_line(cell, "flow_too_late", "00000000000000d0");
+	assert_event_line(cell, "requests_refused", "00000000000000d0");
+}
+
+/** Refused flows are not missing in the log while the limit on lines drops
+ * events: one line lists those of a second, and says how many it omits. */
+static void
+test_refusals_are_listed(void **state)
+{
+	static struct refusals refusals;
+	struct cell *cell = cell_start();
+	struct gb_node *node;
+	unsigned int other;
+	char id[32];
+	char line[LINE_BYTES];
+	int i;
+
+	(void)state;
+	cell_wait_ready(cell);
+	other = (cell_owner(cell) + 1) % NODES;
+	node = cell->nodes[other];
+	gb_events_free(node->events);
+	node->events = gb_events_new(&cell->loop, fileno(cell->log), 0, "node");
+	node->owner_shed_percent = 100;
+	cell_submit(cell, other, "00000000000000e0");
+	node->owner_shed_percent = 100;
+	cell_submit(cell, other, "00000000000000e1");
+	cell_run(cell, 1100 * GB_MSEC);
+	assert_event_line(cell, "requests_refused",
+	    "[\"00000000000000e0\",\"00000000000000e1\"]");
+	assert_event_line(
+	    cell, "requests_refused", "\"why\":\"link_of_owner\"");
+	assert_counter(
+	    node, "gooseberry_requests_refused{why=\"link_of_owner\"}", 2);
+	assert_counter(node,
+	    "gooseberry_requests_refused_unlisted{why=\"link_of_owner\"}", 0);
+	cell->store_refuses[other] = true;
+	node->watch.refused = 1;
+	node->store_failures = 100;
+	cell_submit(cell, other, "00000000000000e2");
+	assert_int_equal(cell->answer.verdict, GB_FLOW_REFUSED);
+	cell_run(cell, 1100 * GB_MSEC);
+	assert_event_line(cell, "requests_refused", "00000000000000e2");
+	for (i = 0; i < REFUSALS_LINE_FLOWS + 5; i++) {
+		snprintf(id, sizeof(id), "f%d", i);
+		refusals_add(&refusals, REFUSAL_OWNER, id);
+	}
+	assert_int_equal(refusals.lists[REFUSAL_OWNER].omitted, 5);
+	refusals_log(&refusals, node->events, GB_SEC, false);
+	assert_int_equal(refusals.lists[REFUSAL_OWNER].waiting, 0);
+	assert_true(cell_event_lines(cell, "requests_refused", line) >= 3);
 }
 
 /** Answers to hellos from programs that do not send the last fields, `shed`,
@@ -1476,6 +1528,7 @@
 	    cmocka_unit_test(test_owning_is_not_time_without_owner),
 	    cmocka_unit_test(test_members_shed_for_a_full_owner),
 	    cmocka_unit_test(test_member_refuses_by_forecast),
+	    cmocka_unit_test(test_refusals_are_listed),
 	    cmocka_unit_test(test_older_hello_answers_are_decoded),
 	    cmocka_unit_test(test_store_rejects_every_node),
 	    cmocka_unit_test(test_member_without_store_refuses_at_once),
