--- a/libgooseberry/pool/forecast_snapshot.c
+++ b/libgooseberry/pool/forecast_snapshot.c
@@ -29,9 +29,9 @@
  * large tasks leave as much, and smaller tasks start on it at once. */
 #define SNAPSHOT_FREE_SHARE 0.125
 
-/** Work that arrives is measured in windows of this length, and the least of
- * the last ones is what will certainly go on to arrive: gangs come a few times
- * a second, and bursts last for 8 s. */
+/** Work that arrives is measured in windows of this length, in which several
+ * gangs come.  The least of the last windows is taken to go on arriving; they
+ * are longer together than a burst of 8 s. */
 #define SNAPSHOT_WINDOW (4 * GB_SEC)
 #define SNAPSHOT_WINDOWS 3
 
