--- a/libgooseberry/pool/forecast_snapshot.c
+++ b/libgooseberry/pool/forecast_snapshot.c
@@ -37,8 +37,8 @@
 
 /** Processors of a service, or the quota of an organisation. */
 struct snapshot_resource {
-	char name[GB_NAME_MAX + 1];
-	bool org;
+	const struct pool_org *org; /**< null: of a service */
+	char service[GB_NAME_MAX + 1];
 	struct forecast_resource resource;
 };
 
@@ -67,44 +67,80 @@
 	return pool->forecast;
 }
 
-/** Returns a resource of the snapshot, or null. */
+/** Returns the resource of a service, or null. */
 static struct forecast_resource *
-snapshot_find(const struct pool_forecast *forecast, const char *name, bool org)
+snapshot_find_service(const struct pool_forecast *forecast, const char *service)
 {
 	size_t i;
 
 	for (i = 0; i < forecast->count; i++) {
-		if (forecast->resources[i]->org == org &&
-		    strcmp(forecast->resources[i]->name, name) == 0)
-			return &forecast->resources[i]->resource;
+		struct snapshot_resource *r = forecast->resources[i];
+
+		if (r->org == NULL && strcmp(r->service, service) == 0)
+			return &r->resource;
 	}
 	return NULL;
 }
 
-/** The same; adds it if there is space. */
+/** Returns the resource of the quota of an organisation, or null. */
 static struct forecast_resource *
-snapshot_get(struct pool_forecast *forecast, const char *name, bool org)
+snapshot_find_org(
+    const struct pool_forecast *forecast, const struct pool_org *org)
+{
+	size_t i;
+
+	for (i = 0; org != NULL && i < forecast->count; i++) {
+		if (forecast->resources[i]->org == org)
+			return &forecast->resources[i]->resource;
+	}
+	return NULL;
+}
+
+/** Adds a resource; returns null if there is no space. */
+static struct snapshot_resource *
+snapshot_add(struct pool_forecast *forecast)
 {
-	struct forecast_resource *found = snapshot_find(forecast, name, org);
 	struct snapshot_resource *added;
 
-	if (found != NULL || forecast->count == SNAPSHOT_RESOURCES_MAX)
-		return found;
+	if (forecast->count == SNAPSHOT_RESOURCES_MAX)
+		return NULL;
 	added = gb_calloc(1, sizeof(*added));
-	snprintf(added->name, sizeof(added->name), "%s", name);
-	added->org = org;
 	forecast->resources[forecast->count++] = added;
+	return added;
+}
+
+/** Returns the resource of a service and adds it if there is space. */
+static struct forecast_resource *
+snapshot_service(struct pool_forecast *forecast, const char *service)
+{
+	struct forecast_resource *found =
+	    snapshot_find_service(forecast, service);
+	struct snapshot_resource *added;
+
+	if (found != NULL)
+		return found;
+	added = snapshot_add(forecast);
+	if (added == NULL)
+		return NULL;
+	snprintf(added->service, sizeof(added->service), "%s", service);
 	return &added->resource;
 }
 
-/** Returns the resource of the quota of an organisation, or null if it has
- * none. */
+/** Returns the resource of the quota of an organisation and adds it if there is
+ * space; null if it has no quota. */
 static struct forecast_resource *
 snapshot_org(struct pool_forecast *forecast, const struct pool_org *org)
 {
-	if (org == NULL || org->quota.cpu == 0)
+	struct forecast_resource *found = snapshot_find_org(forecast, org);
+	struct snapshot_resource *added;
+
+	if (found != NULL || org == NULL || org->quota.cpu == 0)
+		return found;
+	added = snapshot_add(forecast);
+	if (added == NULL)
 		return NULL;
-	return snapshot_get(forecast, org->name, true);
+	added->org = org;
+	return &added->resource;
 }
 
 static void
@@ -157,7 +193,7 @@
 	if (!pool_worker_offered(worker) || worker->entry.draining ||
 	    worker->leaving)
 		return;
-	resource = snapshot_get(pool->forecast, worker->entry.service, false);
+	resource = snapshot_service(pool->forecast, worker->entry.service);
 	if (resource == NULL)
 		return;
 	if (worker->ended) {
@@ -264,7 +300,7 @@
 	size_t i;
 
 	for (i = 0; i < forecast->count; i++) {
-		if (forecast->resources[i]->org)
+		if (forecast->resources[i]->org != NULL)
 			continue;
 		if (only != NULL)
 			return;
@@ -322,7 +358,7 @@
 	if (flow->ranked == 0 || flow->status >= GB_FLOW_SUCCEEDED ||
 	    flow->cancelled || !pool_partition_attached(pool, flow->partition))
 		return;
-	resource = snapshot_get(pool->forecast, flow_service(flow), false);
+	resource = snapshot_service(pool->forecast, flow_service(flow));
 	for (i = 0; resource != NULL && i < flow->step_count; i++)
 		snapshot_add_step(pool, flow, &flow->steps[i], resource);
 }
@@ -533,10 +569,9 @@
 	const struct forecast_submission submission =
 	    flow_submission(pool, flow);
 	const struct forecast_resource *workers =
-	    snapshot_find(forecast, flow_service(flow), false);
+	    snapshot_find_service(forecast, flow_service(flow));
 	const struct forecast_resource *quota =
-	    flow->org == NULL ? NULL
-			      : snapshot_find(forecast, flow->org->name, true);
+	    snapshot_find_org(forecast, flow->org);
 	gb_time start = 0;
 	gb_time allowed = 0;
 
@@ -551,14 +586,17 @@
 pool_forecast_too_late(
     struct gb_pool *pool, const gb_flow *spec, gb_time *start, gb_time *latest)
 {
-	struct pool_forecast *forecast =
-	    snapshot_current(pool, pool_org_get(pool, spec->org));
+	struct pool_forecast *forecast;
 	struct pool_flow flow;
 	bool too_late = false;
 
 	*start = 0;
 	*latest = 0;
-	if (forecast == NULL || !queue_measured(pool, spec->queue))
+	if (!POOL_FEATURE_ENABLED(pool, GB_FEATURE_FORECAST) ||
+	    !queue_measured(pool, spec->queue))
+		return false;
+	forecast = snapshot_current(pool, pool_org_get(pool, spec->org));
+	if (forecast == NULL)
 		return false;
 	flow = submission_flow(pool, spec);
 	if (flow.queue != NULL) {
@@ -580,7 +618,7 @@
     const struct gb_pool_queue *queue)
 {
 	const struct forecast_resource *workers =
-	    snapshot_find(forecast, queue->service, false);
+	    snapshot_find_service(forecast, queue->service);
 	struct forecast_submission submission = {0};
 	const struct pool_queue_stat *stat;
 
--- a/tests/test_forecast.c
+++ b/tests/test_forecast.c
@@ -305,6 +305,36 @@
 	assert_true(refused_while_draining(7));
 }
 
+/** A submission is accepted while the processors for its first step are free,
+ * however much goes before it: work that needs more at once does not stop it
+ * from starting. */
+static void
+test_free_processors(void **state)
+{
+	struct pool_cell *cell = import_cell(0);
+	size_t large;
+	size_t small;
+
+	(void)state;
+	cell->priorities = true;
+	pool_cell_configure(cell);
+	/* Leaves 4 processors free on each worker. */
+	pool_cell_step_add(cell, 8, 12000, 90 * GB_SEC, 0, -1);
+	pool_cell_submit(cell, "import", "ms=90000");
+	pool_cell_run(cell, 500 * GB_MSEC);
+	pool_cell_step_add(cell, 20, 6000, 90 * GB_SEC, 0, -1);
+	pool_cell_submit(cell, "lookup", "ms=90000");
+	pool_cell_run(cell, 500 * GB_MSEC);
+	pool_cell_step_add(cell, 2, 6000, GB_SEC, 0, -1);
+	large = pool_cell_submit(cell, "import", "ms=1000");
+	pool_cell_step_add(cell, 2, 2000, GB_SEC, 0, -1);
+	small = pool_cell_submit(cell, "import", "ms=1000");
+	pool_cell_run(cell, 4 * GB_SEC);
+	assert_int_equal(cell->flows[large].answer.verdict, GB_FLOW_REFUSED);
+	assert_int_equal(cell->flows[small].status, GB_FLOW_SUCCEEDED);
+	pool_cell_free(cell);
+}
+
 /* Replay of an overload --------------------------------------------------- */
 
 /** Workers of the replay: a fifteenth of those of a deployment, with as much of
@@ -519,6 +549,7 @@
 	    cmocka_unit_test(test_quota_is_used_up),
 	    cmocka_unit_test(test_new_owner_refuses_nothing),
 	    cmocka_unit_test(test_draining_workers),
+	    cmocka_unit_test(test_free_processors),
 	    cmocka_unit_test(test_overload),
 	};
 
