Reserve for gangs the workers on which they are in time

Cause: the slots that are free first were reserved, also on workers that are so slow that the gang is late there. Since such a gang no longer starts on these workers, their capacity was kept free for nothing.

Change: workers that are too slow for the gang are left out. Slots in which its tasks are in time, by the speed of the worker, go first, in the order in which they get free; then those in which a task ends first.

--- a/libgooseberry/pool/reservation.c
+++ b/libgooseberry/pool/reservation.c
@@ -7,8 +7,9 @@
  * four fifths full smaller work would take all capacity as soon as it is free,
  * and the gang would never start. For a gang without enough free capacity, the
  * earliest moment is worked out at which enough runs will have ended, and the
- * workers are reserved for it. Work that is ranked behind the gang may use them
- * only if it ends before that moment.
+ * workers are reserved for it. Workers on which it would be in time, by their
+ * speeds, are taken first. Work that is ranked behind the gang may
+ * use them only if it ends before that moment.
  */
 #include <stdlib.h>
 
@@ -51,6 +52,8 @@
 /** Capacity for a task that becomes free on a worker at some time. */
 struct pool_slot {
 	gb_time wait; /**< time until then */
+	gb_time late; /**< time until a task that starts then has ended, 0: its
+			 flow is in time */
 	uint32_t worker;
 };
 
@@ -60,6 +63,8 @@
 	const struct pool_slot *x = a;
 	const struct pool_slot *y = b;
 
+	if (x->late != y->late)
+		return x->late < y->late ? -1 : 1;
 	if (x->wait != y->wait)
 		return x->wait < y->wait ? -1 : 1;
 	return x->worker < y->worker ? -1 : x->worker > y->worker;
@@ -122,6 +127,40 @@
 	return count;
 }
 
+/** Fills in when a task would end in each slot of a worker, 0 if that is in
+ * time for its flow: such slots are taken in the order in which they get free,
+ * so that a gang doesn't wait for the fastest workers. */
+static void
+slots_set_late(const struct gb_pool *pool, const struct pool_flow *flow,
+    const struct pool_step *step, struct pool_slot *slots, size_t count)
+{
+	double estimate = (double)pool_rank_estimate(pool, flow, step);
+	double latest = estimate * pool_speed_allowed(pool, flow);
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		double end = (double)slots[i].wait +
+			     estimate * pool_speed_slowness(pool,
+					    pool->workers[slots[i].worker]);
+
+		slots[i].late = end <= latest ? 0 : (gb_time)end;
+	}
+}
+
+/** Longest time until one of the slots is free. */
+static gb_time
+slots_wait(const struct pool_slot *slots, uint32_t count)
+{
+	gb_time longest = 0;
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		if (slots[i].wait > longest)
+			longest = slots[i].wait;
+	}
+	return longest;
+}
+
 /** Reserves the capacity of a slot for a gang that needs it at a time. */
 static void
 slot_reserve(struct gb_pool *pool, const struct pool_step *step,
@@ -155,6 +194,7 @@
 							 : pool->worker_count;
 	struct pool_slot *slots;
 	size_t count = 0;
+	size_t found;
 	uint32_t i;
 
 	slots = reserve_scratch(
@@ -165,15 +205,18 @@
 			? pool_worker_get(pool, step->approved[i].worker)
 			: pool->workers[i];
 
-		if (pool_fit_usable(pool, worker, flow->partition) &&
-		    pool_fit_allows(pool, flow, step, worker))
-			count += worker_find_slots(
-			    pool, step, worker, &slots[count]);
+		if (!pool_fit_usable(pool, worker, flow->partition) ||
+		    !pool_fit_allows(pool, flow, step, worker) ||
+		    pool_speed_too_slow(pool, flow, worker))
+			continue;
+		found = worker_find_slots(pool, step, worker, &slots[count]);
+		slots_set_late(pool, flow, step, &slots[count], found);
+		count += found;
 	}
 	if (count < wanted)
 		return false;
 	qsort(slots, count, sizeof(*slots), slot_compare);
-	*wait = slots[wanted - 1].wait;
+	*wait = slots_wait(slots, wanted);
 	for (i = 0; i < wanted; i++) {
 		slot_reserve(pool, step, &slots[i], pool->now + *wait);
 		workers[i] = slots[i].worker;
