Start copies of stragglers on workers that are no slower

Cause: a copy was placed like any task of its flow, so that one of a flow with time to spare went to a slow worker; and none was started when the first choice was the worker of the run itself.

Change: pool_fit_place_copy() takes the first candidate that is another worker and not slower.

--- a/libgooseberry/pool/dispatch.c
+++ b/libgooseberry/pool/dispatch.c
@@ -633,8 +633,8 @@
 			continue;
 		if (pool_quota_fits(pool, flow->org, &step->spec->res, 1) ==
 			0 ||
-		    pool_fit_place(pool, flow, step, 1, true, &worker) == 0 ||
-		    pool->workers[worker] == run->worker)
+		    !pool_fit_place_copy(
+			pool, flow, step, run->worker, &worker))
 			continue;
 		pool_run_start(pool, flow, step_number, i,
 		    pool_step_next_run(pool, step), pool->workers[worker],
--- a/libgooseberry/pool/fit.c
+++ b/libgooseberry/pool/fit.c
@@ -414,6 +414,29 @@
 	return gang && placed < wanted ? 0 : placed;
 }
 
+bool
+pool_fit_place_copy(struct gb_pool *pool, const struct pool_flow *flow,
+    const struct pool_step *step, const struct pool_worker *original,
+    uint32_t *out)
+{
+	struct pool_candidate *candidates = fit_scratch(pool);
+	double limit = pool_speed_slowness(pool, original);
+	size_t count = fit_candidates(pool, flow, step, true, NULL, candidates);
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		const struct pool_worker *worker =
+		    pool->workers[candidates[i].worker];
+
+		if (worker == original ||
+		    pool_speed_slowness(pool, worker) > limit)
+			continue;
+		*out = worker->handle;
+		return true;
+	}
+	return false;
+}
+
 uint64_t
 pool_fit_slots(const struct gb_pool *pool, const struct pool_flow *flow,
     const struct pool_step *step)
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -729,6 +729,11 @@
  * Without tickets, every approved worker counts. */
 uint32_t pool_fit_place(struct gb_pool *, const struct pool_flow *,
     const struct pool_step *, uint32_t wanted, bool tickets, uint32_t *out);
+/** Finds a worker for a speculative copy of a run on another one: not a slower
+ * one. Fills in its handle. */
+bool pool_fit_place_copy(struct gb_pool *, const struct pool_flow *,
+    const struct pool_step *, const struct pool_worker *original,
+    uint32_t *out);
 /** Number of tasks of a step that would fit on its approved workers if these
  * were empty. */
 uint64_t pool_fit_slots(
