Export the mean and the spread of the speeds of workers

Cause: nothing showed whether an owner has learned that its workers differ.

Result: no test reads them yet.

--- a/libgooseberry/pool.h
+++ b/libgooseberry/pool.h
@@ -635,6 +635,9 @@
 	uint64_t txns, txn_conflicts, txn_lost, rows, reads, takeovers, losses;
 	uint64_t takeovers_failed; /**< failed takeovers */
 	uint64_t flows, waiting, running, workers, quarantined;
+	/** Mean slowness of the workers and its standard deviation, in
+	 * thousandths. */
+	uint64_t slowness_milli, slowness_spread_milli;
 	struct gb_histogram accept_us, first_start_us, finish_us, advice_us;
 	struct gb_histogram txn_us, start_us, takeover_us;
 };
--- a/libgooseberry/pool/pool.c
+++ b/libgooseberry/pool/pool.c
@@ -514,5 +514,7 @@
 {
 	pool->stats.flows = pool->open_count;
 	pool->stats.workers = pool->worker_count;
+	pool_speed_summary(pool, &pool->stats.slowness_milli,
+	    &pool->stats.slowness_spread_milli);
 	return &pool->stats;
 }
