--- a/libgooseberry/pool/fit.c
+++ b/libgooseberry/pool/fit.c
@@ -236,7 +236,7 @@
 		return false;
 	if (rack != NULL && strcmp(rack, worker->rack) != 0)
 		return false;
-	if (pool_speed_too_slow(pool, flow, worker))
+	if (pool_speed_too_slow(pool, flow, step, worker))
 		return false;
 	if (tickets && POOL_ADVICE_NEEDED(flow) &&
 	    pool_fit_ticket(pool, flow, step, worker->handle,
--- a/libgooseberry/pool/reservation.c
+++ b/libgooseberry/pool/reservation.c
@@ -207,7 +207,7 @@
 
 		if (!pool_fit_usable(pool, worker, flow->partition) ||
 		    !pool_fit_allows(pool, flow, step, worker) ||
-		    pool_speed_too_slow(pool, flow, worker))
+		    pool_speed_too_slow(pool, flow, step, worker))
 			continue;
 		found = worker_find_slots(pool, step, worker, &slots[count]);
 		slots_set_late(pool, flow, step, &slots[count], found);
--- a/libgooseberry/pool/speed.c
+++ b/libgooseberry/pool/speed.c
@@ -78,6 +78,10 @@
 /** Slowness relative to the mean down to which a flow that is late on others
  * may still end in time: that of the fastest workers. */
 #define SPEED_FASTEST 0.6
+/** Largest share of the pool that a step needs to start at once to wait for
+ * faster workers: a gang that needs more never finds so much of a part of the
+ * pool free, and starves. */
+#define SPEED_WAIT_SHARE_MAX 0.25
 /** Slowness allowed for a flow that can't earn anything any more. */
 #define SPEED_ANY 100.0
 /** Width of a range of slowness as a difference of logarithms, and the
@@ -340,12 +344,15 @@
 
 bool
 pool_speed_too_slow(const struct gb_pool *pool, const struct pool_flow *flow,
-    const struct pool_worker *worker)
+    const struct pool_step *step, const struct pool_worker *worker)
 {
 	double left = flow_time_left(pool, flow);
+	double cores = (double)step->spec->res.cpu *
+		       (double)pool_step_starts_together(step);
 	double slowness;
 
-	if (!POOL_FEATURE_ENABLED(pool, GB_FEATURE_FAST_WORKERS) || left <= 0)
+	if (!POOL_FEATURE_ENABLED(pool, GB_FEATURE_FAST_WORKERS) || left <= 0 ||
+	    cores > SPEED_WAIT_SHARE_MAX * pool->capacity)
 		return false;
 	slowness = speed_slowness(&worker->speed, pool->now) *
 		   exp(-speed_deviation(&worker->speed, pool->now));
--- a/libgooseberry/pool/speed.h
+++ b/libgooseberry/pool/speed.h
@@ -94,9 +94,10 @@
 double pool_speed_allowed(const struct gb_pool *, const struct pool_flow *);
 /** Whether a flow can still end in time, but not on this worker, by more than
  * the uncertainty of its speed. A flow that starts there earns no more than if
- * it waits for a faster one. */
+ * it waits for a faster one. False for a step that needs much of the pool at
+ * once. */
 bool pool_speed_too_slow(const struct gb_pool *, const struct pool_flow *,
-    const struct pool_worker *);
+    const struct pool_step *, const struct pool_worker *);
 /** Whether a flow for which this slowness is allowed leaves the faster workers
  * to others. */
 bool pool_speed_can_wait(double allowed);
