--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -21,7 +21,7 @@
 OWNER=$(owner)
 OBSERVER=$(((OWNER + 1) % NODES))
 say "front-$OWNER owns the pool"
-submit $LARGE "{\"Count\":1,\"Cpu\":500,\"MemMb\":256,\"EstimatedMs\":5000},{\"Count\":$TASKS,\"Cpu\":500,\"MemMb\":256,\"EstimatedMs\":5000,\"After\":[0]}"
+submit $LARGE "{\"Count\":1,\"Cpu\":300,\"MemMb\":128,\"EstimatedMs\":5000},{\"Count\":$TASKS,\"Cpu\":300,\"MemMb\":128,\"EstimatedMs\":5000,\"After\":[0]}"
 sleep 0.5
 if [ "$TROUBLE" = 1 ]; then
 	control /worker/7/crash >/dev/null
