Review: the stand-in's files beside the cases' folders

Cause: each folder in review/ is taken for a case, and the stand-in and its program had folders of their own.

The files move to review/, unchanged; the program is review/review-platform.

--- a/review/build.sh
+++ b/review/build.sh
@@ -8,9 +8,8 @@
 	cmake --build target -j8
 fi
 DEPS="libuv libtirpc jansson libh2o openssl zlib"
-mkdir -p review/bin
 # shellcheck disable=SC2046
 gcc -std=gnu11 -O2 -Wall -Wextra -Werror -D_GNU_SOURCE -DH2O_USE_LIBUV=1 \
-    -Ilibgooseberry -Ireview/standin $(pkg-config --cflags $DEPS) \
-    review/standin/*.c target/libgooseberry.a target/libgbproto.a \
-    $(pkg-config --libs $DEPS) -lm -o review/bin/review-platform
+    -Ilibgooseberry -Ireview $(pkg-config --cflags $DEPS) \
+    review/*.c target/libgooseberry.a target/libgbproto.a \
+    $(pkg-config --libs $DEPS) -lm -o review/review-platform
--- a/review/cell.sh
+++ b/review/cell.sh
@@ -34,11 +34,11 @@
 # has the offsets.  Below the ports that the system gives to clients.
 start_platform() { # options of the stand-in
 	local try
-	[ -x "$ROOT/review/bin/review-platform" ] || unable "review/build.sh has not run"
+	[ -x "$ROOT/review/review-platform" ] || unable "review/build.sh has not run"
 	[ -x "$ROOT/target/gooseberry-node" ] || unable "the deploy file is not built"
 	for try in $(seq 20); do
 		PORT=$((15000 + (RANDOM % 80) * 200))
-		"$ROOT/review/bin/review-platform" --port "$PORT" --record "$RECORD" \
+		"$ROOT/review/review-platform" --port "$PORT" --record "$RECORD" \
 		    "$@" >"$WORK/platform.log" 2>&1 &
 		sleep 0.4
 		if kill -0 $! 2>/dev/null; then
