--- a/libgooseberry/pool/advice.c
+++ b/libgooseberry/pool/advice.c
@@ -126,6 +126,21 @@
 	step->asked_count++;
 }
 
+/** Marks the workers of a call without a usable answer as not asked about,
+ * whatever other calls for the step are in flight. */
+static void
+step_unset_asked(struct pool_step *step, const struct pool_advice_call *call)
+{
+	uint32_t i;
+
+	for (i = 0; i < call->workers; i++) {
+		if (!step_is_asked(step, call->handles[i]))
+			continue;
+		step->asked[call->handles[i]] = 0;
+		step->asked_count--;
+	}
+}
+
 /** Whether a worker could run the step and has not been asked about. */
 static bool
 ask_is_candidate(const struct gb_pool *pool, const struct pool_flow *flow,
@@ -138,10 +153,11 @@
 }
 
 /** Names workers that have not been asked about, from a random one on if there
- * are more than `limit`. */
+ * are more than `limit`.  Fills in their handles. */
 static void
 ask_add_candidates(struct gb_pool *pool, const struct pool_flow *flow,
-    struct pool_step *step, uint32_t limit, gb_advice_ask *ask)
+    struct pool_step *step, uint32_t limit, gb_advice_ask *ask,
+    uint32_t *handles)
 {
 	uint32_t from =
 	    pool->worker_count == 0
@@ -158,6 +174,7 @@
 		if (!ask_is_candidate(pool, flow, step, worker))
 			continue;
 		step_set_asked(step, worker->handle);
+		handles[ask->workers.workers_len] = worker->handle;
 		ask->workers.workers_val[ask->workers.workers_len++] =
 		    worker->entry.id;
 	}
@@ -175,11 +192,22 @@
 		    pool->workers[workers[i]]->entry.id;
 }
 
+static void
+advice_call_free(struct pool_advice_call *call)
+{
+	free(call->handles);
+	free(call);
+}
+
+/** Sends a call.  `handles` are those of workers that were not asked about
+ * before, null if the call renews tickets. */
 static void
 ask_send(struct gb_pool *pool, struct pool_flow *flow, uint32_t step_number,
-    struct pool_channel *channel, bool first, const gb_advice_ask *ask)
+    struct pool_channel *channel, const uint32_t *handles,
+    const gb_advice_ask *ask)
 {
 	struct pool_advice_call *call = gb_calloc(1, sizeof(*call));
+	bool first = handles != NULL;
 
 	call->id = ++pool->next_call;
 	call->channel = channel;
@@ -187,6 +215,12 @@
 	call->first = first;
 	call->sent = pool->now;
 	call->workers = ask->workers.workers_len;
+	if (first) {
+		call->handles =
+		    gb_calloc(call->workers, sizeof(*call->handles));
+		memcpy(call->handles, handles,
+		    call->workers * sizeof(*call->handles));
+	}
 	snprintf(call->flow, sizeof(call->flow), "%s", flow->spec.id);
 	HASH_ADD(hh, pool->advice_calls, id, sizeof(call->id), call);
 	pool->advice_in_flight++;
@@ -211,6 +245,7 @@
 {
 	struct pool_channel *channel = channel_find_free(pool);
 	char *names[POOL_ADVICE_WORKERS_MAX];
+	uint32_t handles[POOL_ADVICE_WORKERS_MAX];
 	char step_name[GB_NAME_MAX + 1];
 	gb_advice_ask ask = {0};
 
@@ -221,13 +256,14 @@
 	    step_number);
 	ask.step = step_name;
 	if (count == 0)
-		ask_add_candidates(
-		    pool, flow, &flow->steps[step_number], limit, &ask);
+		ask_add_candidates(pool, flow, &flow->steps[step_number], limit,
+		    &ask, handles);
 	else
 		ask_add_workers(pool, workers, count, &ask);
 	if (ask.workers.workers_len == 0)
 		return false;
-	ask_send(pool, flow, step_number, channel, count == 0, &ask);
+	ask_send(pool, flow, step_number, channel, count == 0 ? handles : NULL,
+	    &ask);
 	return true;
 }
 
@@ -391,8 +427,7 @@
 	snprintf(a->ticket, sizeof(a->ticket), "%s", ticket->ticket);
 }
 
-/** Marks all workers as not asked about, because the calls approved none or got
- * no usable answer. */
+/** Marks all workers as not asked about, because the calls approved none. */
 static void
 step_clear_asked(struct pool_step *step)
 {
@@ -428,11 +463,8 @@
 	for (i = 0; i < res->approved.approved_len; i++)
 		approval_set(pool, step, &res->approved.approved_val[i],
 		    call->sent, decided + res->valid_us);
-	if (step->approved_count == 0 && step->approval_calls_in_flight == 0) {
-		step->advice = POOL_ADVICE_NONE;
+	if (step->approved_count == 0 && step->approval_calls_in_flight == 0)
 		step->advice_retry_at = pool->now + ADVICE_RETRY_DELAY;
-		step_clear_asked(step);
-	}
 }
 
 /** Lets a step use the capacity that it has claimed, although gangs ranked
@@ -473,8 +505,31 @@
 	}
 	if (res->status == GB_ADVICE_OK)
 		advice_apply(pool, flow, call, res);
-	else if (call->first && step->approval_calls_in_flight == 0)
+	else if (call->first)
+		step_unset_asked(step, call);
+	if (step->approved_count == 0 && step->approval_calls_in_flight == 0) {
+		step->advice = POOL_ADVICE_NONE;
 		step_clear_asked(step);
+	}
+}
+
+/** Logs an answer with what the step, null if it is gone, knows after it: a
+ * step that waits although no worker is left to ask about can't be told from
+ * one without approved workers otherwise. */
+static void
+advice_event(const struct gb_pool *pool, const struct pool_advice_call *call,
+    const gb_advice_res *res, const struct pool_step *step)
+{
+	gb_event(pool->cfg.events,
+	    res->status == GB_ADVICE_OK ? GB_EVENT_NORMAL : GB_EVENT_ALWAYS,
+	    "advice", "{s:s, s:I, s:i, s:I, s:I, s:I, s:I, s:I}", "flow",
+	    call->flow, "step", (json_int_t)call->step, "status",
+	    (int)res->status, "approved",
+	    (json_int_t)res->approved.approved_len, "took_ms",
+	    (json_int_t)((pool->now - call->sent) / GB_MSEC), "step_asked",
+	    (json_int_t)(step == NULL ? 0 : step->asked_count), "step_approved",
+	    (json_int_t)(step == NULL ? 0 : step->approved_count), "step_calls",
+	    (json_int_t)(step == NULL ? 0 : step->approval_calls_in_flight));
 }
 
 struct pool_flow *
@@ -501,18 +556,14 @@
 		pool->stats.advice_busy++;
 	if (res->status == GB_ADVICE_LOST)
 		pool->stats.advice_lost++;
-	gb_event(pool->cfg.events,
-	    res->status == GB_ADVICE_OK ? GB_EVENT_NORMAL : GB_EVENT_ALWAYS,
-	    "advice", "{s:s, s:I, s:i, s:I, s:I}", "flow", call->flow, "step",
-	    (json_int_t)call->step, "status", (int)res->status, "approved",
-	    (json_int_t)res->approved.approved_len, "took_ms",
-	    (json_int_t)((pool->now - call->sent) / GB_MSEC));
 	flow = pool_flow_find(pool, call->flow);
 	if (flow == NULL || flow->closed || call->step >= flow->step_count)
 		flow = NULL;
 	else
 		advice_step_done(pool, flow, call, res);
-	free(call);
+	advice_event(
+	    pool, call, res, flow == NULL ? NULL : &flow->steps[call->step]);
+	advice_call_free(call);
 	return flow;
 }
 
@@ -527,7 +578,7 @@
 	HASH_ITER(hh, pool->advice_calls, call, next)
 	{
 		HASH_DEL(pool->advice_calls, call);
-		free(call);
+		advice_call_free(call);
 	}
 	pool->advice_in_flight = 0;
 	for (i = 0; i < pool->channel_count; i++)
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -483,6 +483,8 @@
 	uint32_t step;
 	uint32_t workers; /**< number of workers that it names */
 	bool first;	  /**< asked about workers not asked about before */
+	/** Handles of these workers, null unless `first` is set. */
+	uint32_t *handles;
 	gb_time sent;
 };
 
--- a/tests/pool_cell.c
+++ b/tests/pool_cell.c
@@ -65,7 +65,7 @@
 	struct gb_pool_txn txn;
 	struct gb_pool_read read;
 	bool stop;	      /**< the lost order was to stop a run */
-	bool fails;	      /**< a read that is refused */
+	bool fails;	      /**< a read or an advice call that is refused */
 	bool given_up;	      /**< a read that times out */
 	bool silent;	      /**< a heartbeat whose answer was lost */
 	unsigned int process; /**< worker process that received the heartbeat */
@@ -243,6 +243,7 @@
     void *data, uint64_t call, const char *member, const gb_advice_ask *ask)
 {
 	const struct cell_node *from = data;
+	const struct pool_cell_faults *faults = &from->cell->faults;
 	struct pool_event *event = event_add(from, EVENT_ADVISE, call,
 	    link_wait(from, GB_TRAFFIC_ADVICE,
 		CELL_MESSAGE_BYTES +
@@ -252,6 +253,11 @@
 
 	(void)member;
 	from->cell->advice_calls++;
+	if (faults->advice_fails_every > 0 &&
+	    from->cell->advice_calls % faults->advice_fails_every == 0) {
+		event->fails = true;
+		event->due = from->cell->now + faults->advice_fails_after;
+	}
 	if (!gb_xdr_copy((xdrproc_t)xdr_gb_advice_ask, ask, &event->ask,
 		sizeof(event->ask)))
 		abort(); /* requests of the core can always be encoded */
@@ -573,10 +579,11 @@
 		return;
 	world_advise(cell->world, cell->setup.approved_percent,
 	    cell->setup.valid_us, &event->ask, &res);
-	if (chance(cell, cell->faults.advice_lost)) {
+	if (event->fails || chance(cell, cell->faults.advice_lost)) {
 		world_advice_free(&res);
 		memset(&res, 0, sizeof(res));
-		res.status = GB_ADVICE_LOST;
+		res.status =
+		    event->fails ? cell->faults.advice_failure : GB_ADVICE_LOST;
 	}
 	gb_pool_advise_done(pool, cell->now, event->call, &res);
 	world_advice_free(&res);
@@ -925,7 +932,7 @@
 	unsigned int j;
 
 	for (i = 0; i < CELL_NODES; i++) {
-		for (j = 0; j < CELL_NODES; j++) {
+		for (j = 0; j < CELL_NODES + cell->extra_members; j++) {
 			snprintf(addr, sizeof(addr), "10.9.0.%u:70", j + 1);
 			gb_pool_member_update(
 			    cell->nodes[i], cell->now, addr, true);
--- a/tests/pool_cell.h
+++ b/tests/pool_cell.h
@@ -34,9 +34,14 @@
 	unsigned int txn_lost; /**< committed, the answer is lost */
 	unsigned int txn_late; /**< no answer, committed 2 s later */
 	unsigned int advice_lost; /**< the answer is lost */
-	bool down_workers_silent; /**< workers that are down do not answer at
-			      all, in place of resetting connections */
-	bool store_down;	  /**< the store refuses all calls */
+	/** Of so many advice calls the last one fails, as advice_failure says;
+	 * 0: none. */
+	unsigned int advice_fails_every;
+	gb_advice_status advice_failure;
+	gb_time advice_fails_after; /**< time until such a call has failed */
+	bool down_workers_silent;   /**< workers that are down do not answer at
+				all, in place of resetting connections */
+	bool store_down;	    /**< the store refuses all calls */
 	/** The store resets connections: calls are not carried out, which their
 	 * callers cannot know. */
 	bool store_resets;
@@ -103,6 +108,9 @@
 	/** For each node and worker: the process that the node has a connection
 	 * to. */
 	unsigned int (*connected)[CELL_WORKERS_MAX];
+	/** Nodes besides those of the cell through which the owner can call the
+	 * advice service. */
+	unsigned int extra_members;
 	unsigned int starts; /**< orders to start a run that nodes have sent */
 	unsigned int advice_calls;
 	/** When the owner last got the list of workers. A time in the future
