--- a/libgooseberry/pool/authority.c
+++ b/libgooseberry/pool/authority.c
@@ -35,8 +35,10 @@
 /** An owner that only the workers confirm may act for this long after the store
  * has confirmed it.  Outages of the store last up to 9 s. */
 #define AUTHORITY_WITHOUT_STORE_MAX (15 * GB_SEC)
-/** Time after which the store's confirmation is about to expire. */
-#define AUTHORITY_DOUBT_TIME (600 * GB_MSEC)
+/** Time after which the store's confirmation is about to expire, and idle
+ * workers are asked more often.  That takes a part of the link, which starts
+ * need if it is the link that delays the writes. */
+#define AUTHORITY_DOUBT_TIME (900 * GB_MSEC)
 /** Interval at which the answers of workers are counted, and for which the
  * result is valid. */
 #define AUTHORITY_COUNT_INTERVAL (100 * GB_MSEC)
