--- a/libgooseberry/gen/proto.h
+++ b/libgooseberry/gen/proto.h
@@ -48,6 +48,7 @@
 	GB_STORE_CONFLICT = 1,
 	GB_STORE_REFUSED = 2,
 	GB_STORE_UNKNOWN = 3,
+	GB_STORE_INVALID = 4,
 };
 typedef enum gb_store_status gb_store_status;
 
--- a/libgooseberry/gen/proto.x
+++ b/libgooseberry/gen/proto.x
@@ -35,7 +35,9 @@
 	GB_STORE_OK = 0,
 	GB_STORE_CONFLICT = 1,	/* a condition failed, nothing was written */
 	GB_STORE_REFUSED = 2,	/* not done */
-	GB_STORE_UNKNOWN = 3	/* may have been done */
+	GB_STORE_UNKNOWN = 3,	/* may have been done */
+	/* not done, and never will be: the store does not take these rows */
+	GB_STORE_INVALID = 4
 };
 
 struct gb_row {
--- a/libgooseberry/node/intake.c
+++ b/libgooseberry/node/intake.c
@@ -250,6 +250,10 @@
 		    res->status == GB_STORE_CONFLICT);
 		intake_finish(in, &answer);
 		break;
+	case GB_STORE_INVALID:
+		answer.verdict = GB_FLOW_REFUSED;
+		intake_refused(in, &answer, REFUSAL_STORE);
+		break;
 	case GB_STORE_REFUSED:
 		flow_write_failed(in);
 		break;
--- a/libgooseberry/pool.h
+++ b/libgooseberry/pool.h
@@ -628,8 +628,10 @@
 	uint64_t workers_ended; /**< ended worker incarnations */
 	uint64_t given_up;	/**< flows failed because they crash workers */
 	uint64_t advice_calls, advice_busy, advice_lost;
-	uint64_t authority_lapses; /**< times that this owner may have had a
-				      successor it didn't hear of */
+	uint64_t flows_not_storable; /**< writes of a flow that the store will
+					never take */
+	uint64_t authority_lapses;   /**< times that this owner may have had a
+					successor it didn't hear of */
 	uint64_t entry_errors[GB_POOL_ENTRY_ERRORS]; /**< invalid entries, by
 							error */
 	uint64_t txns, txn_conflicts, txn_lost, rows, reads, takeovers, losses;
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -259,6 +259,12 @@
 	uint64_t sending; /**< newest change sent to the store, 0: none */
 	bool write_lost;  /**< a write of it got no answer and may have been
 			     carried out */
+	/** The store did not take a write with this flow and others: it is
+	 * written alone, until that has succeeded. */
+	bool write_alone;
+	unsigned int writes_invalid; /**< consecutive writes of it alone that
+					the store did not take */
+	gb_time write_at; /**< earliest time of the next write, 0: any */
 	uint32_t runs;	  /**< of all its tasks */
 	gb_time late_until; /**< latest late_until of its tasks */
 	uint32_t announced; /**< tasks with an announcement that is not used */
--- a/libgooseberry/pool/writer.c
+++ b/libgooseberry/pool/writer.c
@@ -52,6 +52,11 @@
  * this, which is earlier than it must be renewed, so that few writes are made
  * for the row alone. */
 #define WRITER_RENEW_EARLY (250 * GB_MSEC)
+/** First and longest pause before a flow is written again whose rows the store
+ * does not take.  Others must not wait for it, nor its callers for long, should
+ * the store be mistaken. */
+#define WRITER_INVALID_PAUSE GB_SEC
+#define WRITER_INVALID_PAUSE_DOUBLINGS 5
 /** First and longest pause after a refused or lost write.  Members wait longer
  * than the longest pause before they conclude that the store refuses only this
  * owner (see watch.c). */
@@ -182,6 +187,28 @@
 	pool_flow_state_clear(&state);
 }
 
+/** Whether a flow waits because the store did not take its rows. */
+static bool
+flow_is_set_aside(const struct gb_pool *pool, const struct pool_flow *flow)
+{
+	return flow->write_at > pool->now;
+}
+
+/** Whether a flow is to be written now. */
+static bool
+partition_has_flows(
+    const struct gb_pool *pool, const struct pool_partition *partition)
+{
+	const struct pool_flow *flow;
+
+	TAILQ_FOREACH(flow, &partition->dirty, dirty_next)
+	{
+		if (!flow_is_set_aside(pool, flow))
+			return true;
+	}
+	return false;
+}
+
 /** Adds the owner's row.  A released partition gets a vacant row with the last
  * write. */
 static void
@@ -193,7 +220,7 @@
 
 	if (!pool_writer_owner_body(pool, pool->epoch, partition->serial + 1,
 		pool->phase == POOL_OWNER_RELEASING && partition->renew &&
-		    TAILQ_EMPTY(&partition->dirty),
+		    !partition_has_flows(pool, partition),
 		&row->value))
 		abort(); /* names were checked with the settings */
 }
@@ -300,6 +327,17 @@
 		   : WRITE_REST;
 }
 
+/** Whether a flow may be added to the transaction that is being composed. */
+static bool
+partition_may_draft(const struct gb_pool *pool,
+    const struct pool_partition *partition, const struct pool_flow *flow)
+{
+	return !flow_is_set_aside(pool, flow) &&
+	       (partition->sent_count == 0 ||
+		   (!flow->write_alone &&
+		       !partition->sent_flows[0]->write_alone));
+}
+
 /** Moves a flow from the dirty ones to a transaction. */
 static void
 partition_draft_flow(struct gb_pool *pool, struct pool_partition *partition,
@@ -347,7 +385,8 @@
 		     flow != NULL && !draft_full(&draft, bytes_max);
 		     flow = next) {
 			next = TAILQ_NEXT(flow, dirty_next);
-			if (write_priority(flow) == priority)
+			if (write_priority(flow) == priority &&
+			    partition_may_draft(pool, partition, flow))
 				partition_draft_flow(
 				    pool, partition, flow, &draft);
 		}
@@ -355,7 +394,9 @@
 	partition->renew_sent = false;
 	if (partition->renew || partition_should_renew(pool, number))
 		partition_renew(pool, partition, &draft);
-	draft_worker_set(pool, number, &draft);
+	if (partition->sent_count == 0 ||
+	    !partition->sent_flows[0]->write_alone)
+		draft_worker_set(pool, number, &draft);
 	partition_send(pool, number, &draft, POOL_PARTITION_WRITING);
 }
 
@@ -430,7 +471,7 @@
 		return;
 	if (partition->seal)
 		partition_seal(pool, number);
-	else if (partition->renew || !TAILQ_EMPTY(&partition->dirty) ||
+	else if (partition->renew || partition_has_flows(pool, partition) ||
 		 set_write_due(pool, partition))
 		partition_write(pool, number);
 }
@@ -492,6 +533,8 @@
 	for (i = 0; i < count; i++) {
 		flows[i]->created = true;
 		flows[i]->owned = true;
+		flows[i]->write_alone = false;
+		flows[i]->writes_invalid = 0;
 		flows[i]->in_inbox = false;
 		flows[i]->removed = flows[i]->removed || flows[i]->removing;
 		pool_flow_stored(pool, flows[i], flows[i]->sending);
@@ -561,6 +604,48 @@
 	partition_retry_later(pool, partition);
 }
 
+/** Sets a flow aside whose rows the store does not take.  A caller of a new one
+ * is told so; others get the stored state. */
+static void
+flow_set_aside(struct gb_pool *pool, struct pool_flow *flow)
+{
+	unsigned int doublings = flow->writes_invalid++;
+
+	if (doublings > WRITER_INVALID_PAUSE_DOUBLINGS)
+		doublings = WRITER_INVALID_PAUSE_DOUBLINGS;
+	flow->write_at = pool->now + (WRITER_INVALID_PAUSE << doublings);
+	pool->stats.flows_not_storable++;
+	gb_event(pool->cfg.events, GB_EVENT_ALWAYS, "flow_not_storable",
+	    "{s:s, s:I, s:I, s:b}", "flow", flow->spec.id, "steps",
+	    (json_int_t)flow->step_count, "writes",
+	    (json_int_t)flow->writes_invalid, "accepted", flow->stored != 0);
+	if (flow->stored == 0 && flow->sending == 0)
+		pool_flow_reject(pool, flow, 0);
+	else
+		pool_flow_answer_queries(pool, flow);
+}
+
+/** Handles that the store will never take a write.  To find the rows that are
+ * to blame, the flows of the write are written again one by one. */
+static void
+partition_invalid(
+    struct gb_pool *pool, struct pool_partition *partition, bool worker_set)
+{
+	size_t count = partition->sent_count;
+	size_t i;
+
+	partition_requeue(pool, partition, true);
+	partition->phase = POOL_PARTITION_IDLE;
+	if (worker_set)
+		partition->set_write_at = pool->now + WRITER_INVALID_PAUSE;
+	else if (count == 0)
+		partition_retry_later(pool, partition);
+	for (i = 0; i < count && (worker_set || count > 1); i++)
+		partition->sent_flows[i]->write_alone = true;
+	if (count == 1 && !worker_set)
+		flow_set_aside(pool, partition->sent_flows[0]);
+}
+
 void
 pool_writer_answer_lost(struct gb_pool *pool, uint32_t number)
 {
@@ -579,6 +664,7 @@
     const struct gb_pool_txn_res *res)
 {
 	struct pool_partition *partition = &pool->partitions[call->partition];
+	bool worker_set = partition->set_sent != 0;
 
 	if (partition->call != call->id)
 		return;
@@ -614,6 +700,11 @@
 		partition->silent = false;
 		partition_conflict(pool, partition, call->sent, res);
 		break;
+	case GB_STORE_INVALID:
+		partition->lost = 0;
+		partition->silent = false;
+		partition_invalid(pool, partition, worker_set);
+		break;
 	case GB_STORE_REFUSED:
 		partition->refused++;
 		partition->lost = 0;
@@ -639,7 +730,7 @@
 			continue;
 		if (pool->partitions[i].phase != POOL_PARTITION_IDLE ||
 		    pool->partitions[i].renew || pool->partitions[i].seal ||
-		    !TAILQ_EMPTY(&pool->partitions[i].dirty))
+		    partition_has_flows(pool, &pool->partitions[i]))
 			return false;
 	}
 	return true;
--- a/libgooseberry/process/log.c
+++ b/libgooseberry/process/log.c
@@ -214,6 +214,7 @@
 	case GB_STORE_OK:
 		log_committed(core, shard);
 		break;
+	case GB_STORE_INVALID:
 	case GB_STORE_REFUSED:
 		log_retry_later(core, shard);
 		break;
@@ -279,6 +280,7 @@
 		log->unconfirmed_snapshot = 0;
 		core->stats.snapshots++;
 		break;
+	case GB_STORE_INVALID:
 	case GB_STORE_REFUSED:
 	case GB_STORE_UNKNOWN:
 		/* The log goes on in both cases; a later snapshot replaces this
--- a/libgooseberry/request/request.c
+++ b/libgooseberry/request/request.c
@@ -276,6 +276,7 @@
 		request_enqueue(r);
 		request_dispatch(core, r->shard);
 		break;
+	case GB_STORE_INVALID:
 	case GB_STORE_REFUSED:
 		request_fail(core, r, GB_NOT_RUN, 503, STORE_RETRY_MS,
 		    "the table service is unavailable");
--- a/libgooseberry/version/config.c
+++ b/libgooseberry/version/config.c
@@ -493,6 +493,7 @@
 	case GB_STORE_OK:
 		change_committed(core, wait, result->vers);
 		break;
+	case GB_STORE_INVALID:
 	case GB_STORE_REFUSED:
 	case GB_STORE_UNKNOWN:
 	case GB_STORE_CONFLICT:
--- a/tests/pool_cell.c
+++ b/tests/pool_cell.c
@@ -37,6 +37,8 @@
 #define CELL_START_BYTES 440
 #define CELL_WORKER_NAME_BYTES 16
 #define CELL_ROW_BYTES 60
+/** Largest value of a row, in bytes of base64. */
+#define CELL_ROW_MAX (65536 / 4 * 3)
 
 enum event_kind {
 	EVENT_START,
@@ -631,6 +633,25 @@
 	       (cell->faults.partitions_down >> partition & 1) != 0;
 }
 
+/** Whether the store never takes a transaction: a row is too large, or it has
+ * rows of the flow that is to be rejected. */
+static bool
+txn_is_invalid(struct pool_cell *cell, const struct gb_pool_txn *txn)
+{
+	size_t i;
+
+	for (i = 0; i < txn->put_count; i++) {
+		if (txn->puts[i].value.gb_body_len > CELL_ROW_MAX) {
+			cell->large_rows++;
+			return true;
+		}
+		if (cell->faults.invalid_flow != NULL &&
+		    strcmp(txn->puts[i].key, cell->faults.invalid_flow) == 0)
+			return true;
+	}
+	return false;
+}
+
 static void
 event_txn(struct pool_cell *cell, const struct pool_event *event)
 {
@@ -641,6 +662,8 @@
 		res.status = GB_STORE_UNKNOWN;
 	else if (partition_is_unavailable(cell, event->txn.partition))
 		res.status = GB_STORE_REFUSED;
+	else if (txn_is_invalid(cell, &event->txn))
+		res.status = GB_STORE_INVALID;
 	else
 		world_txn(cell->world, &event->txn, &res);
 	if (pool != NULL)
--- a/tests/pool_cell.h
+++ b/tests/pool_cell.h
@@ -45,6 +45,8 @@
 	/** The store resets connections: calls are not carried out, which their
 	 * callers cannot know. */
 	bool store_resets;
+	const char *invalid_flow; /**< id of a flow whose rows the store never
+				     takes, null: none */
 	gb_time store_delay; /**< added to each read, twice to each write */
 	uint32_t
 	    partitions_down; /**< bitmask of partitions that are unavailable */
@@ -127,6 +129,7 @@
 	unsigned int paused; /**< bitmask of nodes that handle nothing */
 	unsigned int starts; /**< orders to start a run that nodes have sent */
 	unsigned int advice_calls;
+	unsigned int large_rows; /**< writes with a row that is too large */
 	/** When the owner last got the list of workers. A time in the future
 	 * puts off the next list. */
 	gb_time listed_at;
