--- a/libgooseberry/pool/announce.c
+++ b/libgooseberry/pool/announce.c
@@ -36,6 +36,10 @@
  * turn. */
 #define ANNOUNCE_WITHDRAW_RATIO 2
 
+/** Ranges of tasks without a run that the state of a flow announces. */
+#define ANNOUNCED_RANGES_MAX (POOL_ANNOUNCED_BYTES_MAX / ANNOUNCED_BYTES)
+#define ANNOUNCED_BYTES 20 /**< encoded size of a range */
+
 /** Whether a copy of an order for a step would do harm if another incarnation
  * than the one that it was sent to carried it out.  Runs of a speculative step
  * may overlap, and a ticket is valid for one incarnation. */
@@ -133,6 +137,8 @@
 void
 pool_announce_update(struct gb_pool *pool, struct pool_flow *flow)
 {
+	const struct pool_task *last = NULL;
+	uint32_t ranges = 0;
 	uint32_t i;
 	uint32_t j;
 
@@ -147,10 +153,13 @@
 
 			if (!may_announce || task->done ||
 			    !TAILQ_EMPTY(&task->runs) ||
-			    task->late_until > pool->now) {
+			    task->late_until > pool->now ||
+			    ranges == ANNOUNCED_RANGES_MAX) {
 				pool_announce_used(flow, task);
 				continue;
 			}
+			ranges += j == 0 || task - 1 != last;
+			last = task;
 			task_announce(pool, flow, task);
 		}
 	}
--- a/libgooseberry/pool/dispatch.c
+++ b/libgooseberry/pool/dispatch.c
@@ -239,10 +239,13 @@
 	for (i = 0; i < step->spec->count && placed < count; i++) {
 		const struct pool_task *task = &step->tasks[i];
 
-		if (!task->done && TAILQ_EMPTY(&task->runs) &&
-		    !pool_start_blocked(pool, flow, task))
-			pool_crash_plan(pool, flow, step_number, i,
-			    pool->workers[workers[placed++]]);
+		if (task->done || !TAILQ_EMPTY(&task->runs) ||
+		    pool_start_blocked(pool, flow, task) ||
+		    !pool_flow_may_open(pool, flow, step, task))
+			continue;
+		pool_flow_task_opens(pool, flow, task);
+		pool_crash_plan(pool, flow, step_number, i,
+		    pool->workers[workers[placed++]]);
 	}
 }
 
@@ -270,9 +273,11 @@
 		struct pool_worker *worker = pool->workers[workers[placed]];
 
 		if (task->done || !TAILQ_EMPTY(&task->runs) ||
-		    pool_start_blocked(pool, flow, task))
+		    pool_start_blocked(pool, flow, task) ||
+		    !pool_flow_may_open(pool, flow, step, task))
 			continue;
 		placed++;
+		pool_flow_task_opens(pool, flow, task);
 		if (pool_announce_missing(flow, step, i, worker)) {
 			workers[unannounced++] = worker->handle;
 			continue;
@@ -712,6 +717,7 @@
 		if (!flow_is_dispatchable(pool, flow))
 			continue;
 		pool_rank_update_flow(pool, flow);
+		pool_flow_count_open_tasks(pool, flow);
 		flows[count++] = flow;
 	}
 	count_gang_demand(pool, flows, count);
--- a/libgooseberry/pool/flow.c
+++ b/libgooseberry/pool/flow.c
@@ -69,12 +69,102 @@
 	flow->step_count = 0;
 }
 
+static uint32_t
+flow_max_attempts(const struct pool_flow *flow)
+{
+	uint32_t attempts = flow->queue == NULL ? flow->spec.max_attempts
+						: flow->queue->max_attempts;
+
+	return attempts == 0 ? 1 : attempts;
+}
+
+/** Works out how many tasks may be open at a time. */
+static void
+flow_limit_open_tasks(struct pool_flow *flow)
+{
+	uint32_t attempts = flow_max_attempts(flow);
+	uint32_t tasks = 0;
+	uint32_t i;
+
+	for (i = 0; i < flow->step_count; i++) {
+		if ((flow->steps[i].spec->flags & GB_STEP_GANG) == 0)
+			tasks += flow->steps[i].spec->count;
+	}
+	if (attempts > GB_ATTEMPTS_MAX)
+		attempts = GB_ATTEMPTS_MAX;
+	flow->open_max = pool_state_open_tasks_max(&flow->spec, attempts);
+	/* A flow that was accepted by an older version runs one by one. */
+	if (flow->open_max == 0)
+		flow->open_max = 1;
+	flow->open_limited = tasks > flow->open_max;
+}
+
 void
 pool_flow_configure(const struct gb_pool *pool, struct pool_flow *flow)
 {
 	flow->queue = gb_pool_config_queue(pool->config, flow->spec.queue);
 	if (flow->queue != NULL)
 		flow->advice = flow->queue->advice;
+	flow_limit_open_tasks(flow);
+}
+
+/** Whether the state may need an entry for a task. */
+static bool
+task_is_open(const struct gb_pool *pool, const struct pool_task *task)
+{
+	return !task->done &&
+	       (!TAILQ_EMPTY(&task->runs) || task->plan != NULL ||
+		   task->failures > 0 || task->late_until > pool->now);
+}
+
+void
+pool_flow_count_open_tasks(const struct gb_pool *pool, struct pool_flow *flow)
+{
+	uint32_t i;
+	uint32_t j;
+
+	flow->open_tasks = 0;
+	for (i = 0; flow->open_limited && i < flow->step_count; i++) {
+		const struct pool_step *step = &flow->steps[i];
+
+		if ((step->spec->flags & GB_STEP_GANG) != 0)
+			continue;
+		for (j = 0; j < step->spec->count; j++)
+			flow->open_tasks += task_is_open(pool, &step->tasks[j]);
+	}
+}
+
+bool
+pool_flow_may_open(const struct gb_pool *pool, const struct pool_flow *flow,
+    const struct pool_step *step, const struct pool_task *task)
+{
+	return !flow->open_limited || (step->spec->flags & GB_STEP_GANG) != 0 ||
+	       flow->open_tasks < flow->open_max || task_is_open(pool, task);
+}
+
+void
+pool_flow_task_opens(const struct gb_pool *pool, struct pool_flow *flow,
+    const struct pool_task *task)
+{
+	flow->open_tasks += !task_is_open(pool, task);
+}
+
+uint32_t
+pool_flow_held_count(const struct gb_pool *pool, const struct pool_flow *flow,
+    const struct pool_step *step)
+{
+	uint32_t room = flow->open_tasks < flow->open_max
+			    ? flow->open_max - flow->open_tasks
+			    : 0;
+	uint32_t count = 0;
+	uint32_t i;
+
+	if (!flow->open_limited || (step->spec->flags & GB_STEP_GANG) != 0)
+		return 0;
+	for (i = 0; i < step->spec->count; i++)
+		count += !step->tasks[i].done &&
+			 !task_is_open(pool, &step->tasks[i]);
+	return count > room ? count - room : 0;
 }
 
 struct pool_flow *
@@ -379,7 +469,8 @@
 	/* Finished tasks may have a run that is still being stopped. */
 	remaining =
 	    remaining > step->active_open ? remaining - step->active_open : 0;
-	blocked = pool_start_blocked_count(pool, flow, step);
+	blocked = pool_start_blocked_count(pool, flow, step) +
+		  pool_flow_held_count(pool, flow, step);
 	return remaining > blocked ? remaining - blocked : 0;
 }
 
@@ -506,15 +597,6 @@
 	flow_finish(pool, flow, GB_FLOW_SUCCEEDED, "all tasks are done");
 }
 
-static uint32_t
-flow_max_attempts(const struct pool_flow *flow)
-{
-	uint32_t attempts = flow->queue == NULL ? flow->spec.max_attempts
-						: flow->queue->max_attempts;
-
-	return attempts == 0 ? 1 : attempts;
-}
-
 static void
 step_fail_task(struct gb_pool *pool, struct pool_flow *flow,
     struct pool_task *task, uint64_t run_number)
--- a/libgooseberry/pool/flow_state.c
+++ b/libgooseberry/pool/flow_state.c
@@ -5,6 +5,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <jansson.h>
+
 #include "crash.h"
 #include "state.h"
 
@@ -13,64 +15,156 @@
 #define STATE_ADDED_UNITS 5
 #define FLOW_ADDED_UNITS 4
 
-static bool
-task_has_state(const struct pool_task *task)
-{
-	return task->failures > 0 || (task->checkpoint != NULL && !task->done);
-}
-
+/** Adds which tasks of a step are done. */
 static void
-step_state_fill(
+step_done_fill(
     const struct pool_step *step, uint32_t number, gb_flow_state *state)
 {
 	gb_body *bits = &state->done.done_val[number];
-	gb_task_state *out;
 	uint32_t i;
 
 	bits->gb_body_len = (step->spec->count + 7) / 8;
 	bits->gb_body_val = gb_calloc(1, bits->gb_body_len);
 	for (i = 0; i < step->spec->count; i++) {
-		const struct pool_task *task = &step->tasks[i];
-
-		if (task->done)
+		if (step->tasks[i].done)
 			bits->gb_body_val[i / 8] |= (char)(1 << (i % 8));
-		if (!task_has_state(task))
-			continue;
-		out = &state->tasks.tasks_val[state->tasks.tasks_len++];
-		out->step = number;
-		out->index = i;
-		out->failed_runs.failed_runs_len = task->failures;
-		out->failed_runs.failed_runs_val =
-		    gb_calloc(task->failures, sizeof(uint64_t));
-		if (task->failures > 0)
-			memcpy(out->failed_runs.failed_runs_val,
-			    task->failed_runs,
-			    task->failures * sizeof(uint64_t));
-		out->checkpoint =
-		    gb_strdup(task->checkpoint == NULL ? "" : task->checkpoint);
 	}
 }
 
-/** Adds the crash suspects and planned starts of a step. */
+/** Whether the failures of a task must be stored.  Those of a gang are counted
+ * at its first task. */
+static bool
+task_has_failures(const struct pool_step *step, const struct pool_task *task)
+{
+	bool gang = (step->spec->flags & GB_STEP_GANG) != 0;
+
+	return task->failures > 0 &&
+	       (gang ? step->done < step->spec->count : !task->done);
+}
+
+static size_t
+flow_failures_bytes(const struct pool_flow *flow)
+{
+	size_t bytes = 0;
+	uint32_t i;
+	uint32_t j;
+
+	for (i = 0; i < flow->step_count; i++) {
+		const struct pool_step *step = &flow->steps[i];
+
+		for (j = 0; j < step->spec->count; j++) {
+			if (task_has_failures(step, &step->tasks[j]))
+				bytes +=
+				    pool_state_task_bytes(&step->tasks[j], "");
+		}
+	}
+	return bytes;
+}
+
+/** What the optional entries of a state may take. */
+struct state_room {
+	size_t left;	   /**< bytes */
+	uint32_t left_out; /**< entries that don't fit */
+};
+
+static bool
+room_take(struct state_room *room, size_t bytes)
+{
+	if (bytes > room->left) {
+		room->left_out++;
+		return false;
+	}
+	room->left -= bytes;
+	return true;
+}
+
+/** Adds the failures of a task, which are always stored, and its checkpoint if
+ * it fits. */
 static void
-step_crashes_fill(
-    const struct pool_step *step, uint32_t number, gb_flow_state *state)
+task_state_fill(const struct pool_step *step, uint32_t number, uint32_t index,
+    struct state_room *room, gb_flow_state *state)
+{
+	const struct pool_task *task = &step->tasks[index];
+	bool failed = task_has_failures(step, task);
+	const char *checkpoint =
+	    task->checkpoint == NULL || task->done ? "" : task->checkpoint;
+	gb_task_state *out;
+
+	if (checkpoint[0] != '\0' &&
+	    !room_take(
+		room, pool_state_task_bytes(task, checkpoint) -
+			  (failed ? pool_state_task_bytes(task, "") : 0)))
+		checkpoint = "";
+	if (!failed && checkpoint[0] == '\0')
+		return;
+	out = &state->tasks.tasks_val[state->tasks.tasks_len++];
+	out->step = number;
+	out->index = index;
+	out->checkpoint = gb_strdup(checkpoint);
+	out->failed_runs.failed_runs_len = task->failures;
+	out->failed_runs.failed_runs_val =
+	    gb_calloc(task->failures, sizeof(uint64_t));
+	if (task->failures > 0)
+		memcpy(out->failed_runs.failed_runs_val, task->failed_runs,
+		    task->failures * sizeof(uint64_t));
+}
+
+/** Adds the crash suspects of a step, or its other planned starts, as long as
+ * they fit. */
+static void
+step_crashes_fill(const struct pool_step *step, uint32_t number, bool suspects,
+    struct state_room *room, gb_flow_state *state)
 {
-	gb_task_crashes *out;
 	uint32_t i;
 
 	for (i = 0; step->suspects + step->plans > 0 && i < step->spec->count;
 	     i++) {
-		if (!pool_crash_needs_store(&step->tasks[i]))
+		gb_task_crashes entry = {0};
+
+		if (!pool_crash_needs_store(&step->tasks[i]) ||
+		    (step->tasks[i].suspect != NULL) != suspects)
 			continue;
-		out = &state->crashes.crashes_val[state->crashes.crashes_len++];
-		out->step = number;
-		out->index = i;
-		pool_crash_fill(&step->tasks[i], out);
+		entry.step = number;
+		entry.index = i;
+		pool_crash_fill(&step->tasks[i], &entry);
+		if (!room_take(room, pool_state_crashes_bytes(&entry))) {
+			xdr_free(
+			    (xdrproc_t)xdr_gb_task_crashes, (char *)&entry);
+			continue;
+		}
+		state->crashes.crashes_val[state->crashes.crashes_len++] =
+		    entry;
 		pool_crash_fill_incarnations(&step->tasks[i], state);
 	}
 }
 
+/** Adds what the state may lack if it doesn't fit. */
+static void
+state_fill_optional(const struct gb_pool *pool, const struct pool_flow *flow,
+    gb_flow_state *state)
+{
+	size_t needed = xdr_sizeof((xdrproc_t)xdr_gb_flow_state, state) +
+			flow_failures_bytes(flow);
+	struct state_room room = {0};
+	uint32_t i;
+	uint32_t j;
+
+	if (needed < POOL_STATE_BYTES_MAX)
+		room.left = POOL_STATE_BYTES_MAX - needed;
+	for (i = 0; i < 2 * flow->step_count; i++)
+		step_crashes_fill(&flow->steps[i % flow->step_count],
+		    i % flow->step_count, i < flow->step_count, &room, state);
+	for (i = 0; i < flow->step_count; i++) {
+		for (j = 0; j < flow->steps[i].spec->count; j++)
+			task_state_fill(&flow->steps[i], i, j, &room, state);
+	}
+	if (room.left_out > 0)
+		gb_event(pool->cfg.events, GB_EVENT_NORMAL,
+		    "flow_state_shortened", "{s:s, s:I, s:I}", "flow",
+		    flow->spec.id, "left_out", (json_int_t)room.left_out,
+		    "needed", (json_int_t)needed);
+}
+
 /** Adds the tasks of a flow with start orders that may still be carried out. */
 static void
 late_starts_fill(const struct gb_pool *pool, const struct pool_flow *flow,
@@ -122,9 +216,7 @@
 {
 	uint32_t tasks = 0;
 	size_t suspects = 0;
-	size_t count = 0;
 	uint32_t i;
-	uint32_t j;
 
 	memset(state, 0, sizeof(*state));
 	state->status = flow->status;
@@ -136,22 +228,17 @@
 	for (i = 0; i < flow->step_count; i++) {
 		tasks += flow->steps[i].spec->count;
 		suspects += flow->steps[i].suspects + flow->steps[i].plans;
-		for (j = 0; j < flow->steps[i].spec->count; j++) {
-			if (task_has_state(&flow->steps[i].tasks[j]))
-				count++;
-		}
 	}
-	state->tasks.tasks_val = gb_calloc(count, sizeof(gb_task_state));
+	state->tasks.tasks_val = gb_calloc(tasks, sizeof(gb_task_state));
 	state->crashes.crashes_val =
 	    gb_calloc(suspects, sizeof(gb_task_crashes));
 	state->done.done_val = gb_calloc(flow->step_count, sizeof(gb_body));
 	state->done.done_len = flow->step_count;
-	for (i = 0; i < flow->step_count; i++) {
-		step_state_fill(&flow->steps[i], i, state);
-		step_crashes_fill(&flow->steps[i], i, state);
-	}
+	for (i = 0; i < flow->step_count; i++)
+		step_done_fill(&flow->steps[i], i, state);
 	late_starts_fill(pool, flow, tasks, state);
 	pool_announce_fill(pool, flow, tasks, state);
+	state_fill_optional(pool, flow, state);
 }
 
 bool
--- a/libgooseberry/pool/shape.c
+++ b/libgooseberry/pool/shape.c
@@ -2,7 +2,7 @@
  * @file shape.c
  * Checks whether a submitted flow is valid.
  */
-#include "pool.h"
+#include "state.h"
 
 /** Maximum number of tasks of a step. */
 #define STEP_TASKS_MAX 2000
@@ -50,5 +50,10 @@
 		if (!step_check(&flow->steps.steps_val[i], i, err))
 			return false;
 	}
+	if (pool_state_open_tasks_max(flow, GB_ATTEMPTS_MAX) == 0) {
+		gb_error_set(err, GB_E_INVALID,
+		    "the gangs have more tasks than can be stored");
+		return false;
+	}
 	return true;
 }
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -57,6 +57,12 @@
  * users' rules. */
 #define POOL_LATE_FACTOR 3
 
+/** Largest size of the stored state of a flow.  A row may have 64 KB, which may
+ * be counted in base64. */
+#define POOL_STATE_BYTES_MAX ((size_t)48 * 1024)
+/** Part of it for announced starts of tasks without a run. */
+#define POOL_ANNOUNCED_BYTES_MAX ((size_t)8 * 1024)
+
 /** Maximum number of workers in one call of the advice service. */
 #define POOL_ADVICE_WORKERS_MAX 100
 
@@ -265,9 +271,14 @@
 	unsigned int writes_invalid; /**< consecutive writes of it alone that
 					the store did not take */
 	gb_time write_at; /**< earliest time of the next write, 0: any */
-	uint32_t runs;	  /**< of all its tasks */
-	gb_time late_until; /**< latest late_until of its tasks */
-	uint32_t announced; /**< tasks with an announcement that is not used */
+	/** Not all tasks may be open at a time, or its state might not fit a
+	 * row. */
+	bool open_limited;
+	uint32_t open_max;   /**< tasks, without gangs, that may be open */
+	uint32_t open_tasks; /**< tasks that are open, at least */
+	uint32_t runs;	     /**< of all its tasks */
+	gb_time late_until;  /**< latest late_until of its tasks */
+	uint32_t announced;  /**< tasks with an announcement that is not used */
 	/** Until then its writes announce the tasks that may start. */
 	gb_time announce_until;
 	/** Change that stores announcements that were requested, 0: none. */
@@ -904,6 +915,17 @@
 /** Number of tasks of a step that are neither done nor have a run. */
 uint32_t pool_flow_unstarted_count(
     const struct pool_flow *, const struct pool_step *);
+/** Counts the tasks of a flow that are open, if their number is limited. */
+void pool_flow_count_open_tasks(const struct gb_pool *, struct pool_flow *);
+/** Whether a task may be started without too many being open. */
+bool pool_flow_may_open(const struct gb_pool *, const struct pool_flow *,
+    const struct pool_step *, const struct pool_task *);
+/** Handles that a task is about to be started, or its start planned. */
+void pool_flow_task_opens(
+    const struct gb_pool *, struct pool_flow *, const struct pool_task *);
+/** Number of tasks of a step that have to wait until others are not open. */
+uint32_t pool_flow_held_count(
+    const struct gb_pool *, const struct pool_flow *, const struct pool_step *);
 /** Number of tasks of a step that may be started now. */
 uint32_t pool_flow_startable_count(
     const struct gb_pool *, const struct pool_flow *, const struct pool_step *);
@@ -1137,6 +1159,16 @@
 uint32_t pool_start_blocked_count(
     const struct gb_pool *, const struct pool_flow *, const struct pool_step *);
 
+/* state_size.c */
+/** Number of tasks of a flow, without those of gangs, that may be open at a
+ * time: its state then fits a row even if all of them fail as often as they may
+ * (`attempts`).  0: not even one. */
+uint32_t pool_state_open_tasks_max(const gb_flow *, uint32_t attempts);
+/** Size of the stored entry of a task that has failed or has a checkpoint. */
+size_t pool_state_task_bytes(const struct pool_task *, const char *checkpoint);
+/** The same for its crashes, with the incarnations of the workers. */
+size_t pool_state_crashes_bytes(const gb_task_crashes *);
+
 /* announce.c */
 /** Lets the writes of a flow in the next moment announce the tasks that may
  * start. */
