--- a/libgooseberry/pool.h
+++ b/libgooseberry/pool.h
@@ -279,7 +279,7 @@
 	uint32_t step;
 	uint32_t index;
 	uint64_t run;
-	char checkpoint[GB_NAME_MAX + 1];
+	const char *checkpoint; /**< null or empty: none */
 	uint32_t percent; /**< progress of a running task */
 	/** Of an end: its number in the worker's list of ends. */
 	uint64_t number;
--- a/libgooseberry/pool/flow.c
+++ b/libgooseberry/pool/flow.c
@@ -648,7 +648,7 @@
 	pool->work_changed = true;
 	if (finished || task->done)
 		return;
-	if (report->checkpoint[0] != '\0' &&
+	if (report->checkpoint != NULL && report->checkpoint[0] != '\0' &&
 	    (step->spec->flags & GB_STEP_CHECKPOINT) != 0 &&
 	    report->outcome != GB_POOL_DONE) {
 		pool_task_set_checkpoint(state_task, report->checkpoint);
--- a/libgooseberry/pool/flow_state.c
+++ b/libgooseberry/pool/flow_state.c
@@ -79,7 +79,7 @@
 }
 
 /** Adds the failures of a task, which are always stored, and its checkpoint if
- * it fits. */
+ * it fits and programs of older versions can read it. */
 static void
 task_state_fill(const struct pool_step *step, uint32_t number, uint32_t index,
     struct state_room *room, gb_flow_state *state)
@@ -90,6 +90,10 @@
 	    task->checkpoint == NULL || task->done ? "" : task->checkpoint;
 	gb_task_state *out;
 
+	if (strlen(checkpoint) > GB_NAME_MAX) {
+		room->left_out++;
+		checkpoint = "";
+	}
 	if (checkpoint[0] != '\0' &&
 	    !room_take(
 		room, pool_state_task_bytes(task, checkpoint) -
--- a/libgooseberry/pool/report.c
+++ b/libgooseberry/pool/report.c
@@ -39,10 +39,31 @@
 	end->change = flow->change;
 }
 
+/** Copies a report that is kept beyond the call. */
+static struct gb_pool_run_report *
+kept_report_new(const struct gb_pool_run_report *run_report)
+{
+	struct gb_pool_run_report *kept = gb_calloc(1, sizeof(*kept));
+
+	*kept = *run_report;
+	if (run_report->checkpoint != NULL)
+		kept->checkpoint = gb_strdup(run_report->checkpoint);
+	return kept;
+}
+
+static void
+kept_report_free(struct gb_pool_run_report *kept)
+{
+	if (kept == NULL)
+		return;
+	free((char *)kept->checkpoint);
+	free(kept);
+}
+
 static void
 end_free(struct pool_end *end)
 {
-	free(end->kept_report);
+	kept_report_free(end->kept_report);
 	free(end);
 }
 
@@ -107,8 +128,7 @@
 
 	if (!pool_partition_attached(
 		pool, gb_pool_partition(run_report->flow))) {
-		end->kept_report = gb_calloc(1, sizeof(*end->kept_report));
-		*end->kept_report = *run_report;
+		end->kept_report = kept_report_new(run_report);
 		return;
 	}
 	flow = pool_flow_find(pool, run_report->flow);
@@ -163,7 +183,7 @@
 				continue;
 			end->kept_report = NULL;
 			end_apply(pool, pool->workers[i], end, run_report);
-			free(run_report);
+			kept_report_free(run_report);
 		}
 	}
 }
@@ -249,8 +269,6 @@
 		run->progress_at = pool->now;
 		pool_speed_run_progress(pool, run);
 	}
-	snprintf(run->checkpoint, sizeof(run->checkpoint), "%s",
-	    run_report->checkpoint);
 }
 
 /** Whether a list of a report has a run. */
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -113,7 +113,6 @@
 	bool lost_early; /**< lost soon after the worker had started it */
 	bool lost_sole_suspect; /**< lost early, and no other flow had a start
 				   as recent on that worker */
-	char checkpoint[GB_NAME_MAX + 1]; /**< newest one, empty: none */
 	struct speed_progress speed;
 };
 
--- a/standin/world.c
+++ b/standin/world.c
@@ -172,6 +172,13 @@
 	snprintf(worker->dc, sizeof(worker->dc), "%s", dc);
 }
 
+void
+world_checkpoints_resize(struct world *world, unsigned int bytes)
+{
+	world->checkpoint_bytes =
+	    bytes < WORLD_CHECKPOINT_MAX ? bytes : WORLD_CHECKPOINT_MAX;
+}
+
 unsigned int
 world_worker_count(const struct world *world)
 {
@@ -422,8 +429,9 @@
 	end->report.run = run->number;
 	end->report.outcome = outcome;
 	snprintf(end->report.flow, sizeof(end->report.flow), "%s", run->flow);
-	snprintf(end->report.checkpoint, sizeof(end->report.checkpoint), "%s",
-	    run->checkpoint);
+	snprintf(
+	    end->checkpoint, sizeof(end->checkpoint), "%s", run->checkpoint);
+	end->report.checkpoint = end->checkpoint;
 	TAILQ_INSERT_TAIL(&worker->ended_runs, end, next);
 	if (run->number > last->run)
 		last->run = run->number;
@@ -522,6 +530,20 @@
 	worker->replace_at = world->now + (gb_time)back * GB_MSEC;
 }
 
+/** Makes a checkpoint: a number, followed by what fills its length. */
+static void
+run_checkpoint(const struct world *world, struct world_run *run)
+{
+	int len = snprintf(run->checkpoint, sizeof(run->checkpoint), "%lld",
+	    (long long)(run->worked / CHECKPOINT_WORK));
+	int least = (int)world->checkpoint_bytes;
+
+	if (len >= least)
+		return;
+	memset(run->checkpoint + len, '.', (size_t)(least - len));
+	run->checkpoint[least] = '\0';
+}
+
 /** Advance a run.  Returns true if it has ended; lists of runs have changed
  * then. */
 static bool
@@ -550,8 +572,7 @@
 		return false;
 	run->worked += (gb_time)((double)passed * worker->speed);
 	if (run->worked / CHECKPOINT_WORK > 0)
-		snprintf(run->checkpoint, sizeof(run->checkpoint), "%lld",
-		    (long long)(run->worked / CHECKPOINT_WORK));
+		run_checkpoint(world, run);
 	fails = worker->failing || run->fails;
 	if (run->worked < (fails ? run->work / 2 : run->work))
 		return false;
@@ -837,8 +858,7 @@
 				   : (uint32_t)(run->worked * 100 / run->work);
 		snprintf(run_report->flow, sizeof(run_report->flow), "%s",
 		    run->flow);
-		snprintf(run_report->checkpoint, sizeof(run_report->checkpoint),
-		    "%s", run->checkpoint);
+		run_report->checkpoint = run->checkpoint;
 	}
 	TAILQ_FOREACH(end, &worker->ended_runs, next)
 	{
--- a/standin/world.h
+++ b/standin/world.h
@@ -44,6 +44,10 @@
 unsigned int world_worker_add(struct world *, const char *service,
     const char *dc, unsigned int rack, const gb_res *capacity, double speed);
 unsigned int world_worker_count(const struct world *);
+/** Longest checkpoint. */
+#define WORLD_CHECKPOINT_MAX 200
+/** Set the length that checkpoints have at least. */
+void world_checkpoints_resize(struct world *, unsigned int bytes);
 /** Set the address by which orders name a worker. */
 void world_worker_set_addr(
     struct world *, unsigned int number, const char *addr);
--- a/standin/world_state.h
+++ b/standin/world_state.h
@@ -25,7 +25,7 @@
 	gb_time began;
 	gb_time work;	/**< duration on a worker of speed 1 */
 	gb_time worked; /**< progress, of `work` */
-	char checkpoint[GB_NAME_MAX + 1];
+	char checkpoint[WORLD_CHECKPOINT_MAX + 1];
 };
 
 TAILQ_HEAD(world_runs, world_run);
@@ -34,6 +34,7 @@
 struct world_ended_run {
 	TAILQ_ENTRY(world_ended_run) next;
 	struct gb_pool_run_report report;
+	char checkpoint[WORLD_CHECKPOINT_MAX + 1];
 	bool listed; /**< in an answer to a heartbeat */
 };
 
@@ -131,7 +132,8 @@
 	unsigned int worker_count;
 	struct world_flow *flows;
 	struct world_org *orgs;
-	bool listed_ends_count; /**< a listed end counts for good */
+	bool listed_ends_count;	       /**< a listed end counts for good */
+	unsigned int checkpoint_bytes; /**< least length of a checkpoint */
 	bool gangs_wait;	/**< a gang ends with its slowest member */
 	bool tickets_needed;	/**< starts need a ticket */
 	gb_time shrink_grace;	/**< until owners know of a lower capacity */
--- a/tests/pool_cell.c
+++ b/tests/pool_cell.c
@@ -200,6 +200,8 @@
 	const struct cell_node *from = data;
 
 	from->cell->starts++;
+	if (order->checkpoint != NULL)
+		from->cell->checkpoint_bytes = strlen(order->checkpoint);
 	order_send(from, EVENT_START, call, order);
 }
 
--- a/tests/pool_cell.h
+++ b/tests/pool_cell.h
@@ -129,6 +129,8 @@
 	unsigned int paused; /**< bitmask of nodes that handle nothing */
 	unsigned int starts; /**< orders to start a run that nodes have sent */
 	unsigned int advice_calls;
+	/** Length of the checkpoint in the last start order that had one. */
+	size_t checkpoint_bytes;
 	unsigned int large_rows; /**< writes with a row that is too large */
 	/** When the owner last got the list of workers. A time in the future
 	 * puts off the next list. */
--- a/tests/test_leaving.c
+++ b/tests/test_leaving.c
@@ -186,10 +186,65 @@
 	pool_cell_free(cell);
 }
 
+/** Longer than a name, for which a checkpoint has no limit. */
+#define LONG_CHECKPOINT 80
+
+/** A task is stopped on a worker that leaves, and continues elsewhere with the
+ * whole checkpoint, however long that is. */
+static void
+test_long_checkpoint_is_passed_on(void **state)
+{
+	struct pool_cell *cell = pool_cell_begin(&plain);
+
+	(void)state;
+	world_checkpoints_resize(cell->world, LONG_CHECKPOINT);
+	pool_cell_run(cell, GB_SEC);
+	pool_cell_step_add(cell, 1, 1400, 8 * GB_SEC, GB_STEP_CHECKPOINT, -1);
+	pool_cell_submit(cell, "import", "ms=8000");
+	pool_cell_run(cell, 4 * GB_SEC);
+	world_worker_leave(cell->world,
+	    world_flow_worker(cell->world, cell->flows[0].spec.id),
+	    NOTICE_TIME);
+	pool_cell_run(cell, 10 * GB_SEC);
+	assert_int_equal(cell->checkpoint_bytes, LONG_CHECKPOINT);
+	assert_int_equal(cell->flows[0].status, GB_FLOW_SUCCEEDED);
+	pool_cell_assert_no_violation(cell);
+	pool_cell_free(cell);
+}
+
+/** The row of a flow takes no long checkpoint: after a change of owner the task
+ * starts over, and not from a part of the checkpoint. */
+static void
+test_long_checkpoint_is_not_cut_by_the_store(void **state)
+{
+	struct pool_cell *cell = pool_cell_begin(&plain);
+	unsigned int i;
+
+	(void)state;
+	world_checkpoints_resize(cell->world, LONG_CHECKPOINT);
+	pool_cell_run(cell, GB_SEC);
+	pool_cell_step_add(cell, 1, 1400, 8 * GB_SEC, GB_STEP_CHECKPOINT, -1);
+	pool_cell_submit(cell, "import", "ms=8000");
+	pool_cell_run(cell, 4 * GB_SEC);
+	for (i = 0; i < 2; i++)
+		world_worker_leave(cell->world, i, NOTICE_TIME);
+	pool_cell_run(cell, NOTICE_TIME);
+	pool_cell_replace_owner(cell, 1);
+	for (i = 0; i < 2; i++)
+		world_worker_stay(cell->world, i);
+	pool_cell_run(cell, 30 * GB_SEC);
+	assert_int_equal(cell->checkpoint_bytes, 0);
+	assert_int_equal(cell->flows[0].status, GB_FLOW_SUCCEEDED);
+	pool_cell_assert_no_violation(cell);
+	pool_cell_free(cell);
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_long_checkpoint_is_passed_on),
+	    cmocka_unit_test(test_long_checkpoint_is_not_cut_by_the_store),
 	    cmocka_unit_test(test_runs_are_stopped_before_their_worker_leaves),
 	    cmocka_unit_test(test_runs_that_cant_end_are_stopped_at_once),
 	    cmocka_unit_test(test_runs_with_checkpoints_work_on),
