--- a/libgooseberry/pool.h
+++ b/libgooseberry/pool.h
@@ -280,7 +280,7 @@
 	uint32_t index;
 	uint64_t run;
 	const char *checkpoint; /**< null or empty: none */
-	uint32_t percent; /**< progress of a running task */
+	uint32_t percent;	/**< progress of a running task */
 	/** Of an end: its number in the worker's list of ends. */
 	uint64_t number;
 	enum gb_pool_outcome outcome; /**< of an end */
