--- a/libgooseberry/pool/admit.c
+++ b/libgooseberry/pool/admit.c
@@ -12,10 +12,6 @@
  * its caller is told the time until the accepted work has been started.  While
  * an accepted flow that could start can't earn anything any more, the link is
  * left to what was accepted: newer flows would go first and keep it waiting.
- *
- * Few members: the advice service handles one call at a time for each of them,
- * and the accepted flows need more calls than that.  These are left to what was
- * accepted in the same way.
  */
 #include "state.h"
 
@@ -33,9 +29,6 @@
 /** Time that a ticket takes to reach the owner and, with an order, the worker,
  * besides that of the link. */
 #define ADMIT_TICKET_TIME (100 * GB_MSEC)
-/** Flows are not refused while the advice service can be asked about all that
- * wait within this time. */
-#define ADMIT_ADVICE_WAIT_MIN (1500 * GB_MSEC)
 /** Flows are not refused while the waiting starts keep the link busy for less
  * than this. */
 #define ADMIT_LINK_WAIT_MIN (500 * GB_MSEC)
@@ -105,20 +98,6 @@
 	return false;
 }
 
-/** Whether the advice service can't be asked about a flow before accepted ones,
- * one of which can't earn anything any more: newer flows would go first and
- * keep it waiting. */
-static bool
-admit_waits_for_advice(const struct gb_pool *pool, const gb_flow *flow)
-{
-	const struct gb_pool_queue *queue =
-	    gb_pool_config_queue(pool->config, flow->queue);
-	gb_time wait = pool_advice_wait(pool);
-
-	return queue != NULL && queue->advice.needed && pool->advice_overdue &&
-	       wait > ADMIT_ADVICE_WAIT_MIN;
-}
-
 /** Bytes of the starts of all tasks of a flow. */
 static uint64_t
 admit_start_bytes(const gb_flow *flow)
@@ -160,12 +139,6 @@
 		*retry_after = backlog > ADMIT_RETRY ? backlog : ADMIT_RETRY;
 		return false;
 	}
-	if (admit_waits_for_advice(pool, flow)) {
-		*why = "accepted flows wait too long for advice";
-		if (pool_advice_wait(pool) > ADMIT_RETRY)
-			*retry_after = pool_advice_wait(pool);
-		return false;
-	}
 	if (wait > ADMIT_LINK_WAIT_MIN && wait > admit_objective(pool, flow)) {
 		*why = "the link takes too long to start what waits";
 		*retry_after = wait;
--- a/libgooseberry/pool/advice.c
+++ b/libgooseberry/pool/advice.c
@@ -44,9 +44,6 @@
  * then takes about 1 s. */
 #define ADVICE_NAMES_PER_BATCH 60
 
-/** Weight of the last call in the smoothed duration of calls. */
-#define ADVICE_TIME_WEIGHT 0.1
-
 void
 pool_advice_channel_update(struct gb_pool *pool, const char *addr, bool usable)
 {
@@ -97,40 +94,6 @@
 	return channel_find_free(pool) != NULL;
 }
 
-/** Number of channels, free or not, that calls can be sent through. */
-static uint32_t
-channels_count_usable(const struct gb_pool *pool)
-{
-	uint32_t count = 0;
-	size_t i;
-
-	for (i = 0; i < pool->channel_count; i++)
-		count += pool->channels[i].usable &&
-			 pool->now - pool->channels[i].last_heard <
-			     CHANNEL_SILENCE_MAX;
-	return count;
-}
-
-void
-pool_advice_count_waiting(struct gb_pool *pool, const struct pool_flow *flow)
-{
-	if (channel_find_free(pool) != NULL)
-		return;
-	pool->advice_waiting++;
-	pool->advice_overdue |= flow->late_due < pool->now;
-}
-
-gb_time
-pool_advice_wait(const struct gb_pool *pool)
-{
-	uint32_t channels = channels_count_usable(pool);
-
-	if (channels == 0)
-		return 0;
-	return (
-	    gb_time)(pool->advice_call_us * pool->advice_waiting / channels);
-}
-
 static struct pool_channel *
 channel_find_call(const struct gb_pool *pool, uint64_t call)
 {
@@ -584,9 +547,6 @@
 	HASH_DEL(pool->advice_calls, call);
 	pool->advice_in_flight--;
 	gb_histogram_add(&pool->stats.advice_us, pool->now - call->sent);
-	pool->advice_call_us +=
-	    ADVICE_TIME_WEIGHT *
-	    ((double)(pool->now - call->sent) - pool->advice_call_us);
 	if (channel != NULL) {
 		channel->call = 0;
 		if (res->status != GB_ADVICE_OK)
--- a/libgooseberry/pool/dispatch.c
+++ b/libgooseberry/pool/dispatch.c
@@ -486,21 +486,6 @@
 	return most;
 }
 
-/** Asks about a step that has no approved worker, unless a call is in flight.
- */
-static void
-step_ask_first(
-    struct gb_pool *pool, struct pool_flow *flow, uint32_t step_number)
-{
-	const struct pool_step *step = &flow->steps[step_number];
-
-	if (step->advice_retry_at > pool->now ||
-	    step->approval_calls_in_flight > 0)
-		return;
-	pool_advice_count_waiting(pool, flow);
-	pool_advice_ask(pool, flow, step_number, NULL, 0);
-}
-
 /** Starts what can be started of a step. Returns whether the step waits for
  * free capacity. */
 static bool
@@ -531,7 +516,8 @@
 		return false;
 	}
 	if (advice && step->advice == POOL_ADVICE_NONE) {
-		step_ask_first(pool, flow, step_number);
+		if (step->advice_retry_at <= pool->now)
+			pool_advice_ask(pool, flow, step_number, NULL, 0);
 		return false;
 	}
 	if (!gang)
@@ -546,8 +532,6 @@
 	if (started < wanted && step->ticket_calls_in_flight == 0)
 		placeable = pool_fit_place(
 		    pool, flow, step, wanted - started, false, workers);
-	if (placeable > 0 && advice)
-		pool_advice_count_waiting(pool, flow);
 	if (placeable > 0 && advice && pool_advice_channel_free(pool))
 		step_renew_tickets(
 		    pool, flow, step_number, workers, placeable, true);
@@ -744,8 +728,6 @@
 	pool_pace_snapshot_link(pool);
 	pool_announce_begin_dispatch(pool);
 	pool->waiting_bytes = 0;
-	pool->advice_waiting = 0;
-	pool->advice_overdue = false;
 	for (i = 0; i < count; i++) {
 		for (j = 0; j < flows[i]->step_count; j++) {
 			step_stop_incomplete_gang(pool, flows[i], j);
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -674,11 +674,6 @@
 	size_t channel_count;
 	struct pool_advice_call *advice_calls;
 	uint32_t advice_in_flight; /**< number of these calls */
-	double advice_call_us;	   /**< duration of a call, smoothed */
-	/** Steps that the last dispatch left waiting for a free channel. */
-	uint32_t advice_waiting;
-	/** One of them has passed its latest end for any earnings. */
-	bool advice_overdue;
 	/* Dispatch */
 	bool work_changed; /**< something may now start: dispatch soon */
 	struct pool_candidate *candidates; /**< scratch, one per worker */
@@ -1124,11 +1119,6 @@
 /** Applies an answer; returns the flow and step that it is for, or null. */
 struct pool_flow *pool_advice_done(
     struct gb_pool *, uint64_t call, const gb_advice_res *, uint32_t *step);
-/** Handles that a step waits because no channel is free. */
-void pool_advice_count_waiting(struct gb_pool *, const struct pool_flow *);
-/** Expected time until the steps that wait for a channel have been asked
- * about. */
-gb_time pool_advice_wait(const struct gb_pool *);
 void pool_advice_claims_drop(struct gb_pool *, struct pool_step *);
 void pool_advice_reset(struct gb_pool *);
 
