Review: a submission held up by a cut runs after its cancel was answered 410

Cause: the call that passes a submission on to the owner has no deadline, and the owner accepts it seconds after the caller was answered 504. The cancel that came between found nothing, was answered 410, and left nothing behind. Done: review/4 with claim and script, a relay that cuts the paths of one node.

--- a/review/cell-2.sh
+++ b/review/cell-2.sh
@@ -4,6 +4,8 @@
 # CASE to its folder.  Everything that is started is ended by cell_stop.
 TOP=$(cd "$CASE/../.." && pwd)
 EMULATOR=$TOP/target/review-2/gooseberry-emulator
+RELAY=$TOP/target/review-2/relay-2
+RELAYS=""
 NODE=$TOP/target/gooseberry-node
 RECORD=$CASE/record.txt
 DIR=$(mktemp -d)
@@ -57,11 +59,38 @@
 	done
 }
 
+# With CUT_NODE, other nodes reach each node through a relay, and so does that node
+# the store: path_cut takes it off the others and the store until path_heal.  Callers
+# still reach it.
+relay_start() { # listen port, target port [mark]
+	"$RELAY" "$@" >>"$DIR/relay.log" 2>&1 &
+	RELAYS="$RELAYS $!"
+	PIDS="$PIDS $!"
+}
+
+path_cut() { # shellcheck disable=SC2086
+	kill -USR1 $RELAYS
+}
+
+path_heal() { # shellcheck disable=SC2086
+	kill -USR2 $RELAYS
+}
+
 node_start() { # number
+	advertise=127.0.0.1:$((PORT + 10 + $1))
+	store=$STORE
+	if [ -n "${CUT_NODE:-}" ]; then
+		advertise=127.0.0.1:$((PORT + 90 + $1))
+		relay_mark=node-$CUT_NODE
+		[ "$1" = "$CUT_NODE" ] && relay_mark="" && store=127.0.0.1:$((PORT + 3)) &&
+		    relay_start $((PORT + 3)) "$PORT"
+		relay_start $((PORT + 90 + $1)) $((PORT + 10 + $1)) $relay_mark
+	fi
 	cat >"$DIR/n$1.json" <<EOT
-{"name": "n$1", "dc": "dc-a", "listen": "127.0.0.1:$((PORT + 10 + $1))",
+{"name": "node-$1", "dc": "dc-a", "listen": "127.0.0.1:$((PORT + 10 + $1))",
+ "advertise": "$advertise",
  "metrics": "127.0.0.1:$((PORT + 30 + $1))", "front": "127.0.0.1:$((PORT + 50 + $1))",
- "ready": "127.0.0.1:$((PORT + 70 + $1))", "store": "$STORE", "advice": "$ADVICE",
+ "ready": "127.0.0.1:$((PORT + 70 + $1))", "store": "$store", "advice": "$ADVICE",
  "cpu_share": "0.25", "link_mbps": "1000.0", "orders": "invocation",
  "lease_ms": 6000, "stop_ms": 200, "keep_s": 120, "grace_s": 6, "files": 4100,
  "off": "", "log_lines": 400}
