--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -40,11 +40,17 @@
 	control "/flow/$1" "" GET | sed -n 's/.*"starts": *\([0-9]*\).*/\1/p'
 }
 
-cell_start || exit 2
-config_send 4
-cell_ready || exit 2
-sleep 4
-owner=$(owner)
+# The node to be cut off must not own the pool.
+for try in 1 2 3 4 5 6; do
+	cell_start || exit 2
+	config_send 4
+	cell_ready || exit 2
+	sleep 4
+	owner=$(owner)
+	[ "$owner" != $CUT_NODE ] && break
+	cell_stop
+	cell_reset
+done
 note "seed $SEED, the owner is node $owner"
 [ "$owner" != $CUT_NODE ] || exit 2
 for i in $(seq 1 12); do
--- a/review/cell-2.sh
+++ b/review/cell-2.sh
@@ -136,6 +136,12 @@
 	done | sort -n | tail -1 | cut -d' ' -f2
 }
 
+cell_reset() { # after cell_stop, before another cell_start
+	DIR=$(mktemp -d)
+	PIDS=""
+	RELAYS=""
+}
+
 cell_stop() {
 	for pid in $PIDS ${CALLERS:-}; do
 		kill -9 "$pid" 2>/dev/null
