--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,17 +1,17 @@
 #!/bin/bash
-# A cancelled submission runs: the node that took it in was cut off for some seconds, and
-# its call to the owner arrives when the cut has healed.
+# A cancelled submission runs: the node that it was sent to was frozen, and takes it in
+# when it wakes again.
 #
-# Callers submit at a node that has just been cut off from the other nodes and the
-# store, and cancel at another one as soon as they have an answer, whatever it is.
+# Callers submit at a node that has just been frozen.  They have three seconds; without
+# an answer they cancel at another node.
 # Exit: 1 if a task of a cancelled submission starts later than cancel_ms after the
 # cancel was acknowledged, and after a stretch of ContactMs without any disturbance; 0
-# if not; 2 if the case could not run.  TROUBLE=0: nothing is cut.
+# if not; 2 if the case could not run.  TROUBLE=0: nothing is
+# frozen.
 CASE=$(cd "$(dirname "$0")" && pwd)
 TROUBLE=${TROUBLE:-1}
 SEED=${SEED:-$((RANDOM + 1))}
-CUT_NODE=3
-CUT_S=${CUT_S:-5}
+FREEZE_MS=4000
 . "$CASE/../cell-2.sh"
 trap cell_stop EXIT
 FLOW='{"Spec":"ms=4000","Steps":[{"Count":1,"Cpu":1000,"MemMb":64,"EstimatedMs":4000},
@@ -19,11 +19,11 @@
 {"Count":1,"Cpu":1000,"MemMb":64,"EstimatedMs":4000,"After":[1]},
 {"Count":1,"Cpu":1000,"MemMb":64,"EstimatedMs":4000,"After":[2]}]}'
 
-caller() { # number: submits at the node that is cut off, cancels elsewhere
+caller() { # number: submits at the frozen node, cancels elsewhere
 	id=$(printf '%016x' $((0xa000 + $1)))
-	code=$(http $CUT_NODE POST /q/$id "$FLOW")
-	note "POST $id at node $CUT_NODE: $code"
-	node=$CUT_NODE
+	code=$(http $FROZEN POST /q/$id "$FLOW")
+	note "POST $id at node $FROZEN: $code"
+	node=$FROZEN
 	for try in 1 2 3 4 5 6 7 8 9; do
 		node=$((node % NODES + 1))
 		cancel=$(http $node DELETE /q/$id)
@@ -40,25 +40,19 @@
 	control "/flow/$1" "" GET | sed -n 's/.*"starts": *\([0-9]*\).*/\1/p'
 }
 
-# The node to be cut off must not own the pool.
-for try in 1 2 3 4 5 6; do
-	cell_start || exit 2
-	config_send 4
-	cell_ready || exit 2
-	sleep 4
-	owner=$(owner)
-	[ "$owner" != $CUT_NODE ] && break
-	cell_stop
-	cell_reset
-done
+cell_start || exit 2
+config_send 4
+cell_ready || exit 2
+sleep 4
+owner=$(owner)
 note "seed $SEED, the owner is node $owner"
-[ "$owner" != $CUT_NODE ] || exit 2
+FROZEN=$((owner % NODES + 1)) # one that does not own the pool
 for i in $(seq 1 12); do
 	control "/flow/$(printf '%016x' $((0xa000 + i)))?attempts=4" "$FLOW" >/dev/null
 done
 if [ "$TROUBLE" != 0 ]; then
-	path_cut
-	note "node $CUT_NODE is cut off from the other nodes and the store"
+	eval "kill -STOP \$NODE_PID_$FROZEN"
+	note "node $FROZEN is frozen"
 fi
 began=$(now_ms)
 CALLERS=""
@@ -67,12 +61,12 @@
 	CALLERS="$CALLERS $!"
 	sleep 0.04
 done
-while [ "$(now_ms)" -lt $((began + CUT_S * 1000)) ]; do
+while [ "$(now_ms)" -lt $((began + FREEZE_MS)) ]; do
 	sleep 0.05
 done
-path_heal
+[ "$TROUBLE" != 0 ] && eval "kill -CONT \$NODE_PID_$FROZEN"
 end=$(now_ms)
-note "the cut has healed"
+note "node $FROZEN wakes"
 # shellcheck disable=SC2086
 wait $CALLERS
 while [ "$(now_ms)" -lt $((end + CONTACT_MS + 1000)) ]; do
