--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -87,6 +87,7 @@
 broken=0
 while read -r id code cancel before; do
 	after=$(starts "$id")
+	note "$id: $before tasks were started before the calm, $after by the end"
 	[ "$after" -gt "$before" ] || continue
 	broken=$((broken + 1))
 	note "BROKEN: $id was answered $code, its cancel $cancel; $before tasks were started before the calm, $after now; GET: $(http 1 GET /q/$id)"
