Record the cancel of a flow that has not arrived yet

Cause: the cancel of an unknown id left nothing behind. A submission that was still on its way, in the channel of a frozen node or in the call of a node that was cut off, was then accepted like a new one.

The owner now stores such a cancel as a state without a flow, a tombstone, before it answers, and refuses submissions of that id with 429. Each new owner loads it. A node without an owner writes a flow only if its id has no state, and a tombstone is written under the same condition, so that one of the two fails: the owner then finds the flow in the inbox and cancels it, or the node refuses the submission. Older programs read one as a flow that has ended; since they record no cancels, a node answers 503 while one of them owns the pool.

--- a/libgooseberry/node/intake.c
+++ b/libgooseberry/node/intake.c
@@ -185,8 +185,9 @@
 					    : flow_state_status(&res->rows[0],
 						  in->ask.caller.org);
 	if (in->ask.op == GB_FLOW_OP_CANCEL &&
-	    answer.status != GB_FLOW_UNKNOWN) {
-		/* The flow exists, so the owner must cancel it. */
+	    (res->row_count == 0 || answer.status != GB_FLOW_UNKNOWN)) {
+		/* The flow exists, so the owner must cancel it; or the owner
+		 * has not recorded the cancel, as older programs don't. */
 		intake_retry(in);
 		return;
 	}
@@ -234,6 +235,59 @@
 		intake_retry(in);
 }
 
+/** Whether a stored state says that a flow was cancelled before it arrived. */
+static bool
+flow_state_is_tombstone(const struct gb_pool_row *row)
+{
+	gb_flow_state state = {0};
+	bool tombstone = gb_flow_state_decode(&row->value, &state) &&
+			 gb_flow_state_is_tombstone(&state);
+
+	xdr_free((xdrproc_t)xdr_gb_flow_state, (char *)&state);
+	return tombstone;
+}
+
+/** Refuse a submission that was cancelled before it arrived.  No earlier
+ * attempt was carried out: the store would have a flow of that id. */
+static void
+intake_refuse_cancelled(struct intake *in)
+{
+	gb_flow_answer answer = {0};
+
+	answer.verdict = GB_FLOW_REFUSED;
+	answer.retry_after_us = in->node->settings.keep_s * GB_SEC;
+	intake_refuse(in, &answer, REFUSAL_CANCELLED);
+}
+
+/** Answer a submission whose id has a state in the store. */
+static void
+intake_answer_stored(struct intake *in, const struct gb_pool_row *state)
+{
+	gb_flow_answer answer = {0};
+
+	if (flow_state_is_tombstone(state)) {
+		intake_refuse_cancelled(in);
+		return;
+	}
+	answer.verdict = GB_FLOW_ACCEPTED;
+	intake_finish(in, &answer);
+}
+
+/** The write of a submission found that its id has a state. */
+static void
+flow_write_conflict(struct intake *in, const struct gb_pool_txn_res *res)
+{
+	if (res->row_count == 0) {
+		in->maybe_done = true;
+		flow_write_failed(in);
+		return;
+	}
+	gb_event(in->node->events, GB_EVENT_NORMAL, "flow_found_in_store",
+	    "{s:s, s:b}", "flow", in->submit->flow.id, "cancelled",
+	    flow_state_is_tombstone(&res->rows[0]));
+	intake_answer_stored(in, &res->rows[0]);
+}
+
 static void
 flow_written(struct node_call *call, const struct gb_pool_txn_res *res)
 {
@@ -242,14 +296,15 @@
 
 	switch (res->status) {
 	case GB_STORE_OK:
-	case GB_STORE_CONFLICT: /* it has been stored before */
 		answer.verdict = GB_FLOW_ACCEPTED;
 		gb_event(in->node->events, GB_EVENT_NORMAL,
-		    "flow_stored_without_owner", "{s:s, s:b}", "flow",
-		    in->submit->flow.id, "repeated",
-		    res->status == GB_STORE_CONFLICT);
+		    "flow_stored_without_owner", "{s:s}", "flow",
+		    in->submit->flow.id);
 		intake_finish(in, &answer);
 		break;
+	case GB_STORE_CONFLICT:
+		flow_write_conflict(in, res);
+		break;
 	case GB_STORE_INVALID:
 		answer.verdict = GB_FLOW_REFUSED;
 		intake_refused(in, &answer, REFUSAL_STORE);
@@ -313,8 +368,7 @@
 		answer.retry_after_us = RETRY_AFTER;
 		intake_refused(in, &answer, REFUSAL_STORE);
 	} else if (res->row_count > 0) {
-		answer.verdict = GB_FLOW_ACCEPTED;
-		intake_finish(in, &answer);
+		intake_answer_stored(in, &res->rows[0]);
 	} else {
 		intake_write(in);
 	}
@@ -363,6 +417,11 @@
 	default:
 		break;
 	}
+	/* An owner that doesn't know tombstones takes one for a flow. */
+	if (in->submit != NULL && answer->status == GB_FLOW_UNKNOWN) {
+		intake_refuse_cancelled(in);
+		return;
+	}
 	if (in->submit == NULL && in->ask.op != GB_FLOW_OP_PENDING &&
 	    answer->status == GB_FLOW_UNKNOWN) {
 		/* The owner may not know yet a flow that is in the store. */
--- a/libgooseberry/node/refusals.c
+++ b/libgooseberry/node/refusals.c
@@ -21,6 +21,7 @@
     [REFUSAL_OWNER] = "owner",
     [REFUSAL_LINK] = "link_of_owner",
     [REFUSAL_STORE] = "slow_store",
+    [REFUSAL_CANCELLED] = "cancelled",
 };
 
 const char *
--- a/libgooseberry/node/refusals.h
+++ b/libgooseberry/node/refusals.h
@@ -14,6 +14,7 @@
 	REFUSAL_OWNER,	  /**< the owner refused it */
 	REFUSAL_LINK,	  /**< the owner's link is full */
 	REFUSAL_STORE, /**< the owner can't store it, and the store is slow */
+	REFUSAL_CANCELLED, /**< it was cancelled before it arrived */
 	REFUSAL_REASONS
 };
 
--- a/libgooseberry/pool.h
+++ b/libgooseberry/pool.h
@@ -611,6 +611,11 @@
  * read. */
 bool gb_flow_state_decode(const gb_body *row, gb_flow_state *);
 
+/** Whether a state says that a flow was cancelled before it was submitted.
+ * Programs that don't know tombstones take it for a flow that has ended, and
+ * show it as one that doesn't exist. */
+bool gb_flow_state_is_tombstone(const gb_flow_state *);
+
 /** Counters of a core, for the metrics.  Histograms are in microseconds. */
 struct gb_pool_stats {
 	/** Submissions; repeated: of a flow that was known already. */
@@ -636,6 +641,9 @@
 							error */
 	uint64_t txns, txn_conflicts, txn_lost, rows, reads, takeovers, losses;
 	uint64_t takeovers_failed; /**< failed takeovers */
+	/** Cancels of flows that don't exist: those that are kept now, and
+	 * those that could not be. */
+	uint64_t tombstones, cancels_refused;
 	uint64_t flows, waiting, running, workers, quarantined;
 	struct gb_histogram accept_us, first_start_us, finish_us, advice_us;
 	struct gb_histogram txn_us, start_us, takeover_us;
--- a/libgooseberry/pool/flow.c
+++ b/libgooseberry/pool/flow.c
@@ -246,6 +246,8 @@
 	if (flow->dirty)
 		TAILQ_REMOVE(
 		    &pool->partitions[flow->partition].dirty, flow, dirty_next);
+	if (flow->tombstone)
+		pool_tombstone_remove(pool, flow);
 	HASH_DEL(pool->flows, flow);
 	pool_flow_loading_free(flow);
 	flow_steps_free(flow);
@@ -380,13 +382,29 @@
 		pool_flow_changed(pool, flow, false);
 }
 
+void
+pool_flow_close_loaded(struct gb_pool *pool, struct pool_flow *flow)
+{
+	flow->closed = true;
+	flow->removed = true;
+	flow->queue = NULL;
+	TAILQ_REMOVE(&pool->open, flow, open_next);
+	pool->open_count--;
+}
+
+gb_time
+pool_flow_expires_at(const struct gb_pool *pool, const struct pool_flow *flow)
+{
+	return flow->ended + pool->cfg.limits.keep_us + FLOW_REMOVE_DELAY;
+}
+
 void
 pool_flow_stored(struct gb_pool *pool, struct pool_flow *flow, uint64_t change)
 {
 	struct pool_waiter *waiter;
 	struct pool_waiter *next;
 
-	if (flow->stored == 0)
+	if (flow->stored == 0 && !flow->tombstone)
 		gb_histogram_add(
 		    &pool->stats.accept_us, pool->now - flow->submitted);
 	if (change > flow->stored)
@@ -676,7 +694,7 @@
 {
 	struct pool_flow *flow;
 	struct pool_flow *next;
-	gb_time keep = pool->cfg.limits.keep_us + FLOW_REMOVE_DELAY;
+	bool expired;
 
 	HASH_ITER(hh, pool->flows, flow, next)
 	{
@@ -686,14 +704,14 @@
 		    flow->stored < flow->change ||
 		    !pool_partition_attached(pool, flow->partition))
 			continue;
+		expired = pool->now > pool_flow_expires_at(pool, flow);
 		if (!flow->closed && flow->runs == 0 &&
 		    STAILQ_EMPTY(&flow->waiters))
 			flow_close(pool, flow);
-		else if (flow->closed && !flow->dirty &&
-			 pool->now - flow->ended > keep && flow->remove_pending)
+		else if (flow->closed && !flow->dirty && expired &&
+			 flow->remove_pending)
 			pool_flow_free(pool, flow);
-		else if (flow->closed && !flow->dirty &&
-			 pool->now - flow->ended > keep) {
+		else if (flow->closed && !flow->dirty && expired) {
 			flow->remove_pending = true;
 			pool_flow_changed(pool, flow, false);
 		}
--- a/libgooseberry/pool/load.c
+++ b/libgooseberry/pool/load.c
@@ -55,6 +55,8 @@
 	flow->ended = pool->now;
 	flow->loading = gb_calloc(1, sizeof(*flow->loading));
 	*flow->loading = state;
+	if (gb_flow_state_is_tombstone(&state))
+		pool_tombstone_add(pool, flow);
 }
 
 /** Replaces the placeholder by the submitted flow with its state. */
@@ -104,11 +106,7 @@
 		if (flow->loading == NULL || flow->partition != partition)
 			continue;
 		pool_flow_loading_free(flow);
-		flow->closed = true;
-		flow->removed = true;
-		flow->queue = NULL;
-		TAILQ_REMOVE(&pool->open, flow, open_next);
-		pool->open_count--;
+		pool_flow_close_loaded(pool, flow);
 	}
 }
 
--- a/libgooseberry/pool/org.h
+++ b/libgooseberry/pool/org.h
@@ -34,6 +34,7 @@
 	double
 	    core_ms; /**< processor-milliseconds of ended runs, not decayed */
 	uint32_t waiting; /**< flows that have not begun, when last counted */
+	uint32_t tombstones; /**< cancels of flows that don't exist */
 };
 
 /* org.c */
--- a/libgooseberry/pool/pool.c
+++ b/libgooseberry/pool/pool.c
@@ -36,6 +36,7 @@
 	pool->now = now;
 	pool->seed = settings->seed;
 	TAILQ_INIT(&pool->open);
+	TAILQ_INIT(&pool->tombstones);
 	TAILQ_INIT(&pool->pages);
 	TAILQ_INIT(&pool->pages_sent);
 	pool_writer_reset(pool);
@@ -340,6 +341,10 @@
 		pool_answer(pool, token, verdict, GB_SEC);
 		return;
 	}
+	if (flow != NULL && flow->tombstone) {
+		pool_tombstone_submitted(pool, flow, token);
+		return;
+	}
 	if (flow != NULL) {
 		pool->stats.repeated++;
 		pool_flow_wait(
@@ -406,6 +411,10 @@
 	    !pool_partition_ready(pool, token, ask->id))
 		return;
 	flow = pool_flow_find(pool, ask->id);
+	if (ask->op == GB_FLOW_OP_CANCEL && (flow == NULL || flow->tombstone)) {
+		pool_tombstone_cancel(pool, flow, token, ask);
+		return;
+	}
 	/* Other organisations don't learn that the flow exists. */
 	if (flow != NULL && !gb_flow_visible(flow->spec.org, ask->caller.org))
 		flow = NULL;
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -6,9 +6,9 @@
  * load.c and page.c (ownership and loading); dispatch.c and advice.c (starting
  * work); worker.c, listing.c, incarnation.c, health.c and worker_set.c
  * (workers); flow.c, flow_state.c, report.c, run.c, late_start.c, announce.c
- * and crash.c (flows and runs); writer.c and probe.c (storing changes); call.c
- * and org.c. A lower file calls a higher one to look something up, or when a
- * result ends a run, a worker or the ownership.
+ * tombstone.c and crash.c (flows and runs); writer.c and probe.c (storing
+ * changes); call.c and org.c. A lower file calls a higher one to look something
+ * up, or when a result ends a run, a worker or the ownership.
  *
  * Decisions without side effects are in rank.c, fit.c, speed.c, reservation.c,
  * quota.c, share.c, usage.c, contention.c and admit.c.  preempt.c decides and
@@ -227,6 +227,7 @@
 	UT_hash_handle hh;
 	TAILQ_ENTRY(pool_flow) dirty_next;
 	TAILQ_ENTRY(pool_flow) open_next;
+	TAILQ_ENTRY(pool_flow) tombstone_next;
 	gb_flow spec;	    /**< emptied once the finished flow is stored */
 	uint32_t partition; /**< of the tables, which holds its rows */
 	/** Its queue in the current configuration, or null. */
@@ -241,7 +242,9 @@
 	uint32_t step_count;
 	gb_flow_status status;
 	bool cancelled;
-	bool created; /**< its rows are in the store */
+	bool tombstone; /**< was cancelled before it arrived: only its id and
+			   organisation are known */
+	bool created;	/**< its rows are in the store */
 	/** The stored state says that an owner works on it.  Until then none of
 	 * its tasks is started, so that a successor may start it at once. */
 	bool owned;
@@ -632,6 +635,8 @@
 	/* Flows */
 	struct pool_flow *flows; /**< by id */
 	struct pool_flows open;	 /**< flows that are not closed */
+	/** The one that is removed first is the first. */
+	struct pool_flows tombstones;
 	uint32_t open_count;
 	struct gb_pool_config *config;
 	struct pool_queue_stat *queues;
@@ -894,6 +899,10 @@
 void pool_flow_free(struct gb_pool *, struct pool_flow *);
 /** Frees the stored state that a flow holds while it is being loaded. */
 void pool_flow_loading_free(struct pool_flow *);
+/** Closes a flow of which only the state is known. */
+void pool_flow_close_loaded(struct gb_pool *, struct pool_flow *);
+/** When the state of a finished flow is removed. */
+gb_time pool_flow_expires_at(const struct gb_pool *, const struct pool_flow *);
 /** Records a change that must be stored, soon if something waits for it. */
 void pool_flow_changed(struct gb_pool *, struct pool_flow *, bool urgent);
 /** Handles that a change of a flow was stored. */
@@ -948,6 +957,21 @@
 /** Status that callers may see: the end of a flow only once it is stored. */
 gb_flow_status pool_flow_visible_status(const struct pool_flow *);
 
+/* tombstone.c */
+/** Counts a flow as a tombstone, and no longer. */
+void pool_tombstone_add(struct gb_pool *, struct pool_flow *);
+void pool_tombstone_remove(struct gb_pool *, struct pool_flow *);
+/** Cancels a flow that doesn't exist or, if it is not null, a tombstone. */
+void pool_tombstone_cancel(
+    struct gb_pool *, struct pool_flow *, uint64_t token, const gb_flow_ask *);
+/** Answers the submission of a flow that has a tombstone. */
+void pool_tombstone_submitted(
+    struct gb_pool *, const struct pool_flow *, uint64_t token);
+/** Handles a state that a write has found under the id of a new tombstone.
+ * Frees the tombstone if the state is that of a flow, whose cancel must then be
+ * tried again. */
+void pool_tombstone_conflict(struct gb_pool *, const struct gb_pool_row *);
+
 /* flow_state.c */
 /** Fills in the state to store; free it with pool_flow_state_clear. */
 void pool_flow_state_fill(
--- a/libgooseberry/pool/writer.c
+++ b/libgooseberry/pool/writer.c
@@ -164,6 +164,8 @@
 
 	bool finished = flow->status >= GB_FLOW_SUCCEEDED;
 
+	if (flow->tombstone && !flow->created)
+		draft_cond(draft, GB_POOL_STATES, flow->spec.id, 0);
 	/* This owner has read all rows of the partition.  A row that a node
 	 * wrote since is identical, and is found in the inbox. */
 	if (!flow->created && !finished)
@@ -573,7 +575,8 @@
 }
 
 /** Handles that the condition of a write failed: an earlier write without
- * answer was carried out, or another node owns the partition. */
+ * answer was carried out, another node owns the partition, or the store has a
+ * flow that this owner doesn't know. */
 static void
 partition_conflict(struct gb_pool *pool, struct pool_partition *partition,
     gb_time sent, const struct gb_pool_txn_res *res)
@@ -582,11 +585,18 @@
 
 	pool->stats.txn_conflicts++;
 	for (i = 0; i < res->row_count; i++) {
+		if (res->rows[i].table != GB_POOL_OWNERS)
+			continue;
 		if (!partition_owner_row(pool, partition, &res->rows[i]))
 			return;
 		partition->confirmed = sent;
 	}
 	partition_requeue(pool, partition, true);
+	for (i = 0; i < res->row_count; i++) {
+		if (res->rows[i].table == GB_POOL_STATES &&
+		    res->rows[i].vers != 0)
+			pool_tombstone_conflict(pool, &res->rows[i]);
+	}
 	partition->phase = POOL_PARTITION_IDLE;
 }
 
--- a/tests/pool_cell.c
+++ b/tests/pool_cell.c
@@ -1157,7 +1157,7 @@
 }
 
 size_t
-pool_cell_submit(struct pool_cell *cell, const char *queue, const char *spec)
+pool_cell_prepare(struct pool_cell *cell, const char *queue, const char *spec)
 {
 	struct pool_cell_flow *flow = flow_draft(cell);
 	char id[32];
@@ -1172,9 +1172,16 @@
 	flow->spec.submitted_us = cell->now;
 	flow->submitted = cell->now;
 	world_flow_add(cell->world, &flow->spec, 3);
-	cell->flow_count++;
-	flow_send(cell, flow);
-	return cell->flow_count - 1;
+	return cell->flow_count++;
+}
+
+size_t
+pool_cell_submit(struct pool_cell *cell, const char *queue, const char *spec)
+{
+	size_t flow = pool_cell_prepare(cell, queue, spec);
+
+	flow_send(cell, &cell->flows[flow]);
+	return flow;
 }
 
 void
--- a/tests/pool_cell.h
+++ b/tests/pool_cell.h
@@ -198,6 +198,9 @@
  * the format that world.h describes. */
 size_t pool_cell_submit(
     struct pool_cell *, const char *queue, const char *spec);
+/** The same without sending it; pool_cell_resubmit() sends it. */
+size_t pool_cell_prepare(
+    struct pool_cell *, const char *queue, const char *spec);
 /** Adds a step of `count` tasks to the flow that is submitted next; `after` is
  * the step that it waits for, -1: none. `cpu` is in thousandths of a processor,
  * `work` the estimated duration of a task, `flags` are bits GB_STEP_*. */
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -682,6 +682,54 @@
 	assert_int_equal(stored_version(cell, "00000000000000a1"), 1);
 }
 
+/** Cancels a flow at a node and runs the loop until it is answered. */
+static void
+cell_cancel(struct cell *cell, unsigned int node, const char *id)
+{
+	char none[] = "";
+	gb_flow_ask ask = {0};
+	int i;
+
+	ask.op = GB_FLOW_OP_CANCEL;
+	ask.id = (char *)id;
+	ask.caller.config = 1;
+	ask.caller.org = none;
+	cell->answered = false;
+	gb_node_ask(cell->nodes[node], &ask, 20 * GB_SEC, on_answer, cell);
+	for (i = 0; i < ITERATIONS_MAX && !cell->answered; i++)
+		uv_run(&cell->loop, UV_RUN_ONCE);
+	assert_true(cell->answered);
+}
+
+/** A node that stores flows itself, since the owner can't or since there is
+ * none, must not accept one that was cancelled before it arrived. */
+static void
+test_member_refuses_cancelled_flow(void **state)
+{
+	struct cell *cell = cell_start();
+	unsigned int owner;
+	unsigned int other;
+	unsigned int rows;
+
+	(void)state;
+	cell_wait_ready(cell);
+	owner = cell_owner(cell);
+	other = (owner + 1) % NODES;
+	cell_cancel(cell, other, "00000000000000a3");
+	assert_int_equal(cell->answer.verdict, GB_FLOW_ACCEPTED);
+	assert_int_equal(cell->answer.status, GB_FLOW_UNKNOWN);
+	rows = world_row_count(cell->world, GB_POOL_FLOWS);
+	cell_submit(cell, other, "00000000000000a3");
+	assert_int_equal(cell->answer.verdict, GB_FLOW_REFUSED);
+	cell->store_refuses[owner] = true;
+	cell_submit(cell, other, "00000000000000a3");
+	assert_int_equal(cell->answer.verdict, GB_FLOW_REFUSED);
+	cell->nodes[other]->watch.owner[0] = '\0';
+	cell_submit(cell, other, "00000000000000a3");
+	assert_int_equal(cell->answer.verdict, GB_FLOW_REFUSED);
+	assert_int_equal(world_row_count(cell->world, GB_POOL_FLOWS), rows);
+}
+
 /** Makes a node believe that the owner has been loading the tables for a second
  * and that the store is as quick as usual.
  * @param time_without_owner since a node last answered as the owner
@@ -1460,6 +1508,7 @@
 	    cmocka_unit_test(test_large_version_reaches_all_over_thin_links),
 	    cmocka_unit_test(test_new_owner_is_known_without_the_store),
 	    cmocka_unit_test(test_member_stores_when_owner_cannot),
+	    cmocka_unit_test(test_member_refuses_cancelled_flow),
 	    cmocka_unit_test(test_flows_are_kept_from_loading_owner),
 	    cmocka_unit_test(test_link_bounds_flows_without_owner),
 	    cmocka_unit_test(test_link_bounds_flows_of_short_takeovers),
