Refuse entries of workers at addresses that can't be reached

An entry of the list of workers with the port `0`, `+80` or ` 80`, or with the address 0.0.0.0, named a worker. Its capacity was counted, and tasks were placed on it that could not start there.

Cause: the port was read with strtol, which skips spaces and takes a sign, and port 0 and 0.0.0.0, which are valid for listening, were not excluded as destinations.

--- a/libgooseberry/connection/rpc_stream.c
+++ b/libgooseberry/connection/rpc_stream.c
@@ -8,6 +8,9 @@
 
 #include "rpc.h"
 
+/** Largest number of digits of a port. */
+#define PORT_DIGITS_MAX 5
+
 /** One write in flight; it owns the bytes. */
 struct rpc_write {
 	uv_write_t req;
@@ -164,22 +167,32 @@
 	return true;
 }
 
+/** Parse a port, which has neither a sign nor spaces. */
+static bool
+port_parse(const char *text, int *port)
+{
+	size_t len = strlen(text);
+
+	if (len == 0 || len > PORT_DIGITS_MAX ||
+	    strspn(text, "0123456789") != len)
+		return false;
+	*port = (int)strtol(text, NULL, 10);
+	return *port <= UINT16_MAX;
+}
+
 bool
 rpc_addr_parse(const char *addr, struct sockaddr_in *out)
 {
 	const char *colon = strrchr(addr, ':');
 	char host[GB_NAME_MAX + 1];
-	char *end;
-	long port;
+	int port;
 
 	if (colon == NULL || (size_t)(colon - addr) >= sizeof(host))
 		return false;
 	memcpy(host, addr, (size_t)(colon - addr));
 	host[colon - addr] = '\0';
-	port = strtol(colon + 1, &end, 10);
-	if (*end != '\0' || end == colon + 1 || port < 0 || port > 65535)
-		return false;
-	return uv_ip4_addr(host, (int)port, out) == 0;
+	return port_parse(colon + 1, &port) &&
+	       uv_ip4_addr(host, port, out) == 0;
 }
 
 void
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -150,6 +150,32 @@
 	    GB_POOL_ENTRY_RANGE);
 }
 
+/** A worker can't be reached at an address without a port from 1 to 65535, or
+ * at one that stands for any address. */
+static void
+test_invalid_addresses(void **state)
+{
+	static const char *const addresses[] = {"10.1.0.9",
+	    "10.1.0.9:", "10.1.0.9:0", "10.1.0.9:00000", "10.1.0.9:-1",
+	    "10.1.0.9:+80", "10.1.0.9: 80", "10.1.0.9:\\t80", "10.1.0.9:80 ",
+	    "10.1.0.9:8x", "10.1.0.9:0x50", "10.1.0.9:65536",
+	    "10.1.0.9:4294967376", "10.1.0.9:18446744073709551696",
+	    "10.1.0.9:000080", "0.0.0.0:80", "host:80", ":80"};
+	char value[64];
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(addresses) / sizeof(addresses[0]); i++) {
+		snprintf(value, sizeof(value), "\"%s\"", addresses[i]);
+		if (error_with("Address", value) != GB_POOL_ENTRY_RANGE)
+			fail_msg("%s is taken", value);
+	}
+	assert_int_equal(
+	    error_with("Address", "\"10.1.0.9:1\""), GB_POOL_ENTRY_VALID);
+	assert_int_equal(
+	    error_with("Address", "\"10.1.0.9:65535\""), GB_POOL_ENTRY_VALID);
+}
+
 static void
 test_unreadable_entries(void **state)
 {
@@ -231,6 +257,7 @@
 	    cmocka_unit_test(test_missing_fields),
 	    cmocka_unit_test(test_fields_of_wrong_type),
 	    cmocka_unit_test(test_invalid_values),
+	    cmocka_unit_test(test_invalid_addresses),
 	    cmocka_unit_test(test_unreadable_entries),
 	    cmocka_unit_test(test_entries_with_a_byte_changed),
 	    cmocka_unit_test(test_ids),
