--- a/tests/test_feed.c
+++ b/tests/test_feed.c
@@ -2,8 +2,9 @@
  * @file test_feed.c
  * Guards against a changed configuration that takes effect late or never.  This
  * comes about when the feed, which reads a table and then waits for changes,
- * has a connection to the store that goes silent while a query waits on it, or
- * when the store drops the history of changes.
+ * has a connection to the store that goes silent while a query waits on it,
+ * when the store drops the history of changes, or when another writer has left
+ * a row with an odd key in the table.
  */
 #include <setjmp.h>
 #include <stdarg.h>
@@ -60,11 +61,14 @@
 	uint64_t delivered; /**< newest version that the feed has delivered */
 	unsigned int queries;
 	bool slow; /**< answers are sent in pieces */
+	/** JSON text of the key of another row, which is first in all answers
+	 * with rows; null: there is none. */
+	const char *odd_key;
 };
 
 /** A feed can't be freed before the process ends, so its store stays; one for
  * each test. */
-static struct store stores[7];
+static struct store stores[20];
 static unsigned int store_count;
 
 static void
@@ -107,6 +111,19 @@
 	conn_send_piece(conn);
 }
 
+/** Writes an answer with the odd row before the others. */
+static void
+conn_write_odd(struct conn *conn, const char *text)
+{
+	const char *rows = strstr(text, "\"rows\":[") + strlen("\"rows\":[");
+	struct gb_text body = {0};
+
+	gb_text_add(&body, "%.*s{\"Key\":\"%s\",\"Value\":\"\"},%s",
+	    (int)(rows - text), text, conn->store->odd_key, rows);
+	conn_write(conn, 200, body.data);
+	gb_text_free(&body);
+}
+
 /** Answers a query with the row, or with no row if nothing has changed. */
 static void
 conn_answer(struct conn *conn, bool row)
@@ -129,7 +146,10 @@
 		"rows", rows, "HasMore", 0),
 	    &len);
 	conn->waits = false;
-	conn_write(conn, 200, text);
+	if (row && store->odd_key != NULL)
+		conn_write_odd(conn, text);
+	else
+		conn_write(conn, 200, text);
 	free(text);
 }
 
@@ -212,7 +232,10 @@
 {
 	struct store *store = data;
 
-	(void)len;
+	if (len == 0 && store->odd_key != NULL) {
+		assert_string_not_equal(key, "config");
+		return;
+	}
 	assert_string_equal(key, "config");
 	store->delivered = strtoull(value, NULL, 10);
 }
@@ -243,9 +266,11 @@
 store_start_feed(const char *key)
 {
 	struct store *store = &stores[store_count++];
+	gb_time until = gb_clock_boot() + DELIVERY_MAX;
 	struct sockaddr_in sin;
 	int len = sizeof(sin);
 
+	assert_true(store_count <= sizeof(stores) / sizeof(stores[0]));
 	store->version = 1;
 	uv_loop_init(&store->loop);
 	uv_ip4_addr("127.0.0.1", 0, &sin);
@@ -265,7 +290,7 @@
 	store->feed =
 	    plat_feed_new(&store->plat, "op", key, on_row, on_end, store);
 	plat_feed_start(store->feed);
-	while (!store_has_query(store))
+	while (!store_has_query(store) && gb_clock_boot() < until)
 		uv_run(&store->loop, UV_RUN_ONCE);
 	assert_int_equal(store->delivered, 1);
 	return store;
@@ -421,6 +446,27 @@
 	assert_true(store_change(store) < DELIVERY_MAX);
 }
 
+/** Another writer leaves a row whose key has a null character, or half of a
+ * surrogate pair.  The other rows of the answer are delivered, and the key
+ * isn't taken for that of another row. */
+static void
+test_odd_keys_stop_no_feed(void **state)
+{
+	static const char *const keys[] = {"a\\u0000b", "config\\u0000",
+	    "\\u0000", "\\ud800", "a\\uDC00b", "\\ud83dx\\ude00",
+	    "\\\\\\udbff\\\\u0041", "\\ud83d\\ude00"};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(keys) / sizeof(keys[0]); i++) {
+		struct store *store;
+
+		stores[store_count].odd_key = keys[i];
+		store = store_start_feed(NULL);
+		assert_true(store_change(store) < DELIVERY_MAX_QUICK);
+	}
+}
+
 int
 main(void)
 {
@@ -432,6 +478,7 @@
 	    cmocka_unit_test(test_relaxed_feed_asks_seldom),
 	    cmocka_unit_test(test_row_that_takes_long_is_delivered),
 	    cmocka_unit_test(test_answer_that_stops_is_requested_again),
+	    cmocka_unit_test(test_odd_keys_stop_no_feed),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
