--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -248,6 +248,44 @@
 	assert_string_equal(out, "a%20b%26Limit%3D0%23%C3%A9");
 }
 
+/** The next page of the list begins after the last key of the previous one.
+ * No key of the list may lie between the two, and the store takes none that is
+ * longer than its longest. */
+static void
+test_first_key_of_a_page(void **state)
+{
+	static const struct {
+		const char *end; /**< of a key of 200 bytes */
+		const char *next;
+	} longest[] = {{"a", "b"}, {"~", "\x7f"}, {"b\x7f", "c"},
+	    {"\xc3\xa9", "\xc3\xaa"}, {"\xc3\xbf", "\xc4\x80"},
+	    {"a\xdf\xbf", "b"}, {"\xed\x9f\xbf", "\xee\x80\x80"},
+	    {"c\xf4\x8f\xbf\xbf", "d"}};
+	char key[PLAT_KEY_BYTES_MAX + 1];
+	char out[PLAT_KEY_BYTES_MAX + 1];
+	size_t i;
+
+	(void)state;
+	assert_true(plat_key_next("i-1", out));
+	assert_true(strcmp(out, "i-1") > 0);
+	assert_true(strcmp(out, "i-1 ") <= 0);
+	assert_true(strcmp(out, "i-1-a") <= 0);
+	memset(key, 'k', sizeof(key));
+	for (i = 0; i < sizeof(longest) / sizeof(longest[0]); i++) {
+		size_t len = PLAT_KEY_BYTES_MAX - strlen(longest[i].end);
+
+		snprintf(key + len, sizeof(key) - len, "%s", longest[i].end);
+		assert_true(plat_key_next(key, out));
+		assert_memory_equal(out, key, len);
+		assert_string_equal(out + len, longest[i].next);
+		memset(key, 'k', sizeof(key));
+	}
+	for (i = 0; i < PLAT_KEY_BYTES_MAX; i += 4)
+		memcpy(key + i, "\xf4\x8f\xbf\xbf", 4);
+	key[i] = '\0';
+	assert_false(plat_key_next(key, out));
+}
+
 int
 main(void)
 {
@@ -262,6 +300,7 @@
 	    cmocka_unit_test(test_entries_with_a_byte_changed),
 	    cmocka_unit_test(test_ids),
 	    cmocka_unit_test(test_keys_in_queries),
+	    cmocka_unit_test(test_first_key_of_a_page),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_feed.c
+++ b/tests/test_feed.c
@@ -26,6 +26,8 @@
  * them take longer than the feed waits for an answer. */
 #define PIECES 20
 #define PIECE_PAUSE (150 * GB_MSEC)
+/** Longest key that the store takes, in bytes. */
+#define KEY_BYTES_MAX 200
 /** Interval at which the store answers waiting queries, in milliseconds. */
 #define TIMER_MS 5
 
@@ -64,6 +66,9 @@
 	/** JSON text of the key of another row, which is first in all answers
 	 * with rows; null: there is none. */
 	const char *odd_key;
+	/** Last key of the first page of the table, which has no other row;
+	 * null: the table has one page. */
+	const char *page_key;
 };
 
 /** A feed can't be freed before the process ends, so its store stays; one for
@@ -153,6 +158,31 @@
 	free(text);
 }
 
+/** Answers a read of the table: with the first page, the rest, or a rejection
+ * because the key in the query is too long. */
+static void
+conn_read(struct conn *conn, const char *request)
+{
+	const struct store *store = conn->store;
+	const char *from = strstr(request, "From=");
+	size_t bytes = 0;
+	char body[512];
+
+	for (from += strlen("From="); *from != '&' && *from != ' '; bytes++)
+		from += *from == '%' ? 3 : 1;
+	if (store->page_key != NULL && bytes == 0) {
+		snprintf(body, sizeof(body),
+		    "{\"Ver\":1,\"rows\":[{\"Key\":\"%s\",\"Value\":\"\"}],"
+		    "\"HasMore\":true}",
+		    store->page_key);
+		conn_write(conn, 200, body);
+	} else if (bytes > KEY_BYTES_MAX) {
+		conn_write(conn, 400, "{}");
+	} else {
+		conn_answer(conn, true);
+	}
+}
+
 /** Handles a query: answers a read at once; lets a query for changes wait, or
  * answers it with status 410 if the history does not go back far enough. */
 static void
@@ -163,7 +193,7 @@
 
 	conn->store->queries++;
 	if (after == NULL || wait == NULL) {
-		conn_answer(conn, true);
+		conn_read(conn, request);
 		return;
 	}
 	conn->after = strtoull(after + strlen("After="), NULL, 10);
@@ -232,7 +262,7 @@
 {
 	struct store *store = data;
 
-	if (len == 0 && store->odd_key != NULL) {
+	if (len == 0 && (store->odd_key != NULL || store->page_key != NULL)) {
 		assert_string_not_equal(key, "config");
 		return;
 	}
@@ -467,6 +497,22 @@
 	}
 }
 
+/** Another writer leaves a row with the longest key that the store takes, and a
+ * page ends with it. */
+static void
+test_long_key_ends_a_page(void **state)
+{
+	char key[KEY_BYTES_MAX + 1];
+	struct store *store;
+
+	(void)state;
+	memset(key, 'k', KEY_BYTES_MAX);
+	key[KEY_BYTES_MAX] = '\0';
+	stores[store_count].page_key = key;
+	store = store_start_feed(NULL);
+	assert_true(store_change(store) < DELIVERY_MAX_QUICK);
+}
+
 int
 main(void)
 {
@@ -479,6 +525,7 @@
 	    cmocka_unit_test(test_row_that_takes_long_is_delivered),
 	    cmocka_unit_test(test_answer_that_stops_is_requested_again),
 	    cmocka_unit_test(test_odd_keys_stop_no_feed),
+	    cmocka_unit_test(test_long_key_ends_a_page),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
