--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -234,6 +234,24 @@
 	assert_string_equal(entry.id, id);
 }
 
+/** An id is sent in a header, to whatever address its entry names.  With a line
+ * end in it, its writer could add headers and requests. */
+static void
+test_ids_that_fit_no_header(void **state)
+{
+	static const char *const ids[] = {"i-1\r\nX-Other: y", "i-1\n", "\r",
+	    "i 1", "i-1\t", "i-\x7f", "i-\x01", "i-\xc3\xa9", "i-\xef\xbf\xbd"};
+	struct gb_pool_entry entry;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(ids) / sizeof(ids[0]); i++) {
+		if (plat_entry_decode(
+			ids[i], valid_entry, strlen(valid_entry), &entry))
+			fail_msg("the id %s is taken", ids[i]);
+	}
+}
+
 /** The query for the next page of the list contains the last key of the
  * previous page.  As this may contain any characters, they are escaped. */
 static void
@@ -299,6 +317,7 @@
 	    cmocka_unit_test(test_unreadable_entries),
 	    cmocka_unit_test(test_entries_with_a_byte_changed),
 	    cmocka_unit_test(test_ids),
+	    cmocka_unit_test(test_ids_that_fit_no_header),
 	    cmocka_unit_test(test_keys_in_queries),
 	    cmocka_unit_test(test_first_key_of_a_page),
 	};
