Allow for the leases that workers took from orders for their former life

Cause: an order for the former life that reaches the new one has a deadline on the former clock, which is far ahead on the new one, and the worker cuts it to the longest lease that it accepts. The owner of that time allows for it, but its successor counted with the longest lease that owners give: before it reached the worker, and from the worker's first answer on.

Evidence: 5.07 s are the successor's wait for a lease of 3.5 s, and the first run lived for 8.1 s after the cut without a renewal.

A new owner now allows for the longest lease that a worker accepts, where workers restart under their ids. Any lease that the former life's orders could bring about ends by then.

Measured: test_lease_of_restarted_worker_that_is_cut_off and _after_takeover start the task twice before, and pass now.

--- a/libgooseberry/pool/authority.c
+++ b/libgooseberry/pool/authority.c
@@ -189,7 +189,7 @@
 gb_time
 pool_authority_leases_expired_at(const struct gb_pool *pool, gb_time claimed)
 {
-	gb_time lease = pool_worker_lease_max(pool);
+	gb_time lease = pool_incarnation_lease_max(pool);
 	gb_time granted_until = claimed + AUTHORITY_WITHOUT_STORE_MAX;
 
 	if (pool->majority_fenced_at != 0)
--- a/libgooseberry/pool/incarnation.c
+++ b/libgooseberry/pool/incarnation.c
@@ -133,6 +133,29 @@
 	incarnation_suspect_restart(pool, worker, "the answer to an order");
 }
 
+/* Leases ------------------------------------------------------------------ */
+
+gb_time
+pool_incarnation_lease_max(const struct gb_pool *pool)
+{
+	return pool->worker_ids_reused ? pool->cfg.limits.lease_us
+				       : pool_worker_lease_max(pool);
+}
+
+/** Allows for the longest lease that a worker may have now.  An earlier owner
+ * may have given it to this incarnation with an order for the previous one. */
+static void
+incarnation_assume_lease(struct gb_pool *pool, struct pool_worker *worker)
+{
+	gb_time expiry =
+	    pool->now +
+	    pool_incarnation_lease_max(pool) * 1000 / POOL_CLOCK_RATE_MIN +
+	    POOL_LEASE_MARGIN;
+
+	if (expiry > worker->lapse_at)
+		worker->lapse_at = expiry;
+}
+
 /* A new incarnation ------------------------------------------------------- */
 
 static void
@@ -185,7 +208,8 @@
 
 /** Works out until when the new incarnation may have a lease. The end of a
  * lease that was sent to the previous one may be at any distance on the new
- * clock, and workers never shorten a lease. */
+ * clock; the worker cuts it to the longest that it accepts, and does not
+ * shorten it afterwards. */
 static void
 incarnation_lease_begin(struct gb_pool *pool, struct pool_worker *worker,
     const struct pool_call *call, const struct gb_pool_report *report)
@@ -259,6 +283,7 @@
 	worker->incarnation = incarnation;
 	worker->incarnation_since = pool->now;
 	pool->worker_ids_reused |= pool_worker_reuses_id(worker);
+	incarnation_assume_lease(pool, worker);
 	worker->leaving =
 	    worker->entry.draining && pool_incarnation_listed(worker);
 	if (incarnation != 0 && worker->recorded_incarnation != 0 &&
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -1018,6 +1018,10 @@
 bool pool_worker_offered(const struct pool_worker *);
 
 /* incarnation.c */
+/** Longest lease that a worker may have been given.  An order for an
+ * incarnation may reach the next one, on whose clock the lease ends later: the
+ * worker then shortens it to the longest that it accepts. */
+gb_time pool_incarnation_lease_max(const struct gb_pool *);
 /** Fencing token of orders to a worker. */
 uint64_t pool_incarnation_token(
     const struct gb_pool *, const struct pool_worker *);
--- a/standin/world.c
+++ b/standin/world.c
@@ -283,6 +283,12 @@
 	    "%s", id);
 }
 
+void
+world_lease_max_set(struct world *world, gb_time max)
+{
+	world->lease_max_ms = max / GB_MSEC;
+}
+
 void
 world_start_times_omit(struct world *world, bool reports, bool entries)
 {
@@ -655,7 +661,10 @@
 lease_renew(const struct world *world, struct world_worker *worker,
     int64_t lease_end_ms)
 {
-	(void)world;
+	int64_t end_max_ms = worker_clock(world, worker) + world->lease_max_ms;
+
+	if (world->lease_max_ms != 0 && lease_end_ms > end_max_ms)
+		lease_end_ms = end_max_ms;
 	if (lease_end_ms > worker->lease_end_ms)
 		worker->lease_end_ms = lease_end_ms;
 }
--- a/standin/world.h
+++ b/standin/world.h
@@ -48,6 +48,9 @@
 #define WORLD_CHECKPOINT_MAX 200
 /** Set the length that checkpoints have at least. */
 void world_checkpoints_resize(struct world *, unsigned int bytes);
+/** Set the longest lease that workers accept: a longer one is shortened.  By
+ * default there is no limit. */
+void world_lease_max_set(struct world *, gb_time);
 /** Set the address by which orders name a worker. */
 void world_worker_set_addr(
     struct world *, unsigned int number, const char *addr);
--- a/standin/world_state.h
+++ b/standin/world_state.h
@@ -127,6 +127,7 @@
 	bool reports_omit_start; /**< reports lack the worker's start time */
 	bool entries_omit_start; /**< entries lack the worker's start time */
 	int64_t clock_step_ms;	 /**< added to the time of day */
+	int64_t lease_max_ms;	 /**< that workers accept, 0: any */
 	uint64_t seed;
 	struct world_worker **workers;
 	unsigned int worker_count;
--- a/tests/test_restarts.c
+++ b/tests/test_restarts.c
@@ -203,6 +203,106 @@
 	run_late_calls(0, 20);
 }
 
+/** Longest lease that workers accept, as the cell's owners know it. */
+#define LEASE_MAX (6 * GB_SEC)
+/** Workers that are cut off: those that may start the first task. */
+#define CUT_WORKERS 2
+
+static void
+workers_resize(
+    struct pool_cell *cell, unsigned int from, unsigned int to, int cpu)
+{
+	const gb_res capacity = {cpu, 64000, 0, 0, 0};
+	unsigned int i;
+
+	for (i = from; i < to; i++)
+		world_worker_resize(cell->world, i, &capacity);
+}
+
+/** Starts a long task on one of the first workers.  It restarts before the
+ * order arrives, so that the next incarnation gets a lease whose end was meant
+ * for the clock of the previous one: the longest that it accepts. */
+static struct pool_cell *
+cell_with_long_lease(void)
+{
+	struct pool_cell *cell = pool_cell_new(&plain);
+	unsigned int starts;
+	unsigned int i;
+
+	world_lease_max_set(cell->world, LEASE_MAX);
+	pool_cell_take_over(cell, 0);
+	pool_cell_run(cell, GB_SEC);
+	workers_resize(cell, CUT_WORKERS, plain.workers, 100);
+	pool_cell_run(cell, GB_SEC);
+	starts = cell->starts;
+	pool_cell_step_add(cell, 1, 4000, 60 * GB_SEC, 0, -1);
+	pool_cell_submit(cell, "import", "ms=60000");
+	for (i = 0; i < 200 && cell->starts == starts; i++)
+		pool_cell_run(cell, 5 * GB_MSEC);
+	assert_int_equal(cell->starts, starts + 1);
+	for (i = 0; i < CUT_WORKERS; i++)
+		world_worker_restart(cell->world, i);
+	workers_resize(cell, CUT_WORKERS, plain.workers, 16000);
+	return cell;
+}
+
+/** Cuts the first workers off from all nodes, and checks that the task does not
+ * run elsewhere as long as it runs there. */
+static void
+cut_and_check(struct pool_cell *cell)
+{
+	struct world_flow_view view;
+
+	cell->cut = CUT_BOTH_WAYS;
+	cell->cut_nodes = 0;
+	cell->cut_workers = CUT_WORKERS;
+	pool_cell_run(cell, 5 * LEASE_MAX);
+	assert_true(
+	    world_flow_view(cell->world, cell->flows[0].spec.id, &view));
+	assert_int_equal(view.running, 1);
+	assert_true(cell->starts >= 2);
+	pool_cell_assert_no_violation(cell);
+	pool_cell_free(cell);
+}
+
+/** The owner that has started the task is killed, and its successor never
+ * reaches the worker. */
+static void
+test_lease_of_restarted_worker_that_is_cut_off(void **state)
+{
+	gb_time before;
+
+	(void)state;
+	for (before = 100 * GB_MSEC; before <= 1500 * GB_MSEC;
+	     before += 200 * GB_MSEC) {
+		struct pool_cell *cell = cell_with_long_lease();
+
+		pool_cell_run(cell, before);
+		cell->cut = CUT_BOTH_WAYS;
+		cell->cut_workers = CUT_WORKERS;
+		pool_cell_replace_owner(cell, 1);
+		cut_and_check(cell);
+	}
+}
+
+/** The successor reaches the worker once, before it is cut off. */
+static void
+test_lease_of_restarted_worker_after_takeover(void **state)
+{
+	gb_time before;
+
+	(void)state;
+	for (before = 10 * GB_MSEC; before <= 500 * GB_MSEC;
+	     before += 70 * GB_MSEC) {
+		struct pool_cell *cell = cell_with_long_lease();
+
+		pool_cell_run(cell, before);
+		pool_cell_replace_owner(cell, 1);
+		pool_cell_run(cell, 500 * GB_MSEC);
+		cut_and_check(cell);
+	}
+}
+
 /** A task that crashes its workers fails even if these restart under their ids
  * and owners are killed before they notice the loss of a worker. */
 static void
@@ -347,6 +447,8 @@
 	    cmocka_unit_test(test_entry_of_earlier_incarnation),
 	    cmocka_unit_test(test_late_orders_after_restart),
 	    cmocka_unit_test(test_late_heartbeats_after_restart),
+	    cmocka_unit_test(test_lease_of_restarted_worker_that_is_cut_off),
+	    cmocka_unit_test(test_lease_of_restarted_worker_after_takeover),
 	    cmocka_unit_test(test_crashes_count_over_restarts),
 	    cmocka_unit_test(test_ended_id_is_used_again),
 	    cmocka_unit_test(test_unreported_start_times),
