Wait no longer than the longest lease for a worker that restarted

A worker restarts under its id, an order for its former life reaches the new one, and then the worker is cut off: its tasks started nowhere else for as long as the former life had been up.

Cause: the owner took the end of the last lease of the former life as a time on the new clock, which begins anew. The worker cuts a lease to the longest that it accepts, so that the wait needn't be longer.

--- a/libgooseberry/pool/incarnation.c
+++ b/libgooseberry/pool/incarnation.c
@@ -218,7 +218,10 @@
 	    (call->lease && !report->report_only) || worker->lease_uncertain ||
 	    report->running_count > 0 || report->ended_count > 0;
 	int64_t left = worker->lease_end_ms - report->clock_ms;
+	int64_t left_max = pool_incarnation_lease_max(pool) / GB_MSEC;
 
+	if (left > left_max)
+		left = left_max;
 	worker->lapse_at = pool->now;
 	if (maybe_leased && left > 0)
 		worker->lapse_at +=
--- a/tests/test_restarts.c
+++ b/tests/test_restarts.c
@@ -303,6 +303,23 @@
 	}
 }
 
+/** The owner that has started the task notices the restart, and then the worker
+ * is cut off. */
+static void
+test_lease_of_restarted_worker_with_its_owner(void **state)
+{
+	gb_time before;
+
+	(void)state;
+	for (before = 10 * GB_MSEC; before <= 500 * GB_MSEC;
+	     before += 70 * GB_MSEC) {
+		struct pool_cell *cell = cell_with_long_lease();
+
+		pool_cell_run(cell, before);
+		cut_and_check(cell);
+	}
+}
+
 /** A task that crashes its workers fails even if these restart under their ids
  * and owners are killed before they notice the loss of a worker. */
 static void
@@ -449,6 +466,7 @@
 	    cmocka_unit_test(test_late_heartbeats_after_restart),
 	    cmocka_unit_test(test_lease_of_restarted_worker_that_is_cut_off),
 	    cmocka_unit_test(test_lease_of_restarted_worker_after_takeover),
+	    cmocka_unit_test(test_lease_of_restarted_worker_with_its_owner),
 	    cmocka_unit_test(test_crashes_count_over_restarts),
 	    cmocka_unit_test(test_ended_id_is_used_again),
 	    cmocka_unit_test(test_unreported_start_times),
