Count a flow as begun once a worker has started a task of it

Cause: a flow counted as begun from the first start order on that was sent for it. Orders to workers that are off, cut off, or carry them out late start nothing, and the tasks wait up to 13 s until none can be carried out any more. A successor took flows with such orders over as begun.

Now the answer to a start, a run that a worker lists, a reported end, or a stored state that shows one of these counts.

--- a/libgooseberry/pool/flow.c
+++ b/libgooseberry/pool/flow.c
@@ -564,6 +564,16 @@
 	flow_finish(pool, flow, GB_FLOW_CANCELLED, "cancelled by its caller");
 }
 
+void
+pool_flow_begin(struct gb_pool *pool, struct pool_flow *flow)
+{
+	if (flow->begun)
+		return;
+	flow->begun = true;
+	gb_histogram_add(
+	    &pool->stats.first_start_us, pool->now - flow->submitted);
+}
+
 static struct pool_run *
 task_find_run(const struct pool_task *task, uint64_t number,
     const struct pool_worker *worker)
@@ -657,6 +667,7 @@
 	bool finished = flow->status >= GB_FLOW_SUCCEEDED;
 	gb_time run_time = 0;
 
+	pool_flow_begin(pool, flow);
 	if (run != NULL) {
 		run->listed = true;
 		run_time = pool->now - run->started;
--- a/libgooseberry/pool/flow_state.c
+++ b/libgooseberry/pool/flow_state.c
@@ -209,7 +209,6 @@
 			return false;
 		pool_late_load(
 		    pool, flow, ref->step, ref->index, POOL_LATE_UNRESOLVED);
-		flow->begun = true;
 	}
 	return true;
 }
@@ -339,6 +338,19 @@
 	}
 }
 
+/** Whether a worker has certainly started a task that was lost with workers. */
+static bool
+crashes_show_start(const gb_task_crashes *stored)
+{
+	u_int i;
+
+	for (i = 0; i < stored->unreachable.unreachable_len; i++) {
+		if (stored->unreachable.unreachable_val[i].begun)
+			return true;
+	}
+	return stored->confirmed > 0;
+}
+
 static bool
 flow_crashes_load(
     struct gb_pool *pool, struct pool_flow *flow, const gb_flow_state *state)
@@ -360,7 +372,7 @@
 		pool_crash_load(pool, flow, stored, incarnations, known);
 		incarnations += known;
 		remaining -= known;
-		flow->begun = true;
+		flow->begun = flow->begun || crashes_show_start(stored);
 	}
 	return true;
 }
--- a/libgooseberry/pool/report.c
+++ b/libgooseberry/pool/report.c
@@ -249,7 +249,7 @@
 	run->state = POOL_RUN_RUNNING;
 	run->confirmed = pool->now;
 	run->adopted = true;
-	flow->begun = true;
+	pool_flow_begin(pool, flow);
 	return run;
 }
 
@@ -261,6 +261,7 @@
 	run->listed = true;
 	if (run->confirmed == 0)
 		run->confirmed = pool->now;
+	pool_flow_begin(pool, run->flow);
 	if (run->state == POOL_RUN_START_UNKNOWN && run->stop_call == 0 &&
 	    run->stopped == 0)
 		run->state = POOL_RUN_RUNNING;
--- a/libgooseberry/pool/run.c
+++ b/libgooseberry/pool/run.c
@@ -149,12 +149,6 @@
 	    pool_run_new(pool, flow, step, index, number, worker);
 	const struct pool_task *task = &flow->steps[step].tasks[index];
 
-	if (!flow->begun) {
-		flow->begun = true;
-		flow->first_start = pool->now;
-		gb_histogram_add(
-		    &pool->stats.first_start_us, pool->now - flow->submitted);
-	}
 	gb_event(pool->cfg.events, GB_EVENT_NORMAL, "run_start",
 	    "{s:s, s:I, s:I, s:I, s:s, s:I, s:I, s:i, s:s?, s:I}", "flow",
 	    flow->spec.id, "step", (json_int_t)step, "index", (json_int_t)index,
@@ -312,8 +306,10 @@
     const struct gb_pool_order_res *res)
 {
 	run->start_call = 0;
-	if (res->status == GB_POOL_ORDER_DONE)
+	if (res->status == GB_POOL_ORDER_DONE) {
 		run->confirmed = pool->now;
+		pool_flow_begin(pool, run->flow);
+	}
 	if (res->status == GB_POOL_ORDER_DONE ||
 	    res->status == GB_POOL_ORDER_LOST)
 		pool_worker_run_lost(pool, run, run->worker->ended);
@@ -363,6 +359,7 @@
 	run->start_call = 0;
 	if (res->status == GB_POOL_ORDER_DONE) {
 		run->confirmed = pool->now;
+		pool_flow_begin(pool, run->flow);
 		run->progress_at = pool->now;
 		if (run->state == POOL_RUN_STARTING)
 			run->state = POOL_RUN_RUNNING;
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -286,10 +286,9 @@
 	/** Change that stores announcements that were requested, 0: none. */
 	uint64_t announce_change;
 	gb_time submitted;
-	gb_time first_start;
 	gb_time ended;
-	bool begun; /**< one of its tasks was started, perhaps by an earlier
-		       owner */
+	bool begun; /**< a worker has started one of its tasks, perhaps for an
+		       earlier owner */
 	/* Computed by rank.c: */
 	gb_time due;	   /**< latest end for full earnings */
 	gb_time late_due;  /**< latest end for any earnings */
@@ -938,6 +937,8 @@
 uint32_t pool_flow_startable_count(
     const struct gb_pool *, const struct pool_flow *, const struct pool_step *);
 void pool_flow_cancel(struct gb_pool *, struct pool_flow *);
+/** Handles that a worker has started a task of a flow. */
+void pool_flow_begin(struct gb_pool *, struct pool_flow *);
 /** Ends a flow as failed. */
 void pool_flow_fail(struct gb_pool *, struct pool_flow *, const char *why);
 /** Applies the end of a run.  The change must be stored before the end is
