--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -252,6 +252,26 @@
 	}
 }
 
+/** Ids of flows are 16 hexadecimal digits.  Other characters could change the
+ * query of a read of the store, so that it finds another flow. */
+static void
+test_ids_of_flows(void **state)
+{
+	static const char *const ids[] = {"", "5c0e7a21d94b36f",
+	    "5c0e7a21d94b36f80", "a&To=zzzzzzzzzzz", "5c0e7a21d94b36%2",
+	    "5c0e7a21d94b3 f8", "5c0e7a21d94b36fg", "5c0e7a21d94b/6f8",
+	    "5c0e7a21d94b36\xc3\xa9"};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(ids) / sizeof(ids[0]); i++) {
+		if (plat_flow_id_valid(ids[i]))
+			fail_msg("the id %s is taken", ids[i]);
+	}
+	assert_true(plat_flow_id_valid("5c0e7a21d94b36f8"));
+	assert_true(plat_flow_id_valid("5C0E7A21D94B36F8"));
+}
+
 /** The query for the next page of the list contains the last key of the
  * previous page.  As this may contain any characters, they are escaped. */
 static void
@@ -318,6 +338,7 @@
 	    cmocka_unit_test(test_entries_with_a_byte_changed),
 	    cmocka_unit_test(test_ids),
 	    cmocka_unit_test(test_ids_that_fit_no_header),
+	    cmocka_unit_test(test_ids_of_flows),
 	    cmocka_unit_test(test_keys_in_queries),
 	    cmocka_unit_test(test_first_key_of_a_page),
 	};
--- a/tests/test_pending.c
+++ b/tests/test_pending.c
@@ -44,8 +44,8 @@
 	ask.caller.org = cell->org;
 	flow->token = ++cell->next_token;
 	flow->answered = false;
-	gb_pool_ask(cell->nodes[pool_cell_owner(cell)], cell->now, flow->token,
-	    &ask);
+	gb_pool_ask(
+	    cell->nodes[pool_cell_owner(cell)], cell->now, flow->token, &ask);
 	assert_true(flow->answered);
 	assert_int_equal(flow->answer.verdict, GB_FLOW_ACCEPTED);
 	return flow->answer.pending;
@@ -71,8 +71,7 @@
 	pool_cell_run(cell, 60 * GB_SEC);
 	assert_int_equal(pending(cell), 0);
 	for (i = 0; i < cell->flow_count; i++)
-		assert_int_equal(
-		    cell->flows[i].status, GB_FLOW_SUCCEEDED);
+		assert_int_equal(cell->flows[i].status, GB_FLOW_SUCCEEDED);
 	pool_cell_assert_no_violation(cell);
 	pool_cell_free(cell);
 }
