--- a/libgooseberry/pool/pool.c
+++ b/libgooseberry/pool/pool.c
@@ -259,7 +259,7 @@
 
 /* Callers ----------------------------------------------------------------- */
 
-static void
+void
 pool_answer(struct gb_pool *pool, uint64_t token, gb_flow_verdict verdict,
     gb_time retry_after)
 {
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -713,6 +713,11 @@
 #define POOL_FEATURE_ENABLED(pool, feature) \
 	(((pool)->cfg.disabled_features & (UINT32_C(1) << (feature))) == 0)
 
+/* pool.c */
+/** Answers a caller without the state of a flow. */
+void pool_answer(
+    struct gb_pool *, uint64_t token, gb_flow_verdict, gb_time retry_after);
+
 /* call.c */
 /** Creates a call in flight with a new number, for the current term. */
 struct pool_call *pool_call_new(struct gb_pool *, enum pool_call_kind);
--- a/libgooseberry/pool/tombstone.c
+++ b/libgooseberry/pool/tombstone.c
@@ -101,17 +101,6 @@
 	return NULL;
 }
 
-static void
-tombstone_answer(struct gb_pool *pool, uint64_t token, gb_flow_verdict verdict,
-    gb_time retry_after)
-{
-	gb_flow_answer answer = {0};
-
-	answer.verdict = verdict;
-	answer.retry_after_us = retry_after;
-	pool->ops.answer(pool->ops.data, token, &answer);
-}
-
 /** Time until a tombstone is removed. */
 static gb_time
 tombstone_time_left(const struct gb_pool *pool, const struct pool_flow *flow)
@@ -132,7 +121,7 @@
 	    ask->caller.org, "tombstones", (json_int_t)pool->stats.tombstones,
 	    "store_unavailable", verdict == GB_FLOW_CANT_STORE,
 	    "retry_after_ms", (json_int_t)(retry_after / GB_MSEC));
-	tombstone_answer(pool, token, verdict, retry_after);
+	pool_answer(pool, token, verdict, retry_after);
 }
 
 /** Restarts the time for which a tombstone is kept, since its cancel is
@@ -153,7 +142,7 @@
 
 	if (flow != NULL && flow->remove_pending) {
 		/* Another one can be added once this one is removed. */
-		tombstone_answer(pool, token, GB_FLOW_NOT_OWNER, 0);
+		pool_answer(pool, token, GB_FLOW_NOT_OWNER, 0);
 		return;
 	}
 	if (flow != NULL) {
@@ -183,7 +172,7 @@
 
 	/* The store may still have a flow of this id, which then stays. */
 	if (flow->stored == 0) {
-		tombstone_answer(pool, token, GB_FLOW_NOT_OWNER, 0);
+		pool_answer(pool, token, GB_FLOW_NOT_OWNER, 0);
 		return;
 	}
 	left = tombstone_time_left(pool, flow);
@@ -192,7 +181,7 @@
 	    "{s:s, s:s, s:I}", "flow", flow->spec.id, "why",
 	    "it was cancelled before it arrived", "retry_after_ms",
 	    (json_int_t)(left / GB_MSEC));
-	tombstone_answer(pool, token, GB_FLOW_REFUSED, left);
+	pool_answer(pool, token, GB_FLOW_REFUSED, left);
 }
 
 void
