Tests: open the connections of a crowd in threads

A connection whose other side does not read held up the ones after it for 0.3 s, so that a crowd against a server that reads little took minutes. The connections of a crowd are opened by 32 threads now, and each waits until it is connected. The crowds keep their sizes, but the waiting submissions, of which 40 rounds are sent in place of 12: with connections that are opened sooner, 12 were too few for the fault to show.

--- a/tests/crowd.c
+++ b/tests/crowd.c
@@ -7,6 +7,7 @@
 #include <errno.h>
 #include <fcntl.h>
 #include <poll.h>
+#include <pthread.h>
 #include <setjmp.h>
 #include <signal.h>
 #include <stdarg.h>
@@ -52,6 +53,10 @@
 #define POLL_MS 50
 /** Time for which a connection of a crowd waits for the other side to read. */
 #define CROWD_WRITE_MS 300
+#define CROWD_CONNECT_MS 3000
+/** Threads that open the connections of a crowd, so that those whose other side
+ * doesn't read hold up few others. */
+#define CROWD_THREADS 32
 
 static pid_t started[PROCESSES_MAX];
 static unsigned int started_count;
@@ -414,6 +419,15 @@
 	}
 }
 
+void
+crowd_cell_wait(struct crowd_cell *cell)
+{
+	unsigned int i;
+
+	for (i = 0; i < cell->count; i++)
+		wait_served(cell->front[i], "GET", CROWD_QUEUE, "");
+}
+
 static void
 emulator_start(struct crowd_cell *cell)
 {
@@ -474,8 +488,7 @@
 	emulator_start(cell);
 	for (i = 0; i < nodes; i++)
 		node_start(cell, i, settings, memory_mb, files);
-	for (i = 0; i < nodes; i++)
-		wait_served(cell->front[i], "GET", CROWD_QUEUE, "");
+	crowd_cell_wait(cell);
 }
 
 void
@@ -538,6 +551,13 @@
 	int fd = connect_to(crowd->port);
 
 	crowd->fds[number] = fd;
+	/* The system repeats an opening packet for which there was no room
+	 * after a second. */
+	if (fd >= 0 && !wait_for(fd, POLLOUT, CROWD_CONNECT_MS)) {
+		close(fd);
+		crowd->fds[number] = -1;
+		return;
+	}
 	if (fd >= 0 && crowd->send != NULL)
 		crowd->send(fd, number, crowd->data);
 }
@@ -553,37 +573,67 @@
 	       (poller.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
-void
-crowd_open(struct crowd *crowd, unsigned int port, unsigned int count,
-    crowd_send send, void *data)
+/** Share of the work of opening connections. */
+struct opener {
+	struct crowd *crowd;
+	unsigned int first;
+	unsigned int opened;
+};
+
+static void *
+opener_run(void *data)
 {
+	struct opener *opener = data;
+	struct crowd *crowd = opener->crowd;
 	unsigned int i;
 
-	crowd->port = port;
-	crowd->count = count;
-	crowd->send = send;
-	crowd->data = data;
-	crowd->fds = calloc(count, sizeof(*crowd->fds));
-	assert_non_null(crowd->fds);
-	for (i = 0; i < count; i++)
+	for (i = opener->first; i < crowd->count; i += CROWD_THREADS) {
+		if (crowd->fds[i] >= 0 && !connection_closed(crowd->fds[i]))
+			continue;
+		if (crowd->fds[i] >= 0)
+			close(crowd->fds[i]);
 		connection_open(crowd, i);
+		opener->opened++;
+	}
+	return NULL;
 }
 
 unsigned int
 crowd_reopen(struct crowd *crowd)
 {
-	unsigned int closed = 0;
+	struct opener openers[CROWD_THREADS];
+	pthread_t threads[CROWD_THREADS];
+	unsigned int opened = 0;
 	unsigned int i;
 
-	for (i = 0; i < crowd->count; i++) {
-		if (crowd->fds[i] >= 0 && !connection_closed(crowd->fds[i]))
-			continue;
-		if (crowd->fds[i] >= 0)
-			close(crowd->fds[i]);
-		connection_open(crowd, i);
-		closed++;
+	for (i = 0; i < CROWD_THREADS; i++) {
+		openers[i] = (struct opener){crowd, i, 0};
+		assert_int_equal(
+		    pthread_create(&threads[i], NULL, opener_run, &openers[i]),
+		    0);
+	}
+	for (i = 0; i < CROWD_THREADS; i++) {
+		pthread_join(threads[i], NULL);
+		opened += openers[i].opened;
 	}
-	return closed;
+	return opened;
+}
+
+void
+crowd_open(struct crowd *crowd, unsigned int port, unsigned int count,
+    crowd_send send, void *data)
+{
+	unsigned int i;
+
+	crowd->port = port;
+	crowd->count = count;
+	crowd->send = send;
+	crowd->data = data;
+	crowd->fds = malloc(count * sizeof(*crowd->fds));
+	assert_non_null(crowd->fds);
+	for (i = 0; i < count; i++)
+		crowd->fds[i] = -1;
+	crowd_reopen(crowd);
 }
 
 void
--- a/tests/crowd.h
+++ b/tests/crowd.h
@@ -77,6 +77,8 @@
     const char *settings, unsigned int memory_mb, unsigned int files);
 /** Post to a path of the emulator's control address. */
 void crowd_cell_control(const char *path, const char *body);
+/** Wait until the nodes serve an ordinary request. */
+void crowd_cell_wait(struct crowd_cell *);
 /** Check all nodes, and that each answers an ordinary request. */
 void crowd_cell_check(struct crowd_cell *);
 /** Number of the node that owns the pool; waits until there is one. */
@@ -101,7 +103,7 @@
 /* Crowds ------------------------------------------------------------------ */
 
 /** What one connection of a crowd sends: it is called with each new connection,
- * and gets its number. */
+ * in some thread, and gets its number. */
 typedef void (*crowd_send)(int fd, unsigned int number, void *data);
 
 /** Connections that stay open. */
--- a/tests/test_crowd_front.c
+++ b/tests/test_crowd_front.c
@@ -33,6 +33,7 @@
 #define H2_STREAMS 100
 
 static char zeros[CROWD_BODY_MAX];
+static char filler[CROWD_BODY_MAX]; /**< printable */
 
 static int
 post_head(char *out, size_t size, unsigned int number, const char *headers)
@@ -109,7 +110,7 @@
 	(void)number;
 	(void)data;
 	if (crowd_write(fd, start, sizeof(start) - 1))
-		crowd_write(fd, memset(zeros, 'x', HEAD_BYTES), HEAD_BYTES);
+		crowd_write(fd, filler, HEAD_BYTES);
 }
 
 /** Many requests at once, whose answers are not read. */
@@ -150,7 +151,7 @@
 	len = post_head(head, sizeof(head), number, headers);
 	if (crowd_write(fd, head, (size_t)len) &&
 	    crowd_write(fd, steps, sizeof(steps) - 1) &&
-	    crowd_write(fd, memset(zeros, 'x', spec), spec))
+	    crowd_write(fd, filler, spec))
 		crowd_write(fd, "\"}", 2);
 }
 
@@ -291,13 +292,14 @@
 	(void)state;
 	crowd_cell_start(&cell, 1, SETTINGS, CROWD_MEMORY_MB, CROWD_FILES);
 	crowd_cell_control("/store?mode=silent", "");
-	for (i = 0; i < 12; i++) {
+	for (i = 0; i < 40; i++) {
 		crowd_open(&crowd, cell.front[0], 200, send_waiting, NULL);
 		crowd_close(&crowd);
 	}
 	crowd_process_check(&cell.nodes[0]);
 	crowd_cell_control("/store?mode=serves", "");
 	crowd_cell_owner(&cell);
+	crowd_cell_wait(&cell);
 	crowd_cell_check(&cell);
 }
 
@@ -374,5 +376,6 @@
 	    cmocka_unit_test_teardown(test_stop_beside_a_crowd, crowd_teardown),
 	};
 
+	memset(filler, 'x', sizeof(filler));
 	return cmocka_run_group_tests(tests, NULL, NULL);
 }
