Limit the connections of callers and what their requests hold

Callers saw: many bodies of legal size of which the end was missing, on connections that stayed open, made the node's memory grow until its process was killed; connections that sent nothing took all descriptors, and ordinary callers got no answer.

Cause: h2o collects bodies and passes on whole requests, so that what had arrived of others was counted by nothing, and neither were connections. Freed memory stayed with the process, as it lay between other allocations.

Receive buffers of 32 KiB bound what arrives between two counts. New settings `callers` and `callers_mb` with a log line and metrics.

Why it works: what h2o keeps of a request is in the socket's buffer, whose capacity is public, whether the body has a length, comes in chunks or waits for 100 Continue. The sum is bounded whatever arrives.

--- a/cli/node.c
+++ b/cli/node.c
@@ -27,6 +27,8 @@
 	snprintf(p.advice, sizeof(p.advice), "%s", settings.advice);
 	snprintf(p.front, sizeof(p.front), "%s", settings.front);
 	snprintf(p.ready, sizeof(p.ready), "%s", settings.ready);
+	p.callers = (unsigned int)settings.callers;
+	p.callers_bytes = (size_t)settings.callers_mb * 1024 * 1024;
 	plat = plat_new(loop, &p, &settings, err);
 	return plat == NULL ? -1 : 0;
 }
--- a/libgooseberry/connection/http.c
+++ b/libgooseberry/connection/http.c
@@ -6,6 +6,7 @@
 #include <arpa/inet.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include <h2o.h>
 
@@ -17,9 +18,33 @@
 /** Estimated bytes of an answer before its body: status, date, type and
  * length. */
 #define HTTP_HEAD_BYTES 170
+/** Bytes of a connection's buffer beside the body, and what the buffer may be
+ * larger than its contents, as a factor: h2o doubles it. */
+#define HTTP_BUFFER_EXTRA 16384
+#define HTTP_BUFFER_GROWTH 2
+/** Receive buffer of a connection: bounds what arrives between two counts of
+ * the buffers. */
+#define HTTP_RECEIVE_BYTES 32768
+/** Share of the connections, as a divisor, that is left to other callers when
+ * many requests wait for an answer: these are told at once to come back. */
+#define HTTP_FREE_DIVISOR 4
+/** Interval of attempts to accept a connection for which there was no room. */
+#define HTTP_ACCEPT_RETRY_MS 10
+/** Interval in milliseconds at which the buffers are counted. */
+#define HTTP_COUNT_INTERVAL_MS 1
+/** Share of the bytes that are allowed, as a divisor: memory is given back to
+ * the system when the buffers have shrunk by so much. */
+#define HTTP_TRIM_DIVISOR 4
 
 struct http_server {
 	uv_tcp_t tcp;
+	uv_check_t check;	 /**< runs after each poll of the loop */
+	uv_timer_t accept_retry; /**< while a connection has to wait */
+	struct conn_set conns;
+	uint64_t counted_at; /**< time of the loop, in milliseconds */
+	size_t bytes_most;   /**< largest sum since memory was given back */
+	http_limited limited;
+	void *limited_data;
 	h2o_globalconf_t config;
 	h2o_context_t ctx;
 	h2o_accept_ctx_t accept;
@@ -32,6 +57,14 @@
 	bool closing;
 };
 
+/** A connection.  It is freed when libuv has closed its socket. */
+struct http_conn {
+	struct conn conn;
+	uv_tcp_t tcp;
+	h2o_socket_t *sock;
+	struct http_server *server;
+};
+
 struct http_h2o_handler {
 	h2o_handler_t super;
 	struct http_server *server;
@@ -63,10 +96,126 @@
 	return s;
 }
 
+/* Connections ------------------------------------------------------------- */
+
+static struct http_conn *
+conn_of(struct conn *conn)
+{
+	return (struct http_conn *)((char *)conn -
+				    offsetof(struct http_conn, conn));
+}
+
+static struct http_conn *
+conn_of_req(h2o_req_t *req)
+{
+	return req->conn->callbacks->get_socket(req->conn)->on_close.data;
+}
+
+/** Bytes that the buffer of a connection takes.  It has the request as far as
+ * it was received, until it is answered. */
+static size_t
+conn_buffer_bytes(const struct http_conn *conn)
+{
+	const h2o_buffer_t *input = conn->sock->input;
+
+	return input == NULL || input->bytes == NULL ? 0 : input->capacity;
+}
+
+/** Close a connection that waits for its peer: libuv then reports its end to
+ * h2o, which frees it. */
+static void
+conn_shut_down(struct http_conn *conn)
+{
+	uv_os_fd_t fd;
+
+	if (uv_fileno((uv_handle_t *)&conn->tcp, &fd) == 0)
+		shutdown(fd, SHUT_RDWR);
+}
+
+/** Whether the buffers may hold more than is allowed, or did when they were
+ * counted last. */
+static bool
+server_must_count(const struct http_server *server)
+{
+	size_t each =
+	    (server->config.max_request_entity_size + HTTP_BUFFER_EXTRA) *
+	    HTTP_BUFFER_GROWTH;
+	size_t limit = server->conns.limits.bytes;
+
+	return limit > 0 && (server->conns.count * each > limit ||
+				server->bytes_most > limit / HTTP_TRIM_DIVISOR);
+}
+
+static void
+conns_count(struct conn_set *set, struct conn_list *list)
+{
+	struct conn *conn;
+
+	TAILQ_FOREACH(conn, list, next)
+	{
+		conn_set_hold(set, conn, conn_buffer_bytes(conn_of(conn)));
+	}
+}
+
+/** Count what the buffers hold, and close connections until it is allowed. */
+static void
+server_count_bytes(struct http_server *server)
+{
+	struct conn_set *set = &server->conns;
+	struct conn *conn;
+
+	conns_count(set, &set->waiting);
+	conns_count(set, &set->busy);
+	while ((conn = conn_set_close_for_bytes(set)) != NULL)
+		conn_shut_down(conn_of(conn));
+	if (set->bytes > server->bytes_most)
+		server->bytes_most = set->bytes;
+	if (server->bytes_most - set->bytes <=
+	    set->limits.bytes / HTTP_TRIM_DIVISOR)
+		return;
+	server->bytes_most = set->bytes;
+	gb_memory_trim();
+}
+
+/** Called after each poll.  h2o reads bodies to their end before it passes them
+ * on, so what has arrived of them is seen only in the buffers. */
+static void
+on_check(uv_check_t *check)
+{
+	struct http_server *server = check->data;
+	uint64_t now = uv_now(check->loop);
+	struct conn_counts counts;
+
+	if (server_must_count(server) &&
+	    now - server->counted_at >= HTTP_COUNT_INTERVAL_MS) {
+		server->counted_at = now;
+		server_count_bytes(server);
+	}
+	if (server->limited != NULL &&
+	    conn_set_report(&server->conns, gb_clock_boot(), &counts))
+		server->limited(server->limited_data, &counts);
+}
+
+/* Requests ---------------------------------------------------------------- */
+
+/** Whether the server can't take another request. */
+static bool
+server_is_full(const struct http_server *server)
+{
+	const struct conn_set *set = &server->conns;
+
+	return conn_set_is_full(set) ||
+	       (set->limits.connections > 0 &&
+		   server->in_flight >=
+		       set->limits.connections -
+			   set->limits.connections / HTTP_FREE_DIVISOR);
+}
+
 static int
 on_req(h2o_handler_t *self, h2o_req_t *req)
 {
 	struct http_server *server = ((struct http_h2o_handler *)self)->server;
+	struct http_conn *conn = conn_of_req(req);
 	struct http_call *call = gb_calloc(1, sizeof(*call));
 	struct http_guard *guard;
 	size_t path_len =
@@ -87,28 +236,100 @@
 		      req->path.len - path_len - 1);
 	call->body = req->entity.base == NULL ? "" : req->entity.base;
 	call->body_len = req->entity.base == NULL ? 0 : req->entity.len;
+	call->over_limit = server_is_full(server);
+	server->conns.counts.refused += call->over_limit;
+	conn_set_hold(&server->conns, &conn->conn, conn_buffer_bytes(conn));
+	conn_set_begin(&server->conns, &conn->conn, gb_clock_boot());
 	server->in_flight++;
-	server->handler(server->data, call);
+	/* The answer would not arrive, so the request must not be handled. */
+	if (conn->conn.closing)
+		http_call_answer(call, 503, "text/plain", "", 0);
+	else
+		server->handler(server->data, call);
 	return 0;
 }
 
+/* Accepting --------------------------------------------------------------- */
+
+static void
+conn_free(uv_handle_t *handle)
+{
+	struct http_conn *conn =
+	    (struct http_conn *)((char *)handle -
+				 offsetof(struct http_conn, tcp));
+
+	free(conn);
+}
+
+/** The socket of a connection was closed. */
+static void
+on_conn_closed(void *data)
+{
+	struct http_conn *conn = data;
+
+	conn_set_remove(&conn->server->conns, &conn->conn);
+}
+
+static void
+server_accept(struct http_server *server)
+{
+	struct http_conn *conn = gb_calloc(1, sizeof(*conn));
+
+	conn->server = server;
+	uv_tcp_init(server->tcp.loop, &conn->tcp);
+	if (uv_accept((uv_stream_t *)&server->tcp, (uv_stream_t *)&conn->tcp) !=
+	    0) {
+		uv_close((uv_handle_t *)&conn->tcp, conn_free);
+		return;
+	}
+	conn_set_add(&server->conns, &conn->conn, gb_clock_boot());
+	conn->sock = h2o_uv_socket_create((uv_stream_t *)&conn->tcp, conn_free);
+	conn->sock->on_close.cb = on_conn_closed;
+	conn->sock->on_close.data = conn;
+	h2o_accept(&server->accept, conn->sock);
+}
+
+/** Close connections until there is room for another one; false if there is
+ * none yet. */
+static bool
+server_make_room(struct http_server *server)
+{
+	struct conn *conn;
+
+	while (!conn_set_has_room(&server->conns)) {
+		conn = conn_set_close_for_new(&server->conns, gb_clock_boot());
+		if (conn == NULL)
+			return false;
+		conn_shut_down(conn_of(conn));
+	}
+	return true;
+}
+
+static void
+on_accept_retry(uv_timer_t *timer)
+{
+	struct http_server *server = timer->data;
+
+	if (!server_make_room(server))
+		return;
+	uv_timer_stop(timer);
+	server_accept(server);
+}
+
 static void
 on_accept(uv_stream_t *listener, int status)
 {
 	struct http_server *server = (struct http_server *)listener;
-	uv_tcp_t *conn;
-	h2o_socket_t *sock;
 
 	if (status != 0)
 		return;
-	conn = h2o_mem_alloc(sizeof(*conn));
-	uv_tcp_init(listener->loop, conn);
-	if (uv_accept(listener, (uv_stream_t *)conn) != 0) {
-		uv_close((uv_handle_t *)conn, (uv_close_cb)free);
-		return;
-	}
-	sock = h2o_uv_socket_create((uv_stream_t *)conn, (uv_close_cb)free);
-	h2o_accept(&server->accept, sock);
+	if (server_make_room(server))
+		server_accept(server);
+	else
+		/* libuv keeps the connection, and accepts no other one until it
+		 * is taken. */
+		uv_timer_start(&server->accept_retry, on_accept_retry,
+		    HTTP_ACCEPT_RETRY_MS, HTTP_ACCEPT_RETRY_MS);
 }
 
 struct http_server *
@@ -124,6 +345,7 @@
 
 	server->handler = handler;
 	server->data = data;
+	conn_set_init(&server->conns);
 	h2o_config_init(&server->config);
 	server->config.max_request_entity_size = body_limit;
 	server->config.server_name = h2o_iovec_init(H2O_STRLIT("gooseberry"));
@@ -146,9 +368,34 @@
 	}
 	uv_tcp_getsockname(&server->tcp, (struct sockaddr *)&sin, &len);
 	server->port = ntohs(sin.sin_port);
+	uv_timer_init(loop, &server->accept_retry);
+	server->accept_retry.data = server;
+	uv_check_init(loop, &server->check);
+	server->check.data = server;
 	return server;
 }
 
+void
+http_server_set_limits(struct http_server *server,
+    const struct conn_limits *limits, http_limited limited, void *data)
+{
+	int size = HTTP_RECEIVE_BYTES;
+
+	server->conns.limits = *limits;
+	/* Inherited by the connections.  Without it the system would also
+	 * work. */
+	uv_recv_buffer_size((uv_handle_t *)&server->tcp, &size);
+	server->limited = limited;
+	server->limited_data = data;
+	uv_check_start(&server->check, on_check);
+}
+
+const struct conn_counts *
+http_server_counts(const struct http_server *server)
+{
+	return &server->conns.counts;
+}
+
 void
 http_server_set_link(struct http_server *server, struct gb_link *link)
 {
@@ -174,6 +421,7 @@
 		return;
 	server->leaving = true;
 	server->closing = true;
+	uv_timer_stop(&server->accept_retry);
 	uv_close((uv_handle_t *)&server->tcp, NULL);
 	h2o_context_request_shutdown(&server->ctx);
 }
@@ -261,6 +509,8 @@
 	call->server->in_flight--;
 	if (req != NULL) {
 		((struct http_guard *)call->guard)->call = NULL;
+		conn_set_end(&call->server->conns, &conn_of_req(req)->conn,
+		    gb_clock_boot());
 		req->res.status = (int)status;
 		req->res.reason = status_reason(status);
 		if (call->server->leaving)
--- a/libgooseberry/connection/http.h
+++ b/libgooseberry/connection/http.h
@@ -5,6 +5,7 @@
 #ifndef GB_HTTP_H
 #define GB_HTTP_H
 
+#include "conn_set.h"
 #include "gooseberry.h"
 
 struct http_server;
@@ -19,6 +20,9 @@
 	const char *query; /**< without the question mark, may be empty */
 	const char *body;
 	size_t body_len;
+	/** The limits of the server don't allow to handle it: it is to be
+	 * refused at once. */
+	bool over_limit;
 	void *guard; /**< struct http_guard, internal to http.c */
 	void *data;  /**< for the handler */
 };
@@ -31,6 +35,21 @@
  * the address cannot be listened on. */
 struct http_server *http_server_new(struct uv_loop_s *, const char *addr,
     size_t body_limit, http_handler, void *, struct gb_error *);
+/** Called at most once a second, with what was done since the last call as a
+ * limit was reached. */
+typedef void (*http_limited)(void *, const struct conn_counts *);
+
+/** Limit the connections, the bytes that requests hold in memory, and, to three
+ * quarters of the connections, the requests without answer.  A connection that
+ * waits for its request or the rest of it is closed for a newer one, or when
+ * too many bytes are held; requests that can't be handled are passed on with
+ * over_limit set.
+ * @param limited may be null
+ */
+void http_server_set_limits(struct http_server *, const struct conn_limits *,
+    http_limited limited, void *data);
+/** What was done so far as a limit was reached. */
+const struct conn_counts *http_server_counts(const struct http_server *);
 /** TCP port that the server listens on. */
 int http_server_port(const struct http_server *);
 /** Count the bytes of answers in a link, as traffic to callers. */
--- a/libgooseberry/gooseberry.h
+++ b/libgooseberry/gooseberry.h
@@ -702,6 +702,9 @@
 char *gb_strdup(const char *);
 void *gb_calloc(size_t, size_t);
 void *gb_realloc(void *, size_t);
+/** Give memory that was freed back to the system.  Takes some milliseconds if
+ * there is much of it. */
+void gb_memory_trim(void);
 
 /** Clients by address, created on first use. */
 struct gb_rpc_pool;
--- a/libgooseberry/node/metrics.c
+++ b/libgooseberry/node/metrics.c
@@ -224,6 +224,7 @@
 	    "Decision to ownership.", &s->takeover_us);
 	owner_monitor_metrics(node, out);
 	refusals_print(&node->refusals, out);
+	node_ports_metrics(node, out);
 	if (gb_pool_owns(node->pool))
 		orgs_print(node->pool, out);
 	if (gb_env_link(node->env) != NULL)
--- a/libgooseberry/node/node.h
+++ b/libgooseberry/node/node.h
@@ -9,6 +9,7 @@
 
 #include "pool.h"
 
+struct conn_counts;
 struct gb_node;
 
 /** Functions by which a node reaches the outside systems.  Pointers in their
@@ -64,6 +65,7 @@
 	char disabled_features[GB_KEY_MAX + 1];
 	int64_t lease_ms, stop_ms, keep_s;
 	int64_t log_lines, log_level, grace_s, files, strict_keys_ms;
+	int64_t callers, callers_mb;
 };
 
 extern const struct gb_setting gb_node_settings_table[];
@@ -135,6 +137,16 @@
 void gb_node_read_done(
     struct gb_node *, uint64_t call, const struct gb_pool_read_res *);
 
+/** Ports of a node whose connections are limited. */
+enum gb_node_port {
+	GB_NODE_FRONT, /**< for callers */
+	GB_NODE_PORTS
+};
+
+/** Log and count what was done as a limit of a port was reached. */
+void gb_node_port_limited(
+    struct gb_node *, enum gb_node_port, const struct conn_counts *);
+
 /** Add the counters and histograms in the text format of Prometheus. */
 void gb_node_metrics(struct gb_node *, struct gb_text *);
 
--- a/libgooseberry/node/node_settings.c
+++ b/libgooseberry/node/node_settings.c
@@ -46,6 +46,16 @@
 	"How long the state of a finished flow is answered.", NODE(keep_s)},
     {"files", GB_SET_INT, "descriptors", 0, 1000000, "0",
 	"Descriptors that a process may have open; 0: no limit.", NODE(files)},
+    {"callers", GB_SET_INT, "connections", 16, 100000, "512",
+	"Connections of callers at once, and requests of callers without an "
+	"answer; beyond, the connection that has waited longest for its "
+	"request is closed, and requests are refused.",
+	NODE(callers)},
+    {"callers_mb", GB_SET_INT, "MiB", 2, 100000, "32",
+	"Memory for requests of callers that are being read or handled; "
+	"beyond, the connection that has waited longest for the rest of its "
+	"request is closed.",
+	NODE(callers_mb)},
     {"log_lines", GB_SET_INT, "lines/s", 0, 100000, "400",
 	"Structured lines a second beyond which ordinary ones are counted "
 	"only.",
--- a/libgooseberry/node/node_state.h
+++ b/libgooseberry/node/node_state.h
@@ -10,6 +10,7 @@
 #include <uthash.h>
 #include <uv.h>
 
+#include "connection/conn_set.h"
 #include "link_monitor.h"
 #include "node.h"
 #include "owner_monitor.h"
@@ -134,6 +135,7 @@
 	struct shed shed;    /**< while this node owns the pool */
 	uint64_t flows_shed; /**< flows rejected by load shedding */
 	struct refusals refusals;
+	struct conn_counts ports[GB_NODE_PORTS];
 	/** Percentage of new flows to reject, as received from the owner. */
 	uint32_t owner_shed_percent;
 	/** Bytes of flows that this node may still store while the pool has no
@@ -198,6 +200,10 @@
     void (*txn_done)(struct node_call *, const struct gb_pool_txn_res *),
     void (*read_done)(struct node_call *, const struct gb_pool_read_res *));
 
+/* ports.c */
+/** Add the metrics of the limits of all ports. */
+void node_ports_metrics(const struct gb_node *, struct gb_text *);
+
 /* node_config.c */
 /** Put a configuration into force if it is newer than the present one.
  * @param from address of the node that sent it, or "store", for the log
--- a/libgooseberry/process/memory.c
+++ b/libgooseberry/process/memory.c
@@ -3,6 +3,7 @@
  * Memory allocation that does not fail: a process without memory aborts, and
  * other members take its shards over.
  */
+#include <malloc.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -37,3 +38,9 @@
 	memcpy(copy, s, len);
 	return copy;
 }
+
+void
+gb_memory_trim(void)
+{
+	malloc_trim(0);
+}
--- a/tests/test_crowd_front.c
+++ b/tests/test_crowd_front.c
@@ -18,7 +18,7 @@
 #include "crowd.h"
 
 /** Settings of the node of these tests. */
-#define SETTINGS ""
+#define SETTINGS ", \"callers\": 64, \"callers_mb\": 8"
 
 #define CHUNK_BYTES 4000
 #define PIPELINED 5000
