Speak HTTP/1.1 only

Callers saw: 20 connections of HTTP/2 by prior knowledge with 100 bodies of 64 KB each, without their ends, made a node take over 100 MiB.

Cause: h2o switches to HTTP/2 unless it is told not to, and buffers the body of each stream outside of the connection's buffer, which the limits count. The protocol names HTTP/1.1 only.

Change: the switch is off, for prior knowledge and for Upgrade.

--- a/libgooseberry/connection/http.c
+++ b/libgooseberry/connection/http.c
@@ -348,6 +348,9 @@
 	conn_set_init(&server->conns);
 	h2o_config_init(&server->config);
 	server->config.max_request_entity_size = body_limit;
+	/* A connection of HTTP/2 has a buffer for each of its streams, which
+	 * the limits don't count. */
+	server->config.http1.upgrade_to_http2 = 0;
 	server->config.server_name = h2o_iovec_init(H2O_STRLIT("gooseberry"));
 	host = h2o_config_register_host(
 	    &server->config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
