Limit connections for health checks and metrics

Callers saw: bodies without their ends at the port for health checks took the node's memory, and silent connections there or at the port for metrics all descriptors, so that neither checks nor callers were answered.

Cause: as for callers, unfinished requests and connections were not limited, and a health check, which has no body, could send one of 256 KiB.

--- a/cli/node.c
+++ b/cli/node.c
@@ -29,6 +29,7 @@
 	snprintf(p.ready, sizeof(p.ready), "%s", settings.ready);
 	p.callers = (unsigned int)settings.callers;
 	p.callers_bytes = (size_t)settings.callers_mb * 1024 * 1024;
+	p.probes = (unsigned int)settings.probes;
 	plat = plat_new(loop, &p, &settings, err);
 	return plat == NULL ? -1 : 0;
 }
--- a/libgooseberry/node/metrics.c
+++ b/libgooseberry/node/metrics.c
@@ -246,9 +246,22 @@
 	gb_text_free(&text);
 }
 
+static void
+on_limited(void *data, const struct conn_counts *counts)
+{
+	gb_node_port_limited(data, GB_NODE_METRICS, counts);
+}
+
 bool
 node_metrics_serve(struct gb_node *node, struct gb_error *err)
 {
-	return http_server_new(node->loop, node->settings.metrics,
-		   METRICS_BODY_MAX, on_request, node, err) != NULL;
+	const struct conn_limits limits = {
+	    (unsigned int)node->settings.probes, 0};
+	struct http_server *server = http_server_new(node->loop,
+	    node->settings.metrics, METRICS_BODY_MAX, on_request, node, err);
+
+	if (server == NULL)
+		return false;
+	http_server_set_limits(server, &limits, on_limited, node);
+	return true;
 }
--- a/libgooseberry/node/node_settings.c
+++ b/libgooseberry/node/node_settings.c
@@ -56,6 +56,10 @@
 	"beyond, the connection that has waited longest for the rest of its "
 	"request is closed.",
 	NODE(callers_mb)},
+    {"probes", GB_SET_INT, "connections", 4, 10000, "64",
+	"Connections at once for health checks, and as many for metrics; "
+	"beyond, the one that has waited longest for its request is closed.",
+	NODE(probes)},
     {"log_lines", GB_SET_INT, "lines/s", 0, 100000, "400",
 	"Structured lines a second beyond which ordinary ones are counted "
 	"only.",
--- a/libgooseberry/node/ports.c
+++ b/libgooseberry/node/ports.c
@@ -10,6 +10,8 @@
 
 static const char *const names[GB_NODE_PORTS] = {
     [GB_NODE_FRONT] = "front",
+    [GB_NODE_READY] = "ready",
+    [GB_NODE_METRICS] = "metrics",
 };
 
 void
