Limit connections of peers, their records and unread answers

What was seen: connections to a node's own port with records of which the end was missing, or with calls whose answers were not read, took the node's memory; silent ones took its descriptors, so that other nodes were not answered.

Cause: records of up to 16 MiB were collected before their call was known, answers were queued for as long as the peer did not read, and nothing counted either, nor the connections. A buffer kept the size of its largest record.

Change: the server of the protocol has the limits of conn_set.c, for connections and for incomplete records and unsent answers. A connection whose peer is behind with answers is not read. Buffers are freed when empty. New settings `peers` and `peers_mb`, with log line and metrics.

Why it works: all that is kept for a connection is counted when it changes, in the read that adds it, so the sum is never over the limit by more than one read.

--- a/libgooseberry/connection/rpc_client.c
+++ b/libgooseberry/connection/rpc_client.c
@@ -214,7 +214,7 @@
 	call->conn = client->conn;
 	call->written = gb_clock_boot();
 	rpc_stream_write((uv_stream_t *)&client->conn->tcp, &msg,
-	    (xdrproc_t)raw_code, &call->arg, &client->bytes);
+	    (xdrproc_t)raw_code, &call->arg, &client->bytes, NULL);
 	gb_link_count_sent(gb_env_link(client->env), call->written,
 	    GB_TRAFFIC_RPC + call->proc, client->bytes - before);
 	free(call->arg.gb_body_val);
--- a/libgooseberry/connection/rpc_server.c
+++ b/libgooseberry/connection/rpc_server.c
@@ -7,6 +7,7 @@
 #include <string.h>
 #include <sys/queue.h>
 
+#include "conn_set.h"
 #include "rpc.h"
 
 TAILQ_HEAD(connection_list, rpc_connection);
@@ -14,14 +15,25 @@
 /** Seconds without traffic after which TCP keepalive probes the peer: an
  * unreachable peer never closes its connections. */
 #define KEEPALIVE_S 30
+/** Memory of an answer that waits to be sent, beside its bytes. */
+#define ANSWER_EXTRA_BYTES 512
+/** Bytes of answers for which a connection's peer may be behind before no
+ * further calls are read from it. */
+#define UNSENT_MAX 65536
+/** Interval of attempts to accept a connection for which there was no room. */
+#define ACCEPT_RETRY_MS 10
 
 struct gb_rpc_server {
 	uv_tcp_t tcp;
+	uv_timer_t accept_retry; /**< while a connection has to wait */
+	struct conn_set conns;	 /**< connections that are open */
+	size_t record_max;	 /**< longest record, 0: RPC_RECORD_MAX */
+	gb_rpc_limited limited;
 	const struct gb_env *env;
 	gb_rpc_serve serve;
 	void *data;
 	struct connection_list connections;
-	/** One for the owner, the listener and each connection. */
+	/** One for the owner, the listener, the timer and each connection. */
 	unsigned int refs;
 	size_t bytes; /**< received and sent */
 	int port;
@@ -31,6 +43,9 @@
  * on it are answered. */
 struct rpc_connection {
 	uv_tcp_t tcp;
+	struct conn conn;     /**< while it is open */
+	unsigned int answers; /**< that are not sent yet */
+	bool paused;	      /**< no calls are read, until they are sent */
 	TAILQ_ENTRY(rpc_connection) next;
 	struct gb_rpc_server *server;
 	struct rpc_reader reader;
@@ -76,9 +91,86 @@
 	if (conn->closed)
 		return;
 	conn->closed = true;
+	conn_set_remove(&conn->server->conns, &conn->conn);
 	uv_close((uv_handle_t *)&conn->tcp, connection_closed);
 }
 
+static struct rpc_connection *
+connection_of(struct conn *conn)
+{
+	return (struct rpc_connection *)((char *)conn -
+					 offsetof(struct rpc_connection, conn));
+}
+
+/* Limits ------------------------------------------------------------------ */
+
+static void
+server_report(struct gb_rpc_server *server)
+{
+	struct conn_counts counts;
+
+	if (!conn_set_report(&server->conns, gb_clock_boot(), &counts))
+		return;
+	gb_env_log(server->env, GB_LOG_WARNING, "rpc",
+	    "Closed %llu connections for newer ones and %llu for memory.",
+	    (unsigned long long)counts.closed_for_new,
+	    (unsigned long long)counts.closed_for_bytes);
+	if (server->limited != NULL)
+		server->limited(server->data, &counts);
+}
+
+static size_t
+connection_unsent(const struct rpc_connection *conn)
+{
+	return uv_stream_get_write_queue_size((const uv_stream_t *)&conn->tcp);
+}
+
+/** Count what a connection holds: a record that is not complete, and answers
+ * that its peer does not read.  Closes connections until that is allowed,
+ * perhaps this one. */
+static void
+connection_hold(struct rpc_connection *conn)
+{
+	struct gb_rpc_server *server = conn->server;
+	struct conn *other;
+
+	if (conn->closed)
+		return;
+	conn_set_hold(&server->conns, &conn->conn,
+	    conn->reader.size + connection_unsent(conn) +
+		(size_t)conn->answers * ANSWER_EXTRA_BYTES);
+	while ((other = conn_set_close_for_bytes(&server->conns)) != NULL)
+		connection_close(connection_of(other));
+}
+
+static void connection_read(uv_stream_t *, ssize_t, const uv_buf_t *);
+
+/** Read no calls while too many answers wait to be sent. */
+static void
+connection_pace(struct rpc_connection *conn)
+{
+	bool paused = connection_unsent(conn) > UNSENT_MAX;
+
+	if (conn->closed || paused == conn->paused)
+		return;
+	conn->paused = paused;
+	if (paused)
+		uv_read_stop((uv_stream_t *)&conn->tcp);
+	else
+		uv_read_start((uv_stream_t *)&conn->tcp, rpc_stream_alloc,
+		    connection_read);
+}
+
+static void
+answer_written(uv_stream_t *stream)
+{
+	struct rpc_connection *conn = (struct rpc_connection *)stream;
+
+	conn->answers--;
+	connection_hold(conn);
+	connection_pace(conn);
+}
+
 /** XDR coder of an empty result. */
 static bool_t
 empty_code(XDR *xdrs, ...)
@@ -105,9 +197,12 @@
 	msg.acpted_rply.ar_stat = stat;
 	msg.acpted_rply.ar_results.where = res;
 	msg.acpted_rply.ar_results.proc = code;
-	if (!rpc_stream_write((uv_stream_t *)&conn->tcp, &msg, NULL, NULL,
-		&conn->server->bytes))
+	if (rpc_stream_write((uv_stream_t *)&conn->tcp, &msg, NULL, NULL,
+		&conn->server->bytes, answer_written))
+		conn->answers++;
+	else
 		connection_close(conn);
+	connection_hold(conn);
 	gb_link_count_sent(gb_env_link(conn->server->env), gb_clock_boot(),
 	    GB_TRAFFIC_RPC + proc, conn->server->bytes - before);
 }
@@ -148,6 +243,7 @@
 	struct rpc_msg msg;
 	XDR xdrs;
 
+	conn_set_end(&conn->server->conns, &conn->conn, gb_clock_boot());
 	memset(&msg, 0, sizeof(msg));
 	msg.rm_call.cb_cred.oa_base = cred;
 	msg.rm_call.cb_verf.oa_base = verf;
@@ -186,6 +282,9 @@
 		if (!rpc_reader_feed(&conn->reader, buf->base, (size_t)n,
 			connection_record, conn))
 			connection_close(conn);
+		connection_hold(conn);
+		connection_pace(conn);
+		server_report(conn->server);
 		connection_unref(conn);
 	} else if (n < 0) {
 		connection_close(conn);
@@ -194,20 +293,19 @@
 }
 
 static void
-server_accept(uv_stream_t *stream, int status)
+server_take(struct gb_rpc_server *server)
 {
-	struct gb_rpc_server *server = (struct gb_rpc_server *)stream;
-	struct rpc_connection *conn;
+	struct rpc_connection *conn = gb_calloc(1, sizeof(*conn));
 
-	if (status != 0)
-		return;
-	conn = gb_calloc(1, sizeof(*conn));
 	conn->server = server;
 	conn->refs = 1;
+	conn->reader.record_max = server->record_max;
 	server->refs++;
 	TAILQ_INSERT_TAIL(&server->connections, conn, next);
-	uv_tcp_init(stream->loop, &conn->tcp);
-	if (uv_accept(stream, (uv_stream_t *)&conn->tcp) != 0) {
+	conn_set_add(&server->conns, &conn->conn, gb_clock_boot());
+	uv_tcp_init(server->tcp.loop, &conn->tcp);
+	if (uv_accept((uv_stream_t *)&server->tcp, (uv_stream_t *)&conn->tcp) !=
+	    0) {
 		connection_close(conn);
 		return;
 	}
@@ -217,6 +315,50 @@
 	    (uv_stream_t *)&conn->tcp, rpc_stream_alloc, connection_read);
 }
 
+/** Close connections until there is room for another one; false if there is
+ * none yet. */
+static bool
+server_make_room(struct gb_rpc_server *server)
+{
+	struct conn *conn;
+
+	while (!conn_set_has_room(&server->conns)) {
+		conn = conn_set_close_for_new(&server->conns, gb_clock_boot());
+		if (conn == NULL)
+			return false;
+		connection_close(connection_of(conn));
+	}
+	return true;
+}
+
+static void
+on_accept_retry(uv_timer_t *timer)
+{
+	struct gb_rpc_server *server = timer->data;
+
+	server_report(server);
+	if (!server_make_room(server))
+		return;
+	uv_timer_stop(timer);
+	server_take(server);
+}
+
+static void
+server_accept(uv_stream_t *stream, int status)
+{
+	struct gb_rpc_server *server = (struct gb_rpc_server *)stream;
+
+	if (status != 0)
+		return;
+	if (server_make_room(server))
+		server_take(server);
+	else
+		/* libuv keeps the connection, and accepts no other one until it
+		 * is taken. */
+		uv_timer_start(&server->accept_retry, on_accept_retry,
+		    ACCEPT_RETRY_MS, ACCEPT_RETRY_MS);
+}
+
 struct gb_rpc_server *
 gb_rpc_server_new(struct uv_loop_s *loop, const struct gb_env *env,
     const char *addr, gb_rpc_serve serve, void *data, struct gb_error *err)
@@ -230,8 +372,9 @@
 		return NULL;
 	}
 	server = gb_calloc(1, sizeof(*server));
-	server->refs = 2;
+	server->refs = 3;
 	TAILQ_INIT(&server->connections);
+	conn_set_init(&server->conns);
 	server->env = env;
 	server->serve = serve;
 	server->data = data;
@@ -245,9 +388,20 @@
 	}
 	uv_tcp_getsockname(&server->tcp, (struct sockaddr *)&sin, &len);
 	server->port = ntohs(sin.sin_port);
+	uv_timer_init(loop, &server->accept_retry);
+	server->accept_retry.data = server;
 	return server;
 }
 
+void
+gb_rpc_server_set_limits(struct gb_rpc_server *server,
+    const struct conn_limits *limits, size_t record_max, gb_rpc_limited limited)
+{
+	server->conns.limits = *limits;
+	server->record_max = record_max;
+	server->limited = limited;
+}
+
 int
 gb_rpc_server_port(const struct gb_rpc_server *server)
 {
@@ -260,11 +414,19 @@
 	server_unref((struct gb_rpc_server *)handle);
 }
 
+static void
+retry_closed(uv_handle_t *handle)
+{
+	server_unref(handle->data);
+}
+
 void
 gb_rpc_server_close(struct gb_rpc_server *server)
 {
-	if (!uv_is_closing((uv_handle_t *)&server->tcp))
-		uv_close((uv_handle_t *)&server->tcp, server_closed);
+	if (uv_is_closing((uv_handle_t *)&server->tcp))
+		return;
+	uv_close((uv_handle_t *)&server->tcp, server_closed);
+	uv_close((uv_handle_t *)&server->accept_retry, retry_closed);
 }
 
 void
--- a/libgooseberry/connection/rpc_stream.c
+++ b/libgooseberry/connection/rpc_stream.c
@@ -11,10 +11,15 @@
 /** Largest number of digits of a port. */
 #define PORT_DIGITS_MAX 5
 
+/** A buffer of this size is kept for the next record; a larger one is freed
+ * when it is empty. */
+#define BUFFER_KEPT_BYTES 4096
+
 /** One write in flight; it owns the bytes. */
 struct rpc_write {
 	uv_write_t req;
 	char *data;
+	rpc_written written;
 };
 
 static uint32_t
@@ -37,16 +42,30 @@
 	reader->len += len;
 }
 
+/** Free a large buffer that is empty. */
+static void
+reader_shrink(struct rpc_reader *reader)
+{
+	if (reader->len > 0 || reader->size <= BUFFER_KEPT_BYTES)
+		return;
+	free(reader->data);
+	reader->data = NULL;
+	reader->size = 0;
+}
+
 /** Length of the first record with its marks: 0 when it is incomplete, SIZE_MAX
  * when it is malformed or too long.  Sets the payload's length if the record is
  * complete. */
 static size_t
 reader_record_len(struct rpc_reader *reader, size_t *payload)
 {
+	size_t max =
+	    reader->record_max == 0 ? RPC_RECORD_MAX : reader->record_max;
 	size_t at = 0;
 	size_t total = 0;
+	unsigned int fragments;
 
-	for (;;) {
+	for (fragments = 0; fragments < RPC_FRAGMENTS_MAX; fragments++) {
 		uint32_t mark;
 		size_t len;
 
@@ -55,16 +74,17 @@
 		mark = mark_read(reader->data + at);
 		len = mark & ~RPC_LAST_FRAGMENT;
 		total += len;
-		if (total > RPC_RECORD_MAX || (len == 0 && total == 0))
+		if (total > max || (len == 0 && total == 0))
 			return SIZE_MAX;
 		at += RPC_MARK_LEN + len;
 		if (at > reader->len)
 			return 0;
-		if ((mark & RPC_LAST_FRAGMENT) != 0)
-			break;
+		if ((mark & RPC_LAST_FRAGMENT) != 0) {
+			*payload = total;
+			return at;
+		}
 	}
-	*payload = total;
-	return at;
+	return SIZE_MAX;
 }
 
 /** Copy the payload of the first record, without the marks of its
@@ -104,6 +124,7 @@
 		record = reader_payload(reader, payload);
 		reader->len -= used;
 		memmove(reader->data, reader->data + used, reader->len);
+		reader_shrink(reader);
 		more = fn(arg, record, payload);
 		free(record);
 		if (!more)
@@ -124,13 +145,15 @@
 	struct rpc_write *write = (struct rpc_write *)req;
 
 	(void)status;
+	if (write->written != NULL)
+		write->written(req->handle);
 	free(write->data);
 	free(write);
 }
 
 bool
 rpc_stream_write(uv_stream_t *stream, struct rpc_msg *msg, xdrproc_t body,
-    void *arg, size_t *bytes)
+    void *arg, size_t *bytes, rpc_written written)
 {
 	struct rpc_write *write;
 	unsigned long size = xdr_sizeof((xdrproc_t)xdr_callmsg, msg);
@@ -144,6 +167,7 @@
 	if (body != NULL)
 		size += xdr_sizeof(body, arg);
 	write = gb_calloc(1, sizeof(*write));
+	write->written = written;
 	write->data = gb_calloc(1, size + RPC_MARK_LEN);
 	xdrmem_create(
 	    &xdrs, write->data + RPC_MARK_LEN, (u_int)size, XDR_ENCODE);
--- a/libgooseberry/gooseberry.h
+++ b/libgooseberry/gooseberry.h
@@ -642,12 +642,27 @@
  * GB_RUN, and is freed when the function returns. */
 typedef void (*gb_rpc_done)(void *, gb_verdict, void *res);
 
+struct conn_limits;
+struct conn_counts;
+
+/** Called at most once a second, with the server's data and what was done since
+ * the last call as a limit was reached. */
+typedef void (*gb_rpc_limited)(void *, const struct conn_counts *);
+
 /** Listen on an address IP:port, port 0: any free one.  The environment must
  * outlive the server.  Returns null with the error set to GB_E_INVALID if the
  * address is malformed, or GB_E_IO if it cannot be listened on. */
 struct gb_rpc_server *gb_rpc_server_new(struct uv_loop_s *,
     const struct gb_env *, const char *addr, gb_rpc_serve, void *,
     struct gb_error *);
+/** Limit the connections, the bytes of records that are not complete and of
+ * answers that are not sent, and the length of a record in bytes (0: 16 MiB).
+ * At a limit the connection without a complete record for the longest time is
+ * closed, which its peer sees as a broken connection.  May be called again.
+ * @param limited may be null
+ */
+void gb_rpc_server_set_limits(struct gb_rpc_server *,
+    const struct conn_limits *, size_t record_max, gb_rpc_limited limited);
 /** TCP port that the server listens on. */
 int gb_rpc_server_port(const struct gb_rpc_server *);
 /** Stop accepting connections; open connections stay open. */
--- a/libgooseberry/node/node.c
+++ b/libgooseberry/node/node.c
@@ -499,7 +499,8 @@
 		    gb_link_rate(link));
 }
 
-/** Update the number of connections to workers that may be open. */
+/** Update the number of connections from members and to workers that may be
+ * open. */
 static void
 connections_update(struct gb_node *node)
 {
@@ -507,10 +508,13 @@
 	int64_t files = node->settings.files;
 	int64_t most;
 
-	if (files == 0)
-		return;
 	if (members < node->known_members_count)
 		members = node->known_members_count;
+	if (members != node->members_limited)
+		node_peers_limit(node, members);
+	node->members_limited = members;
+	if (files == 0)
+		return;
 	most = files - FILES_RESERVED - FILES_PER_MEMBER * (int64_t)members;
 	if (most < files / FILES_WORKERS_DIVISOR)
 		most = files / FILES_WORKERS_DIVISOR;
@@ -585,6 +589,7 @@
 	    loop, env, settings->listen, node_serve, node, err);
 	if (node->server == NULL || !node_metrics_serve(node, err))
 		return NULL;
+	node_peers_limit(node, 0);
 	pool.name = node->settings.name;
 	pool.addr = node->settings.addr;
 	pool.incarnation = node->incarnation;
--- a/libgooseberry/node/node.h
+++ b/libgooseberry/node/node.h
@@ -65,7 +65,7 @@
 	char disabled_features[GB_KEY_MAX + 1];
 	int64_t lease_ms, stop_ms, keep_s;
 	int64_t log_lines, log_level, grace_s, files, strict_keys_ms;
-	int64_t callers, callers_mb, probes;
+	int64_t callers, callers_mb, probes, peers, peers_mb;
 };
 
 extern const struct gb_setting gb_node_settings_table[];
@@ -142,6 +142,7 @@
 	GB_NODE_FRONT,	 /**< for callers */
 	GB_NODE_READY,	 /**< for health checks */
 	GB_NODE_METRICS, /**< for metrics */
+	GB_NODE_PEERS,	 /**< for other nodes */
 	GB_NODE_PORTS
 };
 
--- a/libgooseberry/node/node_settings.c
+++ b/libgooseberry/node/node_settings.c
@@ -56,6 +56,15 @@
 	"beyond, the connection that has waited longest for the rest of its "
 	"request is closed.",
 	NODE(callers_mb)},
+    {"peers", GB_SET_INT, "connections", 16, 100000, "128",
+	"Connections of other nodes at once, beside two for each known member; "
+	"beyond, the one that has been silent longest is closed.",
+	NODE(peers)},
+    {"peers_mb", GB_SET_INT, "MiB", 2, 100000, "16",
+	"Memory for calls of other nodes that are being read and for answers "
+	"that they have not read; beyond, the connection that has been silent "
+	"longest is closed.",
+	NODE(peers_mb)},
     {"probes", GB_SET_INT, "connections", 4, 10000, "64",
 	"Connections at once for health checks, and as many for metrics; "
 	"beyond, the one that has waited longest for its request is closed.",
--- a/libgooseberry/node/node_state.h
+++ b/libgooseberry/node/node_state.h
@@ -149,6 +149,7 @@
 	uint32_t cpu_milli;	  /**< processor of this node in milli-cores */
 	gb_time owned_at;	  /**< when it last gained the pool */
 	uint32_t connections_max; /**< to workers, 0: no limit */
+	size_t members_limited;	  /**< members for which the limits are set */
 	struct gb_pool_config *config;
 	char *config_text; /**< the same in the stored form */
 	size_t config_len;
@@ -201,6 +202,8 @@
     void (*read_done)(struct node_call *, const struct gb_pool_read_res *));
 
 /* ports.c */
+/** Set the limits of the port for other nodes, of which so many are known. */
+void node_peers_limit(struct gb_node *, size_t members);
 /** Add the metrics of the limits of all ports. */
 void node_ports_metrics(const struct gb_node *, struct gb_text *);
 
--- a/libgooseberry/node/ports.c
+++ b/libgooseberry/node/ports.c
@@ -8,10 +8,16 @@
 
 #include "node_state.h"
 
+/** Connections of a known member: one, and one that it has replaced. */
+#define PEER_CONNECTIONS 2
+/** Longest record that another node sends, in bytes: a submission. */
+#define PEER_RECORD_MAX ((size_t)1024 * 1024)
+
 static const char *const names[GB_NODE_PORTS] = {
     [GB_NODE_FRONT] = "front",
     [GB_NODE_READY] = "ready",
     [GB_NODE_METRICS] = "metrics",
+    [GB_NODE_PEERS] = "peers",
 };
 
 void
@@ -30,6 +36,24 @@
 	    (json_int_t)counts->refused);
 }
 
+static void
+on_peers_limited(void *data, const struct conn_counts *counts)
+{
+	gb_node_port_limited(data, GB_NODE_PEERS, counts);
+}
+
+void
+node_peers_limit(struct gb_node *node, size_t members)
+{
+	const struct conn_limits limits = {
+	    (unsigned int)(node->settings.peers +
+			   (int64_t)members * PEER_CONNECTIONS),
+	    (size_t)node->settings.peers_mb * 1024 * 1024};
+
+	gb_rpc_server_set_limits(
+	    node->server, &limits, PEER_RECORD_MAX, on_peers_limited);
+}
+
 void
 node_ports_metrics(const struct gb_node *node, struct gb_text *out)
 {
--- a/tests/crowd.c
+++ b/tests/crowd.c
@@ -40,9 +40,7 @@
 #define PORT_NODE_EACH 4
 #define WORKERS 4
 
-/** Largest record of the nodes' own protocol, in bytes, and calls that one
- * connection sends. */
-#define RECORD_MAX (16U * 1024 * 1024)
+/** Calls that one connection sends. */
 #define CALLS 400000
 
 /** Most processes of one test. */
@@ -653,13 +651,13 @@
 crowd_send_record(int fd, unsigned int number, void *data)
 {
 	static char zeros[1 << 20];
-	uint32_t mark = htonl(0x80000000U | RECORD_MAX);
+	const unsigned int *mib = data;
+	uint32_t mark = htonl(0x80000000U | *mib << 20);
 	unsigned int i;
 	bool ok = crowd_write(fd, &mark, sizeof(mark));
 
 	(void)number;
-	(void)data;
-	for (i = 1; ok && i < RECORD_MAX / sizeof(zeros); i++)
+	for (i = 1; ok && i < *mib; i++)
 		ok = crowd_write(fd, zeros, sizeof(zeros));
 	if (ok)
 		crowd_write(fd, zeros, sizeof(zeros) - 1);
--- a/tests/crowd.h
+++ b/tests/crowd.h
@@ -125,9 +125,11 @@
 /** Send bytes; false when the other side closes the connection, or reads
  * nothing for a while. */
 bool crowd_write(int fd, const void *data, size_t len);
-/** What one connection sends on a port of the nodes' own protocol: a record of
- * the largest size without its last byte, or many calls whose answers it does
- * not read. */
+/** Largest record of the nodes' own protocol, in MiB. */
+#define CROWD_RECORD_MAX_MB 16
+/** What one connection sends on a port of the nodes' own protocol: a record
+ * without its last byte, whose size in MiB is the data, or many calls whose
+ * answers it does not read. */
 void crowd_send_record(int fd, unsigned int number, void *data);
 void crowd_send_calls(int fd, unsigned int number, void *data);
 
--- a/tests/test_crowd_entry.c
+++ b/tests/test_crowd_entry.c
@@ -75,12 +75,12 @@
 }
 
 static void
-play(unsigned int port, unsigned int count, crowd_send send)
+play(unsigned int port, unsigned int count, crowd_send send, void *data)
 {
 	struct crowd crowd;
 
 	start();
-	crowd_open(&crowd, crowd_port(port), count, send, NULL);
+	crowd_open(&crowd, crowd_port(port), count, send, data);
 	crowd_reopen(&crowd);
 	check();
 	crowd_close(&crowd);
@@ -106,35 +106,37 @@
 test_bodies(void **state)
 {
 	(void)state;
-	play(PORT_ENTRY, 150, send_body);
+	play(PORT_ENTRY, 150, send_body, NULL);
 }
 
 static void
 test_silent_callers(void **state)
 {
 	(void)state;
-	play(PORT_ENTRY, 600, NULL);
+	play(PORT_ENTRY, 600, NULL, NULL);
 }
 
 static void
 test_records(void **state)
 {
+	unsigned int mib = CROWD_RECORD_MAX_MB;
+
 	(void)state;
-	play(PORT_SCHED, 12, crowd_send_record);
+	play(PORT_SCHED, 12, crowd_send_record, &mib);
 }
 
 static void
 test_silent_peers(void **state)
 {
 	(void)state;
-	play(PORT_SCHED, 600, NULL);
+	play(PORT_SCHED, 600, NULL, NULL);
 }
 
 static void
 test_unread_answers(void **state)
 {
 	(void)state;
-	play(PORT_SCHED, 2, crowd_send_calls);
+	play(PORT_SCHED, 2, crowd_send_calls, NULL);
 }
 
 int
