Limit the connections of gooseberry-entry and gooseberry-sched

Callers saw: as at the node, unfinished bodies ended the entry, unfinished records and unread answers the scheduler, and silent connections took the descriptors of either.

Cause: the same servers, without limits: `in_flight_limit` counts requests that were read.

Change: settings `callers`, `callers_mb` and `peers`, `peers_mb`, with log lines and metrics; requests over the limit are refused as those over `in_flight_limit` are. Record buffers grow to the longest record at most. Memory is given back when much less is held, now for both kinds of servers, and blocks of 1 MiB and more as they are freed. The node's default of `callers_mb` is 24 in place of 32.

--- a/cli/daemon.c
+++ b/cli/daemon.c
@@ -164,6 +164,7 @@
 	int port;
 
 	running = d;
+	gb_memory_init();
 	argp_program_version = d->version;
 	argp_parse(&argp, argc, argv, 0, NULL, NULL);
 	if (options.document)
--- a/libgooseberry/connection/conn_set.c
+++ b/libgooseberry/connection/conn_set.c
@@ -23,6 +23,9 @@
 /** Bytes that a connection may hold without being closed for them: the first
  * buffer of a connection. */
 #define CONN_BYTES_MIN 4096
+/** Share of the bytes that are allowed, as a divisor: memory is given back when
+ * so much less is held. */
+#define CONN_SHRUNK_DIVISOR 4
 /** Interval of reports. */
 #define CONN_REPORT_INTERVAL GB_SEC
 
@@ -164,6 +167,18 @@
 	       set->busy_bytes > set->limits.bytes / CONN_BUSY_DIVISOR;
 }
 
+bool
+conn_set_shrunk(struct conn_set *set)
+{
+	if (set->bytes > set->bytes_most)
+		set->bytes_most = set->bytes;
+	if (set->bytes_most - set->bytes <=
+	    set->limits.bytes / CONN_SHRUNK_DIVISOR)
+		return false;
+	set->bytes_most = set->bytes;
+	return true;
+}
+
 bool
 conn_set_report(struct conn_set *set, gb_time now, struct conn_counts *out)
 {
--- a/libgooseberry/connection/conn_set.h
+++ b/libgooseberry/connection/conn_set.h
@@ -45,6 +45,7 @@
 	unsigned int closing_count;
 	size_t bytes; /**< of those that are not being closed */
 	size_t busy_bytes;
+	size_t bytes_most; /**< largest sum since conn_set_shrunk was true */
 	struct conn_counts counts;
 	struct conn_counts reported;
 	gb_time reported_at;
@@ -73,6 +74,9 @@
 /** Whether the requests that are not answered yet hold so much that another one
  * must be refused. */
 bool conn_set_is_full(const struct conn_set *);
+/** Whether much less is held than before, so that memory may be given back to
+ * the system. */
+bool conn_set_shrunk(struct conn_set *);
 /** What was done since the last report; false if nothing was, or the last
  * report is too recent. */
 bool conn_set_report(struct conn_set *, gb_time now, struct conn_counts *);
--- a/libgooseberry/connection/http.c
+++ b/libgooseberry/connection/http.c
@@ -32,9 +32,6 @@
 #define HTTP_ACCEPT_RETRY_MS 10
 /** Interval in milliseconds at which the buffers are counted. */
 #define HTTP_COUNT_INTERVAL_MS 1
-/** Share of the bytes that are allowed, as a divisor: memory is given back to
- * the system when the buffers have shrunk by so much. */
-#define HTTP_TRIM_DIVISOR 4
 
 struct http_server {
 	uv_tcp_t tcp;
@@ -42,7 +39,6 @@
 	uv_timer_t accept_retry; /**< while a connection has to wait */
 	struct conn_set conns;
 	uint64_t counted_at; /**< time of the loop, in milliseconds */
-	size_t bytes_most;   /**< largest sum since memory was given back */
 	http_limited limited;
 	void *limited_data;
 	h2o_globalconf_t config;
@@ -132,8 +128,8 @@
 		shutdown(fd, SHUT_RDWR);
 }
 
-/** Whether the buffers may hold more than is allowed, or did when they were
- * counted last. */
+/** Whether the buffers may hold more than is allowed, or memory may have to be
+ * given back. */
 static bool
 server_must_count(const struct http_server *server)
 {
@@ -143,7 +139,7 @@
 	size_t limit = server->conns.limits.bytes;
 
 	return limit > 0 && (server->conns.count * each > limit ||
-				server->bytes_most > limit / HTTP_TRIM_DIVISOR);
+				server->conns.bytes_most > 0);
 }
 
 static void
@@ -168,13 +164,8 @@
 	conns_count(set, &set->busy);
 	while ((conn = conn_set_close_for_bytes(set)) != NULL)
 		conn_shut_down(conn_of(conn));
-	if (set->bytes > server->bytes_most)
-		server->bytes_most = set->bytes;
-	if (server->bytes_most - set->bytes <=
-	    set->limits.bytes / HTTP_TRIM_DIVISOR)
-		return;
-	server->bytes_most = set->bytes;
-	gb_memory_trim();
+	if (conn_set_shrunk(set))
+		gb_memory_trim();
 }
 
 /** Called after each poll.  h2o reads bodies to their end before it passes them
--- a/libgooseberry/connection/rpc_server.c
+++ b/libgooseberry/connection/rpc_server.c
@@ -141,6 +141,8 @@
 		(size_t)conn->answers * ANSWER_EXTRA_BYTES);
 	while ((other = conn_set_close_for_bytes(&server->conns)) != NULL)
 		connection_close(connection_of(other));
+	if (server->conns.limits.bytes > 0 && conn_set_shrunk(&server->conns))
+		gb_memory_trim();
 }
 
 static void connection_read(uv_stream_t *, ssize_t, const uv_buf_t *);
@@ -402,6 +404,12 @@
 	server->limited = limited;
 }
 
+const struct conn_counts *
+gb_rpc_server_counts(const struct gb_rpc_server *server)
+{
+	return &server->conns.counts;
+}
+
 int
 gb_rpc_server_port(const struct gb_rpc_server *server)
 {
--- a/libgooseberry/connection/rpc_stream.c
+++ b/libgooseberry/connection/rpc_stream.c
@@ -31,11 +31,30 @@
 	return ntohl(mark);
 }
 
+static size_t
+reader_record_max(const struct rpc_reader *reader)
+{
+	return reader->record_max == 0 ? RPC_RECORD_MAX : reader->record_max;
+}
+
+/** Size of the buffer for so many bytes: twice that, but no more than a record
+ * needs. */
+static size_t
+reader_size(const struct rpc_reader *reader, size_t bytes)
+{
+	size_t most =
+	    reader_record_max(reader) + RPC_FRAGMENTS_MAX * RPC_MARK_LEN;
+
+	if (bytes * 2 <= most)
+		return bytes * 2;
+	return bytes > most ? bytes : most;
+}
+
 static void
 reader_append(struct rpc_reader *reader, const char *data, size_t len)
 {
 	if (reader->len + len > reader->size) {
-		reader->size = (reader->len + len) * 2;
+		reader->size = reader_size(reader, reader->len + len);
 		reader->data = gb_realloc(reader->data, reader->size);
 	}
 	memcpy(reader->data + reader->len, data, len);
@@ -59,8 +78,7 @@
 static size_t
 reader_record_len(struct rpc_reader *reader, size_t *payload)
 {
-	size_t max =
-	    reader->record_max == 0 ? RPC_RECORD_MAX : reader->record_max;
+	size_t max = reader_record_max(reader);
 	size_t at = 0;
 	size_t total = 0;
 	unsigned int fragments;
--- a/libgooseberry/gooseberry.h
+++ b/libgooseberry/gooseberry.h
@@ -504,6 +504,7 @@
 	int64_t outage_ms;
 	int64_t sync_ms, margin_ms, op_timeout_ms, write_budget;
 	int64_t snapshot_every, list_ms, trace_per_mille, log_level;
+	int64_t peers, peers_mb;
 };
 
 /** Settings of gooseberry-entry. */
@@ -517,6 +518,7 @@
 	struct gb_tokens tokens;
 	int64_t shards_per_dc, view_ms, timeout_ms, body_limit, trace_per_mille;
 	int64_t in_flight_limit, leave_ms, hedge_ms, log_level;
+	int64_t callers, callers_mb;
 };
 
 extern const struct gb_setting gb_sched_settings_table[];
@@ -663,6 +665,8 @@
  */
 void gb_rpc_server_set_limits(struct gb_rpc_server *,
     const struct conn_limits *, size_t record_max, gb_rpc_limited limited);
+/** What was done so far as a limit was reached. */
+const struct conn_counts *gb_rpc_server_counts(const struct gb_rpc_server *);
 /** TCP port that the server listens on. */
 int gb_rpc_server_port(const struct gb_rpc_server *);
 /** Stop accepting connections; open connections stay open. */
@@ -717,6 +721,9 @@
 char *gb_strdup(const char *);
 void *gb_calloc(size_t, size_t);
 void *gb_realloc(void *, size_t);
+/** Let large blocks be given back to the system as they are freed.  To be called
+ * before there are any. */
+void gb_memory_init(void);
 /** Give memory that was freed back to the system.  Takes some milliseconds if
  * there is much of it. */
 void gb_memory_trim(void);
--- a/libgooseberry/node/node_settings.c
+++ b/libgooseberry/node/node_settings.c
@@ -47,14 +47,14 @@
     {"files", GB_SET_INT, "descriptors", 0, 1000000, "0",
 	"Descriptors that a process may have open; 0: no limit.", NODE(files)},
     {"callers", GB_SET_INT, "connections", 16, 100000, "512",
-	"Connections of callers at once, and requests of callers without an "
-	"answer; beyond, the connection that has waited longest for its "
-	"request is closed, and requests are refused.",
+	"Connections of callers at once; beyond, the one that has waited "
+	"longest for its request is closed, and requests beyond three quarters "
+	"of this are refused.",
 	NODE(callers)},
-    {"callers_mb", GB_SET_INT, "MiB", 2, 100000, "32",
-	"Memory for requests of callers that are being read or handled; "
-	"beyond, the connection that has waited longest for the rest of its "
-	"request is closed.",
+    {"callers_mb", GB_SET_INT, "MiB", 2, 100000, "24",
+	"Memory for requests that are being read or handled; beyond, the "
+	"connection that has waited longest for the rest of its request is "
+	"closed, and requests beyond half of this are refused.",
 	NODE(callers_mb)},
     {"peers", GB_SET_INT, "connections", 16, 100000, "128",
 	"Connections of other nodes at once, beside two for each known member; "
--- a/libgooseberry/process/entry.c
+++ b/libgooseberry/process/entry.c
@@ -260,6 +260,7 @@
 {
 	struct gb_text out = {0};
 	const struct gb_usage used = gb_usage_read();
+	const struct conn_counts *limited = http_server_counts(entry->http);
 	const struct gb_counter counters[] = {
 	    {"gooseberry_entry_requests_total", "Requests received.",
 		entry->requests},
@@ -273,6 +274,11 @@
 		"Second tries beside one that took long.", entry->hedges},
 	    {"gooseberry_entry_unauthorized_total", "Calls without a token.",
 		entry->unauthorized},
+	    {"gooseberry_entry_closed_for_new_total",
+		"Connections closed for newer ones.", limited->closed_for_new},
+	    {"gooseberry_entry_closed_for_memory_total",
+		"Connections closed as requests held too much memory.",
+		limited->closed_for_bytes},
 	    {"gooseberry_entry_in_flight", "Calls in hand.",
 		http_server_in_flight(entry->http)},
 	    {"gooseberry_entry_view_age_ms", "Age of the view of the cell.",
@@ -344,8 +350,9 @@
 		entry_metrics(entry, call);
 	} else if (path.count < 2 || strcmp(path.segment[0], "v1") != 0) {
 		relay_problem(call, 404, GB_NOT_RUN, 0, "no such path");
-	} else if (http_server_in_flight(entry->http) >
-		   (unsigned int)entry->settings.in_flight_limit) {
+	} else if (call->over_limit ||
+		   http_server_in_flight(entry->http) >
+		       (unsigned int)entry->settings.in_flight_limit) {
 		entry->refused++;
 		relay_problem(call, 503, GB_NOT_RUN, RETRY_AFTER_MS,
 		    "too many requests in hand");
@@ -398,10 +405,25 @@
 
 /* Start and stop */
 
+static void
+entry_limited(void *data, const struct conn_counts *counts)
+{
+	struct gb_entry *entry = data;
+
+	gb_env_log(&entry->env, GB_LOG_WARNING, "entry",
+	    "Closed %llu connections for newer ones and %llu for memory, "
+	    "refused %llu requests.",
+	    (unsigned long long)counts->closed_for_new,
+	    (unsigned long long)counts->closed_for_bytes,
+	    (unsigned long long)counts->refused);
+}
+
 struct gb_entry *
 gb_entry_new(struct uv_loop_s *loop, const struct gb_env *env,
     const struct gb_entry_settings *settings, struct gb_error *err)
 {
+	const struct conn_limits limits = {(unsigned int)settings->callers,
+	    (size_t)settings->callers_mb * 1024 * 1024};
 	struct gb_entry *entry = gb_calloc(1, sizeof(*entry));
 	struct gb_dcs dcs;
 	unsigned int i;
@@ -424,6 +446,7 @@
 	    (size_t)settings->body_limit, entry_handle, entry, err);
 	if (entry->http == NULL)
 		return NULL;
+	http_server_set_limits(entry->http, &limits, entry_limited, entry);
 	uv_timer_init(loop, &entry->view_timer);
 	entry->view_timer.data = entry;
 	uv_timer_start(&entry->view_timer, entry_view_tick, 0,
--- a/libgooseberry/process/memory.c
+++ b/libgooseberry/process/memory.c
@@ -9,6 +9,11 @@
 
 #include "gooseberry.h"
 
+/** Blocks of this size and more are given back to the system as they are freed.
+ * Unless it is set, the C library raises it to the largest block that was
+ * freed, and such blocks then stay with the process. */
+#define MEMORY_BLOCK_BYTES (1024 * 1024)
+
 void *
 gb_calloc(size_t count, size_t size)
 {
@@ -39,6 +44,12 @@
 	return copy;
 }
 
+void
+gb_memory_init(void)
+{
+	mallopt(M_MMAP_THRESHOLD, MEMORY_BLOCK_BYTES);
+}
+
 void
 gb_memory_trim(void)
 {
--- a/libgooseberry/process/sched.c
+++ b/libgooseberry/process/sched.c
@@ -8,6 +8,7 @@
 #include <uthash.h>
 #include <uv.h>
 
+#include "connection/conn_set.h"
 #include "gooseberry.h"
 
 #define TICK_MS 5
@@ -313,6 +314,8 @@
 
 	gb_core_stats_get(sched->core, &s);
 	{
+		const struct conn_counts *limited =
+		    gb_rpc_server_counts(sched->server);
 		const struct gb_counter counters[] = {
 		    {"gooseberry_task_starts_total", "Tasks started.",
 			s.starts},
@@ -366,6 +369,12 @@
 			"Processor time of the process.", used.cpu_us},
 		    {"gooseberry_process_memory_bytes",
 			"Resident memory of the process.", used.memory},
+		    {"gooseberry_peers_closed_for_new_total",
+			"Connections closed for newer ones.",
+			limited->closed_for_new},
+		    {"gooseberry_peers_closed_for_memory_total",
+			"Connections closed as they held too much memory.",
+			limited->closed_for_bytes},
 		    {"gooseberry_rpc_bytes_total",
 			"Bytes to and from peers, workers and store.",
 			gb_rpc_pool_bytes(sched->pool) +
@@ -500,6 +509,8 @@
     const struct gb_sched_settings *settings, struct gb_error *err)
 {
 	struct gb_sched *sched = gb_calloc(1, sizeof(*sched));
+	const struct conn_limits limits = {(unsigned int)settings->peers,
+	    (size_t)settings->peers_mb * 1024 * 1024};
 	struct gb_core_config cfg;
 	const char *colon;
 
@@ -515,6 +526,7 @@
 		free(sched);
 		return NULL;
 	}
+	gb_rpc_server_set_limits(sched->server, &limits, 0, NULL);
 	colon = strrchr(settings->listen, ':');
 	snprintf(sched->addr, sizeof(sched->addr), "%.*s:%d",
 	    (int)(colon - settings->listen), settings->listen,
--- a/libgooseberry/process/settings.c
+++ b/libgooseberry/process/settings.c
@@ -66,6 +66,14 @@
 	"Share of new traces that are kept.", SCHED(trace_per_mille)},
     {"trace_file", GB_SET_STRING, "path", 0, TRACE_FILE_LEN_MAX, "\"\"",
 	"File for spans; empty: standard error.", SCHED(trace_file)},
+    {"peers", GB_SET_INT, "connections", 16, 100000, "2048",
+	"Connections of entries and schedulers at once; beyond, the one that "
+	"has been silent longest is closed.",
+	SCHED(peers)},
+    {"peers_mb", GB_SET_INT, "MiB", 20, 100000, "64",
+	"Memory for calls that are being read and for answers that were not "
+	"read; beyond, the connection that has been silent longest is closed.",
+	SCHED(peers_mb)},
     {"log_level", GB_SET_INT, "severity", 3, 7, "6",
 	"Least severe syslog level that is logged.", SCHED(log_level)},
 };
@@ -107,6 +115,16 @@
 	ENTRY(leave_ms)},
     {"in_flight_limit", GB_SET_INT, "requests", 1, 100000, "4096",
 	"Requests in hand at once; more are refused.", ENTRY(in_flight_limit)},
+    {"callers", GB_SET_INT, "connections", 16, 100000, "8192",
+	"Connections of callers at once; beyond, the one that has waited "
+	"longest for its request is closed, and requests beyond three quarters "
+	"of this are refused.",
+	ENTRY(callers)},
+    {"callers_mb", GB_SET_INT, "MiB", 16, 100000, "64",
+	"Memory for requests that are being read or handled; beyond, the "
+	"connection that has waited longest for the rest of its request is "
+	"closed, and requests beyond half of this are refused.",
+	ENTRY(callers_mb)},
     {"trace_per_mille", GB_SET_INT, "per mille", 0, 1000, "0",
 	"Share of new traces that are kept.", ENTRY(trace_per_mille)},
     {"trace_file", GB_SET_STRING, "path", 0, TRACE_FILE_LEN_MAX, "\"\"",
--- a/tests/test_crowd_entry.c
+++ b/tests/test_crowd_entry.c
@@ -17,8 +17,8 @@
 #include "crowd.h"
 
 /** Settings of the programs of these tests, JSON that begins with a comma. */
-#define ENTRY_SETTINGS ""
-#define SCHED_SETTINGS ""
+#define ENTRY_SETTINGS ", \"callers\": 64, \"callers_mb\": 16"
+#define SCHED_SETTINGS ", \"peers\": 64, \"peers_mb\": 20"
 
 #define BODY_BYTES (1024 * 1024)
 #define WAIT_S 60
