Bound the memory of open flows

Callers saw: valid submissions, large or of many tasks, were accepted until the owner ran out of memory; each successor loaded the same flows and ended too, so that the pool had no owner.

Cause: the number of open flows was bounded on the assumption of 4 KiB each; a flow of 64 steps takes 42 KiB, one of 128,000 tasks 13 MiB.

Nothing that was accepted is dropped. Refusals name the cause in `flow_refused`, and two metrics show them and the sum.

--- a/libgooseberry/node/node.c
+++ b/libgooseberry/node/node.c
@@ -597,6 +597,7 @@
 	pool.limits.lease_us = settings->lease_ms * GB_MSEC;
 	pool.limits.stop_us = settings->stop_ms * GB_MSEC;
 	pool.limits.keep_us = settings->keep_s * GB_SEC;
+	pool.limits.flow_bytes = (size_t)settings->flows_mb * 1024 * 1024;
 	pool.disabled_features = node->disabled_features;
 	pool.events = events;
 	ops.data = node;
--- a/libgooseberry/node/node.h
+++ b/libgooseberry/node/node.h
@@ -65,7 +65,7 @@
 	char disabled_features[GB_KEY_MAX + 1];
 	int64_t lease_ms, stop_ms, keep_s;
 	int64_t log_lines, log_level, grace_s, files, strict_keys_ms;
-	int64_t callers, callers_mb, probes, peers, peers_mb;
+	int64_t callers, callers_mb, probes, peers, peers_mb, flows_mb;
 };
 
 extern const struct gb_setting gb_node_settings_table[];
--- a/libgooseberry/node/node_settings.c
+++ b/libgooseberry/node/node_settings.c
@@ -56,6 +56,10 @@
 	"connection that has waited longest for the rest of its request is "
 	"closed, and requests beyond half of this are refused.",
 	NODE(callers_mb)},
+    {"flows_mb", GB_SET_INT, "MiB", 16, 100000, "40",
+	"Memory of the flows that are not over, the same on all nodes, as each "
+	"may have to load them; beyond, new flows are refused.",
+	NODE(flows_mb)},
     {"peers", GB_SET_INT, "connections", 16, 100000, "128",
 	"Connections of other nodes at once, beside two for each known member; "
 	"beyond, the one that has been silent longest is closed.",
--- a/libgooseberry/pool.h
+++ b/libgooseberry/pool.h
@@ -419,6 +419,7 @@
 	/** Time for which states of finished flows are kept. */
 	gb_time keep_us;
 	uint32_t connections; /**< open ones to workers, 0: no limit */
+	size_t flow_bytes;    /**< memory of open flows, 0: no limit */
 };
 
 /** Features that can be disabled by the setting `off`.  No guarantee depends on
@@ -596,6 +597,8 @@
 /** Whether flows of this shape are supported; if not, sets GB_E_INVALID with
  * a text that says why. */
 bool gb_flow_check(const gb_flow *, struct gb_error *);
+/** Memory that a flow takes while it is open, in bytes. */
+size_t gb_flow_bytes(const gb_flow *);
 
 /** Whether callers of an organisation may see and cancel a flow: it must be of
  * the same organisation, or one of the two must have none. */
@@ -644,6 +647,8 @@
 	/** Cancels of flows that don't exist: those that are kept now, and
 	 * those that could not be. */
 	uint64_t tombstones, cancels_refused;
+	uint64_t flow_bytes;	     /**< memory of open flows */
+	uint64_t refused_for_memory; /**< flows refused as it was too much */
 	uint64_t flows, waiting, running, workers, quarantined;
 	struct gb_histogram accept_us, first_start_us, finish_us, advice_us;
 	struct gb_histogram txn_us, start_us, takeover_us;
--- a/libgooseberry/pool/admit.c
+++ b/libgooseberry/pool/admit.c
@@ -7,6 +7,9 @@
  * caller's time, so the number of open flows is bounded.  What is refused has
  * not run and never will.
  *
+ * Large submissions: what was accepted must be kept by this owner and by each
+ * successor, whatever its size, so the memory of open flows is bounded as well.
+ *
  * A slow link: the owner's link can't carry all starts.  A flow whose starts
  * would wait behind others until its objective has passed is refused at once;
  * its caller is told the time until the accepted work has been started.  While
@@ -16,8 +19,7 @@
 #include "state.h"
 
 /** Maximum number of open flows: unfinished ones, and finished ones until their
- * runs have ended and their state is stored.  They take about 4 KiB each, and
- * so less than a quarter of the smallest node's memory (160 MB). */
+ * runs have ended and their state is stored. */
 #define ADMIT_FLOWS_MAX 8000
 /** Time after which a refused caller should retry: by then a burst is
  * over for the queues with the shortest waits. */
@@ -98,6 +100,15 @@
 	return false;
 }
 
+/** Whether the open flows would take too much memory with another one. */
+static bool
+admit_over_memory(const struct gb_pool *pool, const gb_flow *flow)
+{
+	size_t max = pool->cfg.limits.flow_bytes;
+
+	return max > 0 && pool->open_bytes + gb_flow_bytes(flow) > max;
+}
+
 /** Bytes of the starts of all tasks of a flow. */
 static uint64_t
 admit_start_bytes(const gb_flow *flow)
@@ -133,6 +144,11 @@
 		*why = "too many flows are open";
 		return false;
 	}
+	if (admit_over_memory(pool, flow)) {
+		*why = "the open flows take too much memory";
+		pool->stats.refused_for_memory++;
+		return false;
+	}
 	if (backlog > ADMIT_LINK_WAIT_MIN && pool->backlog.overdue &&
 	    pool_backlog_waits_for_link(pool)) {
 		*why = "accepted flows wait too long for the link";
--- a/libgooseberry/pool/flow.c
+++ b/libgooseberry/pool/flow.c
@@ -167,6 +167,22 @@
 	return count > room ? count - room : 0;
 }
 
+static void
+flow_count_open(struct gb_pool *pool, struct pool_flow *flow)
+{
+	TAILQ_INSERT_TAIL(&pool->open, flow, open_next);
+	pool->open_count++;
+	pool->open_bytes += flow->bytes;
+}
+
+static void
+flow_count_closed(struct gb_pool *pool, struct pool_flow *flow)
+{
+	TAILQ_REMOVE(&pool->open, flow, open_next);
+	pool->open_count--;
+	pool->open_bytes -= flow->bytes;
+}
+
 struct pool_flow *
 pool_flow_new(struct gb_pool *pool, gb_flow *spec)
 {
@@ -175,6 +191,7 @@
 
 	flow->spec = *spec;
 	memset(spec, 0, sizeof(*spec));
+	flow->bytes = gb_flow_bytes(&flow->spec);
 	flow->partition = gb_pool_partition(flow->spec.id);
 	STAILQ_INIT(&flow->waiters);
 	flow_steps_new(flow);
@@ -188,8 +205,7 @@
 	flow->org = pool_org_get(pool, flow->spec.org);
 	HASH_ADD_KEYPTR(
 	    hh, pool->flows, flow->spec.id, strlen(flow->spec.id), flow);
-	TAILQ_INSERT_TAIL(&pool->open, flow, open_next);
-	pool->open_count++;
+	flow_count_open(pool, flow);
 	pool_backlog_flow_accepted(pool, flow);
 	pool_rank_update_flow_size(pool, flow);
 	return flow;
@@ -239,10 +255,8 @@
 				pool_run_free(pool, run, "dropped");
 		}
 	}
-	if (!flow->closed) {
-		TAILQ_REMOVE(&pool->open, flow, open_next);
-		pool->open_count--;
-	}
+	if (!flow->closed)
+		flow_count_closed(pool, flow);
 	if (flow->dirty)
 		TAILQ_REMOVE(
 		    &pool->partitions[flow->partition].dirty, flow, dirty_next);
@@ -373,8 +387,7 @@
 flow_close(struct gb_pool *pool, struct pool_flow *flow)
 {
 	flow->closed = true;
-	TAILQ_REMOVE(&pool->open, flow, open_next);
-	pool->open_count--;
+	flow_count_closed(pool, flow);
 	flow_steps_free(flow);
 	flow_trim(flow);
 	flow->queue = NULL;
@@ -388,8 +401,7 @@
 	flow->closed = true;
 	flow->removed = true;
 	flow->queue = NULL;
-	TAILQ_REMOVE(&pool->open, flow, open_next);
-	pool->open_count--;
+	flow_count_closed(pool, flow);
 }
 
 gb_time
--- a/libgooseberry/pool/pool.c
+++ b/libgooseberry/pool/pool.c
@@ -362,9 +362,10 @@
 		pool->stats.refused++;
 		pool_org_count_refused(pool, submit->flow.org);
 		gb_event(pool->cfg.events, GB_EVENT_NORMAL, "flow_refused",
-		    "{s:s, s:s, s:s, s:I, s:I}", "flow", submit->flow.id,
+		    "{s:s, s:s, s:s, s:I, s:I, s:I}", "flow", submit->flow.id,
 		    "queue", submit->flow.queue, "why", why, "open_flows",
-		    (json_int_t)pool->open_count, "retry_after_ms",
+		    (json_int_t)pool->open_count, "open_bytes",
+		    (json_int_t)pool->open_bytes, "retry_after_ms",
 		    (json_int_t)(retry_after / GB_MSEC));
 		pool_answer(pool, token, GB_FLOW_REFUSED, retry_after);
 		return;
@@ -523,6 +524,7 @@
 gb_pool_stats(struct gb_pool *pool)
 {
 	pool->stats.flows = pool->open_count;
+	pool->stats.flow_bytes = pool->open_bytes;
 	pool->stats.workers = pool->worker_count;
 	return &pool->stats;
 }
--- a/libgooseberry/pool/state.h
+++ b/libgooseberry/pool/state.h
@@ -229,6 +229,7 @@
 	TAILQ_ENTRY(pool_flow) open_next;
 	TAILQ_ENTRY(pool_flow) tombstone_next;
 	gb_flow spec;	    /**< emptied once the finished flow is stored */
+	size_t bytes;	    /**< memory that counts while it is open */
 	uint32_t partition; /**< of the tables, which holds its rows */
 	/** Its queue in the current configuration, or null. */
 	const struct gb_pool_queue *queue;
@@ -637,6 +638,7 @@
 	/** The one that is removed first is the first. */
 	struct pool_flows tombstones;
 	uint32_t open_count;
+	size_t open_bytes; /**< memory of the open flows */
 	struct gb_pool_config *config;
 	struct pool_queue_stat *queues;
 	struct pool_org *orgs;
--- a/tests/test_crowd_flows.c
+++ b/tests/test_crowd_flows.c
@@ -18,7 +18,7 @@
 #include "crowd.h"
 
 /** Settings of the nodes of these tests. */
-#define SETTINGS ""
+#define SETTINGS ", \"flows_mb\": 16"
 
 #define STEPS 64
 /** Connections at once. */
