Bound the memory of flows that nodes store without the owner

What happens: while the pool has no owner, or the owner can't write to the store, each node stores submissions itself. The next owner loads them all, and nothing bounded their memory where the link is not thin.

Cause: the owner's admission is not asked.

Change: each node counts what it has stored since an owner last accepted a flow, and refuses beyond its part of `flows_mb`, at once and with Retry-After. A submission that may have been stored by an earlier attempt is answered as such, as before.

--- a/libgooseberry/node/intake.c
+++ b/libgooseberry/node/intake.c
@@ -319,6 +319,41 @@
 	}
 }
 
+/** Number of the other nodes that may store flows too. */
+static size_t
+node_members_expected(struct gb_node *node, gb_time now)
+{
+	size_t known = node->known_members_count;
+
+	if (known >= node->members_most ||
+	    now - node->members_most_at > BUDGET_MEMBERS_TIME) {
+		node->members_most = known;
+		node->members_most_at = now;
+	}
+	return node->members_most == 0 ? BUDGET_MEMBERS_UNKNOWN
+				       : node->members_most;
+}
+
+/** Whether the next owner can hold a flow that this node stores unseen by the
+ * present one.  All nodes together store as much as an owner accepts, each an
+ * equal part. */
+static bool
+memory_allows(struct intake *in)
+{
+	struct gb_node *node = in->node;
+	size_t max = (size_t)node->settings.flows_mb * 1024 * 1024;
+	size_t bytes = gb_flow_bytes(&in->submit->flow);
+
+	max /= node_members_expected(node, node_now()) + 1;
+	if (in->counted)
+		return true;
+	if (max > 0 && node->stored_bytes + bytes > max)
+		return false;
+	node->stored_bytes += bytes;
+	in->counted = true;
+	return true;
+}
+
 /** Write a submission to the store, unless the flow is there already. */
 static void
 intake_write(struct intake *in)
@@ -331,7 +366,14 @@
 	struct gb_pool_row cond = {0};
 	struct gb_pool_row puts[3] = {0};
 	struct gb_pool_txn txn = {gb_pool_partition(id), &cond, 1, puts, 3};
+	gb_flow_answer refused = {0};
 
+	if (!memory_allows(in)) {
+		refused.verdict = GB_FLOW_REFUSED;
+		refused.retry_after_us = RETRY_AFTER;
+		intake_refused(in, &refused, REFUSAL_MEMORY);
+		return;
+	}
 	state.org = in->submit->flow.org;
 	cond.table = GB_POOL_STATES;
 	cond.key = id;
@@ -428,6 +470,8 @@
 		intake_read(in);
 		return;
 	}
+	if (in->submit != NULL)
+		in->node->stored_bytes = 0;
 	intake_finish(in, answer);
 }
 
@@ -495,21 +539,6 @@
 	return tasks * (FLOW_TASK_BYTES + strlen(flow->spec));
 }
 
-/** Number of the other nodes that may store flows too. */
-static size_t
-node_members_expected(struct gb_node *node, gb_time now)
-{
-	size_t known = node->known_members_count;
-
-	if (known >= node->members_most ||
-	    now - node->members_most_at > BUDGET_MEMBERS_TIME) {
-		node->members_most = known;
-		node->members_most_at = now;
-	}
-	return node->members_most == 0 ? BUDGET_MEMBERS_UNKNOWN
-				       : node->members_most;
-}
-
 /** Whether this node may store another flow.  While the pool has no owner, all
  * nodes together store no more than half of what the next owner's link can
  * carry, each an equal part. */
--- a/libgooseberry/node/node_state.h
+++ b/libgooseberry/node/node_state.h
@@ -66,6 +66,7 @@
 	bool answered;	    /**< the caller has its answer, but the attempt in
 			       flight has not ended */
 	bool maybe_done;    /**< an earlier attempt may have been carried out */
+	bool counted;	    /**< counts as stored by this node */
 	bool tried_store;   /**< this node has tried to store it in place of an
 			       owner that has lost the store */
 	unsigned int tries; /**< attempts so far */
@@ -141,6 +142,9 @@
 	/** Bytes of flows that this node may still store while the pool has no
 	 * owner. */
 	int64_t budget;
+	/** Memory of the flows that this node has stored since an owner last
+	 * accepted one. */
+	size_t stored_bytes;
 	/** The last owner that answered had a full link. */
 	bool owner_link_was_full;
 	size_t members_most; /**< largest number of known_members recently */
--- a/libgooseberry/node/refusals.c
+++ b/libgooseberry/node/refusals.c
@@ -22,6 +22,7 @@
     [REFUSAL_LINK] = "link_of_owner",
     [REFUSAL_STORE] = "slow_store",
     [REFUSAL_CANCELLED] = "cancelled",
+    [REFUSAL_MEMORY] = "memory_of_next_owner",
 };
 
 const char *
--- a/libgooseberry/node/refusals.h
+++ b/libgooseberry/node/refusals.h
@@ -15,6 +15,7 @@
 	REFUSAL_LINK,	  /**< the owner's link is full */
 	REFUSAL_STORE, /**< the owner can't store it, and the store is slow */
 	REFUSAL_CANCELLED, /**< it was cancelled before it arrived */
+	REFUSAL_MEMORY,	   /**< the next owner could not hold it */
 	REFUSAL_REASONS
 };
 
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -240,6 +240,7 @@
 	settings.stop_ms = 200;
 	settings.keep_s = 60;
 	settings.grace_s = 6;
+	settings.flows_mb = 1;
 	node = gb_node_new(&cell->loop, cell->env, &settings, &platform,
 	    gb_events_new(&cell->loop, fileno(cell->log), UINT32_MAX, "node"),
 	    &err);
@@ -397,16 +398,18 @@
 	cell->answer = *answer;
 }
 
-/** Submits a flow at a node and runs the loop until it is answered. */
+/** Submits a flow of so many tasks at a node and runs the loop until it is
+ * answered. */
 static void
-cell_submit(struct cell *cell, unsigned int node, const char *id)
+cell_submit_tasks(
+    struct cell *cell, unsigned int node, const char *id, uint32_t tasks)
 {
 	gb_flow_submit submit = {0};
 	gb_step step = {0};
 	char none[] = "";
 	int i;
 
-	step.count = 1;
+	step.count = tasks;
 	step.label = step.rack = none;
 	submit.caller.config = 1;
 	submit.caller.org = none;
@@ -427,6 +430,12 @@
 	assert_true(cell->answered);
 }
 
+static void
+cell_submit(struct cell *cell, unsigned int node, const char *id)
+{
+	cell_submit_tasks(cell, node, id, 1);
+}
+
 /** A version that is older than the newest one received is ignored, whoever
  * sends it.  A newer one without organisations does not let callers without a
  * key into the queues. */
@@ -824,6 +833,37 @@
 	assert_int_equal(thin_link_accepts(0, false), 1);
 }
 
+/** While the owner can't store flows, the other nodes store them unseen by it.
+ * All of them together store no more than the next owner may hold in memory. */
+static void
+test_memory_bounds_flows_without_owner(void **state)
+{
+	struct cell *cell = cell_start();
+	unsigned int owner;
+	unsigned int other;
+	unsigned int accepted = 0;
+	unsigned int i;
+	char id[32];
+
+	(void)state;
+	cell_wait_ready(cell);
+	owner = cell_owner(cell);
+	other = (owner + 1) % NODES;
+	cell->store_refuses[owner] = true;
+	for (i = 0; i < 5; i++) {
+		snprintf(id, sizeof(id), "00000000000000c%u", i);
+		/* Each takes 0.2 MiB; a part is half of 1 MiB, as two nodes
+		 * are left. */
+		cell_submit_tasks(cell, other, id, 2000);
+		accepted += cell->answer.verdict == GB_FLOW_ACCEPTED;
+		if (cell->answer.verdict == GB_FLOW_ACCEPTED)
+			continue;
+		assert_int_equal(cell->answer.verdict, GB_FLOW_REFUSED);
+		assert_true(cell->answer.retry_after_us > 0);
+	}
+	assert_int_equal(accepted, 2);
+}
+
 /** After an owner whose link was full nothing is stored: its successor's link
  * would have to carry that as well. */
 static void
@@ -1512,6 +1552,7 @@
 	    cmocka_unit_test(test_flows_are_kept_from_loading_owner),
 	    cmocka_unit_test(test_link_bounds_flows_without_owner),
 	    cmocka_unit_test(test_link_bounds_flows_of_short_takeovers),
+	    cmocka_unit_test(test_memory_bounds_flows_without_owner),
 	    cmocka_unit_test(test_nothing_is_stored_after_owner_with_full_link),
 	    cmocka_unit_test(test_owning_is_not_time_without_owner),
 	    cmocka_unit_test(test_members_shed_for_a_full_owner),
