Keep callers' connections open after refusals

Callers saw: every answer but 200 ended the connection, so that a caller that is refused, or asks for an unknown id, connects anew for each try, and under a crowd each refusal costs a connection more.

Cause: h2o_send_inline sets no length, and h2o sends answers without one in chunks for status 200 only, else until the end of the connection.

Change: http_call_answer sets the length.

Evidence: test_refused_callers_stay_connected, the second of two requests for an unknown id on one connection: no answer before, 410 now; all 14 cases of test-crowd-front pass.

--- a/libgooseberry/connection/http.c
+++ b/libgooseberry/connection/http.c
@@ -510,6 +510,9 @@
 		if (call->server->leaving)
 			req->http1_is_persistent = 0;
 		http_call_add_header(call, "content-type", type);
+		/* Without a length h2o ends the connection after all answers
+		 * but 200. */
+		req->res.content_length = len;
 		h2o_send_inline(req, body, len);
 		gb_link_count_sent(call->server->link, gb_clock_boot(),
 		    GB_TRAFFIC_CALLER, HTTP_HEAD_BYTES + len);
--- a/tests/crowd.c
+++ b/tests/crowd.c
@@ -361,6 +361,28 @@
 	return status;
 }
 
+unsigned int
+crowd_request_twice(unsigned int port, const char *request, size_t len)
+{
+	char answer[4096];
+	unsigned int status = 0;
+	int fd = connect_to(port);
+	unsigned int i;
+	ssize_t n = 0;
+
+	assert_true(fd >= 0);
+	for (i = 0; i < 2; i++) {
+		n = 0;
+		if (write_within(fd, request, len, WAIT_MS) &&
+		    wait_for(fd, POLLIN, WAIT_MS))
+			n = recv(fd, answer, sizeof(answer) - 1, 0);
+	}
+	close(fd);
+	answer[n > 0 ? n : 0] = '\0';
+	sscanf(answer, "HTTP/1.1 %u", &status);
+	return status;
+}
+
 void
 crowd_rpc_call(char out[CROWD_RPC_CALL_BYTES])
 {
--- a/tests/crowd.h
+++ b/tests/crowd.h
@@ -93,6 +93,10 @@
     const char *path, const char *headers, const char *body, char *out,
     size_t size);
 
+/** Send a request twice on one connection, the second time after the answer to
+ * the first; returns the status of the second answer, 0 if there is none. */
+unsigned int crowd_request_twice(
+    unsigned int port, const char *request, size_t len);
 /** Make an ordinary call of the nodes' own protocol, of a procedure that does
  * not exist, on a connection of its own; whether it was answered. */
 bool crowd_rpc_answered(unsigned int port);
--- a/tests/test_crowd_front.c
+++ b/tests/test_crowd_front.c
@@ -2,8 +2,9 @@
  * @file test_crowd_front.c
  * Guards against callers that end a node, or keep it from answering others:
  * many large bodies at once of which the end is missing, connections that send
- * nothing or stay in the middle of a head, answers that are not read, and
- * requests that wait while the store does not answer.
+ * nothing or stay in the middle of a head, answers that are not read, requests
+ * that wait while the store does not answer, and refusals that cost their
+ * callers the connection.
  */
 #include <setjmp.h>
 #include <stdarg.h>
@@ -340,6 +341,22 @@
 	play_on(&cell, cell.front[0], 20, 2, send_h2, NULL);
 }
 
+/** A connection stays open after an answer that refuses. */
+static void
+test_refused_callers_stay_connected(void **state)
+{
+	static const char request[] =
+	    "GET " CROWD_QUEUE "00000000000000ff HTTP/1.1\r\n"
+	    "Host: 127.0.0.1\r\n\r\n";
+	struct crowd_cell cell;
+
+	(void)state;
+	crowd_cell_start(&cell, 1, SETTINGS, CROWD_MEMORY_MB, CROWD_FILES);
+	assert_int_equal(
+	    crowd_request_twice(cell.front[0], request, sizeof(request) - 1),
+	    410);
+}
+
 /** A node that is asked to stop beside a crowd ends. */
 static void
 test_stop_beside_a_crowd(void **state)
@@ -373,6 +390,8 @@
 	    cmocka_unit_test_teardown(
 		test_silent_connections_at_default_limits, crowd_teardown),
 	    cmocka_unit_test_teardown(test_crowds_in_turn, crowd_teardown),
+	    cmocka_unit_test_teardown(
+		test_refused_callers_stay_connected, crowd_teardown),
 	    cmocka_unit_test_teardown(test_stop_beside_a_crowd, crowd_teardown),
 	};
 
