--- a/tests/test_crowd_flows.c
+++ b/tests/test_crowd_flows.c
@@ -24,6 +24,8 @@
 /** Connections at once. */
 #define AT_ONCE 100
 #define ANSWER_MS 60000
+/** Cancels of a test: more than are kept at once. */
+#define CANCELS 5000
 /** Most submissions of a test. */
 #define FLOWS_MAX 3000
 
@@ -80,7 +82,7 @@
 
 /** Take note of the answers of a round. */
 static void
-answers_read(struct crowd *crowd)
+answers_read(struct crowd *crowd, unsigned int first)
 {
 	char text[64];
 	unsigned int i;
@@ -91,7 +93,7 @@
 		memset(text, 0, sizeof(text));
 		if (crowd->fds[i] >= 0 && poll(&poller, 1, ANSWER_MS) == 1 &&
 		    recv(crowd->fds[i], text, sizeof(text) - 1, 0) > 0)
-			flows.accepted[flows.first + i] =
+			flows.accepted[first + i] =
 			    strncmp(text, "HTTP/1.1 200", 12) == 0;
 	}
 }
@@ -107,7 +109,7 @@
 		    count - flows.first < AT_ONCE ? count - flows.first
 						  : AT_ONCE,
 		    send_flow, NULL);
-		answers_read(&crowd);
+		answers_read(&crowd, flows.first);
 		crowd_close(&crowd);
 	}
 }
@@ -169,6 +171,46 @@
 	play(12);
 }
 
+static void
+send_cancel(int fd, unsigned int number, void *data)
+{
+	const unsigned int *first = data;
+	char head[256];
+	int len = snprintf(head, sizeof(head),
+	    "DELETE " CROWD_QUEUE "%016x HTTP/1.1\r\nHost: 127.0.0.1\r\n\r\n",
+	    *first + number);
+
+	crowd_write(fd, head, (size_t)len);
+}
+
+/** Cancels of flows that nobody has submitted are kept, as the flow may come
+ * later.  They must not keep others from submitting and cancelling. */
+static void
+test_cancels_of_unknown_flows(void **state)
+{
+	struct crowd_cell cell;
+	struct crowd crowd;
+	unsigned int first;
+
+	(void)state;
+	flow_build(1, 1);
+	crowd_cell_start(&cell, 1, SETTINGS, CROWD_MEMORY_MB, CROWD_FILES);
+	for (first = 0x10000; first < 0x10000 + CANCELS; first += AT_ONCE) {
+		crowd_open(&crowd, cell.front[0], AT_ONCE, send_cancel, &first);
+		answers_read(&crowd, 0);
+		crowd_close(&crowd);
+	}
+	crowd_cell_check(&cell);
+	assert_int_equal(
+	    crowd_request(cell.front[0], "POST", CROWD_QUEUE "00000000000000aa",
+		"", flows.body, NULL, 0),
+	    200);
+	assert_int_equal(crowd_request(cell.front[0], "DELETE",
+			     CROWD_QUEUE "00000000000000aa", "", "", NULL, 0),
+	    200);
+	crowd_cell_check(&cell);
+}
+
 int
 main(void)
 {
@@ -176,6 +218,8 @@
 	    cmocka_unit_test_teardown(test_large_submissions, crowd_teardown),
 	    cmocka_unit_test_teardown(
 		test_submissions_of_many_tasks, crowd_teardown),
+	    cmocka_unit_test_teardown(
+		test_cancels_of_unknown_flows, crowd_teardown),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_crowd_front.c
+++ b/tests/test_crowd_front.c
@@ -341,6 +341,22 @@
 	play_on(&cell, cell.front[0], 20, 2, send_h2, NULL);
 }
 
+/** A timeout that no clock can count ends no process. */
+static void
+test_endless_timeout(void **state)
+{
+	struct crowd_cell cell;
+
+	(void)state;
+	crowd_cell_start(&cell, 1, SETTINGS, CROWD_MEMORY_MB, CROWD_FILES);
+	assert_int_equal(
+	    crowd_request(cell.front[0], "GET", CROWD_QUEUE,
+		"X-Gooseberrycart-Timeout-Ms: 9223372036854775807\r\n", "",
+		NULL, 0),
+	    200);
+	crowd_cell_check(&cell);
+}
+
 /** A connection stays open after an answer that refuses. */
 static void
 test_refused_callers_stay_connected(void **state)
@@ -390,6 +406,7 @@
 	    cmocka_unit_test_teardown(
 		test_silent_connections_at_default_limits, crowd_teardown),
 	    cmocka_unit_test_teardown(test_crowds_in_turn, crowd_teardown),
+	    cmocka_unit_test_teardown(test_endless_timeout, crowd_teardown),
 	    cmocka_unit_test_teardown(
 		test_refused_callers_stay_connected, crowd_teardown),
 	    cmocka_unit_test_teardown(test_stop_beside_a_crowd, crowd_teardown),
