Tests: a takeover beside crowds

The owner is killed beside crowds of unfinished bodies at two nodes; the other node takes over within its memory and answers.

--- a/tests/test_crowd_front.c
+++ b/tests/test_crowd_front.c
@@ -341,6 +341,31 @@
 	play_on(&cell, cell.front[0], 20, 2, send_h2, NULL);
 }
 
+/** The owner is killed beside crowds at two nodes: the other one takes over. */
+static void
+test_takeover_beside_a_crowd(void **state)
+{
+	struct crowd_cell cell;
+	struct crowd crowds[2];
+	unsigned int owner;
+	unsigned int i;
+
+	(void)state;
+	crowd_cell_start(&cell, 2, SETTINGS, CROWD_MEMORY_MB, CROWD_FILES);
+	owner = crowd_cell_owner(&cell);
+	for (i = 0; i < 2; i++)
+		crowd_open(&crowds[i], cell.front[i], 400, send_length, "");
+	crowd_cell_check(&cell);
+	crowd_process_kill(&cell.nodes[owner]);
+	crowd_reopen(&crowds[1 - owner]);
+	owner = crowd_cell_owner(&cell);
+	crowd_reopen(&crowds[owner]);
+	crowd_cell_check(&cell);
+	for (i = 0; i < 2; i++)
+		crowd_close(&crowds[i]);
+	crowd_cell_check(&cell);
+}
+
 /** A timeout that no clock can count ends no process. */
 static void
 test_endless_timeout(void **state)
@@ -406,6 +431,8 @@
 	    cmocka_unit_test_teardown(
 		test_silent_connections_at_default_limits, crowd_teardown),
 	    cmocka_unit_test_teardown(test_crowds_in_turn, crowd_teardown),
+	    cmocka_unit_test_teardown(
+		test_takeover_beside_a_crowd, crowd_teardown),
 	    cmocka_unit_test_teardown(test_endless_timeout, crowd_teardown),
 	    cmocka_unit_test_teardown(
 		test_refused_callers_stay_connected, crowd_teardown),
