--- a/libgooseberry/gooseberry.h
+++ b/libgooseberry/gooseberry.h
@@ -721,8 +721,8 @@
 char *gb_strdup(const char *);
 void *gb_calloc(size_t, size_t);
 void *gb_realloc(void *, size_t);
-/** Let large blocks be given back to the system as they are freed.  To be called
- * before there are any. */
+/** Let large blocks be given back to the system as they are freed.  It is
+ * called before there are any. */
 void gb_memory_init(void);
 /** Give memory that was freed back to the system.  Takes some milliseconds if
  * there is much of it. */
--- a/libgooseberry/node/node.c
+++ b/libgooseberry/node/node.c
@@ -22,11 +22,14 @@
 /** Silence of the owner after which a node isn't ready if the store is
  * unavailable too. */
 #define READY_SILENCE (1500 * GB_MSEC)
-/** Descriptors that are reserved for callers, the store and files, and those
- * for each member, which calls the owner and is called for advice.  The others
- * are for connections to workers. */
-#define FILES_RESERVED 900
+/** Descriptors that are reserved for the store and for files, beside those that
+ * the settings allow for callers, peers and probes, and those for each member,
+ * which calls the owner and is called for advice.  The others are for
+ * connections to workers. */
+#define FILES_RESERVED 132
 #define FILES_PER_MEMBER 2
+/** Ports for which `probes` connections are allowed. */
+#define PROBE_PORTS 2
 /** Share of the descriptors that connections to workers get in any case, as a
  * divisor. */
 #define FILES_WORKERS_DIVISOR 4
@@ -499,6 +502,14 @@
 		    gb_link_rate(link));
 }
 
+/** Descriptors that are not for workers and members. */
+static int64_t
+files_reserved(const struct gb_node_settings *settings)
+{
+	return FILES_RESERVED + settings->callers + settings->peers +
+	       PROBE_PORTS * settings->probes;
+}
+
 /** Update the number of connections from members and to workers that may be
  * open. */
 static void
@@ -515,7 +526,8 @@
 	node->members_limited = members;
 	if (files == 0)
 		return;
-	most = files - FILES_RESERVED - FILES_PER_MEMBER * (int64_t)members;
+	most = files - files_reserved(&node->settings) -
+	       FILES_PER_MEMBER * (int64_t)members;
 	if (most < files / FILES_WORKERS_DIVISOR)
 		most = files / FILES_WORKERS_DIVISOR;
 	if (most == node->connections_max)
--- a/tests/crowd.c
+++ b/tests/crowd.c
@@ -43,6 +43,8 @@
 /** Calls that one connection sends. */
 #define CALLS 400000
 
+/** Most arguments of a program. */
+#define ARGS_MAX 14
 /** Most processes of one test. */
 #define PROCESSES_MAX 16
 
@@ -118,12 +120,12 @@
     unsigned int files)
 {
 	const struct rlimit limit = {files, files};
-	char *argv[16] = {(char *)path};
+	char *argv[ARGS_MAX + 2] = {(char *)path};
 	unsigned int i;
 	int fd;
 
 	prctl(PR_SET_PDEATHSIG, SIGKILL);
-	for (i = 0; args[i] != NULL && i < 14; i++)
+	for (i = 0; i < ARGS_MAX && args[i] != NULL; i++)
 		argv[i + 1] = (char *)args[i];
 	fd = open(log, O_WRONLY | O_CREAT | O_APPEND, 0644);
 	dup2(fd, STDOUT_FILENO);
@@ -461,7 +463,7 @@
 		snprintf(text[i], sizeof(text[i]), "127.0.0.1:%u",
 		    crowd_port(PORT_STORE + i));
 	snprintf(text[3], sizeof(text[3]), "%u", crowd_port(PORT_WORKER));
-	snprintf(workers, sizeof(workers), "%u", WORKERS);
+	snprintf(workers, sizeof(workers), "%d", WORKERS);
 	cell->emulator.name = "emulator";
 	crowd_process_start(&cell->emulator, "gooseberry-emulator", args, 0, 0);
 	wait_served(crowd_port(PORT_CONTROL), "POST", "/config", cell_config);
@@ -504,9 +506,9 @@
 	limit.rlim_cur = limit.rlim_max;
 	setrlimit(RLIMIT_NOFILE, &limit);
 	memset(cell, 0, sizeof(*cell));
-	cell->count = nodes;
+	cell->count = nodes < CROWD_NODES_MAX ? nodes : CROWD_NODES_MAX;
 	emulator_start(cell);
-	for (i = 0; i < nodes; i++)
+	for (i = 0; i < cell->count; i++)
 		node_start(cell, i, settings, memory_mb, files);
 	crowd_cell_wait(cell);
 }
--- a/tests/test_crowd_flows.c
+++ b/tests/test_crowd_flows.c
@@ -144,7 +144,6 @@
 	unsigned int owner;
 
 	crowd_cell_start(&cell, 2, SETTINGS, CROWD_MEMORY_MB, CROWD_FILES);
-	owner = crowd_cell_owner(&cell);
 	flows_submit(&cell, count);
 	crowd_cell_check(&cell);
 	owner = crowd_cell_owner(&cell);
--- a/tests/test_crowd_front.c
+++ b/tests/test_crowd_front.c
@@ -73,7 +73,8 @@
 	(void)data;
 	len = snprintf(chunk, sizeof(chunk), "%x\r\n", CHUNK_BYTES);
 	memset(chunk + len, ' ', CHUNK_BYTES);
-	memcpy(chunk + len + CHUNK_BYTES, "\r\n", 2);
+	chunk[len + CHUNK_BYTES] = '\r';
+	chunk[len + CHUNK_BYTES + 1] = '\n';
 	for (sent = 0; ok && sent + CHUNK_BYTES < CROWD_BODY_MAX;
 	     sent += CHUNK_BYTES)
 		ok = crowd_write(fd, chunk, (size_t)len + CHUNK_BYTES + 2);
@@ -91,8 +92,8 @@
 
 	(void)data;
 	assert_non_null(body);
-	for (i = 0; i + 3 < CROWD_BODY_MAX; i += 3)
-		memcpy(body + i, "[],", 3);
+	for (i = 0; i < CROWD_BODY_MAX; i++)
+		body[i] = "[],"[i % 3];
 	snprintf(headers, sizeof(headers), "Content-Length: %d\r\n",
 	    CROWD_BODY_MAX - 8);
 	len = post_head(head, sizeof(head), number, headers);
