Count buffers only while memory may have to be given back

After a burst the buffers were counted each millisecond for good, although no memory could be due to be given back. The report reads the time of the loop in place of the clock in each iteration. The handle of the count doesn't keep the loop alive.

--- a/libgooseberry/connection/conn_set.c
+++ b/libgooseberry/connection/conn_set.c
@@ -167,6 +167,12 @@
 	       set->busy_bytes > set->limits.bytes / CONN_BUSY_DIVISOR;
 }
 
+bool
+conn_set_may_shrink(const struct conn_set *set)
+{
+	return set->bytes_most > set->limits.bytes / CONN_SHRUNK_DIVISOR;
+}
+
 bool
 conn_set_shrunk(struct conn_set *set)
 {
--- a/libgooseberry/connection/conn_set.h
+++ b/libgooseberry/connection/conn_set.h
@@ -74,6 +74,8 @@
 /** Whether the requests that are not answered yet hold so much that another one
  * must be refused. */
 bool conn_set_is_full(const struct conn_set *);
+/** Whether so much was held that conn_set_shrunk may become true. */
+bool conn_set_may_shrink(const struct conn_set *);
 /** Whether much less is held than before, so that memory may be given back to
  * the system. */
 bool conn_set_shrunk(struct conn_set *);
--- a/libgooseberry/connection/http.c
+++ b/libgooseberry/connection/http.c
@@ -18,9 +18,10 @@
 /** Estimated bytes of an answer before its body: status, date, type and
  * length. */
 #define HTTP_HEAD_BYTES 170
-/** Bytes of a connection's buffer beside the body, and what the buffer may be
- * larger than its contents, as a factor: h2o doubles it. */
+/** Bytes that a connection's buffer may have beside the body: the head, and
+ * room for the next read. */
 #define HTTP_BUFFER_EXTRA 16384
+/** Factor by which a buffer may be larger than its contents: h2o doubles it. */
 #define HTTP_BUFFER_GROWTH 2
 /** Receive buffer of a connection: bounds what arrives between two counts of
  * the buffers. */
@@ -139,7 +140,7 @@
 	size_t limit = server->conns.limits.bytes;
 
 	return limit > 0 && (server->conns.count * each > limit ||
-				server->conns.bytes_most > 0);
+				conn_set_may_shrink(&server->conns));
 }
 
 static void
@@ -183,7 +184,7 @@
 		server_count_bytes(server);
 	}
 	if (server->limited != NULL &&
-	    conn_set_report(&server->conns, gb_clock_boot(), &counts))
+	    conn_set_report(&server->conns, (gb_time)now * GB_MSEC, &counts))
 		server->limited(server->limited_data, &counts);
 }
 
@@ -376,12 +377,13 @@
 	int size = HTTP_RECEIVE_BYTES;
 
 	server->conns.limits = *limits;
-	/* Inherited by the connections.  Without it the system would also
-	 * work. */
+	/* Connections inherit it.  It only makes the count more exact, so that
+	 * a failure doesn't matter. */
 	uv_recv_buffer_size((uv_handle_t *)&server->tcp, &size);
 	server->limited = limited;
 	server->limited_data = data;
 	uv_check_start(&server->check, on_check);
+	uv_unref((uv_handle_t *)&server->check);
 }
 
 const struct conn_counts *
