--- a/tests/crowd.h
+++ b/tests/crowd.h
@@ -11,8 +11,8 @@
 #include <stddef.h>
 #include <sys/types.h>
 
-/** Memory in MiB and descriptors of the instances of these tests, unless a test
- * sets others.  They are small so that small crowds exceed them. */
+/** Memory in MiB and descriptors of the instances of most tests: small, so that
+ * small crowds exceed them. */
 #define CROWD_MEMORY_MB 64
 #define CROWD_FILES 512
 /** Memory in MiB and descriptors of the smallest instance of the platform. */
@@ -33,8 +33,8 @@
 	unsigned int files;
 };
 
-/** Start a program of the build with one argument or none.  Its limit of
- * descriptors is set to `files`, unless that is 0. */
+/** Start a program of the build with arguments, of which the last one is null.
+ * Its limit of descriptors is set to `files`, unless that is 0. */
 void crowd_process_start(struct crowd_process *, const char *program,
     const char *const args[], unsigned int memory_mb, unsigned int files);
 /** Kill the process and wait for it. */
--- a/tests/test_conn_set.c
+++ b/tests/test_conn_set.c
@@ -14,9 +14,9 @@
 
 #define CONNECTIONS 4
 
-/** A set that is filled with connections of these numbers, one a second. */
 static struct conn conns[CONNECTIONS];
 
+/** Fill a set to its limit with connections that come one a second. */
 static void
 fill(struct conn_set *set, size_t bytes)
 {
