--- a/libgooseberry/connection/http.c
+++ b/libgooseberry/connection/http.c
@@ -25,10 +25,10 @@
 #define HTTP_BUFFER_GROWTH 2
 /** Receive buffer of a connection: bounds what arrives between two counts of
  * the buffers. */
-#define HTTP_RECEIVE_BYTES 32768
-/** Share of the connections, as a divisor, that is left to other callers when
- * many requests wait for an answer: these are told at once to come back. */
-#define HTTP_FREE_DIVISOR 4
+#define HTTP_RECEIVE_BYTES 8192
+/** Share of the connections, as a divisor, that may have a request without an
+ * answer.  Further callers are told at once to come back. */
+#define HTTP_BUSY_DIVISOR 4
 /** Interval of attempts to accept a connection for which there was no room. */
 #define HTTP_ACCEPT_RETRY_MS 10
 /** Interval in milliseconds at which the buffers are counted. */
@@ -199,8 +199,7 @@
 	return conn_set_is_full(set) ||
 	       (set->limits.connections > 0 &&
 		   server->in_flight >=
-		       set->limits.connections -
-			   set->limits.connections / HTTP_FREE_DIVISOR);
+		       set->limits.connections / HTTP_BUSY_DIVISOR);
 }
 
 static int
