Lower the limit of callers' connections to 700

Cause: libuv polls up to 48 times in one iteration of the loop while 1,024 descriptors are ready, without the check handle in which buffers are counted.

Requests without an answer are half of the connections at most. test_bodies_at_default_limits has 2,300 connections in place of 1,000, which the limit of 2,048 fails.

--- a/libgooseberry/connection/http.c
+++ b/libgooseberry/connection/http.c
@@ -28,7 +28,7 @@
 #define HTTP_RECEIVE_BYTES 8192
 /** Share of the connections, as a divisor, that may have a request without an
  * answer.  Further callers are told at once to come back. */
-#define HTTP_BUSY_DIVISOR 4
+#define HTTP_BUSY_DIVISOR 2
 /** Interval of attempts to accept a connection for which there was no room. */
 #define HTTP_ACCEPT_RETRY_MS 10
 /** Interval in milliseconds at which the buffers are counted. */
--- a/libgooseberry/connection/http.h
+++ b/libgooseberry/connection/http.h
@@ -39,8 +39,8 @@
  * limit was reached. */
 typedef void (*http_limited)(void *, const struct conn_counts *);
 
-/** Limit the connections, the bytes that requests hold in memory, and, to a
- * quarter of the connections, the requests without answer.  A connection that
+/** Limit the connections, the bytes that requests hold in memory, and, to
+ * half of the connections, the requests without answer.  A connection that
  * waits for its request or the rest of it is closed for a newer one, or when
  * too many bytes are held; requests that can't be handled are passed on with
  * over_limit set.
--- a/libgooseberry/node/node_settings.c
+++ b/libgooseberry/node/node_settings.c
@@ -46,10 +46,10 @@
 	"How long the state of a finished flow is answered.", NODE(keep_s)},
     {"files", GB_SET_INT, "descriptors", 0, 1000000, "0",
 	"Descriptors that a process may have open; 0: no limit.", NODE(files)},
-    {"callers", GB_SET_INT, "connections", 16, 100000, "2048",
+    {"callers", GB_SET_INT, "connections", 16, 100000, "700",
 	"Connections of callers at once; beyond, the one that has waited "
-	"longest for its request is closed, and requests beyond a quarter of "
-	"this are refused.",
+	"longest for its request is closed, and requests beyond half of this "
+	"are refused.",
 	NODE(callers)},
     {"callers_mb", GB_SET_INT, "MiB", 2, 100000, "24",
 	"Memory for requests that are being read or handled; beyond, the "
--- a/libgooseberry/process/settings.c
+++ b/libgooseberry/process/settings.c
@@ -115,10 +115,10 @@
 	ENTRY(leave_ms)},
     {"in_flight_limit", GB_SET_INT, "requests", 1, 100000, "4096",
 	"Requests in hand at once; more are refused.", ENTRY(in_flight_limit)},
-    {"callers", GB_SET_INT, "connections", 16, 100000, "16384",
+    {"callers", GB_SET_INT, "connections", 16, 100000, "8192",
 	"Connections of callers at once; beyond, the one that has waited "
-	"longest for its request is closed, and requests beyond a quarter of "
-	"this are refused.",
+	"longest for its request is closed, and requests beyond half of this "
+	"are refused.",
 	ENTRY(callers)},
     {"callers_mb", GB_SET_INT, "MiB", 16, 100000, "64",
 	"Memory for requests that are being read or handled; beyond, the "
--- a/tests/test_crowd_front.c
+++ b/tests/test_crowd_front.c
@@ -314,7 +314,7 @@
 	(void)state;
 	crowd_cell_start(
 	    &cell, 1, "", CROWD_MEMORY_SMALLEST_MB, CROWD_FILES_SMALLEST);
-	play_on(&cell, cell.front[0], 1000, 2, send_length, "");
+	play_on(&cell, cell.front[0], 2300, 2, send_length, "");
 }
 
 static void
